--- /dev/null
+++ b/Source/Base/BoundedRing.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <boost/circular_buffer.hpp>
+
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// A bounded queue that joins two threads. A full ring refuses; it never blocks the producer.
+template <typename T>
+class BoundedRing
+{
+public:
+    explicit BoundedRing(std::size_t capacity)
+        : m_items(capacity)
+    {
+    }
+
+    /// Returns false, and leaves \p item alone, if the ring is full or closed.
+    bool tryPush(T &&item)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_closed || m_items.full()) {
+                return false;
+            }
+            m_items.push_back(std::move(item));
+        }
+        m_changed.notify_one();
+        return true;
+    }
+
+    /// Takes up to \p most items, waiting up to \p timeout for the first.
+    std::vector<T> popBatch(std::size_t most, Duration timeout)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, timeout, [this] { return m_closed || !m_items.empty(); });
+        std::vector<T> batch;
+        while (!m_items.empty() && batch.size() < most) {
+            batch.push_back(std::move(m_items.front()));
+            m_items.pop_front();
+        }
+        return batch;
+    }
+
+    /// Refuses further items and wakes the consumer. What is queued can still be taken.
+    void close()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_closed = true;
+        }
+        m_changed.notify_all();
+    }
+
+    bool closed() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
+    std::size_t size() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_items.size();
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    boost::circular_buffer<T> m_items;
+    bool m_closed = false;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Base/DutyThread.cpp
@@ -0,0 +1,64 @@
+#include "Base/DutyThread.h"
+
+#include <exception>
+
+#include "Base/Logger.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr Duration PauseAfterException = 500ms;
+const Logger Log("duty");
+} // namespace
+
+DutyThread::DutyThread(std::string name, Step step)
+    : m_name(std::move(name))
+    , m_step(std::move(step))
+    , m_thread([this] { run(); })
+{
+}
+
+DutyThread::~DutyThread()
+{
+    stop();
+}
+
+void DutyThread::wake()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_due = true;
+    }
+    m_changed.notify_all();
+}
+
+void DutyThread::stop()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void DutyThread::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_due = false;
+        lock.unlock();
+        Duration pause = PauseAfterException;
+        try {
+            pause = m_step();
+        } catch (const std::exception &error) {
+            Log.error("Step of " + m_name + " failed: " + error.what() + ".");
+        }
+        lock.lock();
+        m_changed.wait_for(lock, pause, [this] { return m_stopping || m_due; });
+    }
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Base/Error.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <variant>
+
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// Every error the product reports. The names are the stable codes that callers see.
+enum class Errc {
+    Malformed = 1,
+    TooLarge,
+    Unauthenticated,
+    AccountForbidsModel,
+    UnknownModel,
+    UnknownOperation,
+    VersionWithdrawn,
+    NoBackend,
+    Overloaded,
+    DeadlineExceeded,
+    NotReady,
+    Stopping,
+    ClaimedElsewhere,
+    ClaimUncertain,
+    OutcomeUnknown,
+    BackendFailed,
+    BackendBroken,
+    BackendOverloaded,
+    KeyReused,
+    LogUnavailable,
+    LogUncertain,
+    LogTruncated,
+    PeerUnavailable,
+    PlatformUnavailable,
+    InvalidSettings,
+    InvalidManifest,
+    NotFound,
+};
+
+/// Category of Errc. Its messages are the stable codes in snake case.
+const std::error_category &lycheearchCategory();
+std::error_code make_error_code(Errc code); // NOLINT(readability-identifier-naming)
+
+/// Whether the work of a request was done. "NotRun" is only said when it is certain.
+enum class RunState { NotRun, Ran, Unknown };
+const char *runStateName(RunState state);
+
+/// An error with what was found, and what the caller may do about it.
+struct Failure
+{
+    std::error_code code;
+    std::string message;
+    RunState run = RunState::NotRun;
+    Duration retryAfter = Duration::zero();
+};
+
+Failure makeFailure(Errc code, std::string message, RunState run = RunState::NotRun,
+                    Duration retryAfter = Duration::zero());
+
+/// Either a value or the failure that prevented it.
+template <typename T>
+class Result
+{
+public:
+    Result(T value) // NOLINT(google-explicit-constructor)
+        : m_state(std::move(value))
+    {
+    }
+    Result(Failure failure) // NOLINT(google-explicit-constructor)
+        : m_state(std::move(failure))
+    {
+    }
+
+    bool ok() const { return std::holds_alternative<T>(m_state); }
+    const T &value() const { return std::get<T>(m_state); }
+    T &value() { return std::get<T>(m_state); }
+    const Failure &failure() const { return std::get<Failure>(m_state); }
+
+private:
+    std::variant<T, Failure> m_state;
+};
+
+/// Result of an action without a value.
+using Status = std::optional<Failure>;
+
+} // namespace lycheearch
+
+template <>
+struct std::is_error_code_enum<lycheearch::Errc> : std::true_type
+{
+};
--- /dev/null
+++ b/Source/Base/Findings.cpp
@@ -0,0 +1,20 @@
+#include "Base/Findings.h"
+
+namespace lycheearch {
+
+void Findings::add(std::string place, std::string found, std::string expected)
+{
+    m_findings.push_back({std::move(place), std::move(found), std::move(expected)});
+}
+
+std::string Findings::text() const
+{
+    std::string text;
+    for (const Finding &finding : m_findings) {
+        text +=
+            finding.place + ": found " + finding.found + ", expected " + finding.expected + "\n";
+    }
+    return text;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Base/Findings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace lycheearch {
+
+/// One fault in an input: where it is, what was found there, and what was expected.
+struct Finding
+{
+    std::string place; ///< File, line and column, or a path into the document.
+    std::string found;
+    std::string expected;
+};
+
+/// Collects the faults of one input, so that all are reported together.
+class Findings
+{
+public:
+    void add(std::string place, std::string found, std::string expected);
+    bool empty() const { return m_findings.empty(); }
+    const std::vector<Finding> &all() const { return m_findings; }
+    /// One line for each finding.
+    std::string text() const;
+
+private:
+    std::vector<Finding> m_findings;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Base/Logger.cpp
@@ -0,0 +1,51 @@
+#include "Base/Logger.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace lycheearch {
+
+Logger::Logger(std::string part)
+    : m_prefix("[" + std::move(part) + "] ")
+{
+}
+
+void Logger::debug(const std::string &sentence) const
+{
+    LOG(DEBUG) << m_prefix << sentence;
+}
+
+void Logger::info(const std::string &sentence) const
+{
+    LOG(INFO) << m_prefix << sentence;
+}
+
+void Logger::warning(const std::string &sentence) const
+{
+    LOG(WARNING) << m_prefix << sentence;
+}
+
+void Logger::error(const std::string &sentence) const
+{
+    LOG(ERROR) << m_prefix << sentence;
+}
+
+void Logger::configure(const std::string &instance, const std::string &level)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::Format,
+                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + instance + " %level %msg");
+    const bool warning = level == "warning" || level == "error";
+    configuration.set(el::Level::Debug, el::ConfigurationType::Enabled,
+                      level == "debug" ? "true" : "false");
+    configuration.set(el::Level::Info, el::ConfigurationType::Enabled, warning ? "false" : "true");
+    configuration.set(el::Level::Warning, el::ConfigurationType::Enabled,
+                      level == "error" ? "false" : "true");
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Base/Logger.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+
+namespace lycheearch {
+
+/// Writes short sentences to standard error, each with the fixed prefix of a part.
+class Logger
+{
+public:
+    explicit Logger(std::string part);
+
+    void debug(const std::string &sentence) const;
+    void info(const std::string &sentence) const;
+    void warning(const std::string &sentence) const;
+    void error(const std::string &sentence) const;
+
+    /// Sets the format and the lowest level that is written: debug, info, warning or error.
+    static void configure(const std::string &instance, const std::string &level);
+
+private:
+    std::string m_prefix;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Config/Settings.cpp
@@ -0,0 +1,192 @@
+#include "Config/Settings.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include "Config/YamlReader.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr Range<std::int64_t> PeriodRange{10, 60'000};
+constexpr Range<std::int64_t> TimeoutRange{1, 600'000};
+constexpr Range<std::int64_t> CountRange{1, 10'000'000};
+constexpr std::size_t ShortestKey = 16;
+
+Endpoint readEndpoint(YamlReader &reader, const Option &option, bool required)
+{
+    const std::string text = required ? reader.requiredText(option) : reader.text(option, "");
+    if (text.empty()) {
+        return {};
+    }
+    const std::optional<Endpoint> endpoint = Endpoint::parse(text);
+    if (!endpoint) {
+        reader.report(option.key, "'" + text + "'", "an IP address and a port, as 127.0.0.1:80");
+        return {};
+    }
+    return *endpoint;
+}
+
+void readPlatform(YamlReader &reader, PlatformSettings &platform)
+{
+    platform.log = readEndpoint(reader, {"log", "Append-only log service."}, true);
+    platform.instanceList = readEndpoint(reader, {"instance_list", "Instance list service."}, true);
+    platform.rating = readEndpoint(reader, {"rating", "Rating service; empty means none."}, false);
+    platform.weightStore =
+        readEndpoint(reader, {"weight_store", "Weight store; empty means none."}, false);
+    platform.timeout = reader.milliseconds(
+        {"timeout_ms", "Longest wait for an answer of the platform."}, TimeoutRange, 2'000);
+}
+
+void readTiming(YamlReader &reader, TimingSettings &timing)
+{
+    timing.exchangePeriod =
+        reader.milliseconds({"exchange_ms", "Time between heartbeats to peers."}, PeriodRange, 500);
+    timing.suspicion = reader.milliseconds(
+        {"suspicion_ms", "A peer not heard of for this long is suspected."}, TimeoutRange, 2'500);
+    timing.pollPeriod = reader.milliseconds(
+        {"poll_ms", "Time between load reports of a backend server."}, PeriodRange, 500);
+    timing.instanceListPeriod = reader.milliseconds(
+        {"instance_list_ms", "Time between reads of the instance list."}, PeriodRange, 1'000);
+    timing.peerTimeout = reader.milliseconds(
+        {"peer_timeout_ms", "Longest wait for an answer of a peer."}, TimeoutRange, 400);
+    timing.claimLogTimeout =
+        reader.milliseconds({"claim_log_ms", "Longest wait for a claim to be durable in the log."},
+                            TimeoutRange, 1'500);
+    timing.firstByteTimeout = reader.milliseconds(
+        {"first_byte_ms", "A backend server silent for this long at first has failed."},
+        TimeoutRange, 5'000);
+    timing.silenceTimeout = reader.milliseconds(
+        {"silence_ms", "A stream silent for this long is resumed elsewhere."}, TimeoutRange, 2'000);
+    timing.balancerLag = reader.milliseconds(
+        {"balancer_lag_ms", "Wait after going not ready before refusing new work."}, TimeoutRange,
+        500);
+    timing.drainLimit =
+        reader.milliseconds({"drain_ms", "Longest graceful shutdown."}, TimeoutRange, 60'000);
+    timing.defaultDeadline = reader.milliseconds(
+        {"deadline_ms", "Deadline of a request that states none."}, TimeoutRange, 30'000);
+    timing.gatekeeperHoldOff = reader.milliseconds(
+        {"gatekeeper_hold_off_ms", "Wait of a new gatekeeper before its first permit."},
+        TimeoutRange, 4'000);
+    timing.keptAnswerLifetime =
+        reader.milliseconds({"kept_answer_ms", "How long a finished answer can be repeated."},
+                            {1, 86'400'000}, 600'000);
+}
+
+void readLimits(YamlReader &reader, LimitSettings &limits)
+{
+    limits.maxBodyBytes = static_cast<std::size_t>(
+        reader.number({"max_body_bytes", "Largest request body."}, CountRange, 1'000'000));
+    limits.callerThreads =
+        static_cast<int>(reader.number({"caller_threads", "Requests at once."}, {1, 4096}, 256));
+    limits.waitingRequests = static_cast<int>(reader.number(
+        {"waiting_requests", "Requests that may wait for a backend server."}, CountRange, 200));
+    limits.keptRecords = static_cast<int>(reader.number(
+        {"kept_records", "Answers, sessions and bills held for peers."}, CountRange, 50'000));
+    limits.timelineEvents = static_cast<int>(
+        reader.number({"timeline_events", "Events held for the time line."}, CountRange, 20'000));
+}
+
+void readPeers(YamlReader &reader, Settings &settings)
+{
+    reader.each({"peer_addresses", "Addresses that go before the instance list."},
+                [&](YamlReader &peer) {
+                    const std::string id = peer.requiredText({"instance", "Peer instance."});
+                    settings.peerAddresses[InstanceId(id)] =
+                        readEndpoint(peer, {"address", "Address of its peer port."}, true);
+                });
+}
+
+std::optional<std::string> readFile(const std::string &path, Findings &findings)
+{
+    std::ifstream file(path);
+    if (!file) {
+        findings.add(path, "no readable file", "a readable file");
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string readKey(YamlReader &reader, const Option &option)
+{
+    const std::string key = reader.requiredText(option);
+    if (!key.empty() && key.size() < ShortestKey) {
+        reader.report(option.key, std::to_string(key.size()) + " characters",
+                      "at least " + std::to_string(ShortestKey) + " characters");
+    }
+    return key;
+}
+
+Secrets loadSecrets(const std::string &path, Findings &findings)
+{
+    Secrets secrets;
+    const std::optional<std::string> text = readFile(path, findings);
+    if (!text) {
+        return secrets;
+    }
+    YamlReader reader(YamlReader::parse(*text, path, findings), path, "", findings);
+    secrets.peerKey = readKey(reader, {"peer_key", "Proves daemons to each other."});
+    secrets.sessionKey = readKey(reader, {"session_key", "Signs session tokens."});
+    secrets.operatorKey = readKey(reader, {"operator_key", "Opens the operator paths."});
+    reader.finish();
+    return secrets;
+}
+
+Settings readSettings(YamlReader &reader, std::string &secretsPath)
+{
+    Settings settings;
+    settings.instance = InstanceId(reader.requiredText({"instance", "Name of this instance."}));
+    settings.dataCentre =
+        DataCentreId(reader.requiredText({"data_centre", "Data centre of this instance."}));
+    settings.listen = readEndpoint(reader, {"listen", "Address for callers."}, true);
+    settings.peerListen = readEndpoint(reader, {"peer_listen", "Address for peers."}, true);
+    secretsPath = reader.requiredText({"secrets_file", "File with the shared keys."});
+    settings.logLevel = reader.choice({"log_level", "Lowest level that is logged."},
+                                      {"debug", "info", "warning", "error"}, "info");
+    reader.section({"platform", "Services of the platform."},
+                   [&](YamlReader &part) { readPlatform(part, settings.platform); });
+    reader.section({"timing", "Periods and time limits."},
+                   [&](YamlReader &part) { readTiming(part, settings.timing); });
+    reader.section({"limits", "Bounds of what the daemon takes on."},
+                   [&](YamlReader &part) { readLimits(part, settings.limits); });
+    readPeers(reader, settings);
+    return settings;
+}
+
+} // namespace
+
+Settings loadSettings(const std::string &path, Findings &findings)
+{
+    const std::optional<std::string> text = readFile(path, findings);
+    if (!text) {
+        return {};
+    }
+    const YAML::Node root = YamlReader::parse(*text, path, findings);
+    if (!findings.empty()) {
+        return {};
+    }
+    YamlReader reader(root, path, "", findings);
+    std::string secretsPath;
+    Settings settings = readSettings(reader, secretsPath);
+    reader.finish();
+    if (!secretsPath.empty()) {
+        settings.secrets = loadSecrets(secretsPath, findings);
+    }
+    return settings;
+}
+
+std::string settingsReference()
+{
+    std::string rows;
+    Findings ignored;
+    std::string secretsPath;
+    YamlReader reader(YAML::Node(), "", "", ignored, &rows);
+    readSettings(reader, secretsPath);
+    return "| key | type | default | meaning |\n| --- | --- | --- | --- |\n" + rows;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Config/YamlReader.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <yaml-cpp/yaml.h>
+
+#include "Base/Findings.h"
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// One key of a document: its name and the sentence that the reference page shows.
+struct Option
+{
+    const char *key;
+    const char *help;
+};
+
+/// The lowest and the highest accepted value, both included.
+template <typename T>
+struct Range
+{
+    T low;
+    T high;
+};
+
+/// Reads one map of a YAML document. Every read declares the key, so that the same calls check a
+/// document, find unknown keys, and produce the reference page.
+class YamlReader
+{
+public:
+    /// \p file names the document in findings. \p path is the place of this map in it.
+    YamlReader(YAML::Node node, std::string file, std::string path, Findings &findings,
+               std::string *reference = nullptr);
+
+    /// Parses \p text; a syntax error becomes a finding and an empty document.
+    static YAML::Node parse(const std::string &text, const std::string &file, Findings &findings);
+
+    std::string requiredText(const Option &option);
+    std::string text(const Option &option, const std::string &fallback);
+    std::string choice(const Option &option, const std::vector<std::string> &choices,
+                       const std::string &fallback);
+    std::int64_t number(const Option &option, Range<std::int64_t> range, std::int64_t fallback);
+    double real(const Option &option, Range<double> range, double fallback);
+    bool flag(const Option &option, bool fallback);
+    Duration milliseconds(const Option &option, Range<std::int64_t> range, std::int64_t fallback);
+    std::vector<std::string> texts(const Option &option);
+    /// Calls \p read for each map in a list.
+    void each(const Option &option, const std::function<void(YamlReader &)> &read);
+    /// Calls \p read for the map below a key, or for an empty one.
+    void section(const Option &option, const std::function<void(YamlReader &)> &read);
+    /// Reports each key that no read declared. Called last.
+    void finish();
+
+    /// Reports a fault in the value of \p key.
+    void report(const char *key, const std::string &found, const std::string &expected);
+
+private:
+    YAML::Node find(const Option &option, const std::string &type, const std::string &fallback);
+    std::string place(const YAML::Node &node, const std::string &key) const;
+    void readMap(const YAML::Node &node, const std::string &path,
+                 const std::function<void(YamlReader &)> &read);
+    template <typename T>
+    T scalar(const Option &option, const std::string &type, T fallback,
+             const std::string &fallbackText);
+
+    YAML::Node m_node;
+    std::string m_file;
+    std::string m_path;
+    Findings &m_findings;
+    std::string *m_reference;
+    std::vector<std::string> m_declared;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/CallerRequestReader.cpp
@@ -0,0 +1,180 @@
+#include "Daemon/CallerRequestReader.h"
+
+#include <algorithm>
+
+#include <Poco/NumberParser.h>
+#include <nlohmann/json.hpp>
+
+#include "Base/Hash.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::size_t LongestHeader = 200;
+constexpr Duration LongestDeadline = 600s;
+constexpr std::int64_t MostTokens = 100'000;
+const std::string BearerPrefix = "Bearer ";
+
+bool isPrintable(const std::string &text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](unsigned char letter) { return letter > 0x20 && letter < 0x7f; });
+}
+
+Failure malformed(const std::string &message)
+{
+    return makeFailure(Errc::Malformed, message);
+}
+
+/// Reads an optional header of printable characters into \p value.
+Status readHeader(const Poco::Net::HTTPServerRequest &request, const std::string &name,
+                  std::string &value)
+{
+    value = request.get(name, "");
+    if (value.size() > LongestHeader || !isPrintable(value)) {
+        return malformed("header " + name + ": expected at most " + std::to_string(LongestHeader)
+                         + " printable characters without spaces");
+    }
+    return std::nullopt;
+}
+
+Status readChatBody(const nlohmann::json &json, CallerRequest &request)
+{
+    if (!json.is_object()) {
+        return malformed("body: expected a JSON object");
+    }
+    if (!json.contains("model") || !json["model"].is_string()) {
+        return malformed("body, model: expected text");
+    }
+    if (!json.contains("messages") || !json["messages"].is_array() || json["messages"].empty()) {
+        return malformed("body, messages: expected a list with at least one message");
+    }
+    if (json.contains("stream") && !json["stream"].is_boolean()) {
+        return malformed("body, stream: expected true or false");
+    }
+    const auto tokens = json.value("max_tokens", nlohmann::json(request.maxTokens.value()));
+    if (!tokens.is_number_integer() || tokens < 1 || tokens > MostTokens) {
+        return malformed("body, max_tokens: expected a whole number from 1 to "
+                         + std::to_string(MostTokens));
+    }
+    request.model = ModelId(json["model"].get<std::string>());
+    request.prompt = json["messages"].dump();
+    request.stream = json.value("stream", false);
+    request.maxTokens = Tokens(tokens.get<std::int64_t>());
+    return std::nullopt;
+}
+
+} // namespace
+
+CallerRequestReader::CallerRequestReader(std::size_t maxBodyBytes, Duration defaultDeadline)
+    : m_maxBodyBytes(maxBodyBytes)
+    , m_defaultDeadline(defaultDeadline)
+{
+}
+
+std::string CallerRequestReader::bearerKey(const Poco::Net::HTTPServerRequest &request)
+{
+    const std::string header = request.get("Authorization", "");
+    return header.starts_with(BearerPrefix) ? header.substr(BearerPrefix.size()) : "";
+}
+
+Result<std::string> CallerRequestReader::readBody(Poco::Net::HTTPServerRequest &request) const
+{
+    if (request.hasContentLength()
+        && request.getContentLength64() > static_cast<Poco::Int64>(m_maxBodyBytes)) {
+        return makeFailure(Errc::TooLarge,
+                           "the body has more than " + std::to_string(m_maxBodyBytes) + " bytes");
+    }
+    std::string body(m_maxBodyBytes + 1, '\0');
+    request.stream().read(body.data(), static_cast<std::streamsize>(body.size()));
+    body.resize(static_cast<std::size_t>(request.stream().gcount()));
+    if (body.size() > m_maxBodyBytes) {
+        return makeFailure(Errc::TooLarge,
+                           "the body has more than " + std::to_string(m_maxBodyBytes) + " bytes");
+    }
+    return body;
+}
+
+Result<CallerRequest> CallerRequestReader::readHeaders(const Poco::Net::HTTPServerRequest &request,
+                                                       TimePoint now) const
+{
+    CallerRequest read;
+    read.bearerKey = bearerKey(request);
+    std::string id;
+    std::string key;
+    std::string session;
+    std::string taskClass;
+    std::string deadline;
+    for (const Status &failure :
+         {readHeader(request, "X-Request-Id", id), readHeader(request, "Idempotency-Key", key),
+          readHeader(request, "X-Session-Id", session),
+          readHeader(request, "X-Session-Token", read.sessionToken),
+          readHeader(request, "X-Task-Class", taskClass),
+          readHeader(request, "X-Deadline-Ms", deadline)}) {
+        if (failure) {
+            return *failure;
+        }
+    }
+    read.id = RequestId(id.empty() ? randomHex() : id);
+    read.idempotencyKey = IdempotencyKey(key);
+    read.session = SessionId(session);
+    read.taskClass = TaskClass(taskClass);
+    Duration limit = m_defaultDeadline;
+    if (!deadline.empty()) {
+        unsigned milliseconds = 0;
+        const bool valid = Poco::NumberParser::tryParseUnsigned(deadline, milliseconds);
+        limit = std::chrono::milliseconds(milliseconds);
+        if (!valid || limit <= Duration::zero() || limit > LongestDeadline) {
+            return malformed("header X-Deadline-Ms: expected a whole number from 1 to "
+                             + std::to_string(toMilliseconds(LongestDeadline)));
+        }
+    }
+    read.deadline = now + limit;
+    return read;
+}
+
+Result<CallerRequest> CallerRequestReader::readChat(Poco::Net::HTTPServerRequest &request,
+                                                    TimePoint now) const
+{
+    auto read = readHeaders(request, now);
+    if (!read.ok()) {
+        return read;
+    }
+    const auto body = readBody(request);
+    if (!body.ok()) {
+        return body.failure();
+    }
+    read.value().kind = RequestKind::Chat;
+    const auto json = nlohmann::json::parse(body.value(), nullptr, false);
+    const Status failure = readChatBody(json, read.value());
+    if (failure) {
+        return *failure;
+    }
+    if (read.value().taskClass.empty()) {
+        read.value().taskClass = TaskClass(read.value().model.value());
+    }
+    return read;
+}
+
+Result<CallerRequest> CallerRequestReader::readService(Poco::Net::HTTPServerRequest &request,
+                                                       const ServiceId &service,
+                                                       const OperationName &operation,
+                                                       TimePoint now) const
+{
+    auto read = readHeaders(request, now);
+    if (!read.ok()) {
+        return read;
+    }
+    const auto body = readBody(request);
+    if (!body.ok()) {
+        return body.failure();
+    }
+    read.value().kind = RequestKind::Service;
+    read.value().service = service;
+    read.value().operation = operation;
+    read.value().body = body.value();
+    return read;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/Daemon.cpp
@@ -0,0 +1,322 @@
+#include "Daemon/Daemon.h"
+
+#include <thread>
+
+#include "Base/DutyThread.h"
+#include "Base/Hash.h"
+#include "Base/Logger.h"
+#include "Daemon/BackendPoller.h"
+#include "Daemon/FrontEnd.h"
+#include "Daemon/LocalPeerService.h"
+#include "Daemon/PeerExchange.h"
+#include "Peer/RpcPeerNetwork.h"
+#include "Platform/HttpInstanceList.h"
+#include "Platform/HttpLogService.h"
+#include "Platform/HttpModelEngine.h"
+#include "Platform/HttpPlainService.h"
+#include "Platform/HttpRatingService.h"
+#include "Request/AdmitFilter.h"
+#include "Request/AuthenticateFilter.h"
+#include "Request/BillFilter.h"
+#include "Request/DeduplicateFilter.h"
+#include "Request/DispatchFilter.h"
+#include "Request/PinSessionFilter.h"
+#include "Request/PlanFilter.h"
+#include "Routing/RolloutWatch.h"
+#include "State/ConfigTail.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr Duration BackendConnectTimeout = 400ms;
+constexpr Duration ReportLifetime = 5s;
+constexpr Duration ClaimLifetime = 600s;
+constexpr Duration TailWait = 1s;
+constexpr Duration TailRetry = 250ms;
+constexpr Duration BillingPeriod = 100ms;
+constexpr Duration WatchPeriod = 250ms;
+constexpr Duration MaintenancePeriod = 1s;
+constexpr Duration DrainPoll = 10ms;
+constexpr Duration HandOverLimit = 5s;
+constexpr std::size_t ClaimRing = 10'000;
+constexpr std::size_t RatingRing = 1'000;
+constexpr std::size_t ClaimsPerRead = 2'000;
+const Logger Log("daemon");
+
+} // namespace
+
+/// All parts of a daemon, in the order in which they depend on each other.
+class Daemon::Private
+{
+public:
+    explicit Private(Settings settings);
+
+    Status start();
+    std::size_t stop();
+
+private:
+    std::vector<std::unique_ptr<Filter>> makeFilters();
+    void addDuty(const std::string &name, DutyThread::Step step);
+    Duration tailConfiguration();
+    Duration tailClaims();
+    Duration readInstanceList();
+    Duration watchRollouts();
+    Duration maintain();
+
+    Settings m_settings;
+    SystemClock m_clock;
+    HybridClock m_hybridClock;
+    Metrics m_metrics;
+    DaemonHealth m_health;
+    Timeline m_timeline;
+
+    HttpLogService m_log;
+    HttpInstanceList m_instanceList;
+    HttpRatingService m_ratings;
+    ConnectionPool m_connections;
+    HttpModelEngine m_engine;
+    HttpPlainService m_plainService;
+
+    ConfigStore m_config;
+    ConfigTail m_configTail;
+    Roster m_roster;
+    KeptStore m_kept;
+    ClaimKeeper m_claims;
+    VersionStats m_stats;
+    BackendTable m_backends;
+    ColdGatekeeper m_gatekeeper;
+    InFlightTable m_inFlight;
+    LocalPeerService m_peerService;
+    RpcPeerNetwork m_network;
+
+    StreamAppender m_claimAppender;
+    ClaimProtocol m_claimProtocol;
+    Billing m_billing;
+    SessionDirectory m_sessions;
+    PeerExchange m_exchange;
+
+    RetryBudget m_retries;
+    BackendGate m_gate;
+    Rater m_rater;
+    Planner m_planner;
+    RolloutWatch m_rolloutWatch;
+    GenerationRunner m_generations;
+    ServiceRunner m_services;
+    Pipeline m_pipeline;
+    FrontEnd m_frontEnd;
+    std::unique_ptr<BackendPoller> m_poller;
+    std::vector<std::unique_ptr<DutyThread>> m_duties;
+};
+
+Daemon::Private::Private(Settings settings)
+    : m_settings(std::move(settings))
+    , m_timeline(m_settings.instance, static_cast<std::size_t>(m_settings.limits.timelineEvents),
+                 m_hybridClock, m_clock)
+    , m_log(m_settings.platform.log, m_settings.platform.timeout)
+    , m_instanceList(m_settings.platform.instanceList, m_settings.platform.timeout)
+    , m_ratings(m_settings.platform.rating, m_settings.platform.timeout)
+    , m_connections(BackendConnectTimeout, m_clock)
+    , m_engine({BackendConnectTimeout, m_settings.timing.firstByteTimeout,
+                m_settings.timing.silenceTimeout},
+               m_connections, m_clock)
+    , m_plainService({BackendConnectTimeout, m_settings.timing.firstByteTimeout,
+                      m_settings.timing.silenceTimeout},
+                     m_connections, m_clock)
+    , m_configTail(m_log, m_config, m_settings.instance)
+    , m_roster(m_settings.instance, m_settings.dataCentre, m_settings.timing.suspicion,
+               m_settings.peerAddresses)
+    , m_kept(static_cast<std::size_t>(m_settings.limits.keptRecords),
+             m_settings.timing.keptAnswerLifetime)
+    , m_claims(ClaimLifetime)
+    , m_backends(m_settings.dataCentre, ReportLifetime)
+    , m_gatekeeper(m_roster, m_backends, m_config, m_settings.timing.gatekeeperHoldOff)
+    , m_peerService(StartId(randomHex()), m_roster, m_config, m_claims, m_kept, m_backends,
+                    m_gatekeeper, m_stats, m_inFlight, m_hybridClock, m_health.stopping, m_clock)
+    , m_network(m_settings.instance, m_settings.peerListen, m_settings.timing.peerTimeout,
+                PeerAuthenticator(m_settings.secrets.peerKey), m_peerService, m_clock)
+    , m_claimAppender(m_log, Streams::Claims, ClaimRing)
+    , m_claimProtocol(m_claims, m_claimAppender, m_network, m_roster,
+                      m_settings.timing.claimLogTimeout, m_clock)
+    , m_billing(m_log, m_network, m_roster, m_kept,
+                static_cast<std::size_t>(m_settings.limits.keptRecords), m_clock)
+    , m_sessions(m_network, m_roster, m_kept, m_settings.secrets.sessionKey)
+    , m_exchange(m_network, m_peerService, m_roster, m_config, m_claims,
+                 m_settings.timing.exchangePeriod, m_clock)
+    , m_gate(m_backends, m_gatekeeper, m_network, m_roster, m_config,
+             static_cast<std::size_t>(m_settings.limits.waitingRequests), m_clock)
+    , m_rater(m_ratings, m_stats, m_metrics, RatingRing, m_clock)
+    , m_planner(m_stats)
+    , m_rolloutWatch(m_stats)
+    , m_generations(m_engine, m_gate, m_backends, m_config, m_stats, m_retries, m_timeline,
+                    m_metrics, m_clock)
+    , m_services(m_plainService, m_gate, m_backends, m_config, m_retries, m_timeline, m_metrics,
+                 m_clock)
+    , m_pipeline(makeFilters(), m_timeline, m_metrics, m_clock)
+    , m_frontEnd({m_settings, m_pipeline, m_config, m_roster, m_backends, m_billing, m_kept,
+                  m_claims, m_timeline, m_metrics, m_health, m_clock})
+{
+}
+
+std::vector<std::unique_ptr<Filter>> Daemon::Private::makeFilters()
+{
+    std::vector<std::unique_ptr<Filter>> filters;
+    filters.push_back(std::make_unique<AuthenticateFilter>(m_config));
+    filters.push_back(std::make_unique<AdmitFilter>(m_billing, m_retries, m_health.stopping));
+    filters.push_back(std::make_unique<DeduplicateFilter>(
+        m_inFlight, m_kept, m_claimProtocol, m_network, m_roster, m_timeline, m_clock));
+    filters.push_back(std::make_unique<PinSessionFilter>(m_sessions, m_clock));
+    filters.push_back(std::make_unique<PlanFilter>(m_planner, m_backends, m_sessions, m_rater,
+                                                   m_timeline, m_clock));
+    filters.push_back(std::make_unique<BillFilter>(m_billing, m_metrics, m_clock));
+    filters.push_back(std::make_unique<DispatchFilter>(m_generations, m_services, m_rater,
+                                                       m_metrics, m_timeline, m_clock));
+    return filters;
+}
+
+void Daemon::Private::addDuty(const std::string &name, DutyThread::Step step)
+{
+    m_duties.push_back(std::make_unique<DutyThread>(name, std::move(step)));
+}
+
+Status Daemon::Private::start()
+{
+    if (const Status failure = m_network.start()) {
+        return failure;
+    }
+    readInstanceList();
+    addDuty("configuration", [this] { return tailConfiguration(); });
+    addDuty("claims", [this] { return tailClaims(); });
+    addDuty("instance list", [this] { return readInstanceList(); });
+    addDuty("exchange", [this] { return m_exchange.step(); });
+    addDuty("billing", [this] {
+        m_billing.flush(m_clock.now());
+        return BillingPeriod;
+    });
+    addDuty("rollouts", [this] { return watchRollouts(); });
+    addDuty("maintenance", [this] { return maintain(); });
+    m_poller = std::make_unique<BackendPoller>(m_backends, m_settings.dataCentre,
+                                               m_settings.timing.pollPeriod, BackendConnectTimeout,
+                                               m_clock);
+    if (const Status failure = m_frontEnd.start()) {
+        return failure;
+    }
+    Log.info("Listening for callers on " + m_settings.listen.text() + " and for peers on "
+             + m_settings.peerListen.text() + ".");
+    return std::nullopt;
+}
+
+Duration Daemon::Private::tailConfiguration()
+{
+    return m_configTail.step(m_clock.now(), TailWait) ? Duration(0) : TailRetry;
+}
+
+Duration Daemon::Private::tailClaims()
+{
+    const auto slice = m_log.read(Streams::Claims, m_claims.foldedUpTo(), ClaimsPerRead, TailWait);
+    if (!slice.ok()) {
+        return TailRetry;
+    }
+    m_claims.fold(slice.value(), m_clock.now());
+    return Duration(0);
+}
+
+Duration Daemon::Private::readInstanceList()
+{
+    const auto instances = m_instanceList.read();
+    if (instances.ok()) {
+        m_backends.updateList(instances.value());
+        for (const InstanceId &gone : m_roster.updateList(instances.value())) {
+            m_stats.forgetPeer(gone);
+            Log.info(gone.value() + " left the instance list.");
+        }
+    }
+    std::vector<std::pair<InstanceId, Endpoint>> addresses;
+    for (const RosterMember &peer : m_roster.peers()) {
+        if (!peer.peerAddress.empty()) {
+            addresses.emplace_back(peer.id, peer.peerAddress);
+        }
+    }
+    m_network.setPeers(addresses);
+    return m_settings.timing.instanceListPeriod;
+}
+
+Duration Daemon::Private::watchRollouts()
+{
+    const ConfigStatePtr config = m_config.current();
+    for (const VersionStopDecision &stop : m_rolloutWatch.look(*config)) {
+        ConfigRecord record;
+        record.type = ConfigRecordType::VersionStop;
+        record.operation = OperationId("stop-" + stop.version.value() + "-"
+                                       + std::to_string(config->manifestRevision.value()));
+        record.subject = stop.version.value();
+        record.text = stop.reason;
+        record.author = m_settings.instance.value();
+        // In force here at once, at peers with the next heartbeat, and then through the log.
+        m_config.addProvisional(encodeConfigRecord(record));
+        Log.warning("Stopped version " + stop.version.value() + ": " + stop.reason + ".");
+        TimelineEvent event;
+        event.kind = "version-stop";
+        event.version = stop.version;
+        event.detail = stop.reason;
+        m_timeline.record(event);
+    }
+    return WatchPeriod;
+}
+
+Duration Daemon::Private::maintain()
+{
+    const TimePoint now = m_clock.now();
+    m_claims.expire(now);
+    m_kept.expire(now);
+    m_stats.decay(now);
+    m_gatekeeper.watch(now);
+    m_sessions.repair(now);
+    m_billing.takeOver(now);
+    return MaintenancePeriod;
+}
+
+std::size_t Daemon::Private::stop()
+{
+    Log.info("Shutdown begins. The instance is not ready any more.");
+    m_health.draining = true;
+    std::this_thread::sleep_for(m_settings.timing.balancerLag);
+    m_health.stopping = true;
+    const TimePoint limit = m_clock.now() + m_settings.timing.drainLimit;
+    while (m_health.inFlight > 0 && m_clock.now() < limit) {
+        std::this_thread::sleep_for(DrainPoll);
+    }
+    m_frontEnd.stop();
+    m_rater.stop();
+    m_claimAppender.drain(HandOverLimit);
+    const std::size_t alone = m_billing.drain(m_settings.timing.drainLimit);
+    for (const auto &duty : m_duties) {
+        duty->stop();
+    }
+    if (m_poller) {
+        m_poller->stop();
+    }
+    m_claimAppender.stop();
+    m_network.stop();
+    Log.info("Shutdown is complete. Bills held by nobody else: " + std::to_string(alone) + ".");
+    return alone;
+}
+
+Daemon::Daemon(Settings settings)
+    : m_private(std::make_unique<Private>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Status Daemon::start()
+{
+    return m_private->start();
+}
+
+std::size_t Daemon::stop()
+{
+    return m_private->stop();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/LocalPeerService.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <atomic>
+
+#include "Base/HybridClock.h"
+#include "Peer/PeerService.h"
+#include "Request/InFlightTable.h"
+#include "Routing/ColdGatekeeper.h"
+#include "Routing/VersionStats.h"
+#include "State/ClaimKeeper.h"
+#include "State/ConfigStore.h"
+#include "State/KeptStore.h"
+#include "State/Roster.h"
+
+namespace lycheearch {
+
+/// Answers peers from the state of this daemon, and makes the messages that it sends them.
+class LocalPeerService : public PeerService
+{
+public:
+    LocalPeerService(StartId startId, Roster &roster, ConfigStore &config, ClaimKeeper &claims,
+                     KeptStore &kept, BackendTable &backends, ColdGatekeeper &gatekeeper,
+                     VersionStats &stats, InFlightTable &inFlight, HybridClock &hybridClock,
+                     const std::atomic<bool> &stopping, const Clock &clock);
+
+    /// The heartbeat of this daemon.
+    ExchangeMessage message(TimePoint now);
+    /// Takes in the heartbeat of a peer.
+    void take(const ExchangeMessage &message, TimePoint now);
+
+    ExchangeMessage onExchange(const ExchangeMessage &message, TimePoint now) override;
+    ConfigAnswer onFetchConfig(Revision from) override;
+    ClaimAnswer onAskClaim(const ClaimAsk &ask, TimePoint now) override;
+    void onReleaseClaim(const RequestKey &key, const ClaimId &claim, TimePoint now) override;
+    ClaimAnswer onClaimStatus(const RequestKey &key, const ClaimId &claim) override;
+    std::vector<ClaimEntry> onCopyClaims() override;
+    std::vector<KeptRecord> onKeep(const std::vector<KeptRecord> &records, TimePoint now) override;
+    std::optional<KeptRecord> onFetchKept(KeptKind kind, const std::string &key,
+                                          TimePoint now) override;
+    void onDropKept(KeptKind kind, const std::vector<std::string> &keys) override;
+    PermitAnswer onTakePermit(const InstanceId &backend, const StartId &startId,
+                              const InstanceId &holder, TimePoint now) override;
+    void onReturnPermit(const InstanceId &backend, const std::string &permit,
+                        TimePoint now) override;
+
+private:
+    StartId m_startId;
+    Roster &m_roster;
+    ConfigStore &m_config;
+    ClaimKeeper &m_claims;
+    KeptStore &m_kept;
+    BackendTable &m_backends;
+    ColdGatekeeper &m_gatekeeper;
+    VersionStats &m_stats;
+    InFlightTable &m_inFlight;
+    HybridClock &m_hybridClock;
+    const std::atomic<bool> &m_stopping;
+    const Clock &m_clock;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/PeerExchange.cpp
@@ -0,0 +1,79 @@
+#include "Daemon/PeerExchange.h"
+
+#include "Base/Logger.h"
+
+namespace lycheearch {
+
+namespace {
+const Logger Log("peer");
+}
+
+PeerExchange::PeerExchange(PeerNetwork &network, LocalPeerService &service, Roster &roster,
+                           ConfigStore &config, ClaimKeeper &claims, Duration period,
+                           const Clock &clock)
+    : m_network(network)
+    , m_service(service)
+    , m_roster(roster)
+    , m_config(config)
+    , m_claims(claims)
+    , m_period(period)
+    , m_clock(clock)
+{
+}
+
+std::vector<InstanceId> PeerExchange::nextPeers()
+{
+    const std::vector<RosterMember> all = m_roster.peers();
+    std::vector<InstanceId> chosen;
+    for (std::size_t i = 0; i < std::min(all.size(), MostPerRound); ++i) {
+        chosen.push_back(all[(m_position + i) % all.size()].id);
+    }
+    m_position += chosen.size();
+    return chosen;
+}
+
+Duration PeerExchange::step()
+{
+    const TimePoint start = m_clock.now();
+    const std::vector<InstanceId> peers = nextPeers();
+    const auto answers = m_network.exchangeAll(peers, m_service.message(start));
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        if (!answers[i].ok()) {
+            Log.debug("No heartbeat of " + answers[i].failure().message + ".");
+            continue;
+        }
+        const ExchangeMessage &answer = answers[i].value();
+        m_service.take(answer, m_clock.now());
+        if (answer.revision <= m_config.current()->revision) {
+            continue;
+        }
+        const auto config = m_network.fetchConfig(peers[i], m_config.current()->revision);
+        if (config.ok() && m_config.applySnapshot(config.value().snapshot, m_clock.now())) {
+            Log.info("Revision " + std::to_string(m_config.current()->revision.value())
+                     + " came from " + peers[i].value() + ".");
+        }
+    }
+    if (!m_claims.complete()) {
+        completeClaims();
+    }
+    return std::max<Duration>(m_period - (m_clock.now() - start), 1ms);
+}
+
+void PeerExchange::completeClaims()
+{
+    // A peer that was heard of knows this daemon, so it cannot claim a key past it any more.
+    if (!m_roster.listKnown() || !m_roster.heardAll()) {
+        return;
+    }
+    for (const RosterMember &peer : m_roster.peers()) {
+        const auto claims = m_network.copyClaims(peer.id);
+        if (!claims.ok()) {
+            return;
+        }
+        m_claims.merge(claims.value(), m_clock.now());
+    }
+    m_claims.setComplete();
+    Log.info("The claims of all peers are copied.");
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/main.cpp
@@ -0,0 +1,69 @@
+#include <csignal>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "Base/Logger.h"
+#include "Config/Manifest.h"
+#include "Config/Settings.h"
+#include "Daemon/Daemon.h"
+
+using namespace lycheearch;
+
+namespace {
+
+enum ExitCode { Success = 0, Failed = 1, BadSettings = 2, BillsLost = 3 };
+
+/// Runs the daemon until SIGTERM or SIGINT, which every thread has blocked.
+int runDaemon(const Settings &settings, const sigset_t &signals)
+{
+    Daemon daemon(settings);
+    if (const Status failure = daemon.start()) {
+        std::cerr << "lycheearchd: " << failure->message << "\n";
+        return Failed;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return daemon.stop() == 0 ? Success : BillsLost;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Model-aware router for versions and cascades: the daemon of one instance.");
+    std::string path;
+    bool checkOnly = false;
+    bool describe = false;
+    app.add_option("--config", path, "Settings file in YAML");
+    app.add_flag("--check-config", checkOnly, "Check the settings and exit");
+    app.add_flag("--describe-config", describe, "Print the settings reference and exit");
+    app.footer("Exit codes: 0 success, 1 failure to start, 2 bad settings, 3 stopped with bills\n"
+               "that no other process holds.");
+    CLI11_PARSE(app, argc, argv);
+    if (describe) {
+        std::cout << settingsReference();
+        return Success;
+    }
+    Findings findings;
+    if (path.empty()) {
+        findings.add("--config", "nothing", "the path of a settings file");
+    }
+    const Settings settings = path.empty() ? Settings() : loadSettings(path, findings);
+    if (!findings.empty()) {
+        std::cerr << findings.text();
+        return BadSettings;
+    }
+    if (checkOnly) {
+        std::cout << path << ": the settings are valid.\n";
+        return Success;
+    }
+    Logger::configure(settings.instance.value(), settings.logLevel);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return runDaemon(settings, signals);
+}
--- /dev/null
+++ b/Source/Peer/PeerService.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Peer/PeerMessages.h"
+
+namespace lycheearch {
+
+/// Answers the calls of other daemons. Functions run on the peer thread and must not block.
+class PeerService
+{
+public:
+    virtual ~PeerService() = default;
+
+    virtual ExchangeMessage onExchange(const ExchangeMessage &message, TimePoint now) = 0;
+    virtual ConfigAnswer onFetchConfig(Revision from) = 0;
+    virtual ClaimAnswer onAskClaim(const ClaimAsk &ask, TimePoint now) = 0;
+    virtual void onReleaseClaim(const RequestKey &key, const ClaimId &claim, TimePoint now) = 0;
+    virtual ClaimAnswer onClaimStatus(const RequestKey &key, const ClaimId &claim) = 0;
+    virtual std::vector<ClaimEntry> onCopyClaims() = 0;
+    virtual std::vector<KeptRecord> onKeep(const std::vector<KeptRecord> &records,
+                                           TimePoint now) = 0;
+    virtual std::optional<KeptRecord> onFetchKept(KeptKind kind, const std::string &key,
+                                                  TimePoint now) = 0;
+    virtual void onDropKept(KeptKind kind, const std::vector<std::string> &keys) = 0;
+    virtual PermitAnswer onTakePermit(const InstanceId &backend, const StartId &startId,
+                                      const InstanceId &holder, TimePoint now) = 0;
+    virtual void onReturnPermit(const InstanceId &backend, const std::string &permit,
+                                TimePoint now) = 0;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Peer/RpcPeerNetwork.cpp
@@ -0,0 +1,432 @@
+#include "Peer/RpcPeerNetwork.h"
+
+#include <future>
+#include <map>
+#include <thread>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/debug.h>
+
+#include "Base/Logger.h"
+#include "Peer/PeerCodec.h"
+#include "Peer/RpcPeerServer.h"
+
+namespace lycheearch {
+
+namespace {
+
+const Logger Log("peer");
+
+Failure unavailable(const std::string &peer, const kj::Exception &error)
+{
+    return makeFailure(Errc::PeerUnavailable, peer + ": " + error.getDescription().cStr());
+}
+
+/// One connection to a peer, and the capability that the peer gave.
+struct Link
+{
+    explicit Link(wire::Peer::Client client)
+        : peer(std::move(client))
+    {
+    }
+    wire::Peer::Client peer;
+};
+
+/// What a connection consists of. Members are destroyed in reverse order.
+struct Channel
+{
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyClient> rpc;
+};
+
+} // namespace
+
+/// The state of the peer thread. Members below "loop" are only touched on that thread.
+class RpcPeerNetwork::Private
+{
+public:
+    Private(InstanceId self, Endpoint listen, Duration timeout, PeerAuthenticator authenticator,
+            PeerService &service, const Clock &clock)
+        : m_self(std::move(self))
+        , m_listen(std::move(listen))
+        , m_timeout(timeout)
+        , m_authenticator(std::move(authenticator))
+        , m_service(service)
+        , m_clock(clock)
+    {
+    }
+
+    Status start()
+    {
+        std::promise<Status> started;
+        std::future<Status> result = started.get_future();
+        m_thread = std::thread([this, &started] { run(started); });
+        return result.get();
+    }
+
+    void stop()
+    {
+        if (!m_thread.joinable()) {
+            return;
+        }
+        try {
+            m_executor->executeSync([this] { m_stop->fulfill(); });
+        } catch (const kj::Exception &) {
+            Log.debug("The peer thread had ended before.");
+        }
+        m_thread.join();
+    }
+
+    void setPeers(const std::vector<std::pair<InstanceId, Endpoint>> &peers)
+    {
+        try {
+            m_executor->executeSync([&] { replacePeers(peers); });
+        } catch (const kj::Exception &error) {
+            Log.warning(std::string("Peers not set: ") + error.getDescription().cStr() + ".");
+        }
+    }
+
+    /// Runs \p request on the peer thread with the peer's capability. \p request returns a
+    /// promise of a value without references to the message.
+    template <typename T, typename Request>
+    Result<T> call(const InstanceId &peer, Request request)
+    {
+        try {
+            return m_executor->executeSync(
+                [&]() -> kj::Promise<T> { return boundedCall<T>(peer, request); });
+        } catch (const kj::Exception &error) {
+            return unavailable(peer.value(), error);
+        }
+    }
+
+    template <typename T, typename Request>
+    std::vector<Result<T>> callAll(const std::vector<InstanceId> &peers, Request request)
+    {
+        try {
+            return m_executor->executeSync([&]() -> kj::Promise<std::vector<Result<T>>> {
+                auto promises = kj::heapArrayBuilder<kj::Promise<Result<T>>>(peers.size());
+                for (const InstanceId &peer : peers) {
+                    promises.add(boundedCall<T>(peer, request)
+                                     .then([](T &&value) { return Result<T>(std::move(value)); },
+                                           [peer](kj::Exception &&error) {
+                                               return Result<T>(unavailable(peer.value(), error));
+                                           }));
+                }
+                return kj::joinPromises(promises.finish()).then([](kj::Array<Result<T>> &&all) {
+                    return std::vector<Result<T>>(all.begin(), all.end());
+                });
+            });
+        } catch (const kj::Exception &error) {
+            return std::vector<Result<T>>(peers.size(), Result<T>(unavailable("all", error)));
+        }
+    }
+
+private:
+    void run(std::promise<Status> &started)
+    {
+        bool announced = false;
+        try {
+            auto io = kj::setupAsyncIo();
+            m_io = &io;
+            m_executor = kj::getCurrentThreadExecutor().addRef();
+            auto stop = kj::newPromiseAndFulfiller<void>();
+            m_stop = std::move(stop.fulfiller);
+            capnp::TwoPartyServer server(kj::heap<RpcGate>(m_authenticator, m_service, m_clock));
+            auto listener = io.provider->getNetwork()
+                                .parseAddress(m_listen.host, m_listen.port)
+                                .wait(io.waitScope)
+                                ->listen();
+            auto serving = server.listen(*listener).eagerlyEvaluate([](kj::Exception &&error) {
+                Log.error(std::string("Serving peers ended: ") + error.getDescription().cStr());
+            });
+            announced = true;
+            started.set_value(std::nullopt);
+            stop.promise.wait(io.waitScope);
+            m_links.clear();
+            m_channels.clear();
+        } catch (const kj::Exception &error) {
+            if (!announced) {
+                started.set_value(makeFailure(
+                    Errc::PeerUnavailable, m_listen.text() + ": " + error.getDescription().cStr()));
+            }
+        }
+    }
+
+    void replacePeers(const std::vector<std::pair<InstanceId, Endpoint>> &peers)
+    {
+        std::map<InstanceId, Endpoint> next(peers.begin(), peers.end());
+        for (const auto &[peer, address] : m_addresses) {
+            const auto kept = next.find(peer);
+            if (kept == next.end() || kept->second != address) {
+                dropLink(peer);
+            }
+        }
+        m_addresses = std::move(next);
+    }
+
+    void dropLink(const InstanceId &peer)
+    {
+        ++m_generations[peer];
+        m_links.erase(peer);
+        m_channels.erase(peer);
+    }
+
+    template <typename T, typename Request>
+    kj::Promise<T> boundedCall(const InstanceId &peer, Request &request)
+    {
+        if (!m_addresses.contains(peer)) {
+            return KJ_EXCEPTION(DISCONNECTED, "no address of the peer is known");
+        }
+        if (!m_links.contains(peer)) {
+            m_links.emplace(peer, Link(wire::Peer::Client(openLink(peer))));
+        }
+        const std::uint64_t generation = m_generations[peer];
+        kj::Promise<T> answer = request(m_links.at(peer).peer);
+        return m_io->provider->getTimer()
+            .timeoutAfter(m_timeout.count() * kj::MICROSECONDS, kj::mv(answer))
+            .catch_([this, peer, generation](kj::Exception &&error) -> kj::Promise<T> {
+                if (m_generations[peer] == generation) {
+                    dropLink(peer);
+                }
+                return kj::mv(error);
+            });
+    }
+
+    kj::Promise<wire::Peer::Client> openLink(const InstanceId &peer)
+    {
+        const Endpoint address = m_addresses.at(peer);
+        const std::uint64_t generation = m_generations[peer];
+        return m_io->provider->getNetwork()
+            .parseAddress(address.host, address.port)
+            .then([](kj::Own<kj::NetworkAddress> &&parsed) {
+                auto connecting = parsed->connect();
+                return connecting.attach(kj::mv(parsed));
+            })
+            .then([this, peer, generation](kj::Own<kj::AsyncIoStream> &&stream) {
+                if (m_generations[peer] != generation) {
+                    kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "superseded"));
+                }
+                Channel channel;
+                channel.rpc = kj::heap<capnp::TwoPartyClient>(*stream);
+                channel.stream = kj::mv(stream);
+                wire::Gate::Client gate = channel.rpc->bootstrap().castAs<wire::Gate>();
+                m_channels.erase(peer);
+                m_channels.emplace(peer, kj::mv(channel));
+                return proveSelf(gate);
+            });
+    }
+
+    kj::Promise<wire::Peer::Client> proveSelf(wire::Gate::Client gate)
+    {
+        return gate.challengeRequest().send().then(
+            [this, gate](capnp::Response<wire::Gate::ChallengeResults> &&answer) mutable {
+                const std::string nonce = PeerCodec::text(answer.getNonce());
+                auto open = gate.openRequest();
+                open.setInstance(m_self.value());
+                open.setNonce(nonce);
+                open.setProof(m_authenticator.openerProof(m_self, nonce));
+                return open.send().then(
+                    [this, nonce](capnp::Response<wire::Gate::OpenResults> &&opened) {
+                        const std::string proof = PeerCodec::text(opened.getProof());
+                        if (!m_authenticator.isAcceptor(m_self, nonce, proof)) {
+                            kj::throwFatalException(
+                                KJ_EXCEPTION(FAILED, "the acceptor did not prove to be a peer"));
+                        }
+                        return opened.getPeer();
+                    });
+            });
+    }
+
+    InstanceId m_self;
+    Endpoint m_listen;
+    Duration m_timeout;
+    PeerAuthenticator m_authenticator;
+    PeerService &m_service;
+    const Clock &m_clock;
+    std::thread m_thread;
+    kj::Own<const kj::Executor> m_executor;
+
+    kj::AsyncIoContext *m_io = nullptr;
+    kj::Own<kj::PromiseFulfiller<void>> m_stop;
+    std::map<InstanceId, Endpoint> m_addresses;
+    std::map<InstanceId, Channel> m_channels;
+    std::map<InstanceId, Link> m_links;
+    std::map<InstanceId, std::uint64_t> m_generations;
+};
+
+RpcPeerNetwork::RpcPeerNetwork(InstanceId self, Endpoint listen, Duration timeout,
+                               PeerAuthenticator authenticator, PeerService &service,
+                               const Clock &clock)
+    : m_private(std::make_unique<Private>(std::move(self), std::move(listen), timeout,
+                                          std::move(authenticator), service, clock))
+{
+}
+
+RpcPeerNetwork::~RpcPeerNetwork()
+{
+    m_private->stop();
+}
+
+Status RpcPeerNetwork::start()
+{
+    return m_private->start();
+}
+
+void RpcPeerNetwork::stop()
+{
+    m_private->stop();
+}
+
+void RpcPeerNetwork::setPeers(const std::vector<std::pair<InstanceId, Endpoint>> &peers)
+{
+    m_private->setPeers(peers);
+}
+
+namespace {
+
+kj::Promise<ExchangeMessage> sendExchange(wire::Peer::Client &client,
+                                          const ExchangeMessage &message)
+{
+    auto request = client.exchangeRequest();
+    PeerCodec::write(request.initMessage(), message);
+    return request.send().then([](auto &&answer) { return PeerCodec::read(answer.getMessage()); });
+}
+
+} // namespace
+
+Result<ExchangeMessage> RpcPeerNetwork::exchange(const InstanceId &peer,
+                                                 const ExchangeMessage &message)
+{
+    return m_private->call<ExchangeMessage>(
+        peer, [&](wire::Peer::Client &client) { return sendExchange(client, message); });
+}
+
+std::vector<Result<ExchangeMessage>>
+RpcPeerNetwork::exchangeAll(const std::vector<InstanceId> &peers, const ExchangeMessage &message)
+{
+    return m_private->callAll<ExchangeMessage>(
+        peers, [&](wire::Peer::Client &client) { return sendExchange(client, message); });
+}
+
+Result<ConfigAnswer> RpcPeerNetwork::fetchConfig(const InstanceId &peer, Revision from)
+{
+    return m_private->call<ConfigAnswer>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.fetchConfigRequest();
+        request.setFrom(from.value());
+        return request.send().then([](auto &&answer) {
+            return ConfigAnswer{Revision(answer.getAnswer().getRevision()),
+                                PeerCodec::text(answer.getAnswer().getSnapshot())};
+        });
+    });
+}
+
+std::vector<Result<ClaimAnswer>> RpcPeerNetwork::askClaims(const std::vector<InstanceId> &peers,
+                                                           const ClaimAsk &ask)
+{
+    return m_private->callAll<ClaimAnswer>(peers, [&](wire::Peer::Client &client) {
+        auto request = client.askClaimRequest();
+        PeerCodec::write(request.initAsk(), ask);
+        return request.send().then(
+            [](auto &&answer) { return PeerCodec::read(answer.getAnswer()); });
+    });
+}
+
+void RpcPeerNetwork::releaseClaim(const std::vector<InstanceId> &peers, const RequestKey &key,
+                                  const ClaimId &claim)
+{
+    m_private->callAll<bool>(peers, [&](wire::Peer::Client &client) {
+        auto request = client.releaseClaimRequest();
+        request.setKey(key.value());
+        request.setClaim(claim.value());
+        return request.send().then([](auto &&) { return true; });
+    });
+}
+
+Result<ClaimAnswer> RpcPeerNetwork::claimStatus(const InstanceId &peer, const RequestKey &key,
+                                                const ClaimId &claim)
+{
+    return m_private->call<ClaimAnswer>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.claimStatusRequest();
+        request.setKey(key.value());
+        request.setClaim(claim.value());
+        return request.send().then(
+            [](auto &&answer) { return PeerCodec::read(answer.getAnswer()); });
+    });
+}
+
+Result<std::vector<ClaimEntry>> RpcPeerNetwork::copyClaims(const InstanceId &peer)
+{
+    return m_private->call<std::vector<ClaimEntry>>(peer, [&](wire::Peer::Client &client) {
+        return client.copyClaimsRequest().send().then(
+            [](auto &&answer) { return PeerCodec::readList<ClaimEntry>(answer.getClaims()); });
+    });
+}
+
+Result<std::vector<KeptRecord>> RpcPeerNetwork::keep(const InstanceId &peer,
+                                                     const std::vector<KeptRecord> &records)
+{
+    return m_private->call<std::vector<KeptRecord>>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.keepRequest();
+        PeerCodec::writeList(request.initRecords(static_cast<unsigned>(records.size())), records);
+        return request.send().then(
+            [](auto &&answer) { return PeerCodec::readList<KeptRecord>(answer.getPresent()); });
+    });
+}
+
+Result<std::optional<KeptRecord>> RpcPeerNetwork::fetchKept(const InstanceId &peer, KeptKind kind,
+                                                            const std::string &key)
+{
+    using Found = std::optional<KeptRecord>;
+    return m_private->call<Found>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.fetchKeptRequest();
+        request.setKind(PeerCodec::toWire(kind));
+        request.setKey(key);
+        return request.send().then([](auto &&answer) {
+            return answer.getFound() ? Found(PeerCodec::read(answer.getRecord())) : Found();
+        });
+    });
+}
+
+Status RpcPeerNetwork::dropKept(const InstanceId &peer, KeptKind kind,
+                                const std::vector<std::string> &keys)
+{
+    const auto done = m_private->call<bool>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.dropKeptRequest();
+        request.setKind(PeerCodec::toWire(kind));
+        auto list = request.initKeys(static_cast<unsigned>(keys.size()));
+        for (unsigned i = 0; i < keys.size(); ++i) {
+            list.set(i, keys[i]);
+        }
+        return request.send().then([](auto &&) { return true; });
+    });
+    return done.ok() ? Status() : Status(done.failure());
+}
+
+Result<PermitAnswer> RpcPeerNetwork::takePermit(const InstanceId &peer, const InstanceId &backend,
+                                                const StartId &startId)
+{
+    return m_private->call<PermitAnswer>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.takePermitRequest();
+        request.setBackend(backend.value());
+        request.setStartId(startId.value());
+        return request.send().then([](auto &&answer) {
+            return PermitAnswer{PeerCodec::text(answer.getPermit()),
+                                PeerCodec::text(answer.getReason())};
+        });
+    });
+}
+
+Status RpcPeerNetwork::returnPermit(const InstanceId &peer, const InstanceId &backend,
+                                    const std::string &permit)
+{
+    const auto done = m_private->call<bool>(peer, [&](wire::Peer::Client &client) {
+        auto request = client.returnPermitRequest();
+        request.setBackend(backend.value());
+        request.setPermit(permit);
+        return request.send().then([](auto &&) { return true; });
+    });
+    return done.ok() ? Status() : Status(done.failure());
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Peer/RpcPeerNetwork.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+
+#include "Peer/PeerAuthenticator.h"
+#include "Peer/PeerNetwork.h"
+#include "Peer/PeerService.h"
+
+namespace lycheearch {
+
+/// Cap'n Proto RPC between daemons. One thread serves incoming calls and sends outgoing ones.
+class RpcPeerNetwork : public PeerNetwork
+{
+public:
+    /// \p timeout bounds each call. \p service answers calls of peers and outlives this object.
+    RpcPeerNetwork(InstanceId self, Endpoint listen, Duration timeout,
+                   PeerAuthenticator authenticator, PeerService &service, const Clock &clock);
+    ~RpcPeerNetwork() override;
+    RpcPeerNetwork(const RpcPeerNetwork &) = delete;
+    RpcPeerNetwork &operator=(const RpcPeerNetwork &) = delete;
+
+    /// Starts the thread and listens. Returns the failure if the port cannot be had.
+    Status start();
+    void stop();
+
+    void setPeers(const std::vector<std::pair<InstanceId, Endpoint>> &peers) override;
+    Result<ExchangeMessage> exchange(const InstanceId &peer,
+                                     const ExchangeMessage &message) override;
+    std::vector<Result<ExchangeMessage>> exchangeAll(const std::vector<InstanceId> &peers,
+                                                     const ExchangeMessage &message) override;
+    Result<ConfigAnswer> fetchConfig(const InstanceId &peer, Revision from) override;
+    std::vector<Result<ClaimAnswer>> askClaims(const std::vector<InstanceId> &peers,
+                                               const ClaimAsk &ask) override;
+    void releaseClaim(const std::vector<InstanceId> &peers, const RequestKey &key,
+                      const ClaimId &claim) override;
+    Result<ClaimAnswer> claimStatus(const InstanceId &peer, const RequestKey &key,
+                                    const ClaimId &claim) override;
+    Result<std::vector<ClaimEntry>> copyClaims(const InstanceId &peer) override;
+    Result<std::vector<KeptRecord>> keep(const InstanceId &peer,
+                                         const std::vector<KeptRecord> &records) override;
+    Result<std::optional<KeptRecord>> fetchKept(const InstanceId &peer, KeptKind kind,
+                                                const std::string &key) override;
+    Status dropKept(const InstanceId &peer, KeptKind kind,
+                    const std::vector<std::string> &keys) override;
+    Result<PermitAnswer> takePermit(const InstanceId &peer, const InstanceId &backend,
+                                    const StartId &startId) override;
+    Status returnPermit(const InstanceId &peer, const InstanceId &backend,
+                        const std::string &permit) override;
+
+private:
+    class Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpInstanceList.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Platform/HttpClient.h"
+#include "Platform/InstanceList.h"
+
+namespace lycheearch {
+
+/// Instance list over HTTP and JSON. docs/PLATFORM.md describes the messages.
+class HttpInstanceList : public InstanceList
+{
+public:
+    HttpInstanceList(Endpoint address, Duration timeout);
+    Result<std::vector<InstanceRecord>> read() override;
+
+private:
+    HttpClient m_client;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpLogService.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Platform/HttpClient.h"
+#include "Platform/LogService.h"
+
+namespace lycheearch {
+
+/// Log service over HTTP and JSON. docs/PLATFORM.md describes the messages.
+class HttpLogService : public LogService
+{
+public:
+    HttpLogService(Endpoint address, Duration timeout);
+
+    Result<Offset> append(const StreamName &stream,
+                          const std::vector<std::string> &records) override;
+    Result<LogSlice> read(const StreamName &stream, Offset from, std::size_t most,
+                          Duration wait) override;
+
+private:
+    HttpClient m_client;
+    Duration m_timeout;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpModelEngine.cpp
@@ -0,0 +1,175 @@
+#include "Platform/HttpModelEngine.h"
+
+#include <istream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <nlohmann/json.hpp>
+
+#include "Platform/HttpClient.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpUnavailable = 503;
+const std::string EventPrefix = "data: ";
+
+std::string encodeRequest(const EngineRequest &request)
+{
+    const nlohmann::json json{{"request_id", request.request.value()},
+                              {"version", request.version.value()},
+                              {"prompt", request.prompt},
+                              {"priority", static_cast<int>(request.priority)},
+                              {"max_tokens", request.maxTokens.value()},
+                              {"resume_from", request.resumeFrom.value()}};
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Failure broken(const std::string &message)
+{
+    return makeFailure(Errc::BackendBroken, message, RunState::Unknown);
+}
+
+/// Reads the next event of the stream. Returns nothing at its end.
+std::optional<nlohmann::json> nextEvent(std::istream &stream)
+{
+    std::string line;
+    while (std::getline(stream, line)) {
+        if (!line.empty() && line.back() == '\r') {
+            line.pop_back();
+        }
+        if (line.starts_with(EventPrefix)) {
+            return nlohmann::json::parse(line.substr(EventPrefix.size()), nullptr, false);
+        }
+    }
+    return std::nullopt;
+}
+
+bool belongsTo(const nlohmann::json &event, const RequestId &request)
+{
+    return event.is_object() && event.contains("request_id") && event["request_id"].is_string()
+        && event["request_id"].get<std::string>() == request.value();
+}
+
+} // namespace
+
+HttpModelEngine::HttpModelEngine(BackendTimeouts timeouts, ConnectionPool &pool, const Clock &clock)
+    : m_timeouts(timeouts)
+    , m_pool(pool)
+    , m_clock(clock)
+{
+}
+
+Result<BackendReport> HttpModelEngine::report(const Endpoint &address)
+{
+    try {
+        return BackendConnection(address, m_timeouts.connect).readReport();
+    } catch (const Poco::Exception &error) {
+        return makeFailure(Errc::BackendBroken, address.text() + ": " + error.displayText());
+    }
+}
+
+EngineOutcome HttpModelEngine::generate(const BackendTarget &target, const EngineRequest &request,
+                                        DeltaSink &sink, TimePoint now)
+{
+    EngineOutcome outcome;
+    outcome.generated = request.resumeFrom;
+    auto taken = m_pool.take(target, now);
+    if (!taken.ok()) {
+        outcome.failure = taken.failure();
+        return outcome;
+    }
+    std::unique_ptr<BackendConnection> connection = std::move(taken.value());
+    try {
+        const std::string body = encodeRequest(request);
+        Poco::Net::HTTPRequest message("POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
+        message.setKeepAlive(true);
+        message.setContentType("application/json");
+        message.setContentLength(static_cast<std::streamsize>(body.size()));
+        const Duration left = request.deadline - m_clock.now();
+        connection->setReceiveTimeout(
+            std::min(m_timeouts.firstByte, std::max(left, Duration(1ms))));
+        connection->session().sendRequest(message) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = connection->session().receiveResponse(response);
+        if (response.getStatus() == HttpUnavailable) {
+            outcome.failure = makeFailure(Errc::BackendOverloaded,
+                                          target.instance.value() + " refused the request");
+            return outcome;
+        }
+        if (response.getStatus() != HttpOk) {
+            outcome.failure = broken(target.instance.value() + " answered status "
+                                     + std::to_string(response.getStatus()));
+            return outcome;
+        }
+        outcome = readStream(stream, *connection, request, sink);
+        if (outcome.complete && response.getKeepAlive()) {
+            m_pool.giveBack(target.address, std::move(connection));
+        }
+    } catch (const Poco::Exception &error) {
+        outcome.failure = broken(target.instance.value() + ": " + error.displayText());
+    }
+    return outcome;
+}
+
+EngineOutcome HttpModelEngine::readStream(std::istream &stream, BackendConnection &connection,
+                                          const EngineRequest &request, DeltaSink &sink) const
+{
+    EngineOutcome outcome;
+    outcome.generated = request.resumeFrom;
+    while (auto event = nextEvent(stream)) {
+        if (!belongsTo(*event, request.request)) {
+            outcome.failure = broken("a part of another request's answer arrived");
+            return outcome;
+        }
+        if (event->value("end", false)) {
+            if (event->value("tokens", std::int64_t{-1}) != outcome.generated.value()) {
+                outcome.failure = broken("the end mark does not fit the parts received");
+                return outcome;
+            }
+            // The rest of the message is read, so that the connection can be used again.
+            while (nextEvent(stream)) { }
+            outcome.complete = true;
+            return outcome;
+        }
+        if (event->value("position", std::int64_t{-1}) != outcome.generated.value()) {
+            outcome.failure = broken("a part is missing or repeated");
+            return outcome;
+        }
+        outcome.generated = outcome.generated.next();
+        if (!sink.onDelta(event->value("text", ""))) {
+            outcome.cancelled = true;
+            return outcome;
+        }
+        const Duration left = request.deadline - m_clock.now();
+        if (left <= Duration::zero()) {
+            outcome.failure = makeFailure(Errc::DeadlineExceeded, "the deadline passed mid-answer",
+                                          RunState::Ran);
+            return outcome;
+        }
+        connection.setReceiveTimeout(std::min(m_timeouts.silence, left));
+    }
+    outcome.failure = broken("the stream broke off or went silent");
+    return outcome;
+}
+
+Status HttpModelEngine::order(const Endpoint &address, const EngineOrder &order)
+{
+    const nlohmann::json body{{"order", order.kind == OrderKind::Load ? "load" : "unload"},
+                              {"version", order.version.value()},
+                              {"fence", order.fence.value()}};
+    const auto response =
+        HttpClient(address, m_timeouts.connect).send({"POST", "/orders", body.dump(), ""});
+    if (!response.ok()) {
+        return response.failure();
+    }
+    if (response.value().status != HttpOk) {
+        return makeFailure(Errc::BackendFailed, "order refused: " + response.value().body);
+    }
+    return std::nullopt;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpModelEngine.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+
+#include "Platform/BackendTimeouts.h"
+#include "Platform/ConnectionPool.h"
+#include "Platform/ModelEngine.h"
+
+namespace lycheearch {
+
+/// Model engine over HTTP with a stream of server-sent events. docs/PLATFORM.md describes the
+/// messages.
+class HttpModelEngine : public ModelEngine
+{
+public:
+    HttpModelEngine(BackendTimeouts timeouts, ConnectionPool &pool, const Clock &clock);
+
+    Result<BackendReport> report(const Endpoint &address) override;
+    EngineOutcome generate(const BackendTarget &target, const EngineRequest &request,
+                           DeltaSink &sink, TimePoint now) override;
+    Status order(const Endpoint &address, const EngineOrder &order) override;
+
+private:
+    EngineOutcome readStream(std::istream &stream, BackendConnection &connection,
+                             const EngineRequest &request, DeltaSink &sink) const;
+
+    BackendTimeouts m_timeouts;
+    ConnectionPool &m_pool;
+    const Clock &m_clock;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpPlainService.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Platform/BackendTimeouts.h"
+#include "Platform/ConnectionPool.h"
+#include "Platform/PlainService.h"
+
+namespace lycheearch {
+
+/// Plain service over HTTP and JSON. docs/PLATFORM.md describes the messages.
+class HttpPlainService : public PlainService
+{
+public:
+    HttpPlainService(BackendTimeouts timeouts, ConnectionPool &pool, const Clock &clock);
+
+    Result<BackendReport> report(const Endpoint &address) override;
+    Result<std::string> call(const BackendTarget &target, const ServiceCall &call,
+                             TimePoint now) override;
+
+private:
+    BackendTimeouts m_timeouts;
+    ConnectionPool &m_pool;
+    const Clock &m_clock;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpRatingService.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Platform/HttpClient.h"
+#include "Platform/RatingService.h"
+
+namespace lycheearch {
+
+/// Rating service over HTTP and JSON. docs/PLATFORM.md describes the messages.
+class HttpRatingService : public RatingService
+{
+public:
+    HttpRatingService(Endpoint address, Duration timeout);
+    Result<double> rate(const RatingRequest &request) override;
+
+private:
+    Endpoint m_address;
+    HttpClient m_client;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Platform/HttpWeightStore.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Platform/HttpClient.h"
+#include "Platform/WeightStore.h"
+
+namespace lycheearch {
+
+/// Weight store over HTTP and JSON. docs/PLATFORM.md describes the messages.
+class HttpWeightStore : public WeightStore
+{
+public:
+    HttpWeightStore(Endpoint address, Duration timeout);
+    Status reserveLoad(const VersionId &version) override;
+
+private:
+    HttpClient m_client;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/DispatchFilter.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Request/Filter.h"
+#include "Request/GenerationRunner.h"
+#include "Request/Rater.h"
+#include "Request/ServiceRunner.h"
+
+namespace lycheearch {
+
+/// Runs the plan: the call of a plain service, or the versions of the plan in order. The answer of
+/// every version but the last is rated before any of it reaches the caller.
+class DispatchFilter : public Filter
+{
+public:
+    /// Share of answers without a cascade that are rated, as a sample.
+    static constexpr double SampledShare = 0.2;
+
+    DispatchFilter(GenerationRunner &generations, ServiceRunner &services, Rater &rater,
+                   Metrics &metrics, Timeline &timeline, const Clock &clock);
+    Status apply(RequestContext &context) override;
+
+private:
+    Status runService(RequestContext &context);
+    Status runPlan(RequestContext &context);
+    void sample(const RequestContext &context, const VersionId &version,
+                const Generation &generation);
+    Status finish(RequestContext &context, const VersionId &version, const Generation &generation);
+
+    GenerationRunner &m_generations;
+    ServiceRunner &m_services;
+    Rater &m_rater;
+    Metrics &m_metrics;
+    Timeline &m_timeline;
+    const Clock &m_clock;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/GenerationRunner.cpp
@@ -0,0 +1,163 @@
+#include "Request/GenerationRunner.h"
+
+#include "Request/VersionPolicy.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int MostAttempts = 8;
+
+/// Keeps the text and passes it on.
+class CollectingSink : public DeltaSink
+{
+public:
+    CollectingSink(std::string &text, DeltaSink *next)
+        : m_text(text)
+        , m_next(next)
+    {
+    }
+    bool onDelta(const std::string &text) override
+    {
+        m_text += text;
+        return m_next == nullptr || m_next->onDelta(text);
+    }
+
+private:
+    std::string &m_text;
+    DeltaSink *m_next;
+};
+
+BackendResult resultOf(const EngineOutcome &outcome)
+{
+    if (outcome.complete) {
+        return BackendResult::Success;
+    }
+    if (outcome.cancelled) {
+        return BackendResult::Cancelled;
+    }
+    const bool refused = outcome.failure && outcome.failure->code == Errc::BackendOverloaded;
+    return refused ? BackendResult::Refused : BackendResult::Failed;
+}
+
+} // namespace
+
+/// How far a generation has come over its attempts.
+struct GenerationRunner::Progress
+{
+    VersionId version;
+    DeltaSink *sink = nullptr;
+    Generation generation;
+    std::set<InstanceId> excluded;
+};
+
+GenerationRunner::GenerationRunner(ModelEngine &engine, BackendGate &gate, BackendTable &backends,
+                                   const ConfigStore &config, VersionStats &stats,
+                                   RetryBudget &retries, Timeline &timeline, Metrics &metrics,
+                                   const Clock &clock)
+    : m_engine(engine)
+    , m_gate(gate)
+    , m_backends(backends)
+    , m_config(config)
+    , m_stats(stats)
+    , m_retries(retries)
+    , m_timeline(timeline)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+Generation GenerationRunner::run(const RequestContext &context, const VersionId &version,
+                                 DeltaSink *sink)
+{
+    Progress progress;
+    progress.version = version;
+    progress.sink = sink;
+    const TimePoint start = m_clock.now();
+    for (int count = 0; count < MostAttempts; ++count) {
+        if (!attempt(context, progress)) {
+            break;
+        }
+        if (!m_retries.withdraw()) {
+            m_metrics.count("lycheearch_retries_refused_total");
+            break;
+        }
+        m_metrics.count("lycheearch_retries_total");
+    }
+    Generation &generation = progress.generation;
+    if (!generation.failure && !generation.cancelled) {
+        m_stats.recordAnswer(context.request.taskClass, version, generation.tokens,
+                             m_clock.now() - start);
+    }
+    return generation;
+}
+
+bool GenerationRunner::attempt(const RequestContext &context, Progress &progress)
+{
+    Generation &generation = progress.generation;
+    const bool begun = generation.tokens.value() > 0;
+    const bool ofSession = context.sessionVersion.has_value();
+    GateRequest wanted{{progress.version, {}, context.request.session.value()},
+                       context.priority,
+                       context.account.id,
+                       context.account.weight,
+                       context.request.deadline,
+                       progress.excluded};
+    const auto grant = m_gate.acquire(wanted);
+    if (!grant.ok()) {
+        generation.failure = grant.failure();
+        generation.failure->run = begun ? RunState::Ran : RunState::NotRun;
+        return false;
+    }
+    const TimePoint now = m_clock.now();
+    // The configuration and the permit can have ended while the request waited.
+    const Status closed =
+        checkVersion(*m_config.current(), context.account.id, progress.version, ofSession);
+    if (closed || now >= grant.value().validUntil) {
+        m_gate.release(grant.value(), BackendResult::Cancelled, {});
+        generation.failure =
+            closed ? closed : makeFailure(Errc::BackendBroken, "the permit ran out");
+        generation.failure->run = begun ? RunState::Ran : RunState::NotRun;
+        return !closed;
+    }
+    const EngineRequest request{
+        context.request.id,        progress.version,  context.request.prompt,  context.priority,
+        context.request.maxTokens, generation.tokens, context.request.deadline};
+    CollectingSink collector(generation.text, progress.sink);
+    const EngineOutcome outcome = m_engine.generate(grant.value().target, request, collector, now);
+    const BackendResult result = resultOf(outcome);
+    m_gate.release(grant.value(), result, m_clock.now() - now);
+    generation.tokens = outcome.generated;
+    generation.cancelled = outcome.cancelled;
+    generation.failure = outcome.failure;
+    recordAttempt(context, progress.version, grant.value(),
+                  outcome.failure ? outcome.failure->message
+                                  : (outcome.cancelled ? "cancelled" : "complete"));
+    if (result == BackendResult::Success || result == BackendResult::Cancelled) {
+        return false;
+    }
+    if (result == BackendResult::Failed) {
+        m_stats.recordError(context.request.taskClass, progress.version);
+        if (outcome.failure->code == Errc::BackendBroken) {
+            m_backends.lostTrack(grant.value().target.instance);
+        }
+    }
+    progress.excluded = {grant.value().target.instance};
+    return m_clock.now() < context.request.deadline;
+}
+
+void GenerationRunner::recordAttempt(const RequestContext &context, const VersionId &version,
+                                     const BackendGrant &grant, const std::string &detail)
+{
+    TimelineEvent event;
+    event.kind = "send";
+    event.request = context.request.id;
+    event.session = context.request.session;
+    event.backend = grant.target.instance;
+    event.version = version;
+    event.dataCentre = grant.dataCentre;
+    event.detail = detail;
+    m_timeline.record(event);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/PinSessionFilter.cpp
@@ -0,0 +1,45 @@
+#include "Request/PinSessionFilter.h"
+
+#include "Request/VersionPolicy.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr int MostMoves = 20; ///< Of one session, from version to version.
+}
+
+PinSessionFilter::PinSessionFilter(SessionDirectory &sessions, const Clock &clock)
+    : m_sessions(sessions)
+    , m_clock(clock)
+{
+}
+
+Status PinSessionFilter::apply(RequestContext &context)
+{
+    const CallerRequest &request = context.request;
+    if (request.kind != RequestKind::Chat || request.session.empty()) {
+        return std::nullopt;
+    }
+    SessionKey key{context.account.id, request.session, {}};
+    for (int move = 0; move < MostMoves; ++move) {
+        const auto version = m_sessions.find(key, request.sessionToken, m_clock.now());
+        if (!version) {
+            context.sessionKey = key;
+            return std::nullopt;
+        }
+        const Status closed = checkVersion(*context.config, context.account.id, *version, true);
+        if (!closed) {
+            context.sessionKey = key;
+            context.sessionVersion = version;
+            context.sessionToken = m_sessions.token(key, *version);
+            return std::nullopt;
+        }
+        if (context.account.withdrawnSession == WithdrawnSession::Refuse) {
+            return closed;
+        }
+        key.movedFrom = *version;
+    }
+    return makeFailure(Errc::VersionWithdrawn, "the session moved too often");
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/PlanFilter.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Request/Filter.h"
+#include "Request/Rater.h"
+#include "Routing/BackendTable.h"
+#include "Routing/Planner.h"
+#include "State/SessionDirectory.h"
+#include "Timeline/Timeline.h"
+
+namespace lycheearch {
+
+/// Chooses the versions to run, and pins a new session to its version before anything is sent.
+class PlanFilter : public Filter
+{
+public:
+    PlanFilter(const Planner &planner, const BackendTable &backends, SessionDirectory &sessions,
+               const Rater &rater, Timeline &timeline, const Clock &clock);
+    Status apply(RequestContext &context) override;
+
+private:
+    Status planSession(RequestContext &context);
+    void recordPlan(const RequestContext &context);
+
+    const Planner &m_planner;
+    const BackendTable &m_backends;
+    SessionDirectory &m_sessions;
+    const Rater &m_rater;
+    Timeline &m_timeline;
+    const Clock &m_clock;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/Rater.cpp
@@ -0,0 +1,76 @@
+#include "Request/Rater.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr int FailuresUntilUnhealthy = 3;
+constexpr Duration UnhealthyTime = 5s;
+constexpr Duration IdleWait = 200ms;
+} // namespace
+
+Rater::Rater(RatingService &service, VersionStats &stats, Metrics &metrics, std::size_t capacity,
+             const Clock &clock)
+    : m_service(service)
+    , m_stats(stats)
+    , m_metrics(metrics)
+    , m_clock(clock)
+    , m_ring(capacity)
+    , m_duty("rate", [this] { return step(); })
+{
+}
+
+Rater::~Rater()
+{
+    stop();
+}
+
+void Rater::stop()
+{
+    m_ring.close();
+    m_duty.stop();
+}
+
+std::optional<bool> Rater::rateNow(const RatingRequest &request)
+{
+    const Result<double> score = m_service.rate(request);
+    {
+        std::lock_guard lock(m_mutex);
+        m_failures = score.ok() ? 0 : m_failures + 1;
+        if (m_failures >= FailuresUntilUnhealthy) {
+            m_unhealthyUntil = m_clock.now() + UnhealthyTime;
+        }
+    }
+    if (!score.ok()) {
+        m_metrics.count("lycheearch_rating_failures_total");
+        return std::nullopt;
+    }
+    const bool good = score.value() >= GoodScore;
+    m_stats.recordRating(request.taskClass, request.version, good);
+    m_metrics.count("lycheearch_ratings_total",
+                    "version=\"" + request.version.value() + "\",good=\""
+                        + (good ? "true" : "false") + "\"");
+    return good;
+}
+
+void Rater::rateLater(RatingRequest request)
+{
+    if (!m_ring.tryPush(std::move(request))) {
+        m_metrics.count("lycheearch_rating_samples_left_out_total");
+    }
+}
+
+bool Rater::healthy(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return now >= m_unhealthyUntil;
+}
+
+Duration Rater::step()
+{
+    for (const RatingRequest &request : m_ring.popBatch(1, IdleWait)) {
+        rateNow(request);
+    }
+    return Duration(0);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/ServiceRunner.cpp
@@ -0,0 +1,186 @@
+#include "Request/ServiceRunner.h"
+
+#include <thread>
+
+#include "Request/VersionPolicy.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int MostAttempts = 6;
+constexpr double HedgeFactor = 4.0; ///< A call this much slower than usual is overdue.
+constexpr Duration LeastHedgeDelay = 100ms;
+constexpr Duration WaitForLosers = 10ms;
+
+} // namespace
+
+/// The first good answer of two calls, or the last failure.
+class ServiceRunner::Race
+{
+public:
+    void finish(Result<std::string> answer)
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_finished;
+        if (!m_answer || !m_answer->ok()) {
+            m_answer = std::move(answer);
+        }
+        m_changed.notify_all();
+    }
+
+    /// Waits until one call succeeded or \p calls have ended. False if \p limit passes.
+    bool wait(int calls, Duration limit)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(
+            lock, limit, [&] { return (m_answer && m_answer->ok()) || m_finished >= calls; });
+    }
+
+    std::optional<Result<std::string>> answer()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_answer;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_finished = 0;
+    std::optional<Result<std::string>> m_answer;
+};
+
+ServiceRunner::ServiceRunner(PlainService &service, BackendGate &gate, BackendTable &backends,
+                             const ConfigStore &config, RetryBudget &retries, Timeline &timeline,
+                             Metrics &metrics, const Clock &clock)
+    : m_service(service)
+    , m_gate(gate)
+    , m_backends(backends)
+    , m_config(config)
+    , m_retries(retries)
+    , m_timeline(timeline)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+ServiceRunner::~ServiceRunner()
+{
+    while (m_running > 0) {
+        std::this_thread::sleep_for(WaitForLosers);
+    }
+}
+
+Result<std::string> ServiceRunner::run(const RequestContext &context)
+{
+    return context.operation.idempotent ? sendHedged(context) : sendUntilRun(context);
+}
+
+ServiceRunner::Attempt ServiceRunner::sendOnce(const RequestContext &context,
+                                               const std::set<InstanceId> &excluded)
+{
+    const CallerRequest &request = context.request;
+    const GateRequest wanted{{{}, request.service, ""}, context.priority, context.account.id,
+                             context.account.weight,    request.deadline, excluded};
+    const auto grant = m_gate.acquire(wanted);
+    if (!grant.ok()) {
+        return {grant.failure(), {}};
+    }
+    const TimePoint now = m_clock.now();
+    const InstanceId backend = grant.value().target.instance;
+    const Status closed =
+        checkService(*m_config.current(), context.account.id, request.service, request.operation);
+    if (closed || now >= grant.value().validUntil) {
+        m_gate.release(grant.value(), BackendResult::Cancelled, {});
+        const Failure late = makeFailure(Errc::BackendBroken, "the permit ran out");
+        return {closed ? *closed : late, backend};
+    }
+    const TimePoint deadline = std::min(request.deadline, now + context.operation.timeout);
+    const auto answer = m_service.call(
+        grant.value().target, {request.id, request.operation, request.body, deadline}, now);
+    BackendResult result = BackendResult::Success;
+    if (!answer.ok()) {
+        const bool refused = answer.failure().code == Errc::BackendOverloaded;
+        result = refused ? BackendResult::Refused : BackendResult::Failed;
+        if (answer.failure().code == Errc::BackendBroken) {
+            m_backends.lostTrack(backend);
+        }
+    }
+    m_gate.release(grant.value(), result, m_clock.now() - now);
+    TimelineEvent event;
+    event.kind = "send";
+    event.request = request.id;
+    event.backend = backend;
+    event.dataCentre = grant.value().dataCentre;
+    event.detail = answer.ok() ? "complete" : answer.failure().message;
+    m_timeline.record(event);
+    return {answer, backend};
+}
+
+Result<std::string> ServiceRunner::sendUntilRun(const RequestContext &context)
+{
+    std::set<InstanceId> excluded;
+    Attempt last{makeFailure(Errc::NoBackend, "not tried"), {}};
+    for (int count = 0; count < MostAttempts; ++count) {
+        last = sendOnce(context, excluded);
+        if (last.answer.ok()) {
+            return last.answer;
+        }
+        const Failure &failure = last.answer.failure();
+        const bool mayRepeat = failure.run == RunState::NotRun || context.operation.idempotent;
+        const bool backendFault = failure.code == Errc::BackendBroken
+            || failure.code == Errc::BackendOverloaded || failure.code == Errc::BackendFailed;
+        if (!mayRepeat || !backendFault || m_clock.now() >= context.request.deadline) {
+            return last.answer;
+        }
+        if (!m_retries.withdraw()) {
+            m_metrics.count("lycheearch_retries_refused_total");
+            return last.answer;
+        }
+        m_metrics.count("lycheearch_retries_total");
+        excluded = {last.backend};
+    }
+    return last.answer;
+}
+
+Result<std::string> ServiceRunner::sendHedged(const RequestContext &context)
+{
+    double usual = 0;
+    for (const BackendView &view : m_backends.views()) {
+        if (view.instance.service == context.request.service) {
+            usual = std::max(usual, view.latencySeconds);
+        }
+    }
+    const auto scaled =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(usual * HedgeFactor));
+    const Duration delay = std::max(scaled, LeastHedgeDelay);
+    const auto race = std::make_shared<Race>();
+    const auto shared = std::make_shared<const RequestContext>(context);
+    start(shared, race);
+    int calls = 1;
+    if (!race->wait(calls, delay) && m_retries.withdraw()) {
+        m_metrics.count("lycheearch_hedges_total");
+        start(shared, race);
+        ++calls;
+    }
+    const Duration left = context.request.deadline - m_clock.now();
+    race->wait(calls, std::max<Duration>(left, 1ms));
+    const auto answer = race->answer();
+    if (!answer) {
+        return makeFailure(Errc::DeadlineExceeded, "no server answered in time", RunState::Unknown);
+    }
+    return *answer;
+}
+
+void ServiceRunner::start(const std::shared_ptr<const RequestContext> &context,
+                          const std::shared_ptr<Race> &race)
+{
+    ++m_running;
+    // The thread of a call that lost is not waited for; the destructor waits.
+    std::thread([this, context, race] {
+        race->finish(sendUntilRun(*context));
+        --m_running;
+    }).detach();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Request/ServiceRunner.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "Base/Metrics.h"
+#include "Platform/PlainService.h"
+#include "Request/RequestContext.h"
+#include "Routing/BackendGate.h"
+#include "Routing/RetryBudget.h"
+#include "State/ConfigStore.h"
+#include "Timeline/Timeline.h"
+
+namespace lycheearch {
+
+/// Runs one call of a plain service. A call that may not be repeated is sent at most once; one that
+/// may be is retried, and sent a second time while the first is overdue.
+class ServiceRunner
+{
+public:
+    ServiceRunner(PlainService &service, BackendGate &gate, BackendTable &backends,
+                  const ConfigStore &config, RetryBudget &retries, Timeline &timeline,
+                  Metrics &metrics, const Clock &clock);
+
+    ~ServiceRunner();
+    ServiceRunner(const ServiceRunner &) = delete;
+    ServiceRunner &operator=(const ServiceRunner &) = delete;
+
+    Result<std::string> run(const RequestContext &context);
+
+private:
+    class Race;
+
+    struct Attempt
+    {
+        Result<std::string> answer;
+        InstanceId backend;
+    };
+
+    Attempt sendOnce(const RequestContext &context, const std::set<InstanceId> &excluded);
+    Result<std::string> sendUntilRun(const RequestContext &context);
+    Result<std::string> sendHedged(const RequestContext &context);
+    void start(const std::shared_ptr<const RequestContext> &context,
+               const std::shared_ptr<Race> &race);
+
+    PlainService &m_service;
+    BackendGate &m_gate;
+    BackendTable &m_backends;
+    const ConfigStore &m_config;
+    RetryBudget &m_retries;
+    Timeline &m_timeline;
+    Metrics &m_metrics;
+    const Clock &m_clock;
+    std::atomic<int> m_running = 0; ///< Threads of hedged calls.
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/BackendGate.cpp
@@ -0,0 +1,133 @@
+#include "Routing/BackendGate.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr Duration RecheckPeriod = 20ms; ///< Reports of other daemons' requests arrive unasked.
+constexpr Duration PermitPause = 100ms; ///< Before a refused permit is asked for again.
+constexpr Duration RetryAfter = 1s;
+constexpr Duration NoBackendPatience = 500ms; ///< Reports lag behind.
+} // namespace
+
+BackendGate::BackendGate(BackendTable &table, ColdGatekeeper &gatekeeper, PeerNetwork &network,
+                         const Roster &roster, const ConfigStore &config, std::size_t capacity,
+                         const Clock &clock)
+    : m_table(table)
+    , m_gatekeeper(gatekeeper)
+    , m_network(network)
+    , m_roster(roster)
+    , m_config(config)
+    , m_clock(clock)
+    , m_queue(capacity)
+{
+}
+
+Result<BackendGrant> BackendGate::acquire(const GateRequest &request)
+{
+    const TimePoint start = m_clock.now();
+    std::unique_lock lock(m_mutex);
+    const Ticket ticket =
+        m_queue.add(request.need.pool(), request.priority, request.account, request.weight);
+    while (true) {
+        if (m_queue.turnedAway(ticket)) {
+            m_queue.remove(ticket, false);
+            return makeFailure(Errc::Overloaded, "more important requests fill the queue",
+                               RunState::NotRun, RetryAfter);
+        }
+        NoChoice why = NoChoice::AllBusy;
+        if (m_queue.isNext(ticket)) {
+            lock.unlock();
+            std::optional<BackendGrant> grant = tryOnce(request, why);
+            lock.lock();
+            if (grant) {
+                m_queue.remove(ticket, true);
+                lock.unlock();
+                m_changed.notify_all();
+                return *grant;
+            }
+        }
+        const TimePoint now = m_clock.now();
+        if (why == NoChoice::NoneServes && now - start >= NoBackendPatience) {
+            m_queue.remove(ticket, false);
+            return makeFailure(Errc::NoBackend, "no server for " + request.need.pool(),
+                               RunState::NotRun, RetryAfter);
+        }
+        if (now >= request.deadline) {
+            m_queue.remove(ticket, false);
+            return makeFailure(Errc::DeadlineExceeded,
+                               "no server for " + request.need.pool() + " was free in time",
+                               RunState::NotRun, RetryAfter);
+        }
+        m_changed.wait_for(lock, std::min<Duration>(RecheckPeriod, request.deadline - now));
+    }
+}
+
+std::optional<BackendGrant> BackendGate::tryOnce(const GateRequest &request, NoChoice &why)
+{
+    const TimePoint now = m_clock.now();
+    std::set<InstanceId> excluded = request.excluded;
+    {
+        std::lock_guard lock(m_mutex);
+        std::erase_if(m_permitRefusedUntil, [&](const auto &item) { return item.second <= now; });
+        for (const auto &[backend, until] : m_permitRefusedUntil) {
+            excluded.insert(backend);
+        }
+    }
+    const ConfigStatePtr config = m_config.current();
+    const auto choice = m_table.choose(request.need, *config, excluded, now, why);
+    if (!choice) {
+        return std::nullopt;
+    }
+    if (!choice->needsPermit) {
+        return BackendGrant{choice->target, choice->dataCentre, "", {}, TimePoint::max()};
+    }
+    std::optional<BackendGrant> grant = withPermit(*choice);
+    if (!grant) {
+        why = NoChoice::AllBusy;
+        m_table.release(choice->target.instance, BackendResult::Cancelled, {}, now);
+        std::lock_guard lock(m_mutex);
+        m_permitRefusedUntil[choice->target.instance] = now + PermitPause;
+    }
+    return grant;
+}
+
+std::optional<BackendGrant> BackendGate::withPermit(const BackendChoice &choice)
+{
+    const TimePoint asked = m_clock.now();
+    const InstanceId &backend = choice.target.instance;
+    const InstanceId gatekeeper = m_gatekeeper.gatekeeperOf(backend, asked);
+    PermitAnswer answer;
+    if (gatekeeper == m_roster.self()) {
+        answer = m_gatekeeper.take(backend, choice.target.startId, m_roster.self(), asked);
+    } else {
+        const auto remote = m_network.takePermit(gatekeeper, backend, choice.target.startId);
+        answer = remote.ok() ? remote.value() : PermitAnswer{};
+    }
+    if (answer.permit.empty()) {
+        return std::nullopt;
+    }
+    BackendGrant grant{choice.target, choice.dataCentre, answer.permit, gatekeeper,
+                       asked + ColdGatekeeper::PermitValidity};
+    grant.target.coldAllowed = true;
+    return grant;
+}
+
+void BackendGate::release(const BackendGrant &grant, BackendResult result, Duration latency)
+{
+    const InstanceId &backend = grant.target.instance;
+    m_table.release(backend, result, latency, m_clock.now());
+    if (!grant.permit.empty() && grant.gatekeeper == m_roster.self()) {
+        m_gatekeeper.giveBack(backend, grant.permit);
+    } else if (!grant.permit.empty()) {
+        m_network.returnPermit(grant.gatekeeper, backend, grant.permit);
+    }
+    m_changed.notify_all();
+}
+
+std::size_t BackendGate::waiting() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_queue.size();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/BackendTable.cpp
@@ -0,0 +1,320 @@
+#include "Routing/BackendTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Base/Hash.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr double Smoothing = 0.2;
+constexpr double EjectAbove = 0.5; ///< Smoothed share of failures.
+constexpr Duration EjectionTime = 3s;
+constexpr double LargestEjectedShare = 0.5; ///< Of a pool.
+constexpr double RemoteFactor = 1.5; ///< Delay of another data centre, relative.
+constexpr double AffinityFactor = 0.7; ///< Delay with a likely prefix cache hit, relative.
+constexpr double LeastLatencySeconds = 0.001;
+constexpr double LimitGrowth = 0.2;
+constexpr double LimitShrink = 0.7;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+std::string BackendNeed::pool() const
+{
+    return version.empty() ? "service " + service.value() : "version " + version.value();
+}
+
+BackendClassSpec backendClass(const ConfigState &config, const std::string &name)
+{
+    const auto found = config.manifest->backendClasses.find(name);
+    return found == config.manifest->backendClasses.end() ? BackendClassSpec{} : found->second;
+}
+
+BackendTable::BackendTable(DataCentreId ownDataCentre, Duration reportLifetime)
+    : m_ownDataCentre(std::move(ownDataCentre))
+    , m_reportLifetime(reportLifetime)
+{
+}
+
+void BackendTable::updateList(const std::vector<InstanceRecord> &instances)
+{
+    std::lock_guard lock(m_mutex);
+    std::set<InstanceId> listed;
+    for (const InstanceRecord &instance : instances) {
+        if (instance.kind != InstanceKind::Entry) {
+            listed.insert(instance.id);
+            m_backends[instance.id].instance = instance;
+        }
+    }
+    std::erase_if(m_backends, [&](const auto &item) {
+        return !listed.contains(item.first) && item.second.outstanding == 0;
+    });
+    for (auto &[id, view] : m_backends) {
+        if (!listed.contains(id)) {
+            view.instance.leaving = true;
+        }
+    }
+}
+
+void BackendTable::report(const InstanceId &backend, const BackendReport &report, TimePoint takenAt)
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_backends.find(backend);
+    if (found == m_backends.end() || takenAt < found->second.reportedAt) {
+        return;
+    }
+    BackendView &view = found->second;
+    if (view.startId != report.startId) {
+        view.limit = 1;
+        view.failureShare = 0;
+    }
+    view.startId = report.startId;
+    view.cold = report.cold;
+    view.versions = report.versions;
+    view.reportedInFlight = report.inFlight;
+    view.outstandingAtReport = view.outstanding;
+    view.reportedAt = takenAt;
+    view.known = true;
+}
+
+void BackendTable::reportDigest(const BackendLoadReport &digest, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_backends.find(digest.backend);
+    if (found == m_backends.end()) {
+        return;
+    }
+    BackendView &view = found->second;
+    const TimePoint takenAt = now - digest.age;
+    if (!view.known || takenAt < view.reportedAt) {
+        return;
+    }
+    if (view.startId != digest.startId) {
+        // What the restarted server has loaded is not known before it reports itself.
+        view.known = false;
+        return;
+    }
+    view.cold = digest.cold;
+    view.reportedInFlight = digest.inFlight;
+    view.outstandingAtReport = view.outstanding;
+    view.reportedAt = takenAt;
+}
+
+void BackendTable::lostTrack(const InstanceId &backend)
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_backends.find(backend);
+    if (found != m_backends.end()) {
+        found->second.known = false;
+    }
+}
+
+bool BackendTable::inService(const BackendView &view, const ConfigState &config,
+                             TimePoint now) const
+{
+    return view.known && !view.instance.leaving && now - view.reportedAt <= m_reportLifetime
+        && !config.isOut(view.instance.dataCentre) && !config.isOut(view.instance.id);
+}
+
+bool BackendTable::serves(const BackendView &view, const BackendNeed &need) const
+{
+    if (need.version.empty()) {
+        return view.instance.kind == InstanceKind::Service && view.instance.service == need.service;
+    }
+    return view.instance.kind == InstanceKind::Engine && view.versions.contains(need.version);
+}
+
+int BackendTable::estimatedLoad(const BackendView &view) const
+{
+    const int others = std::max(0, view.reportedInFlight - view.outstandingAtReport);
+    return others + view.outstanding;
+}
+
+double BackendTable::expectedDelay(const BackendView &view, const BackendClassSpec &spec,
+                                   const BackendNeed &need) const
+{
+    const double latency = std::max(view.latencySeconds, LeastLatencySeconds);
+    double delay = latency * (1.0 + estimatedLoad(view)) / spec.warmLimit;
+    if (view.instance.dataCentre != m_ownDataCentre) {
+        delay *= RemoteFactor;
+    }
+    if (!need.affinity.empty()) {
+        std::vector<InstanceId> pool;
+        for (const auto &[id, other] : m_backends) {
+            if (serves(other, need)) {
+                pool.push_back(id);
+            }
+        }
+        const auto preferred = rendezvous(need.affinity, pool, 1);
+        if (!preferred.empty() && preferred.front() == view.instance.id) {
+            delay *= AffinityFactor;
+        }
+    }
+    return delay;
+}
+
+std::optional<BackendChoice> BackendTable::choose(const BackendNeed &need,
+                                                  const ConfigState &config,
+                                                  const std::set<InstanceId> &excluded,
+                                                  TimePoint now, NoChoice &why)
+{
+    std::lock_guard lock(m_mutex);
+    why = NoChoice::NoneServes;
+    BackendView *best = nullptr;
+    BackendView *cold = nullptr;
+    double bestDelay = 0;
+    const auto avoided = [&](const BackendView &view) {
+        return excluded.contains(view.instance.id) || view.ejectedUntil > now;
+    };
+    const auto candidate = [&](const BackendView &view) {
+        return inService(view, config, now) && serves(view, need);
+    };
+    // Servers to be avoided are still used where there is no other.
+    const bool choosy = std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
+        return candidate(item.second) && !avoided(item.second);
+    });
+    for (auto &[id, view] : m_backends) {
+        if (!candidate(view)) {
+            continue;
+        }
+        why = NoChoice::AllBusy;
+        if (choosy && avoided(view)) {
+            continue;
+        }
+        const BackendClassSpec spec = backendClass(config, view.instance.backendClass);
+        if (view.cold) {
+            const bool mine = view.instance.dataCentre == m_ownDataCentre;
+            if (mine && (cold == nullptr || view.outstanding < cold->outstanding)) {
+                cold = &view;
+            }
+            continue;
+        }
+        const bool full = estimatedLoad(view) >= spec.warmLimit
+            || view.outstanding >= static_cast<int>(std::ceil(view.limit));
+        if (full) {
+            continue;
+        }
+        const double delay = expectedDelay(view, spec, need);
+        if (best == nullptr || delay < bestDelay) {
+            best = &view;
+            bestDelay = delay;
+        }
+    }
+    BackendView *chosen = best != nullptr ? best : cold;
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    why = NoChoice::None;
+    ++chosen->outstanding;
+    return BackendChoice{{chosen->instance.id, chosen->instance.address, chosen->startId, false},
+                         chosen->cold,
+                         chosen->instance.dataCentre};
+}
+
+bool BackendTable::mayEject(const BackendView &view, TimePoint now) const
+{
+    int pool = 0;
+    int ejected = 0;
+    for (const auto &[id, other] : m_backends) {
+        const bool same = other.instance.kind == view.instance.kind
+            && other.instance.service == view.instance.service
+            && other.instance.backendClass == view.instance.backendClass;
+        pool += same ? 1 : 0;
+        ejected += same && other.ejectedUntil > now ? 1 : 0;
+    }
+    return ejected + 1 <= LargestEjectedShare * pool;
+}
+
+void BackendTable::release(const InstanceId &backend, BackendResult result, Duration latency,
+                           TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_backends.find(backend);
+    if (found == m_backends.end()) {
+        return;
+    }
+    BackendView &view = found->second;
+    view.outstanding = std::max(0, view.outstanding - 1);
+    if (result == BackendResult::Refused) {
+        view.limit = std::max(1.0, view.limit * LimitShrink);
+        return;
+    }
+    if (result == BackendResult::Cancelled) {
+        return;
+    }
+    const double failed = result == BackendResult::Failed ? 1.0 : 0.0;
+    view.failureShare += Smoothing * (failed - view.failureShare);
+    if (result == BackendResult::Success) {
+        view.limit += LimitGrowth;
+        const double sample = seconds(latency);
+        view.latencySeconds = view.latencySeconds == 0
+            ? sample
+            : view.latencySeconds + Smoothing * (sample - view.latencySeconds);
+        return;
+    }
+    if (view.failureShare > EjectAbove && mayEject(view, now)) {
+        view.ejectedUntil = now + EjectionTime;
+        view.failureShare = 0;
+    }
+}
+
+std::set<VersionId> BackendTable::usableVersions(const ConfigState &config, TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::set<VersionId> versions;
+    for (const auto &[id, view] : m_backends) {
+        if (inService(view, config, now)) {
+            versions.insert(view.versions.begin(), view.versions.end());
+        }
+    }
+    return versions;
+}
+
+std::vector<InstanceRecord> BackendTable::backendRecords() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<InstanceRecord> records;
+    for (const auto &[id, view] : m_backends) {
+        records.push_back(view.instance);
+    }
+    return records;
+}
+
+std::vector<BackendView> BackendTable::views() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<BackendView> all;
+    for (const auto &[id, view] : m_backends) {
+        all.push_back(view);
+    }
+    return all;
+}
+
+std::optional<BackendView> BackendTable::view(const InstanceId &backend) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_backends.find(backend);
+    return found == m_backends.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<BackendLoadReport> BackendTable::digests(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<BackendLoadReport> reports;
+    for (const auto &[id, view] : m_backends) {
+        if (view.known && now - view.reportedAt <= m_reportLifetime) {
+            reports.push_back(
+                {id, view.startId, view.cold, view.reportedInFlight, now - view.reportedAt});
+        }
+    }
+    return reports;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/Planner.cpp
@@ -0,0 +1,266 @@
+#include "Routing/Planner.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr double BoundDeviations = 1.64; ///< One-sided 95 %.
+constexpr double EnoughRatings = 30;
+constexpr double ExpectedTokens = 100; ///< Of a version without answers yet.
+constexpr double ExpectedAcceptance = 0.5; ///< Of a version without ratings yet.
+constexpr double ExpectedLatencySeconds = 1.0;
+
+struct CanaryStep
+{
+    double rated; ///< Up to this many rated answers.
+    double share; ///< Part of the final share.
+};
+constexpr CanaryStep CanarySteps[]{{30, 0.02}, {100, 0.10}, {300, 0.50}};
+
+const VersionSpec *strongest(const std::vector<const VersionSpec *> &versions)
+{
+    const auto weaker = [](const VersionSpec *left, const VersionSpec *right) {
+        return left->rank < right->rank;
+    };
+    const auto found = std::max_element(versions.begin(), versions.end(), weaker);
+    return found == versions.end() ? nullptr : *found;
+}
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+const char *planKindName(PlanKind kind)
+{
+    switch (kind) {
+    case PlanKind::Single:
+        return "single";
+    case PlanKind::Cascade:
+        return "cascade";
+    case PlanKind::Exploration:
+        return "exploration";
+    case PlanKind::Canary:
+        return "canary";
+    case PlanKind::Session:
+        return "session";
+    case PlanKind::Shortfall:
+        return "shortfall";
+    }
+    return "unknown";
+}
+
+Planner::Planner(const VersionStats &stats)
+    : m_stats(stats)
+{
+}
+
+double Planner::canaryShare(const VersionSpec &canary, double rated)
+{
+    for (const CanaryStep &step : CanarySteps) {
+        if (rated < step.rated) {
+            return canary.share * step.share;
+        }
+    }
+    return canary.share;
+}
+
+Planner::Candidate Planner::assess(const VersionSpec &spec, const PlanRequest &request) const
+{
+    const VersionCount count = m_stats.total(request.taskClass, spec.id);
+    Candidate candidate;
+    candidate.spec = &spec;
+    candidate.known = count.rated >= EnoughRatings;
+    candidate.quality = wilsonLowerBound(count.good, count.rated, BoundDeviations);
+    candidate.accepted = count.rated > 0 ? count.good / count.rated : ExpectedAcceptance;
+    const double tokens = count.requests > 0 ? count.tokens / count.requests : ExpectedTokens;
+    candidate.latencySeconds =
+        count.requests > 0 ? count.latencySeconds / count.requests : ExpectedLatencySeconds;
+    candidate.cost = static_cast<double>(spec.costPerRequest.value())
+        + static_cast<double>(spec.costPerToken.value()) * tokens;
+    return candidate;
+}
+
+std::vector<Planner::Candidate> Planner::candidates(const PlanRequest &request) const
+{
+    std::vector<Candidate> found;
+    const auto model = request.config.manifest->models.find(request.model);
+    if (model == request.config.manifest->models.end()) {
+        return found;
+    }
+    for (const VersionSpec &version : model->second.versions) {
+        const bool allowed =
+            request.account.versions.empty() || request.account.versions.contains(version.id);
+        const VersionState state = request.config.stateOf(version.id);
+        const bool takesNew = state == VersionState::Active || state == VersionState::Canary;
+        if (allowed && takesNew && request.usable.contains(version.id)) {
+            found.push_back(assess(version, request));
+        }
+    }
+    return found;
+}
+
+Result<Plan> Planner::plan(const PlanRequest &request) const
+{
+    if (!request.account.models.contains(request.model)) {
+        return makeFailure(Errc::AccountForbidsModel,
+                           "the account may not use model '" + request.model.value() + "'");
+    }
+    std::vector<Candidate> all = candidates(request);
+    if (all.empty()) {
+        return makeFailure(Errc::NoBackend,
+                           "no allowed version of '" + request.model.value() + "' is loaded",
+                           RunState::NotRun, 1s);
+    }
+    if (auto canary = canaryPlan(request, all)) {
+        return *canary;
+    }
+    std::vector<Candidate> active;
+    for (const Candidate &candidate : all) {
+        const bool isCanary = request.config.stateOf(candidate.spec->id) == VersionState::Canary;
+        if (!isCanary) {
+            active.push_back(candidate);
+        }
+    }
+    if (active.empty()) {
+        return makeFailure(Errc::NoBackend,
+                           "only versions in roll-out of '" + request.model.value()
+                               + "' are loaded",
+                           RunState::NotRun, 1s);
+    }
+    if (auto trial = explorationPlan(request, active)) {
+        return *trial;
+    }
+    return cheapestPlan(request, active);
+}
+
+std::optional<Plan> Planner::canaryPlan(const PlanRequest &request,
+                                        const std::vector<Candidate> &candidates) const
+{
+    if (!request.ratingHealthy) {
+        return std::nullopt;
+    }
+    double lot = request.lot;
+    for (const Candidate &candidate : candidates) {
+        if (request.config.stateOf(candidate.spec->id) != VersionState::Canary) {
+            continue;
+        }
+        const double rated = m_stats.total(candidate.spec->id).rated;
+        const double share = canaryShare(*candidate.spec, rated);
+        if (lot >= share) {
+            lot -= share;
+            continue;
+        }
+        Plan plan;
+        plan.kind = PlanKind::Canary;
+        plan.versions = {candidate.spec->id};
+        const auto replaced =
+            std::find_if(candidates.begin(), candidates.end(), [&](const Candidate &other) {
+                return other.spec->id == candidate.spec->replaces
+                    && request.config.stateOf(other.spec->id) == VersionState::Active;
+            });
+        // While little is known, the version that it replaces stands behind the canary.
+        if (!candidate.known && !request.keepsSession && replaced != candidates.end()) {
+            plan.versions.push_back(replaced->spec->id);
+        }
+        plan.options.push_back({plan.versions, candidate.cost, candidate.quality, "chosen"});
+        return plan;
+    }
+    return std::nullopt;
+}
+
+std::optional<Plan> Planner::explorationPlan(const PlanRequest &request,
+                                             const std::vector<Candidate> &candidates) const
+{
+    if (request.keepsSession || !request.ratingHealthy) {
+        return std::nullopt;
+    }
+    // Canaries took the lower end of the lots, so trials take the upper end.
+    if (request.lot < 1.0 - request.config.manifest->explorationBudget) {
+        return std::nullopt;
+    }
+    std::vector<const VersionSpec *> specs;
+    for (const Candidate &candidate : candidates) {
+        specs.push_back(candidate.spec);
+    }
+    const VersionSpec *best = strongest(specs);
+    const Candidate *trial = nullptr;
+    for (const Candidate &candidate : candidates) {
+        const bool cheaper = trial == nullptr || candidate.cost < trial->cost;
+        if (candidate.spec != best && !candidate.known && cheaper) {
+            trial = &candidate;
+        }
+    }
+    if (trial == nullptr) {
+        return std::nullopt;
+    }
+    Plan plan;
+    plan.kind = PlanKind::Exploration;
+    plan.versions = {trial->spec->id, best->id};
+    plan.options.push_back({plan.versions, trial->cost, trial->quality, "chosen"});
+    return plan;
+}
+
+Plan Planner::cheapestPlan(const PlanRequest &request,
+                           const std::vector<Candidate> &candidates) const
+{
+    const double target = request.config.manifest->qualityTarget;
+    const double secondsLeft = secondsOf(request.timeLeft);
+    std::vector<const VersionSpec *> specs;
+    for (const Candidate &candidate : candidates) {
+        specs.push_back(candidate.spec);
+    }
+    const VersionSpec *best = strongest(specs);
+    Plan plan;
+    std::size_t chosen = 0;
+    double leastCost = 0;
+    const auto consider = [&](PlanOption option, PlanKind kind, double latency, bool allowed) {
+        const bool meets = option.quality >= target;
+        const bool inTime = latency <= secondsLeft;
+        option.verdict = !allowed ? "not possible for this request"
+            : !meets              ? "quality bound below the target"
+            : !inTime             ? "too slow for the deadline"
+                                  : "costs more";
+        const bool usable = allowed && meets && inTime;
+        plan.options.push_back(option);
+        if (usable && (plan.versions.empty() || option.cost < leastCost)) {
+            plan.kind = kind;
+            plan.versions = option.versions;
+            leastCost = option.cost;
+            chosen = plan.options.size() - 1;
+        }
+    };
+    for (const Candidate &one : candidates) {
+        // The strongest version is what there is; it is trusted until ratings say otherwise.
+        const double quality = one.spec == best && !one.known ? target : one.quality;
+        consider({{one.spec->id}, one.cost, quality, ""}, PlanKind::Single, one.latencySeconds,
+                 true);
+        for (const Candidate &other : candidates) {
+            if (other.spec->rank <= one.spec->rank) {
+                continue;
+            }
+            const double rejected = 1.0 - one.accepted;
+            const double behind = other.spec == best && !other.known ? target : other.quality;
+            // An accepted answer was rated good, so only rejected ones depend on the stronger one.
+            const double bound = one.accepted + rejected * behind;
+            const bool allowed = request.ratingHealthy && !request.keepsSession && one.known;
+            consider({{one.spec->id, other.spec->id}, one.cost + rejected * other.cost, bound, ""},
+                     PlanKind::Cascade, one.latencySeconds + rejected * other.latencySeconds,
+                     allowed);
+        }
+    }
+    if (plan.versions.empty()) {
+        plan.kind = PlanKind::Shortfall;
+        plan.versions = {best->id};
+        plan.options.push_back({plan.versions, 0, 0, "chosen for want of a better one"});
+        return plan;
+    }
+    plan.options[chosen].verdict = "chosen";
+    return plan;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/WaitQueue.cpp
@@ -0,0 +1,86 @@
+#include "Routing/WaitQueue.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+WaitQueue::WaitQueue(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+double WaitQueue::served(const AccountId &account) const
+{
+    const auto found = m_served.find(account);
+    return found == m_served.end() ? 0 : found->second;
+}
+
+bool WaitQueue::before(const Waiter &left, const Waiter &right) const
+{
+    if (left.priority != right.priority) {
+        return left.priority < right.priority;
+    }
+    const double leftServed = served(left.account);
+    const double rightServed = served(right.account);
+    if (leftServed != rightServed) {
+        return leftServed < rightServed;
+    }
+    return left.ticket < right.ticket;
+}
+
+Ticket WaitQueue::add(std::string pool, Priority priority, AccountId account, double weight)
+{
+    if (!m_served.contains(account)) {
+        // A new account starts level with the one served least, not with an old credit.
+        double least = 0;
+        for (const auto &[known, amount] : m_served) {
+            least = least == 0 ? amount : std::min(least, amount);
+        }
+        m_served[account] = least;
+    }
+    const Ticket ticket(m_nextTicket++);
+    m_waiting[ticket] = {ticket, std::move(pool), priority, std::move(account), weight};
+    if (m_waiting.size() > m_capacity) {
+        auto last = m_waiting.begin();
+        for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+            if (!before(it->second, last->second)) {
+                last = it;
+            }
+        }
+        m_turnedAway.insert(last->first);
+        m_waiting.erase(last);
+    }
+    return ticket;
+}
+
+void WaitQueue::remove(Ticket ticket, bool served)
+{
+    m_turnedAway.erase(ticket);
+    const auto found = m_waiting.find(ticket);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    if (served) {
+        m_served[found->second.account] += 1.0 / found->second.weight;
+    }
+    m_waiting.erase(found);
+}
+
+bool WaitQueue::isNext(Ticket ticket) const
+{
+    const auto found = m_waiting.find(ticket);
+    if (found == m_waiting.end()) {
+        return false;
+    }
+    return std::none_of(m_waiting.begin(), m_waiting.end(), [&](const auto &item) {
+        return item.first != ticket && item.second.pool == found->second.pool
+            && before(item.second, found->second);
+    });
+}
+
+bool WaitQueue::turnedAway(Ticket ticket) const
+{
+    return m_turnedAway.contains(ticket);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/State/Billing.cpp
@@ -0,0 +1,173 @@
+#include "State/Billing.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "Base/Logger.h"
+#include "State/KeeperChoice.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr std::size_t MaxBatch = 500;
+constexpr Duration TakeOverDelay = 5s; ///< A bill of a silent owner is appended after this.
+constexpr Duration LongestHold = 600s; ///< And one of any owner after this.
+constexpr Duration DrainPoll = 100ms;
+const Logger Log("billing");
+} // namespace
+
+Billing::Billing(LogService &log, PeerNetwork &network, Roster &roster, KeptStore &kept,
+                 std::size_t capacity, const Clock &clock)
+    : m_log(log)
+    , m_network(network)
+    , m_roster(roster)
+    , m_kept(kept)
+    , m_capacity(capacity)
+    , m_clock(clock)
+{
+}
+
+bool Billing::hasRoom() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_pending.size() < m_capacity;
+}
+
+std::size_t Billing::pending() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_pending.size();
+}
+
+bool Billing::record(const BillRecord &bill, std::vector<KeptRecord> alongside, TimePoint now)
+{
+    Pending pending{encodeBill(bill), {}};
+    for (KeptRecord &record : alongside) {
+        record.owner = m_roster.self();
+    }
+    m_kept.put(alongside, now);
+    alongside.push_back({KeptKind::Bill, bill.key.value(), m_roster.self(), pending.data});
+    const bool copied = copyToPeers(alongside, pending, now);
+    {
+        std::lock_guard lock(m_mutex);
+        m_pending[bill.key.value()] = pending;
+    }
+    if (copied) {
+        return true;
+    }
+    // No peer holds a copy, so the answer waits for the log.
+    return flush(now);
+}
+
+bool Billing::copyToPeers(const std::vector<KeptRecord> &records, Pending &pending, TimePoint now)
+{
+    const std::vector<InstanceId> keepers =
+        chooseKeepers(m_roster, records.back().key, Copies + 1, now);
+    for (const InstanceId &keeper : keepers) {
+        if (pending.keepers.size() == Copies) {
+            break;
+        }
+        const auto present = m_network.keep(keeper, records);
+        const bool refused = !present.ok()
+            || std::any_of(present.value().begin(), present.value().end(),
+                           [](const KeptRecord &one) { return one.kind == KeptKind::Bill; });
+        if (!refused) {
+            pending.keepers.push_back(keeper);
+        }
+    }
+    return !pending.keepers.empty();
+}
+
+bool Billing::flush(TimePoint now)
+{
+    std::lock_guard flushing(m_flushMutex);
+    std::map<std::string, Pending> batch;
+    std::vector<std::string> records;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto &[key, pending] : m_pending) {
+            if (batch.size() == MaxBatch) {
+                break;
+            }
+            batch[key] = pending;
+            records.push_back(pending.data);
+        }
+    }
+    if (batch.empty()) {
+        return true;
+    }
+    const auto offset = m_log.append(Streams::Billing, records);
+    if (!offset.ok()) {
+        // The records are appended again later. Copies are folded by their keys.
+        return false;
+    }
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto &[key, pending] : batch) {
+            m_pending.erase(key);
+        }
+    }
+    dropCopies(batch);
+    return true;
+}
+
+void Billing::dropCopies(const std::map<std::string, Pending> &appended)
+{
+    std::map<InstanceId, std::vector<std::string>> dropped;
+    for (const auto &[key, pending] : appended) {
+        for (const InstanceId &keeper : pending.keepers) {
+            dropped[keeper].push_back(key);
+        }
+    }
+    for (const auto &[keeper, keys] : dropped) {
+        // A copy that stays behind is appended by its keeper later, which is harmless.
+        m_network.dropKept(keeper, KeptKind::Bill, keys);
+    }
+}
+
+void Billing::takeOver(TimePoint now)
+{
+    std::vector<std::string> keys;
+    std::vector<std::string> records;
+    for (const KeptRecord &record : m_kept.storedBefore(KeptKind::Bill, now - TakeOverDelay)) {
+        if (!m_roster.isAlive(record.owner, now) && records.size() < MaxBatch) {
+            keys.push_back(record.key);
+            records.push_back(record.data);
+        }
+    }
+    for (const KeptRecord &record : m_kept.storedBefore(KeptKind::Bill, now - LongestHold)) {
+        if (records.size() < MaxBatch) {
+            keys.push_back(record.key);
+            records.push_back(record.data);
+        }
+    }
+    if (records.empty() || !m_log.append(Streams::Billing, records).ok()) {
+        return;
+    }
+    m_kept.drop(KeptKind::Bill, keys);
+    Log.info("Appended " + std::to_string(records.size()) + " bills of silent daemons.");
+}
+
+std::size_t Billing::drain(Duration limit)
+{
+    std::size_t alone = 0;
+    for (Duration waited{}; waited < limit; waited += DrainPoll) {
+        if (flush(m_clock.now()) && pending() == 0) {
+            return 0;
+        }
+        alone = 0;
+        {
+            std::lock_guard lock(m_mutex);
+            for (const auto &[key, pending] : m_pending) {
+                alone += pending.keepers.empty() ? 1 : 0;
+            }
+        }
+        if (alone == 0) {
+            return 0;
+        }
+        std::this_thread::sleep_for(DrainPoll);
+    }
+    return alone;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/State/ClaimProtocol.cpp
@@ -0,0 +1,144 @@
+#include "State/ClaimProtocol.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+#include "Base/Logger.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr Duration RetryAfter = 1s;
+const Logger Log("claim");
+} // namespace
+
+ClaimProtocol::ClaimProtocol(ClaimKeeper &keeper, StreamAppender &appender, PeerNetwork &network,
+                             Roster &roster, Duration logTimeout, const Clock &clock)
+    : m_keeper(keeper)
+    , m_appender(appender)
+    , m_network(network)
+    , m_roster(roster)
+    , m_logTimeout(logTimeout)
+    , m_clock(clock)
+{
+}
+
+ClaimOutcome ClaimProtocol::acquire(const RequestKey &key, TimePoint deadline, TimePoint now)
+{
+    ClaimOutcome outcome;
+    if (!m_keeper.complete()) {
+        outcome.failure = makeFailure(Errc::NotReady, "claims of peers are not copied yet",
+                                      RunState::NotRun, RetryAfter);
+        return outcome;
+    }
+    const ClaimId claim(randomHex());
+    const ClaimEntry entry = m_keeper.begin(key, claim, m_roster.self(), now);
+    if (entry.claim != claim) {
+        outcome.kind = ClaimOutcome::Kind::Held;
+        outcome.holder = entry;
+        return outcome;
+    }
+    const Duration limit = std::min<Duration>(m_logTimeout, (deadline - now) / 2);
+    if (const auto settled = acquireByLog(entry, limit)) {
+        return *settled;
+    }
+    return acquireByPeers(entry);
+}
+
+std::optional<ClaimOutcome> ClaimProtocol::acquireByLog(const ClaimEntry &entry, Duration limit)
+{
+    const TimePoint start = m_clock.now();
+    auto appended = m_appender.append(
+        encodeClaimRecord({ClaimEvent::Claim, entry.key, entry.claim, entry.owner}));
+    if (appended.wait_for(limit) != std::future_status::ready) {
+        return std::nullopt;
+    }
+    const Result<Offset> offset = appended.get();
+    if (!offset.ok()) {
+        return std::nullopt;
+    }
+    const Duration left = std::max<Duration>(limit - (m_clock.now() - start), 1ms);
+    if (!m_keeper.waitFolded(offset.value(), left)) {
+        return std::nullopt;
+    }
+    ClaimOutcome outcome;
+    const auto winner = m_keeper.logWinner(entry.key);
+    if (winner && winner->claim == entry.claim) {
+        outcome.kind = ClaimOutcome::Kind::Granted;
+        outcome.claim = entry.claim;
+        return outcome;
+    }
+    release(entry.key, entry.claim, m_clock.now());
+    outcome.kind = ClaimOutcome::Kind::Held;
+    outcome.holder = winner.value_or(entry);
+    return outcome;
+}
+
+ClaimOutcome ClaimProtocol::acquireByPeers(const ClaimEntry &entry)
+{
+    if (!m_roster.listKnown()) {
+        return refuse(entry, "the log does not answer and the instance list is not known");
+    }
+    ClaimAsk ask{entry.key, entry.claim, entry.owner, m_roster.memberIds()};
+    std::vector<InstanceId> others = ask.roster;
+    std::erase(others, m_roster.self());
+    const auto answers = m_network.askClaims(others, ask);
+    for (const auto &answer : answers) {
+        if (!answer.ok()) {
+            return refuse(entry,
+                          "the log does not answer, and neither does " + answer.failure().message);
+        }
+        if (!answer.value().consent) {
+            return refuse(entry,
+                          "the log does not answer, and a peer vetoed: " + answer.value().reason);
+        }
+    }
+    if (m_roster.memberIds() != ask.roster) {
+        return refuse(entry, "the roster changed while peers were asked");
+    }
+    ClaimOutcome outcome;
+    outcome.kind = ClaimOutcome::Kind::Granted;
+    outcome.claim = entry.claim;
+    outcome.byPeers = true;
+    return outcome;
+}
+
+ClaimOutcome ClaimProtocol::refuse(const ClaimEntry &entry, const std::string &reason)
+{
+    release(entry.key, entry.claim, m_clock.now());
+    std::vector<InstanceId> others = m_roster.memberIds();
+    std::erase(others, m_roster.self());
+    m_network.releaseClaim(others, entry.key, entry.claim);
+    Log.warning("Refused " + entry.key.value() + ": " + reason + ".");
+    ClaimOutcome outcome;
+    outcome.failure = makeFailure(Errc::ClaimUncertain, reason, RunState::NotRun, RetryAfter);
+    return outcome;
+}
+
+void ClaimProtocol::release(const RequestKey &key, const ClaimId &claim, TimePoint now)
+{
+    m_keeper.release(key, claim, now);
+    const ClaimRecord record{ClaimEvent::Release, key, claim, m_roster.self()};
+    if (!m_appender.appendUntilDone(encodeClaimRecord(record))) {
+        Log.warning("A release waits for the key's lifetime, because the log's ring is full.");
+    }
+}
+
+void ClaimProtocol::finish(const RequestKey &key, const ClaimId &claim, TimePoint now)
+{
+    m_keeper.finish(key, claim, now);
+}
+
+Result<ClaimAnswer> ClaimProtocol::status(const ClaimEntry &holder)
+{
+    if (holder.owner == m_roster.self()) {
+        // The caller of this function runs the key alone in this process, so a claim that is held
+        // here is one of an earlier run of the process.
+        const ClaimPhase phase = m_keeper.phaseOf(holder.key, holder.claim);
+        return ClaimAnswer{false, holder.owner, holder.claim,
+                           phase == ClaimPhase::Held ? ClaimPhase::Absent : phase, ""};
+    }
+    return m_network.claimStatus(holder.owner, holder.key, holder.claim);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/State/KeptStore.cpp
@@ -0,0 +1,101 @@
+#include "State/KeptStore.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+KeptStore::KeptStore(std::size_t capacity, Duration lifetime)
+    : m_capacity(capacity)
+    , m_lifetime(lifetime)
+{
+}
+
+std::vector<KeptRecord> KeptStore::put(const std::vector<KeptRecord> &records, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<KeptRecord> present;
+    for (const KeptRecord &record : records) {
+        Index &index = m_records[record.kind];
+        const auto found = index.find(record.key);
+        if (found != index.end()) {
+            found->second.usedAt = now;
+            if (record.kind == KeptKind::Session || record.kind == KeptKind::Answer) {
+                present.push_back(found->second.record);
+            }
+            continue;
+        }
+        if (index.size() >= m_capacity) {
+            if (record.kind == KeptKind::Bill) {
+                present.push_back(record);
+                continue;
+            }
+            makeRoom(index);
+        }
+        index[record.key] = {record, now, now};
+    }
+    return present;
+}
+
+void KeptStore::makeRoom(Index &index)
+{
+    const auto older = [](const auto &left, const auto &right) {
+        return left.second.usedAt < right.second.usedAt;
+    };
+    index.erase(std::min_element(index.begin(), index.end(), older));
+}
+
+std::optional<KeptRecord> KeptStore::get(KeptKind kind, const std::string &key, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    Index &index = m_records[kind];
+    const auto found = index.find(key);
+    if (found == index.end()) {
+        return std::nullopt;
+    }
+    found->second.usedAt = now;
+    return found->second.record;
+}
+
+void KeptStore::drop(KeptKind kind, const std::vector<std::string> &keys)
+{
+    std::lock_guard lock(m_mutex);
+    for (const std::string &key : keys) {
+        m_records[kind].erase(key);
+    }
+}
+
+std::vector<KeptRecord> KeptStore::storedBefore(KeptKind kind, TimePoint before) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<KeptRecord> records;
+    const auto index = m_records.find(kind);
+    if (index == m_records.end()) {
+        return records;
+    }
+    for (const auto &[key, entry] : index->second) {
+        if (entry.storedAt < before) {
+            records.push_back(entry.record);
+        }
+    }
+    return records;
+}
+
+void KeptStore::expire(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    for (auto &[kind, index] : m_records) {
+        if (kind != KeptKind::Bill) {
+            std::erase_if(index,
+                          [&](const auto &item) { return now - item.second.usedAt > m_lifetime; });
+        }
+    }
+}
+
+std::size_t KeptStore::size(KeptKind kind) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto index = m_records.find(kind);
+    return index == m_records.end() ? 0 : index->second.size();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/State/StreamAppender.cpp
@@ -0,0 +1,105 @@
+#include "State/StreamAppender.h"
+
+#include <thread>
+
+namespace lycheearch {
+
+namespace {
+constexpr std::size_t MaxBatch = 500;
+constexpr Duration IdleWait = 200ms;
+constexpr Duration GroupWait = 2ms; ///< Gathers records that arrive together.
+constexpr Duration RetryWait = 250ms;
+constexpr Duration DrainPoll = 10ms;
+} // namespace
+
+StreamAppender::StreamAppender(LogService &log, StreamName stream, std::size_t capacity)
+    : m_log(log)
+    , m_stream(std::move(stream))
+    , m_ring(capacity)
+    , m_duty("append " + m_stream.value(), [this] { return step(); })
+{
+}
+
+StreamAppender::~StreamAppender()
+{
+    stop();
+}
+
+void StreamAppender::stop()
+{
+    m_ring.close();
+    m_duty.stop();
+}
+
+std::future<Result<Offset>> StreamAppender::append(std::string data)
+{
+    auto done = std::make_shared<std::promise<Result<Offset>>>();
+    std::future<Result<Offset>> result = done->get_future();
+    if (!m_ring.tryPush(Item{std::move(data), done})) {
+        done->set_value(makeFailure(Errc::Overloaded, "too many records wait for the log"));
+    }
+    return result;
+}
+
+bool StreamAppender::appendUntilDone(std::string data)
+{
+    return m_ring.tryPush(Item{std::move(data), nullptr});
+}
+
+bool StreamAppender::drain(Duration limit)
+{
+    for (Duration waited{}; waited < limit; waited += DrainPoll) {
+        if (m_ring.size() == 0 && m_unfinishedCount == 0 && !m_busy) {
+            return true;
+        }
+        std::this_thread::sleep_for(DrainPoll);
+    }
+    return false;
+}
+
+Duration StreamAppender::step()
+{
+    std::vector<Item> batch = std::move(m_unfinished);
+    m_unfinished.clear();
+    std::vector<Item> fresh = m_ring.popBatch(MaxBatch, batch.empty() ? IdleWait : Duration(0));
+    m_busy = true;
+    if (!fresh.empty() && fresh.size() < MaxBatch) {
+        std::this_thread::sleep_for(GroupWait);
+        for (Item &item : m_ring.popBatch(MaxBatch - fresh.size(), Duration(0))) {
+            fresh.push_back(std::move(item));
+        }
+    }
+    batch.insert(batch.end(), std::make_move_iterator(fresh.begin()),
+                 std::make_move_iterator(fresh.end()));
+    if (batch.empty()) {
+        m_busy = false;
+        return Duration(0);
+    }
+    std::vector<std::string> records;
+    records.reserve(batch.size());
+    for (const Item &item : batch) {
+        records.push_back(item.data);
+    }
+    const Result<Offset> first = m_log.append(m_stream, records);
+    settle(batch, first);
+    m_busy = false;
+    return first.ok() ? Duration(0) : RetryWait;
+}
+
+void StreamAppender::settle(const std::vector<Item> &batch, const Result<Offset> &first)
+{
+    std::int64_t index = 0;
+    for (const Item &item : batch) {
+        if (item.done && first.ok()) {
+            item.done->set_value(first.value() + Offset(index));
+        } else if (item.done) {
+            item.done->set_value(first.failure());
+        } else if (!first.ok()) {
+            m_unfinished.push_back(item);
+        }
+        ++index;
+    }
+    m_unfinishedCount = m_unfinished.size();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Tool/main.cpp
@@ -0,0 +1,140 @@
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "Base/Logger.h"
+#include "Platform/HttpLogService.h"
+#include "Tool/Commands.h"
+
+using namespace lycheearch;
+
+namespace {
+
+constexpr Duration LogTimeout = 2s;
+
+/// Values of the command line.
+struct Arguments
+{
+    std::string config = "lycheearch.yaml";
+    bool json = false;
+    bool dryRun = false;
+    std::string file;
+    std::int64_t base = -1;
+    bool manifestOnly = false;
+    std::string direction;
+    std::string subject;
+    std::string request;
+    std::string html;
+    bool bills = false;
+};
+
+/// The subcommands, so that the chosen one can be found after parsing.
+struct Subcommands
+{
+    CLI::App *validate;
+    CLI::App *publish;
+    CLI::App *show;
+    CLI::App *diff;
+    CLI::App *dataCentre;
+    CLI::App *instance;
+    CLI::App *status;
+    CLI::App *timeline;
+    CLI::App *explain;
+    CLI::App *ledger;
+};
+
+CLI::App *addOutCommand(CLI::App &app, const std::string &name, const std::string &what,
+                        Arguments &arguments)
+{
+    CLI::App *command = app.add_subcommand(name, "Take " + what + " out or bring it back");
+    command->add_option("direction", arguments.direction, "out or in")
+        ->required()
+        ->check(CLI::IsMember({"out", "in"}));
+    command->add_option("id", arguments.subject, "Which one")->required();
+    return command;
+}
+
+Subcommands addCommands(CLI::App &app, Arguments &arguments)
+{
+    Subcommands commands{};
+    commands.validate = app.add_subcommand("validate", "Check a manifest file");
+    commands.validate->add_option("file", arguments.file, "Manifest")->required();
+    commands.publish = app.add_subcommand("publish", "Publish a manifest");
+    commands.publish->add_option("file", arguments.file, "Manifest")->required();
+    commands.publish->add_option("--base", arguments.base,
+                                 "Revision that it was made from; default: the one in force");
+    commands.show = app.add_subcommand("show", "Show the configuration in force");
+    commands.show->add_flag("--manifest", arguments.manifestOnly, "Only the manifest's text");
+    commands.diff = app.add_subcommand("diff", "Compare a manifest with the one in force");
+    commands.diff->add_option("file", arguments.file, "Manifest")->required();
+    commands.dataCentre = addOutCommand(app, "data-centre", "a data centre", arguments);
+    commands.instance = addOutCommand(app, "instance", "an instance", arguments);
+    commands.status = app.add_subcommand("status", "Show every daemon");
+    commands.timeline = app.add_subcommand("timeline", "Show events of all daemons in order");
+    commands.timeline->add_option("--request", arguments.request, "Only of this request");
+    commands.timeline->add_option("--html", arguments.html, "Write a page to this file");
+    commands.explain = app.add_subcommand("explain", "Show why a request went as it did");
+    commands.explain->add_option("request", arguments.request, "Request id")->required();
+    commands.ledger = app.add_subcommand("ledger", "Fold the billing stream");
+    commands.ledger->add_flag("--bills", arguments.bills, "With every bill");
+    return commands;
+}
+
+ExitCode runCommand(const Subcommands &chosen, const Arguments &arguments, Commands &commands)
+{
+    const bool out = arguments.direction == "out";
+    if (*chosen.publish) {
+        return commands.publish(arguments.file, arguments.base);
+    }
+    if (*chosen.show) {
+        return commands.show(arguments.manifestOnly);
+    }
+    if (*chosen.diff) {
+        return commands.diff(arguments.file);
+    }
+    if (*chosen.dataCentre) {
+        return commands.setOut(ConfigRecordType::DataCentre, arguments.subject, out);
+    }
+    if (*chosen.instance) {
+        return commands.setOut(ConfigRecordType::Instance, arguments.subject, out);
+    }
+    if (*chosen.status) {
+        return commands.status();
+    }
+    if (*chosen.ledger) {
+        return commands.ledger(arguments.bills);
+    }
+    return commands.timeline(arguments.request, arguments.html);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Model-aware router for versions and cascades: the operator's tool.");
+    Arguments arguments;
+    app.add_option("--config", arguments.config, "Tool settings in YAML")->capture_default_str();
+    app.add_flag("--json", arguments.json, "Answer in JSON");
+    app.add_flag("--dry-run", arguments.dryRun, "Say what would be done, and do nothing");
+    app.require_subcommand(1);
+    app.footer("Exit codes: 0 success, 1 failure, 2 bad input, 3 refused by the rules,\n"
+               "4 a service does not answer.");
+    const Subcommands chosen = addCommands(app, arguments);
+    CLI11_PARSE(app, argc, argv);
+    Logger::configure("lycheearch", "error");
+    if (*chosen.validate) {
+        return static_cast<int>(
+            Commands::validate(arguments.file, arguments.json, std::cout, std::cerr));
+    }
+    Findings findings;
+    const ToolSettings settings = loadToolSettings(arguments.config, findings);
+    if (!findings.empty()) {
+        std::cerr << findings.text();
+        return static_cast<int>(ExitCode::BadInput);
+    }
+    HttpLogService log(settings.log, LogTimeout);
+    const SystemClock clock;
+    Commands commands({settings, arguments.json, arguments.dryRun, std::cout, std::cerr}, log,
+                      clock);
+    return static_cast<int>(runCommand(chosen, arguments, commands));
+}
--- /dev/null
+++ b/Tests/State/testClaimTable.cpp
@@ -0,0 +1,60 @@
+#include <criterion/criterion.h>
+
+#include "State/ClaimTable.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const TimePoint Now{};
+const RequestKey Key("a/k");
+const InstanceId Self("self");
+const InstanceId Peer("peer");
+const std::vector<InstanceId> Both{Peer, Self};
+
+} // namespace
+
+Test(claimTable, a_peer_that_does_not_know_the_whole_roster_is_vetoed)
+{
+    ClaimTable table(10s);
+    const ClaimAnswer answer = table.ask({Key, ClaimId("c"), Peer, {Peer}}, Both, Now);
+    cr_expect_not(answer.consent);
+    cr_expect(table.find(Key).phase == ClaimPhase::Absent);
+}
+
+Test(claimTable, consent_blocks_the_consenting_daemon)
+{
+    ClaimTable table(10s);
+    cr_expect(table.ask({Key, ClaimId("c"), Peer, Both}, Both, Now).consent);
+    cr_expect(table.begin(Key, ClaimId("mine"), Self, Now).claim == ClaimId("c"));
+}
+
+Test(claimTable, a_released_claim_makes_room_and_does_not_come_back_late)
+{
+    ClaimTable table(10s);
+    table.begin(Key, ClaimId("one"), Self, Now);
+    table.release(Key, ClaimId("one"), Now);
+    cr_expect(table.begin(Key, ClaimId("two"), Self, Now).claim == ClaimId("two"));
+    // The append of the first claim, which had timed out, lands now.
+    table.foldLog(Offset(0), {ClaimEvent::Claim, Key, ClaimId("one"), Self}, Now);
+    table.foldLog(Offset(1), {ClaimEvent::Claim, Key, ClaimId("two"), Self}, Now);
+    cr_expect(table.logWinner(Key)->claim == ClaimId("two"));
+    cr_expect_not(table.ask({Key, ClaimId("one"), Self, Both}, Both, Now).consent);
+}
+
+Test(claimTable, a_key_is_forgotten_after_its_lifetime_only)
+{
+    ClaimTable table(10s);
+    table.begin(Key, ClaimId("one"), Self, Now);
+    table.expire(Now + 9s);
+    cr_expect_eq(table.size(), 1);
+    table.expire(Now + 11s);
+    cr_expect_eq(table.size(), 0);
+}
+
+Test(claimTable, a_starting_daemon_takes_over_claims_of_peers)
+{
+    ClaimTable table(10s);
+    table.merge({{Key, ClaimId("c"), Peer, ClaimPhase::Held}}, Now);
+    cr_expect(table.begin(Key, ClaimId("mine"), Self, Now).owner == Peer);
+}
--- /dev/null
+++ b/Utilities/StandIn/HttpServing.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/ThreadPool.h>
+
+namespace lycheearch::standin {
+
+using RequestFunction =
+    std::function<void(Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &)>;
+
+/// Serves one loopback port with a function, on threads of a shared pool.
+std::unique_ptr<Poco::Net::HTTPServer> serve(std::uint16_t port, Poco::ThreadPool &threads,
+                                             RequestFunction function);
+
+/// Reads the whole body of a request.
+std::string readBody(Poco::Net::HTTPServerRequest &request);
+
+/// Sends a whole JSON answer.
+void sendJson(Poco::Net::HTTPServerResponse &response, int status, const std::string &body);
+
+} // namespace lycheearch::standin
--- /dev/null
+++ b/Utilities/StandIn/StandInWorld.cpp
@@ -0,0 +1,164 @@
+#include "StandInWorld.h"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+#include "Base/Findings.h"
+#include "Base/Hash.h"
+#include "Config/YamlReader.h"
+
+namespace lycheearch::standin {
+
+namespace {
+
+constexpr Range<std::int64_t> PortRange{1, 65535};
+constexpr Range<std::int64_t> CountRange{0, 1'000'000'000};
+constexpr double HashSteps = 1'000'000.0;
+
+BackendSpec readBackend(YamlReader &reader)
+{
+    BackendSpec spec;
+    spec.id = reader.requiredText({"id", "Name of the backend server."});
+    spec.kind = reader.choice({"kind", "What it is."}, {"engine", "service"}, "engine");
+    spec.dataCentre = reader.requiredText({"data_centre", "Its data centre."});
+    spec.backendClass = reader.requiredText({"class", "Its class in the manifest."});
+    spec.service = reader.text({"service", "Plain service that it offers."}, "");
+    spec.port = static_cast<std::uint16_t>(reader.number({"port", "Its port."}, PortRange, 1));
+    spec.warmLimit =
+        static_cast<int>(reader.number({"warm_limit", "Requests at once."}, CountRange, 8));
+    spec.coldLimit =
+        static_cast<int>(reader.number({"cold_limit", "The same, cold."}, CountRange, 1));
+    spec.warmUpRequests = static_cast<int>(
+        reader.number({"warm_up_requests", "Requests until it is warm."}, CountRange, 3));
+    spec.tokenMicroseconds = reader.number({"token_us", "Time for a token."}, CountRange, 2'000);
+    spec.callMicroseconds = reader.number({"call_us", "Time for a call."}, CountRange, 5'000);
+    spec.startsCold = reader.flag({"starts_cold", "Whether it is cold at first."}, false);
+    for (const std::string &version : reader.texts({"versions", "Versions loaded."})) {
+        spec.versions.insert(version);
+    }
+    return spec;
+}
+
+ListedInstance readEntry(YamlReader &reader)
+{
+    ListedInstance entry;
+    entry.kind = "entry";
+    entry.id = reader.requiredText({"id", "Name of the entry instance."});
+    entry.dataCentre = reader.requiredText({"data_centre", "Its data centre."});
+    entry.address = reader.requiredText({"address", "Its address for callers."});
+    entry.peerAddress = reader.requiredText({"peer_address", "Its address for peers."});
+    return entry;
+}
+
+ListedInstance listed(const BackendSpec &spec)
+{
+    return {spec.id, spec.kind,         spec.dataCentre, "127.0.0.1:" + std::to_string(spec.port),
+            "",      spec.backendClass, spec.service};
+}
+
+} // namespace
+
+StandInWorld::StandInWorld(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    Findings findings;
+    YamlReader reader(YamlReader::parse(text.str(), path, findings), path, "", findings);
+    m_platformPort = static_cast<std::uint16_t>(
+        reader.number({"platform_port", "Port of the platform's services."}, PortRange, 9000));
+    reader.each({"entries", "Entry instances."},
+                [&](YamlReader &entry) { m_instances.push_back(readEntry(entry)); });
+    reader.each({"backends", "Backend servers."}, [&](YamlReader &backend) {
+        const BackendSpec spec = readBackend(backend);
+        m_instances.push_back(listed(spec));
+        m_backends.push_back(std::make_unique<StandInBackend>(spec, m_journal));
+    });
+    reader.each({"versions", "Quality of versions."}, [&](YamlReader &version) {
+        RatedVersion rated;
+        rated.id = version.requiredText({"id", "Name of the version."});
+        rated.quality =
+            version.real({"quality", "Share of good answers."}, {0.0, 1.0}, rated.quality);
+        m_versions.push_back(rated);
+    });
+    reader.finish();
+    if (!findings.empty()) {
+        throw std::runtime_error(findings.text());
+    }
+}
+
+StandInBackend *StandInWorld::findBackend(const std::string &id)
+{
+    for (const auto &backend : m_backends) {
+        if (backend->spec().id == id) {
+            return backend.get();
+        }
+    }
+    return nullptr;
+}
+
+std::string StandInWorld::instanceListText() const
+{
+    std::lock_guard lock(m_mutex);
+    nlohmann::json list = nlohmann::json::array();
+    for (const ListedInstance &instance : m_instances) {
+        list.push_back({{"id", instance.id},
+                        {"kind", instance.kind},
+                        {"data_centre", instance.dataCentre},
+                        {"address", instance.address},
+                        {"peer_address", instance.peerAddress},
+                        {"class", instance.backendClass},
+                        {"service", instance.service},
+                        {"state", instance.leaving ? "leaving" : "live"}});
+    }
+    return nlohmann::json{{"instances", list}}.dump();
+}
+
+void StandInWorld::setInstance(const ListedInstance &instance)
+{
+    removeInstance(instance.id);
+    std::lock_guard lock(m_mutex);
+    m_instances.push_back(instance);
+}
+
+void StandInWorld::removeInstance(const std::string &id)
+{
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_instances, [&](const ListedInstance &entry) { return entry.id == id; });
+}
+
+void StandInWorld::setLeaving(const std::string &id, bool leaving)
+{
+    std::lock_guard lock(m_mutex);
+    for (ListedInstance &instance : m_instances) {
+        if (instance.id == id) {
+            instance.leaving = leaving;
+        }
+    }
+}
+
+double StandInWorld::score(const std::string &request, const std::string &version) const
+{
+    std::lock_guard lock(m_mutex);
+    double quality = 0.0;
+    for (const RatedVersion &rated : m_versions) {
+        if (rated.id == version) {
+            quality = rated.quality;
+        }
+    }
+    const std::uint64_t step =
+        stableHash(request + "/" + version) % static_cast<std::uint64_t>(HashSteps);
+    return static_cast<double>(step) / HashSteps < quality ? 1.0 : 0.0;
+}
+
+void StandInWorld::setQuality(const std::string &version, double quality)
+{
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_versions, [&](const RatedVersion &rated) { return rated.id == version; });
+    m_versions.push_back({version, quality});
+}
+
+} // namespace lycheearch::standin
--- /dev/null
+++ b/Utilities/Trial/Checker.cpp
@@ -0,0 +1,248 @@
+#include "Checker.h"
+
+namespace lycheearch::trial {
+
+namespace {
+
+std::string describe(const RequestRecord &record)
+{
+    return std::string(callKindName(record.kind)) + " " + record.nonce + " of " + record.account;
+}
+
+} // namespace
+
+Checker::Checker(const Evidence &evidence)
+    : m_evidence(evidence)
+{
+    for (const RequestRecord &record : evidence.records) {
+        for (const AttemptRecord &attempt : record.attempts) {
+            m_byRequestId[attempt.requestId] = &record;
+        }
+    }
+}
+
+std::vector<Verdict> Checker::judge() const
+{
+    return {
+        allowedVersions(),
+        closed("a withdrawn version receives no new work", m_evidence.withdrawnVersions, "subject"),
+        sessionsKeepVersions(),
+        billedOnce(),
+        coldLimits(),
+        closed("a data centre taken out receives no new work", m_evidence.dataCentresOut,
+               "data_centre"),
+        wholeAnswers(),
+        notRunIsTrue(),
+        runAtMostOnce(),
+        closed("a departing backend server receives no new work", m_evidence.backendsLeaving,
+               "backend"),
+        gracefulStops(),
+        manifestInForce()};
+}
+
+Verdict Checker::allowedVersions() const
+{
+    Verdict verdict{"a request runs only on an allowed model and version", 0, {}};
+    for (const auto &entry : m_evidence.journal) {
+        const auto record = m_byRequestId.find(entry.at("request_id").get<std::string>());
+        if (record == m_byRequestId.end()) {
+            verdict.violations.push_back("a request that no caller sent ran on "
+                                         + entry.at("backend").get<std::string>());
+            continue;
+        }
+        ++verdict.examined;
+        const auto subject = entry.at("subject").get<std::string>();
+        const AccountSpec &account =
+            m_evidence.manifest->accounts.at(AccountId(record->second->account));
+        const VersionSpec *version = m_evidence.manifest->findVersion(VersionId(subject));
+        const bool chat = record->second->kind == CallKind::Chat;
+        const bool allowed = chat ? version != nullptr && account.models.contains(version->model)
+                && (account.versions.empty() || account.versions.contains(VersionId(subject)))
+                                  : account.services.contains(ServiceId(record->second->service));
+        if (!allowed) {
+            verdict.violations.push_back(describe(*record->second) + " ran on " + subject);
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::closed(const std::string &promise, const std::vector<ClosedPeriod> &periods,
+                        const std::string &field) const
+{
+    Verdict verdict{promise, 0, {}};
+    for (const auto &entry : m_evidence.journal) {
+        const auto at = entry.at("at_us").get<std::int64_t>();
+        for (const ClosedPeriod &period : periods) {
+            const bool late = at >= period.from + InForceLimit.count() && at < period.until;
+            verdict.examined += late ? 1 : 0;
+            if (late && entry.at(field) == period.subject) {
+                verdict.violations.push_back(
+                    period.subject + " ran " + entry.at("request_id").get<std::string>() + " "
+                    + std::to_string((at - period.from) / 1000) + " ms after it was closed");
+            }
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::sessionsKeepVersions() const
+{
+    Verdict verdict{"a session keeps its version", 0, {}};
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto &entry : m_evidence.journal) {
+        const auto record = m_byRequestId.find(entry.at("request_id").get<std::string>());
+        if (record != m_byRequestId.end() && !record->second->session.empty()) {
+            versions[record->second->session].insert(entry.at("subject").get<std::string>());
+            ++verdict.examined;
+        }
+    }
+    for (const auto &[session, used] : versions) {
+        if (used.size() > 1 && !m_evidence.sessionsMayMove) {
+            verdict.violations.push_back("session " + session + " ran on "
+                                         + std::to_string(used.size()) + " versions");
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::billedOnce() const
+{
+    Verdict verdict{"each request is billed exactly once", 0, {}};
+    std::set<std::string> expected;
+    for (const RequestRecord &record : m_evidence.records) {
+        const std::string key = record.account + "/" + record.key;
+        const auto bill = m_evidence.ledger.bills().find(RequestKey(key));
+        const bool charged =
+            bill != m_evidence.ledger.bills().end() && bill->second.kind == BillKind::Charge;
+        expected.insert(key);
+        ++verdict.examined;
+        if (record.answered && !charged) {
+            verdict.violations.push_back(describe(record) + " was answered and not billed");
+        }
+        bool surelyNotRun = !record.answered && !record.attempts.empty();
+        for (const AttemptRecord &attempt : record.attempts) {
+            surelyNotRun = surelyNotRun && attempt.run == "not_run";
+        }
+        if (surelyNotRun && charged) {
+            verdict.violations.push_back(describe(record) + " was not run and billed");
+        }
+    }
+    for (const auto &[key, bill] : m_evidence.ledger.bills()) {
+        if (!expected.contains(key.value())) {
+            verdict.violations.push_back("a bill without a request: " + key.value());
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::coldLimits() const
+{
+    Verdict verdict{"a cold backend server never receives more than it bears", 0, {}};
+    for (const auto &entry : m_evidence.journal) {
+        verdict.examined += entry.at("cold").get<bool>() ? 1 : 0;
+        if (entry.at("over_cold_limit").get<bool>()) {
+            verdict.violations.push_back(entry.at("backend").get<std::string>() + " had "
+                                         + std::to_string(entry.at("in_flight").get<int>())
+                                         + " requests in cold start");
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::wholeAnswers() const
+{
+    Verdict verdict{"every caller receives the whole answer to its own request", 0, {}};
+    for (const RequestRecord &record : m_evidence.records) {
+        verdict.examined += record.answered ? 1 : 0;
+        if (record.answered && !record.whole) {
+            verdict.violations.push_back(describe(record) + " got another or a cut answer");
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::notRunIsTrue() const
+{
+    Verdict verdict{"a refusal that says not run is true", 0, {}};
+    std::set<std::string> ran;
+    for (const auto &entry : m_evidence.journal) {
+        ran.insert(entry.at("request_id").get<std::string>());
+    }
+    for (const RequestRecord &record : m_evidence.records) {
+        for (const AttemptRecord &attempt : record.attempts) {
+            const bool claimed = attempt.run == "not_run";
+            verdict.examined += claimed ? 1 : 0;
+            if (claimed && ran.contains(attempt.requestId)) {
+                verdict.violations.push_back(describe(record) + " ran, though " + attempt.daemon
+                                             + " said that it did not (" + attempt.code + ")");
+            }
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::runAtMostOnce() const
+{
+    Verdict verdict{"a non-idempotent request runs at most once", 0, {}};
+    std::map<std::string, int> runs;
+    for (const auto &entry : m_evidence.journal) {
+        const auto record = m_byRequestId.find(entry.at("request_id").get<std::string>());
+        if (record != m_byRequestId.end() && record->second->kind == CallKind::Booking) {
+            ++runs[entry.at("effect").get<std::string>()];
+        }
+    }
+    for (const auto &[effect, count] : runs) {
+        ++verdict.examined;
+        if (count > 1) {
+            verdict.violations.push_back("booking " + effect + " ran " + std::to_string(count)
+                                         + " times");
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::gracefulStops() const
+{
+    Verdict verdict{"a planned stop cuts off no request in flight", 0, {}};
+    for (const RequestRecord &record : m_evidence.records) {
+        for (const AttemptRecord &attempt : record.attempts) {
+            for (const PlannedStop &stop : m_evidence.plannedStops) {
+                const bool during = attempt.daemon == stop.daemon
+                    && attempt.startMicroseconds <= stop.until && attempt.connected;
+                verdict.examined += during ? 1 : 0;
+                if (during && attempt.status == 0) {
+                    verdict.violations.push_back(describe(record) + " was cut off by "
+                                                 + stop.daemon);
+                }
+            }
+        }
+    }
+    return verdict;
+}
+
+Verdict Checker::manifestInForce() const
+{
+    Verdict verdict{"an accepted manifest is in force within seconds and never reverts", 0, {}};
+    for (const Duration time : m_evidence.publishTimes) {
+        ++verdict.examined;
+        if (time > InForceLimit) {
+            verdict.violations.push_back("a change took " + std::to_string(toMilliseconds(time))
+                                         + " ms");
+        }
+    }
+    for (const RevisionTrace &trace : m_evidence.revisions) {
+        std::int64_t last = 0;
+        for (const std::int64_t revision : trace.revisions) {
+            ++verdict.examined;
+            if (revision < last) {
+                verdict.violations.push_back(trace.daemon + " went back from revision "
+                                             + std::to_string(last) + " to "
+                                             + std::to_string(revision));
+            }
+            last = revision;
+        }
+    }
+    return verdict;
+}
+
+} // namespace lycheearch::trial
--- /dev/null
+++ b/Utilities/Trial/FaultProxy.cpp
@@ -0,0 +1,137 @@
+#include "FaultProxy.h"
+
+#include <array>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/Socket.h>
+
+namespace lycheearch::trial {
+
+namespace {
+constexpr int PollMilliseconds = 20;
+constexpr std::size_t ChunkBytes = 16'384;
+constexpr int Backlog = 256;
+} // namespace
+
+FaultProxy::FaultProxy(std::uint16_t from, std::uint16_t to)
+    : m_to(to)
+    , m_server(Poco::Net::SocketAddress("127.0.0.1", from), Backlog)
+    , m_acceptor([this] { acceptLoop(); })
+{
+}
+
+FaultProxy::~FaultProxy()
+{
+    m_stopping = true;
+    m_acceptor.join();
+    for (const auto &connection : m_connections) {
+        connection->thread.join();
+    }
+}
+
+void FaultProxy::setState(LinkState state)
+{
+    m_state = state;
+}
+
+void FaultProxy::silenceOpenConnections()
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto &connection : m_connections) {
+        connection->silenced = true;
+    }
+}
+
+void FaultProxy::acceptLoop()
+{
+    while (!m_stopping) {
+        removeEnded();
+        if (!m_server.poll(Poco::Timespan(0, PollMilliseconds * 1000),
+                           Poco::Net::Socket::SELECT_READ)) {
+            continue;
+        }
+        try {
+            auto connection = std::make_unique<Connection>();
+            connection->near = m_server.acceptConnection();
+            if (m_state == LinkState::Cut) {
+                connection->near.close();
+                continue;
+            }
+            connection->far.connect(Poco::Net::SocketAddress("127.0.0.1", m_to));
+            connection->near.setNoDelay(true);
+            connection->far.setNoDelay(true);
+            Connection &started = *connection;
+            connection->thread = std::thread([this, &started] { forward(started); });
+            std::lock_guard lock(m_mutex);
+            m_connections.push_back(std::move(connection));
+        } catch (const Poco::Exception &) {
+            continue; // The far end is down; the near end sees its connection closed.
+        }
+    }
+}
+
+void FaultProxy::removeEnded()
+{
+    std::lock_guard lock(m_mutex);
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        if ((*it)->ended) {
+            (*it)->thread.join();
+            it = m_connections.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void FaultProxy::forward(Connection &connection)
+{
+    try {
+        while (!m_stopping && m_state != LinkState::Cut) {
+            if (connection.silenced || m_state == LinkState::Silent) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(PollMilliseconds));
+                continue;
+            }
+            Poco::Net::Socket::SocketList readable{connection.near, connection.far};
+            Poco::Net::Socket::SocketList none;
+            Poco::Net::Socket::select(readable, none, none,
+                                      Poco::Timespan(0, PollMilliseconds * 1000));
+            bool open = true;
+            for (const Poco::Net::Socket &socket : readable) {
+                const bool outward = socket == connection.near;
+                open = open
+                    && (outward ? pass(connection, connection.near, connection.far)
+                                : pass(connection, connection.far, connection.near));
+            }
+            if (!open) {
+                break;
+            }
+        }
+    } catch (const Poco::Exception &) {
+        // One end is gone; the other is closed below.
+    }
+    connection.near.close();
+    connection.far.close();
+    connection.ended = true;
+}
+
+bool FaultProxy::pass(Connection &connection, Poco::Net::StreamSocket &from,
+                      Poco::Net::StreamSocket &to)
+{
+    std::array<char, ChunkBytes> chunk{};
+    const int count = from.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+    if (count <= 0) {
+        return false;
+    }
+    if (connection.silenced) {
+        return true;
+    }
+    int sent = 0;
+    while (sent < count) {
+        sent += to.sendBytes(chunk.data() + sent, count - sent);
+    }
+    m_bytes += count;
+    return true;
+}
+
+} // namespace lycheearch::trial
--- /dev/null
+++ b/Utilities/Trial/Trial.cpp
@@ -0,0 +1,324 @@
+#include "Trial.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+#include "Platform/HttpLogService.h"
+
+namespace lycheearch::trial {
+
+namespace {
+
+constexpr Duration ReadyLimit = 30s;
+constexpr Duration ToolLimit = 30s;
+constexpr Duration StopLimit = 60s;
+constexpr Duration RevisionPoll = 20ms;
+constexpr Duration WatchPeriod = 100ms;
+constexpr Duration InForceWait = 20s;
+constexpr Duration LogTimeout = 5s;
+constexpr std::size_t RecordsPerRead = 2000;
+constexpr std::size_t ViolationsShown = 5;
+
+std::string readText(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+double percentile(std::vector<double> &sorted, double share)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(index, sorted.size() - 1)];
+}
+
+} // namespace
+
+Trial::Trial(TrialPaths paths, FleetOptions options)
+    : Trial(paths, std::move(options), loadFleetPlan(paths.deployment + "/fleet.yaml"))
+{
+}
+
+Trial::Trial(TrialPaths paths, FleetOptions options, FleetPlan plan)
+    : m_paths(std::move(paths))
+{
+    std::filesystem::remove_all(m_paths.work);
+    std::filesystem::create_directories(m_paths.work);
+    m_manifestText = readText(m_paths.deployment + "/manifest.yaml");
+    Findings findings;
+    m_manifest = parseManifest(m_manifestText, "manifest.yaml", findings);
+    if (!findings.empty()) {
+        throw std::runtime_error(findings.text());
+    }
+    options.directory = m_paths.work;
+    m_fleet = std::make_unique<Fleet>(std::move(plan),
+                                      Programs{m_paths.programs + "/Source/lycheearchd",
+                                               m_paths.programs + "/Utilities/lycheearch-standin"},
+                                      options);
+    m_evidence.manifest = &m_manifest;
+}
+
+Trial::~Trial()
+{
+    m_stopping = true;
+    if (m_watcher.joinable()) {
+        m_watcher.join();
+    }
+    m_balancer.reset();
+    m_fleet->stopAll(false);
+}
+
+std::int64_t Trial::wallMicroseconds()
+{
+    return SystemClock().wallTime().time_since_epoch().count();
+}
+
+void Trial::start()
+{
+    m_fleet->startStandIn();
+    m_fleet->startDaemons();
+    publish(m_manifestText);
+    m_evidence.publishTimes.clear();
+    m_fleet->waitReady(ReadyLimit);
+    m_balancer = std::make_unique<Balancer>(*m_fleet);
+    m_watcher = std::thread([this] { watchRevisions(); });
+}
+
+int Trial::runTool(const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> command{m_paths.programs + "/Source/lycheearch", "--config",
+                                     m_fleet->toolSettingsPath()};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    ChildProcess tool(command, m_paths.work + "/tool.log");
+    return tool.wait(ToolLimit);
+}
+
+Duration Trial::publish(const std::string &text)
+{
+    const std::string path = m_paths.work + "/manifest-" + std::to_string(m_published++) + ".yaml";
+    std::ofstream(path) << text;
+    const TimePoint start = SystemClock().now();
+    if (runTool({"publish", path}) != 0) {
+        throw std::runtime_error("publishing failed; see tool.log");
+    }
+    HttpLogService log(m_fleet->platform(), LogTimeout);
+    const auto slice = log.read(Streams::Configuration, Offset(0), 1, Duration(0));
+    const std::int64_t revision = slice.ok() ? slice.value().nextOffset.value() : 0;
+    if (!waitRevision(revision, InForceWait)) {
+        throw std::runtime_error("the manifest is not in force everywhere");
+    }
+    const Duration time = SystemClock().now() - start;
+    m_evidence.publishTimes.push_back(time);
+    return time;
+}
+
+bool Trial::waitRevision(std::int64_t revision, Duration limit)
+{
+    const TimePoint end = SystemClock().now() + limit;
+    while (SystemClock().now() < end) {
+        bool everywhere = true;
+        for (FleetDaemon &daemon : m_fleet->daemons()) {
+            if (!daemon.process || !daemon.process->running()) {
+                continue;
+            }
+            const auto status = m_fleet->status(daemon);
+            everywhere = everywhere && status.is_object()
+                && status.value("revision", std::int64_t{0}) >= revision;
+        }
+        if (everywhere) {
+            return true;
+        }
+        std::this_thread::sleep_for(RevisionPoll);
+    }
+    return false;
+}
+
+void Trial::watchRevisions()
+{
+    std::map<std::string, RevisionTrace> traces;
+    while (!m_stopping) {
+        for (const FleetDaemon &daemon : m_fleet->daemons()) {
+            const auto status = m_fleet->status(daemon);
+            if (!status.is_object() || !status.contains("revision")) {
+                continue;
+            }
+            // A daemon that starts again holds nothing until it has read the log.
+            const auto revision = status["revision"].get<std::int64_t>();
+            if (revision > 0) {
+                traces[daemon.id].daemon = daemon.id;
+                traces[daemon.id].revisions.push_back(revision);
+            }
+        }
+        {
+            std::lock_guard lock(m_mutex);
+            m_evidence.revisions.clear();
+            for (const auto &[id, trace] : traces) {
+                m_evidence.revisions.push_back(trace);
+            }
+        }
+        std::this_thread::sleep_for(WatchPeriod);
+    }
+}
+
+void Trial::takeOut(const std::string &dataCentre)
+{
+    m_evidence.dataCentresOut.push_back({dataCentre, wallMicroseconds()});
+    if (runTool({"data-centre", "out", dataCentre}) != 0) {
+        throw std::runtime_error("taking " + dataCentre + " out failed; see tool.log");
+    }
+}
+
+void Trial::bringBack(const std::string &dataCentre)
+{
+    for (ClosedPeriod &period : m_evidence.dataCentresOut) {
+        if (period.subject == dataCentre) {
+            period.until = std::min(period.until, wallMicroseconds());
+        }
+    }
+    if (runTool({"data-centre", "in", dataCentre}) != 0) {
+        throw std::runtime_error("bringing " + dataCentre + " back failed; see tool.log");
+    }
+}
+
+void Trial::stopGracefully(const std::string &id)
+{
+    FleetDaemon &daemon = m_fleet->daemon(id);
+    PlannedStop stop{id, wallMicroseconds()};
+    daemon.process->signal(SIGTERM);
+    const int code = daemon.process->wait(StopLimit);
+    stop.until = wallMicroseconds();
+    m_evidence.plannedStops.push_back(stop);
+    if (code != 0) {
+        throw std::runtime_error(id + " stopped with exit code " + std::to_string(code));
+    }
+}
+
+void Trial::killDaemon(const std::string &id)
+{
+    FleetDaemon &daemon = m_fleet->daemon(id);
+    daemon.process->signal(SIGKILL);
+    daemon.process->wait(StopLimit);
+}
+
+void Trial::restart(const std::string &id)
+{
+    m_fleet->startDaemon(m_fleet->daemon(id));
+}
+
+void Trial::withdrawn(const std::string &version)
+{
+    m_evidence.withdrawnVersions.push_back({version, wallMicroseconds()});
+}
+
+void Trial::leaving(const std::string &backend)
+{
+    m_evidence.backendsLeaving.push_back({backend, wallMicroseconds()});
+    m_fleet->control({{"action", "leaving"}, {"target", backend}, {"value", true}});
+}
+
+void Trial::load(const WorkloadSpec &spec)
+{
+    Workload workload(m_manifest, spec);
+    std::vector<RequestRecord> records = workload.run(*m_balancer);
+    m_evidence.records.insert(m_evidence.records.end(), records.begin(), records.end());
+}
+
+bool Trial::waitBilled(Duration limit)
+{
+    const TimePoint end = SystemClock().now() + limit;
+    while (SystemClock().now() < end) {
+        std::int64_t waiting = 0;
+        for (FleetDaemon &daemon : m_fleet->daemons()) {
+            if (daemon.process && daemon.process->running()) {
+                const auto status = m_fleet->status(daemon);
+                waiting += status.is_object()
+                    ? status.value("pending_bills", 1) + status.value("kept_bills", 0)
+                    : 1;
+            }
+        }
+        if (waiting == 0) {
+            return true;
+        }
+        std::this_thread::sleep_for(WatchPeriod);
+    }
+    return false;
+}
+
+void Trial::collect()
+{
+    m_evidence.journal = m_fleet->journal();
+    m_evidence.ledger = Ledger();
+    HttpLogService log(m_fleet->platform(), LogTimeout);
+    Offset position;
+    while (true) {
+        const auto slice = log.read(Streams::Billing, position, RecordsPerRead, Duration(0));
+        if (!slice.ok() || slice.value().records.empty()) {
+            break;
+        }
+        for (const LogRecord &record : slice.value().records) {
+            m_evidence.ledger.add(record.data);
+            position = record.offset.next();
+        }
+    }
+}
+
+bool printVerdicts(const std::vector<Verdict> &verdicts, std::ostream &out)
+{
+    bool held = true;
+    out << std::left << std::setw(72) << "promise" << std::right << std::setw(9) << "examined"
+        << std::setw(9) << "broken"
+        << "\n";
+    for (const Verdict &verdict : verdicts) {
+        held = held && verdict.violations.empty();
+        out << std::left << std::setw(72) << verdict.promise << std::right << std::setw(9)
+            << verdict.examined << std::setw(9) << verdict.violations.size() << "\n";
+        for (std::size_t i = 0; i < std::min(ViolationsShown, verdict.violations.size()); ++i) {
+            out << "    " << verdict.violations[i] << "\n";
+        }
+    }
+    return held;
+}
+
+void printLoad(const std::vector<RequestRecord> &records, std::ostream &out)
+{
+    out << std::left << std::setw(10) << "kind" << std::right << std::setw(8) << "sent"
+        << std::setw(10) << "answered" << std::setw(9) << "p50 ms" << std::setw(9) << "p95 ms"
+        << std::setw(9) << "p99 ms" << std::setw(14) << "first p95 ms"
+        << "\n";
+    for (const CallKind kind : {CallKind::Chat, CallKind::Lookup, CallKind::Booking}) {
+        std::vector<double> latencies;
+        std::vector<double> firsts;
+        std::int64_t sent = 0;
+        for (const RequestRecord &record : records) {
+            if (record.kind != kind) {
+                continue;
+            }
+            ++sent;
+            if (record.answered) {
+                latencies.push_back(
+                    std::chrono::duration<double, std::milli>(record.latency).count());
+                firsts.push_back(
+                    std::chrono::duration<double, std::milli>(record.firstByte).count());
+            }
+        }
+        std::sort(latencies.begin(), latencies.end());
+        std::sort(firsts.begin(), firsts.end());
+        out << std::left << std::setw(10) << callKindName(kind) << std::right << std::setw(8)
+            << sent << std::setw(10) << latencies.size() << std::fixed << std::setprecision(1)
+            << std::setw(9) << percentile(latencies, 0.50) << std::setw(9)
+            << percentile(latencies, 0.95) << std::setw(9) << percentile(latencies, 0.99)
+            << std::setw(14) << percentile(firsts, 0.95) << "\n";
+    }
+}
+
+} // namespace lycheearch::trial
--- /dev/null
+++ b/Utilities/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Installs, builds and runs every test. The last line is the test runner's summary.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Utilities/build.sh
+build/Tests/lycheearch-tests -j4
