Fault matrix, slopes, overhead and decision experiments; bills follow a run, not a name

(2) Bills of a killed daemon were not taken over when it was restarted under its name within the suspicion time, because a keeper asked whether the name is alive: daemon-killed and log-down-daemon-killed lost up to 2 and 5 bills. Change: children close inherited sockets; kept bills carry the start id of the run that made them, and keepers append those of runs that are gone. Suspects are rated in full and do not run alone. Conclusion: a name is not a process; the same start id already guards cold backend servers.

--- a/Source/Base/Logger.cpp
+++ b/Source/Base/Logger.cpp
@@ -45,6 +45,7 @@
     configuration.set(el::Level::Info, el::ConfigurationType::Enabled, warning ? "false" : "true");
     configuration.set(el::Level::Warning, el::ConfigurationType::Enabled,
                       level == "error" ? "false" : "true");
+    el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -96,6 +96,7 @@
     SessionDirectory m_sessions;
     PeerExchange m_exchange;
 
+    SuspectVersions m_suspects;
     RetryBudget m_retries;
     BackendGate m_gate;
     Rater m_rater;
@@ -124,14 +125,14 @@
                       m_settings.timing.silenceTimeout},
                      m_connections, m_clock)
     , m_configTail(m_log, m_config, m_settings.instance)
-    , m_roster(m_settings.instance, m_settings.dataCentre, m_settings.timing.suspicion,
-               m_settings.peerAddresses)
+    , m_roster(m_settings.instance, StartId(randomHex()), m_settings.dataCentre,
+               m_settings.timing.suspicion, m_settings.peerAddresses)
     , m_kept(static_cast<std::size_t>(m_settings.limits.keptRecords),
              m_settings.timing.keptAnswerLifetime)
     , m_claims(ClaimLifetime)
     , m_backends(m_settings.dataCentre, ReportLifetime)
     , m_gatekeeper(m_roster, m_backends, m_config, m_settings.timing.gatekeeperHoldOff)
-    , m_peerService(StartId(randomHex()), m_roster, m_config, m_claims, m_kept, m_backends,
+    , m_peerService(m_roster.startId(), m_roster, m_config, m_claims, m_kept, m_backends,
                     m_gatekeeper, m_stats, m_inFlight, m_hybridClock, m_health.stopping, m_clock)
     , m_network(m_settings.instance, m_settings.peerListen, m_settings.timing.peerTimeout,
                 PeerAuthenticator(m_settings.secrets.peerKey), m_peerService, m_clock)
@@ -146,8 +147,8 @@
     , m_gate(m_backends, m_gatekeeper, m_network, m_roster, m_config,
              static_cast<std::size_t>(m_settings.limits.waitingRequests), m_clock)
     , m_rater(m_ratings, m_stats, m_metrics, RatingRing, m_clock)
-    , m_planner(m_stats)
-    , m_rolloutWatch(m_stats)
+    , m_planner(m_stats, m_suspects)
+    , m_rolloutWatch(m_stats, m_suspects)
     , m_generations(m_engine, m_gate, m_backends, m_config, m_stats, m_retries, m_timeline,
                     m_metrics, m_clock)
     , m_services(m_plainService, m_gate, m_backends, m_config, m_retries, m_timeline, m_metrics,
@@ -170,7 +171,7 @@
                                                    m_timeline, m_clock));
     filters.push_back(std::make_unique<BillFilter>(m_billing, m_metrics, m_clock));
     filters.push_back(std::make_unique<DispatchFilter>(m_generations, m_services, m_rater,
-                                                       m_metrics, m_timeline, m_clock));
+                                                       m_suspects, m_metrics, m_timeline, m_clock));
     return filters;
 }
 
--- a/Source/Peer/PeerCodec.cpp
+++ b/Source/Peer/PeerCodec.cpp
@@ -152,12 +152,13 @@
     builder.setKey(record.key);
     builder.setOwner(record.owner.value());
     builder.setData(record.data);
+    builder.setOwnerStart(record.ownerStart.value());
 }
 
 KeptRecord read(wire::KeptRecord::Reader reader)
 {
     return {fromWire(reader.getKind()), text(reader.getKey()), InstanceId(text(reader.getOwner())),
-            text(reader.getData())};
+            text(reader.getData()), StartId(text(reader.getOwnerStart()))};
 }
 
 wire::KeptKind toWire(KeptKind kind)
--- a/Source/Peer/PeerMessages.h
+++ b/Source/Peer/PeerMessages.h
@@ -94,6 +94,7 @@
     std::string key;
     InstanceId owner;
     std::string data;
+    StartId ownerStart{}; ///< Run of the owner's process; bills only.
 };
 
 /// Leave to send one request to a backend server in cold start.
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -36,6 +36,12 @@
     /// Returns what the peer already held under the keys of session records.
     virtual Result<std::vector<KeptRecord>> keep(const InstanceId &peer,
                                                  const std::vector<KeptRecord> &records) = 0;
+    /// As keep(), with all \p peers at once.
+    virtual std::vector<Result<std::vector<KeptRecord>>>
+    keepAll(const std::vector<InstanceId> &peers, const std::vector<KeptRecord> &records) = 0;
+    /// Asks all \p peers at once; the first record found, if any.
+    virtual std::optional<KeptRecord> fetchKeptAny(const std::vector<InstanceId> &peers,
+                                                   KeptKind kind, const std::string &key) = 0;
     virtual Result<std::optional<KeptRecord>> fetchKept(const InstanceId &peer, KeptKind kind,
                                                         const std::string &key) = 0;
     virtual Status dropKept(const InstanceId &peer, KeptKind kind,
--- a/Source/Peer/RpcPeerNetwork.cpp
+++ b/Source/Peer/RpcPeerNetwork.cpp
@@ -363,29 +363,64 @@
     });
 }
 
+namespace {
+
+kj::Promise<std::vector<KeptRecord>> sendKeep(wire::Peer::Client &client,
+                                              const std::vector<KeptRecord> &records)
+{
+    auto request = client.keepRequest();
+    PeerCodec::writeList(request.initRecords(static_cast<unsigned>(records.size())), records);
+    return request.send().then(
+        [](auto &&answer) { return PeerCodec::readList<KeptRecord>(answer.getPresent()); });
+}
+
+kj::Promise<std::optional<KeptRecord>> sendFetchKept(wire::Peer::Client &client, KeptKind kind,
+                                                     const std::string &key)
+{
+    using Found = std::optional<KeptRecord>;
+    auto request = client.fetchKeptRequest();
+    request.setKind(PeerCodec::toWire(kind));
+    request.setKey(key);
+    return request.send().then([](auto &&answer) {
+        return answer.getFound() ? Found(PeerCodec::read(answer.getRecord())) : Found();
+    });
+}
+
+} // namespace
+
 Result<std::vector<KeptRecord>> RpcPeerNetwork::keep(const InstanceId &peer,
                                                      const std::vector<KeptRecord> &records)
 {
-    return m_private->call<std::vector<KeptRecord>>(peer, [&](wire::Peer::Client &client) {
-        auto request = client.keepRequest();
-        PeerCodec::writeList(request.initRecords(static_cast<unsigned>(records.size())), records);
-        return request.send().then(
-            [](auto &&answer) { return PeerCodec::readList<KeptRecord>(answer.getPresent()); });
-    });
+    return m_private->call<std::vector<KeptRecord>>(
+        peer, [&](wire::Peer::Client &client) { return sendKeep(client, records); });
+}
+
+std::vector<Result<std::vector<KeptRecord>>>
+RpcPeerNetwork::keepAll(const std::vector<InstanceId> &peers,
+                        const std::vector<KeptRecord> &records)
+{
+    return m_private->callAll<std::vector<KeptRecord>>(
+        peers, [&](wire::Peer::Client &client) { return sendKeep(client, records); });
 }
 
 Result<std::optional<KeptRecord>> RpcPeerNetwork::fetchKept(const InstanceId &peer, KeptKind kind,
                                                             const std::string &key)
 {
-    using Found = std::optional<KeptRecord>;
-    return m_private->call<Found>(peer, [&](wire::Peer::Client &client) {
-        auto request = client.fetchKeptRequest();
-        request.setKind(PeerCodec::toWire(kind));
-        request.setKey(key);
-        return request.send().then([](auto &&answer) {
-            return answer.getFound() ? Found(PeerCodec::read(answer.getRecord())) : Found();
-        });
-    });
+    return m_private->call<std::optional<KeptRecord>>(
+        peer, [&](wire::Peer::Client &client) { return sendFetchKept(client, kind, key); });
+}
+
+std::optional<KeptRecord> RpcPeerNetwork::fetchKeptAny(const std::vector<InstanceId> &peers,
+                                                       KeptKind kind, const std::string &key)
+{
+    const auto answers = m_private->callAll<std::optional<KeptRecord>>(
+        peers, [&](wire::Peer::Client &client) { return sendFetchKept(client, kind, key); });
+    for (const auto &answer : answers) {
+        if (answer.ok() && answer.value()) {
+            return answer.value();
+        }
+    }
+    return std::nullopt;
 }
 
 Status RpcPeerNetwork::dropKept(const InstanceId &peer, KeptKind kind,
--- a/Source/Peer/RpcPeerNetwork.h
+++ b/Source/Peer/RpcPeerNetwork.h
@@ -38,6 +38,10 @@
     Result<std::vector<ClaimEntry>> copyClaims(const InstanceId &peer) override;
     Result<std::vector<KeptRecord>> keep(const InstanceId &peer,
                                          const std::vector<KeptRecord> &records) override;
+    std::vector<Result<std::vector<KeptRecord>>>
+    keepAll(const std::vector<InstanceId> &peers, const std::vector<KeptRecord> &records) override;
+    std::optional<KeptRecord> fetchKeptAny(const std::vector<InstanceId> &peers, KeptKind kind,
+                                           const std::string &key) override;
     Result<std::optional<KeptRecord>> fetchKept(const InstanceId &peer, KeptKind kind,
                                                 const std::string &key) override;
     Status dropKept(const InstanceId &peer, KeptKind kind,
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -82,6 +82,7 @@
   key @1 :Text;
   owner @2 :Text;
   data @3 :Text;
+  ownerStart @4 :Text;
 }
 
 interface Peer {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -194,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(97f1cfa7c52a1937, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(97f1cfa7c52a1937, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1470,6 +1470,9 @@
   inline bool hasData() const;
   inline  ::capnp::Text::Reader getData() const;
 
+  inline bool hasOwnerStart() const;
+  inline  ::capnp::Text::Reader getOwnerStart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1522,6 +1525,13 @@
   inline void adoptData(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownData();
 
+  inline bool hasOwnerStart();
+  inline  ::capnp::Text::Builder getOwnerStart();
+  inline void setOwnerStart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOwnerStart(unsigned int size);
+  inline void adoptOwnerStart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOwnerStart();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4953,6 +4963,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool KeptRecord::Reader::hasOwnerStart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptRecord::Builder::hasOwnerStart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptRecord::Reader::getOwnerStart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptRecord::Builder::getOwnerStart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void KeptRecord::Builder::setOwnerStart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptRecord::Builder::initOwnerStart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void KeptRecord::Builder::adoptOwnerStart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptRecord::Builder::disownOwnerStart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Request/DeduplicateFilter.cpp
+++ b/Source/Request/DeduplicateFilter.cpp
@@ -88,14 +88,12 @@
     if (!owner.empty() && owner != m_roster.self()) {
         holders.insert(holders.begin(), owner);
     }
-    for (const InstanceId &holder : holders) {
-        const auto found = m_network.fetchKept(holder, KeptKind::Answer, key);
-        if (found.ok() && found.value()) {
-            m_kept.put({*found.value()}, now);
-            return decodeFinishedAnswer(found.value()->data);
-        }
+    const auto found = m_network.fetchKeptAny(holders, KeptKind::Answer, key);
+    if (!found) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    m_kept.put({*found}, now);
+    return decodeFinishedAnswer(found->data);
 }
 
 Status DeduplicateFilter::replay(RequestContext &context, const FinishedAnswer &answer) const
--- a/Source/Request/DispatchFilter.cpp
+++ b/Source/Request/DispatchFilter.cpp
@@ -25,10 +25,12 @@
 } // namespace
 
 DispatchFilter::DispatchFilter(GenerationRunner &generations, ServiceRunner &services, Rater &rater,
-                               Metrics &metrics, Timeline &timeline, const Clock &clock)
+                               const SuspectVersions &suspects, Metrics &metrics,
+                               Timeline &timeline, const Clock &clock)
     : m_generations(generations)
     , m_services(services)
     , m_rater(rater)
+    , m_suspects(suspects)
     , m_metrics(metrics)
     , m_timeline(timeline)
     , m_clock(clock)
@@ -94,7 +96,8 @@
     }
     const double lot = context.lot * LotSpread;
     const bool drawn = lot - static_cast<double>(static_cast<std::int64_t>(lot)) < SampledShare;
-    if (drawn || context.plan.kind == PlanKind::Canary) {
+    const bool watched = context.plan.kind == PlanKind::Canary || m_suspects.contains(version);
+    if (drawn || watched) {
         m_rater.rateLater(ratingRequest(context, version, generation));
     }
 }
--- a/Source/Request/DispatchFilter.h
+++ b/Source/Request/DispatchFilter.h
@@ -4,6 +4,7 @@
 #include "Request/GenerationRunner.h"
 #include "Request/Rater.h"
 #include "Request/ServiceRunner.h"
+#include "Routing/SuspectVersions.h"
 
 namespace lycheearch {
 
@@ -16,7 +17,8 @@
     static constexpr double SampledShare = 0.2;
 
     DispatchFilter(GenerationRunner &generations, ServiceRunner &services, Rater &rater,
-                   Metrics &metrics, Timeline &timeline, const Clock &clock);
+                   const SuspectVersions &suspects, Metrics &metrics, Timeline &timeline,
+                   const Clock &clock);
     Status apply(RequestContext &context) override;
 
 private:
@@ -29,6 +31,7 @@
     GenerationRunner &m_generations;
     ServiceRunner &m_services;
     Rater &m_rater;
+    const SuspectVersions &m_suspects;
     Metrics &m_metrics;
     Timeline &m_timeline;
     const Clock &m_clock;
--- a/Source/Routing/Planner.cpp
+++ b/Source/Routing/Planner.cpp
@@ -54,8 +54,9 @@
     return "unknown";
 }
 
-Planner::Planner(const VersionStats &stats)
+Planner::Planner(const VersionStats &stats, const SuspectVersions &suspects)
     : m_stats(stats)
+    , m_suspects(suspects)
 {
 }
 
@@ -238,7 +239,7 @@
         // The strongest version is what there is; it is trusted until ratings say otherwise.
         const double quality = one.spec == best && !one.known ? target : one.quality;
         consider({{one.spec->id}, one.cost, quality, ""}, PlanKind::Single, one.latencySeconds,
-                 true);
+                 !(request.ratingHealthy && m_suspects.contains(one.spec->id)));
         for (const Candidate &other : candidates) {
             if (other.spec->rank <= one.spec->rank) {
                 continue;
--- a/Source/Routing/Planner.h
+++ b/Source/Routing/Planner.h
@@ -6,6 +6,7 @@
 
 #include "Base/Error.h"
 #include "Config/ConfigState.h"
+#include "Routing/SuspectVersions.h"
 #include "Routing/VersionStats.h"
 
 namespace lycheearch {
@@ -57,7 +58,7 @@
 class Planner
 {
 public:
-    explicit Planner(const VersionStats &stats);
+    Planner(const VersionStats &stats, const SuspectVersions &suspects);
 
     /// Fails with AccountForbidsModel, NoBackend or VersionWithdrawn. The failure is not_run.
     Result<Plan> plan(const PlanRequest &request) const;
@@ -85,6 +86,7 @@
     Plan cheapestPlan(const PlanRequest &request, const std::vector<Candidate> &candidates) const;
 
     const VersionStats &m_stats;
+    const SuspectVersions &m_suspects;
 };
 
 } // namespace lycheearch
--- a/Source/Routing/RolloutGuard.h
+++ b/Source/Routing/RolloutGuard.h
@@ -25,6 +25,8 @@
 public:
     static constexpr double WorseBy = 0.25;
     static constexpr double Threshold = 7.0; ///< Natural logarithm of the odds, about 1100 to 1.
+    /// From this score on, a version is a suspect.
+    static constexpr double SuspectScore = 2.0;
     static constexpr double LeastBadShare = 0.02;
     static constexpr double MostBadShare = 0.70;
 
--- a/Source/Routing/RolloutWatch.cpp
+++ b/Source/Routing/RolloutWatch.cpp
@@ -20,19 +20,33 @@
 }
 } // namespace
 
-RolloutWatch::RolloutWatch(const VersionStats &stats)
+RolloutWatch::RolloutWatch(const VersionStats &stats, SuspectVersions &suspects)
     : m_stats(stats)
+    , m_suspects(suspects)
 {
 }
 
-double RolloutWatch::baselineBad(const ConfigState &config, const VersionSpec &version) const
+std::optional<double> RolloutWatch::baselineBad(const ConfigState &config,
+                                                const VersionSpec &version,
+                                                const VersionCount &before) const
 {
+    if (version.replaces.empty()) {
+        // A version that replaces none is compared with its own past.
+        return before.rated >= EnoughRatings ? std::optional(badShare(before)) : std::nullopt;
+    }
     const VersionCount replaced = m_stats.total(version.replaces);
-    if (!version.replaces.empty() && replaced.rated >= EnoughRatings) {
-        return badShare(replaced);
+    return replaced.rated >= EnoughRatings ? badShare(replaced)
+                                           : 1.0 - config.manifest->qualityTarget;
+}
+
+bool RolloutWatch::replaceable(const ConfigState &config, const VersionSpec &version)
+{
+    for (const VersionSpec &other : config.manifest->models.at(version.model).versions) {
+        if (other.id != version.id && config.stateOf(other.id) == VersionState::Active) {
+            return true;
+        }
     }
-    // Without a version to compare with, or enough of its ratings, the target is the yardstick.
-    return 1.0 - config.manifest->qualityTarget;
+    return false;
 }
 
 std::vector<VersionStopDecision> RolloutWatch::look(const ConfigState &config)
@@ -41,20 +55,22 @@
     for (const auto &[modelId, model] : config.manifest->models) {
         for (const VersionSpec &version : model.versions) {
             const VersionCount count = m_stats.total(version.id);
-            VersionCount &seen = m_seen[version.id];
-            const RolloutEvidence evidence{growth(count.good, seen.good),
-                                           growth(count.rated - count.good, seen.rated - seen.good)
-                                               + growth(count.errors, seen.errors)};
-            seen = count;
+            const VersionCount before = m_seen[version.id];
+            m_seen[version.id] = count;
+            const RolloutEvidence evidence{
+                growth(count.good, before.good),
+                growth(count.rated - count.good, before.rated - before.good)
+                    + growth(count.errors, before.errors)};
             const bool takesWork = config.stateOf(version.id) != VersionState::Withdrawn;
+            const auto baseline = baselineBad(config, version, before);
             // A version is only stopped while another one can take its work.
-            const bool replaceable = !version.replaces.empty()
-                && config.stateOf(version.replaces) == VersionState::Active;
-            if (!takesWork || !replaceable) {
+            if (!takesWork || !baseline || !replaceable(config, version)) {
                 m_guard.forget(version.id);
+                m_suspects.set(version.id, false);
                 continue;
             }
-            const auto reason = m_guard.observe(version.id, evidence, baselineBad(config, version));
+            const auto reason = m_guard.observe(version.id, evidence, *baseline);
+            m_suspects.set(version.id, m_guard.score(version.id) >= RolloutGuard::SuspectScore);
             if (reason) {
                 stops.push_back({version.id, *reason});
             }
--- a/Source/Routing/RolloutWatch.h
+++ b/Source/Routing/RolloutWatch.h
@@ -5,6 +5,7 @@
 
 #include "Config/ConfigState.h"
 #include "Routing/RolloutGuard.h"
+#include "Routing/SuspectVersions.h"
 #include "Routing/VersionStats.h"
 
 namespace lycheearch {
@@ -21,14 +22,18 @@
 class RolloutWatch
 {
 public:
-    explicit RolloutWatch(const VersionStats &stats);
+    RolloutWatch(const VersionStats &stats, SuspectVersions &suspects);
 
     std::vector<VersionStopDecision> look(const ConfigState &config);
 
 private:
-    double baselineBad(const ConfigState &config, const VersionSpec &version) const;
+    /// Share of bad answers that is to be expected; nothing while too little is known.
+    std::optional<double> baselineBad(const ConfigState &config, const VersionSpec &version,
+                                      const VersionCount &before) const;
+    static bool replaceable(const ConfigState &config, const VersionSpec &version);
 
     const VersionStats &m_stats;
+    SuspectVersions &m_suspects;
     RolloutGuard m_guard;
     std::map<VersionId, VersionCount> m_seen;
 };
--- a/Source/State/Billing.cpp
+++ b/Source/State/Billing.cpp
@@ -46,7 +46,8 @@
         record.owner = m_roster.self();
     }
     m_kept.put(alongside, now);
-    alongside.push_back({KeptKind::Bill, bill.key.value(), m_roster.self(), pending.data});
+    alongside.push_back(
+        {KeptKind::Bill, bill.key.value(), m_roster.self(), pending.data, m_roster.startId()});
     const bool copied = copyToPeers(alongside, pending, now);
     {
         std::lock_guard lock(m_mutex);
@@ -61,23 +62,37 @@
 
 bool Billing::copyToPeers(const std::vector<KeptRecord> &records, Pending &pending, TimePoint now)
 {
-    const std::vector<InstanceId> keepers =
-        chooseKeepers(m_roster, records.back().key, Copies + 1, now);
-    for (const InstanceId &keeper : keepers) {
-        if (pending.keepers.size() == Copies) {
-            break;
-        }
-        const auto present = m_network.keep(keeper, records);
-        const bool refused = !present.ok()
-            || std::any_of(present.value().begin(), present.value().end(),
-                           [](const KeptRecord &one) { return one.kind == KeptKind::Bill; });
-        if (!refused) {
-            pending.keepers.push_back(keeper);
-        }
+    const std::vector<InstanceId> candidates =
+        chooseKeepers(m_roster, records.back().key, Copies + Spares, now);
+    const auto part = [&](std::size_t from, std::size_t until) {
+        const auto at = [&](std::size_t index) {
+            return candidates.begin()
+                + static_cast<std::ptrdiff_t>(std::min(index, candidates.size()));
+        };
+        return std::vector<InstanceId>(at(from), at(until));
+    };
+    sendCopies(part(0, Copies), records, pending);
+    if (pending.keepers.size() < Copies) {
+        sendCopies(part(Copies, Copies + Spares), records, pending);
     }
     return !pending.keepers.empty();
 }
 
+void Billing::sendCopies(const std::vector<InstanceId> &keepers,
+                         const std::vector<KeptRecord> &records, Pending &pending)
+{
+    const auto isBill = [](const KeptRecord &record) { return record.kind == KeptKind::Bill; };
+    const auto answers = m_network.keepAll(keepers, records);
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        // A keeper returns the bills that it has no room for.
+        const bool kept = answers[i].ok()
+            && std::none_of(answers[i].value().begin(), answers[i].value().end(), isBill);
+        if (kept) {
+            pending.keepers.push_back(keepers[i]);
+        }
+    }
+}
+
 bool Billing::flush(TimePoint now)
 {
     std::lock_guard flushing(m_flushMutex);
@@ -130,7 +145,8 @@
     std::vector<std::string> keys;
     std::vector<std::string> records;
     for (const KeptRecord &record : m_kept.storedBefore(KeptKind::Bill, now - TakeOverDelay)) {
-        if (!m_roster.isAlive(record.owner, now) && records.size() < MaxBatch) {
+        const bool alive = m_roster.isRunAlive(record.owner, record.ownerStart, now);
+        if (!alive && records.size() < MaxBatch) {
             keys.push_back(record.key);
             records.push_back(record.data);
         }
--- a/Source/State/Billing.h
+++ b/Source/State/Billing.h
@@ -21,6 +21,7 @@
 {
 public:
     static constexpr std::size_t Copies = 2;
+    static constexpr std::size_t Spares = 1; ///< Peers tried in place of silent ones.
 
     Billing(LogService &log, PeerNetwork &network, Roster &roster, KeptStore &kept,
             std::size_t capacity, const Clock &clock);
@@ -46,6 +47,8 @@
     };
 
     bool copyToPeers(const std::vector<KeptRecord> &records, Pending &pending, TimePoint now);
+    void sendCopies(const std::vector<InstanceId> &keepers, const std::vector<KeptRecord> &records,
+                    Pending &pending);
     void dropCopies(const std::map<std::string, Pending> &appended);
 
     LogService &m_log;
--- a/Source/State/Roster.cpp
+++ b/Source/State/Roster.cpp
@@ -4,9 +4,10 @@
 
 namespace lycheearch {
 
-Roster::Roster(InstanceId self, DataCentreId dataCentre, Duration suspicion,
+Roster::Roster(InstanceId self, StartId startId, DataCentreId dataCentre, Duration suspicion,
                std::map<InstanceId, Endpoint> addressOverrides)
     : m_self(std::move(self))
+    , m_startId(std::move(startId))
     , m_dataCentre(std::move(dataCentre))
     , m_suspicion(suspicion)
     , m_overrides(std::move(addressOverrides))
@@ -134,6 +135,17 @@
     return found != m_peers.end() && aliveLocked(found->second, now);
 }
 
+bool Roster::isRunAlive(const InstanceId &member, const StartId &startId, TimePoint now) const
+{
+    if (member == m_self) {
+        return startId == m_startId;
+    }
+    std::lock_guard lock(m_mutex);
+    const auto found = m_peers.find(member);
+    return found != m_peers.end() && found->second.startId == startId
+        && aliveLocked(found->second, now);
+}
+
 bool Roster::isMember(const InstanceId &member) const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/State/Roster.h
+++ b/Source/State/Roster.h
@@ -29,7 +29,7 @@
 class Roster
 {
 public:
-    Roster(InstanceId self, DataCentreId dataCentre, Duration suspicion,
+    Roster(InstanceId self, StartId startId, DataCentreId dataCentre, Duration suspicion,
            std::map<InstanceId, Endpoint> addressOverrides);
 
     /// Takes a new instance list. Returns the daemons that are no longer listed.
@@ -49,6 +49,8 @@
     std::vector<InstanceId> aliveInDataCentre(TimePoint now) const;
     bool isAlive(const InstanceId &member, TimePoint now) const;
     bool isMember(const InstanceId &member) const;
+    /// Whether the run of a process that is named by its start id is heard of lately.
+    bool isRunAlive(const InstanceId &member, const StartId &startId, TimePoint now) const;
     /// Whether the instance list was ever read.
     bool listKnown() const;
     /// Time at which every peer of the own data centre had last been heard of; nothing if one
@@ -56,12 +58,14 @@
     std::optional<TimePoint> allHeardSince(TimePoint now) const;
 
     const InstanceId &self() const { return m_self; }
+    const StartId &startId() const { return m_startId; }
     const DataCentreId &dataCentre() const { return m_dataCentre; }
 
 private:
     bool aliveLocked(const RosterMember &member, TimePoint now) const;
 
     InstanceId m_self;
+    StartId m_startId;
     DataCentreId m_dataCentre;
     Duration m_suspicion;
     std::map<InstanceId, Endpoint> m_overrides;
--- a/Tests/Config/testManifest.cpp
+++ b/Tests/Config/testManifest.cpp
@@ -32,7 +32,7 @@
                                             "accounts:\n"
                                             "  - { id: a, key_sha256: abc, models: [other] }\n");
     cr_expect(contains(findings, "m.yaml:2:1 (qualty_target): found unknown key"));
-    cr_expect(contains(findings, "m.yaml:6:23 (models[0].versions[0].state): found 'wrong'"));
+    cr_expect(contains(findings, "m.yaml:6:25 (models[0].versions[0].state): found 'wrong'"));
     cr_expect(contains(findings, "share): found 3.000000"));
     cr_expect(contains(findings, "(models.m.c): found replaces ''"));
     cr_expect(contains(findings, "key_sha256): found 3 characters"));
--- /dev/null
+++ b/Tests/Routing/testColdGatekeeper.cpp
@@ -0,0 +1,123 @@
+#include <criterion/criterion.h>
+
+#include "Routing/ColdGatekeeper.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const InstanceId Self("self");
+const InstanceId Backend("cold-1");
+const DataCentreId Here("here");
+const StartId Start("start-1");
+constexpr Duration HoldOff = 4s;
+constexpr Duration Suspicion = 2s;
+
+InstanceRecord entry(const std::string &id)
+{
+    InstanceRecord record;
+    record.id = InstanceId(id);
+    record.dataCentre = Here;
+    return record;
+}
+
+InstanceRecord engine()
+{
+    InstanceRecord record = entry(Backend.value());
+    record.kind = InstanceKind::Engine;
+    record.backendClass = "c";
+    return record;
+}
+
+/// A gatekeeper alone in its data centre, or with one peer that is listed.
+struct Fixture
+{
+    explicit Fixture(bool withPeer = false)
+        : roster(Self, StartId("s"), Here, Suspicion, {})
+        , backends(Here, 5s)
+        , gatekeeper(roster, backends, config, HoldOff)
+    {
+        std::vector<InstanceRecord> list{entry("self"), engine()};
+        if (withPeer) {
+            list.push_back(entry("peer"));
+        }
+        roster.updateList(list);
+        backends.updateList(list);
+    }
+
+    void report(int inFlight, TimePoint at, const StartId &start = Start)
+    {
+        BackendReport report;
+        report.startId = start;
+        report.cold = true;
+        report.inFlight = inFlight;
+        backends.report(Backend, report, at);
+    }
+
+    bool take(TimePoint now, const StartId &start = Start)
+    {
+        last = gatekeeper.take(Backend, start, Self, now);
+        return !last.permit.empty();
+    }
+
+    ConfigStore config;
+    Roster roster;
+    BackendTable backends;
+    ColdGatekeeper gatekeeper;
+    PermitAnswer last;
+};
+
+const TimePoint T0 = TimePoint() + 100s;
+
+} // namespace
+
+Test(coldGatekeeper, gives_no_permit_before_the_hold_off_and_one_at_a_time_after)
+{
+    Fixture fixture;
+    fixture.report(0, T0);
+    cr_expect_not(fixture.take(T0));
+    const TimePoint later = T0 + HoldOff;
+    cr_expect_not(fixture.take(later)); // No report since the hold-off.
+    fixture.report(0, later + 1s);
+    cr_expect(fixture.take(later + 1s));
+    const std::string permit = fixture.last.permit;
+    cr_expect_not(fixture.take(later + 1s));
+    fixture.gatekeeper.giveBack(Backend, permit);
+    cr_expect(fixture.take(later + 2s));
+}
+
+Test(coldGatekeeper, counts_what_the_predecessor_left_in_flight)
+{
+    Fixture fixture;
+    fixture.report(0, T0);
+    fixture.take(T0);
+    fixture.report(1, T0 + HoldOff + 1s);
+    cr_expect_not(fixture.take(T0 + HoldOff + 1s));
+    fixture.report(0, T0 + HoldOff + 2s);
+    cr_expect(fixture.take(T0 + HoldOff + 2s));
+}
+
+Test(coldGatekeeper, stops_when_it_does_not_hear_its_data_centre)
+{
+    Fixture fixture(true);
+    ExchangeMessage heartbeat;
+    heartbeat.sender = InstanceId("peer");
+    heartbeat.dataCentre = Here;
+    const TimePoint late = T0 + HoldOff + Suspicion + 3s;
+    for (TimePoint at = T0; at <= T0 + HoldOff + 1s; at += 1s) {
+        fixture.roster.heard(heartbeat, at);
+        fixture.gatekeeper.watch(at);
+    }
+    fixture.report(0, late);
+    cr_expect_not(fixture.take(late));
+}
+
+Test(coldGatekeeper, refuses_another_start_of_the_server)
+{
+    Fixture fixture;
+    fixture.report(0, T0);
+    fixture.take(T0);
+    fixture.report(0, T0 + HoldOff + 1s, StartId("start-2"));
+    cr_expect_not(fixture.take(T0 + HoldOff + 1s, Start));
+    cr_expect(fixture.take(T0 + HoldOff + 1s, StartId("start-2")));
+}
--- /dev/null
+++ b/Tests/Routing/testRolloutGuard.cpp
@@ -0,0 +1,55 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "Routing/RolloutGuard.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const VersionId Version("v");
+
+/// Answers until the guard stops a version with a share of bad answers; \p most if it does not.
+int answersUntilStop(double badShare, double baseline, int most, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::bernoulli_distribution bad(badShare);
+    RolloutGuard guard;
+    for (int answer = 1; answer <= most; ++answer) {
+        const bool isBad = bad(random);
+        if (guard.observe(Version, {isBad ? 0.0 : 1.0, isBad ? 1.0 : 0.0}, baseline)) {
+            return answer;
+        }
+    }
+    return most;
+}
+
+} // namespace
+
+Test(rolloutGuard, a_fully_bad_version_is_stopped_within_a_few_answers)
+{
+    for (const double baseline : {0.0, 0.02, 0.1, 0.3}) {
+        cr_expect_leq(answersUntilStop(1.0, baseline, 1000, 1), 12);
+    }
+}
+
+Test(rolloutGuard, a_version_as_good_as_the_replaced_one_is_kept)
+{
+    int stopped = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        stopped += answersUntilStop(0.1, 0.1, 1000, seed) < 1000 ? 1 : 0;
+    }
+    cr_expect_leq(stopped, 2);
+}
+
+Test(rolloutGuard, a_version_that_turns_bad_late_is_stopped_as_fast)
+{
+    RolloutGuard guard;
+    cr_expect_not(guard.observe(Version, {100'000, 0}, 0.1));
+    int answers = 0;
+    while (!guard.observe(Version, {0, 1}, 0.1)) {
+        ++answers;
+    }
+    cr_expect_leq(answers, 12);
+}
--- a/Utilities/Trial/ChildProcess.cpp
+++ b/Utilities/Trial/ChildProcess.cpp
@@ -7,6 +7,8 @@
 
 #include <csignal>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -22,6 +24,58 @@
 constexpr int OutputMode = 0644;
 } // namespace
 
+namespace {
+
+/// Identifiers of the children that run, for killAllOnSignal().
+class RunningChildren
+{
+public:
+    void add(pid_t id)
+    {
+        std::lock_guard lock(m_mutex);
+        m_ids.insert(id);
+    }
+    void remove(pid_t id)
+    {
+        std::lock_guard lock(m_mutex);
+        m_ids.erase(id);
+    }
+    void killAll()
+    {
+        std::lock_guard lock(m_mutex);
+        for (const pid_t id : m_ids) {
+            kill(id, SIGKILL);
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<pid_t> m_ids;
+};
+
+RunningChildren &runningChildren()
+{
+    static RunningChildren children;
+    return children;
+}
+
+} // namespace
+
+void ChildProcess::killAllOnSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        runningChildren().killAll();
+        std::_Exit(EXIT_FAILURE);
+    }).detach();
+}
+
 ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &outputPath)
 {
     std::vector<char *> arguments;
@@ -34,12 +88,22 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputPath.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, OutputMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int failure =
-        posix_spawn(&m_id, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
+    // A listening socket that a child inherits would stay open after the trial closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    const int failure = posix_spawn(&m_id, command.front().c_str(), &actions, &attributes,
+                                    arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    posix_spawnattr_destroy(&attributes);
     if (failure != 0) {
         throw std::runtime_error("cannot start " + command.front());
     }
+    runningChildren().add(m_id);
 }
 
 ChildProcess::~ChildProcess()
@@ -69,6 +133,7 @@
         int status = 0;
         if (waitpid(m_id, &status, WNOHANG) == m_id) {
             m_ended = true;
+            runningChildren().remove(m_id);
             m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
             break;
         }
--- a/Utilities/Trial/ChildProcess.h
+++ b/Utilities/Trial/ChildProcess.h
@@ -25,6 +25,9 @@
     bool running();
     /// Processor time used so far.
     Duration processorTime() const;
+    /// Kills all processes of this program on SIGTERM and SIGINT, and ends it. Called first in
+    /// main.
+    static void killAllOnSignal();
     /// Resident memory.
     std::int64_t residentBytes() const;
 
--- a/Utilities/Trial/Trial.cpp
+++ b/Utilities/Trial/Trial.cpp
@@ -24,6 +24,7 @@
 constexpr Duration LogTimeout = 5s;
 constexpr std::size_t RecordsPerRead = 2000;
 constexpr std::size_t ViolationsShown = 5;
+constexpr std::int64_t MostExposed = 50;
 
 std::string readText(const std::string &path)
 {
@@ -83,13 +84,18 @@
     return SystemClock().wallTime().time_since_epoch().count();
 }
 
-void Trial::start()
+void Trial::startQuietly()
 {
     m_fleet->startStandIn();
     m_fleet->startDaemons();
     publish(m_manifestText);
     m_evidence.publishTimes.clear();
     m_fleet->waitReady(ReadyLimit);
+}
+
+void Trial::start()
+{
+    startQuietly();
     m_balancer = std::make_unique<Balancer>(*m_fleet);
     m_watcher = std::thread([this] { watchRevisions(); });
 }
@@ -226,6 +232,45 @@
     m_fleet->control({{"action", "leaving"}, {"target", backend}, {"value", true}});
 }
 
+void Trial::turnBad(const std::string &version)
+{
+    m_turnedBad.push_back({version, wallMicroseconds()});
+    m_fleet->control({{"action", "quality"}, {"target", version}, {"value", 0.0}});
+}
+
+void Trial::expectFewExposed()
+{
+    std::map<std::string, std::string> lastVersion;
+    std::map<std::string, std::int64_t> lastStart;
+    for (const auto &entry : m_evidence.journal) {
+        const auto request = entry.at("request_id").get<std::string>();
+        lastVersion[request] = entry.at("subject").get<std::string>();
+        lastStart[request] = entry.at("at_us").get<std::int64_t>();
+    }
+    for (const ClosedPeriod &bad : m_turnedBad) {
+        std::int64_t exposed = 0;
+        for (const auto &[request, version] : lastVersion) {
+            exposed += version == bad.subject && lastStart[request] >= bad.from ? 1 : 0;
+        }
+        std::cout << bad.subject << " turned bad; requests exposed: " << exposed << "\n";
+        expect(exposed <= MostExposed,
+               std::to_string(exposed) + " requests were exposed to " + bad.subject);
+    }
+}
+
+void Trial::expect(bool held, const std::string &otherwise)
+{
+    ++m_expected;
+    if (!held) {
+        m_unexpected.push_back(otherwise);
+    }
+}
+
+void Trial::writeFile(const std::string &path, const std::string &text) const
+{
+    std::ofstream(path) << text;
+}
+
 void Trial::load(const WorkloadSpec &spec)
 {
     Workload workload(m_manifest, spec);
--- a/Utilities/Trial/Trial.h
+++ b/Utilities/Trial/Trial.h
@@ -32,6 +32,8 @@
 
     /// Starts everything and publishes the deployment's manifest.
     void start();
+    /// As start(), but nothing watches the fleet, so that its own traffic can be measured.
+    void startQuietly();
     Fleet &fleet() { return *m_fleet; }
     Evidence &evidence() { return m_evidence; }
     const Manifest &manifest() const { return m_manifest; }
@@ -53,9 +55,21 @@
     void restart(const std::string &daemon);
     void withdrawn(const std::string &version);
     void leaving(const std::string &backend);
+    /// Makes every answer of a version bad from now on.
+    void turnBad(const std::string &version);
+    /// Expects that few callers got the answer of a version that turned bad. Called after
+    /// collect().
+    void expectFewExposed();
 
     /// Sends a load and adds its records to the evidence.
     void load(const WorkloadSpec &spec);
+    /// Notes whether something that a cell expects came true.
+    void expect(bool held, const std::string &otherwise);
+    std::int64_t expected() const { return m_expected; }
+    const std::vector<std::string> &unexpected() const { return m_unexpected; }
+    const std::string &workPath() const { return m_paths.work; }
+    void writeFile(const std::string &path, const std::string &text) const;
+
     /// Reads journal and ledger. Called when all bills had time to reach the log.
     void collect();
     /// Waits until no running daemon has bills waiting.
@@ -71,7 +85,10 @@
     std::unique_ptr<Fleet> m_fleet;
     std::unique_ptr<Balancer> m_balancer;
     Evidence m_evidence;
+    std::vector<ClosedPeriod> m_turnedBad;
     int m_published = 0;
+    std::int64_t m_expected = 0;
+    std::vector<std::string> m_unexpected;
     std::atomic<bool> m_stopping = false;
     std::mutex m_mutex;
     std::thread m_watcher;
--- a/Utilities/Trial/main.cpp
+++ b/Utilities/Trial/main.cpp
@@ -1,7 +1,13 @@
+#include <iomanip>
 #include <iostream>
+#include <mutex>
 
 #include <CLI/CLI.hpp>
 
+#include "Decisions.h"
+#include "Overhead.h"
+#include "Scenario.h"
+#include "Slopes.h"
 #include "Trial.h"
 
 using namespace lycheearch;
@@ -9,6 +15,8 @@
 
 namespace {
 
+constexpr int PortsPerFleet = 200;
+
 /// Values of the command line.
 struct Arguments
 {
@@ -62,10 +70,62 @@
     return held && billed ? 0 : 1;
 }
 
+/// Runs the cells whose names contain \p wanted. Returns the number of red ones.
+int runMatrix(const Arguments &arguments, const std::string &wanted, int parallel)
+{
+    std::vector<Scenario> chosen;
+    for (const Scenario &scenario : allScenarios()) {
+        if (wanted.empty() || scenario.name.find(wanted) != std::string::npos) {
+            chosen.push_back(scenario);
+        }
+    }
+    std::atomic<std::size_t> next = 0;
+    std::atomic<int> red = 0;
+    std::mutex printing;
+    std::vector<std::thread> lanes;
+    for (int lane = 0; lane < parallel; ++lane) {
+        lanes.emplace_back([&, lane] {
+            while (true) {
+                const std::size_t index = next++;
+                if (index >= chosen.size()) {
+                    return;
+                }
+                TrialPaths paths = arguments.paths;
+                paths.work += "-" + chosen[index].name;
+                WorkloadSpec spec = arguments.workload;
+                spec.length = std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(arguments.seconds));
+                const auto port =
+                    static_cast<std::uint16_t>(arguments.firstPort + lane * PortsPerFleet);
+                const ScenarioOutcome outcome = runScenario(chosen[index], paths, port, spec);
+                red += outcome.green() ? 0 : 1;
+                const std::lock_guard lock(printing);
+                printOutcome(outcome, std::cout);
+                std::cout << std::flush;
+            }
+        });
+    }
+    for (std::thread &lane : lanes) {
+        lane.join();
+    }
+    std::cout << "cells run " << chosen.size() << ", green " << chosen.size() - red << ", red "
+              << red << ", seed " << arguments.workload.seed << "\n";
+    return red;
+}
+
+void listCells()
+{
+    for (const Scenario &scenario : allScenarios()) {
+        std::cout << std::left << std::setw(28) << scenario.name << scenario.step << ": "
+                  << scenario.fault << "\n";
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    ChildProcess::killAllOnSignal();
     CLI::App app("Trials of a whole fleet with real processes on loopback.");
     Arguments arguments;
     app.add_option("--programs", arguments.paths.programs, "Build folder")->capture_default_str();
@@ -82,6 +142,25 @@
     app.require_subcommand(1);
     CLI::App *demo = app.add_subcommand("demo", "A normal day in short");
     CLI::App *write = app.add_subcommand("write", "Only write the settings of a fleet");
+    CLI::App *matrix = app.add_subcommand("matrix", "Run the fault matrix");
+    std::string wanted;
+    bool list = false;
+    int parallel = 1;
+    matrix->add_option("--cell", wanted, "Only cells whose names contain this text");
+    matrix->add_flag("--list", list, "Only list the cells");
+    matrix->add_option("--parallel", parallel, "Cells at once")->capture_default_str();
+    CLI::App *overhead = app.add_subcommand("overhead", "Measure what a daemon adds to a call");
+    int repetitions = 2000;
+    overhead->add_option("--repetitions", repetitions, "Calls of each kind")->capture_default_str();
+    CLI::App *slopes = app.add_subcommand("slopes", "Measure what control costs by fleet size");
+    std::vector<int> daemonCounts{4, 8, 16, 32};
+    std::vector<int> backendCounts{23, 92};
+    slopes->add_option("--daemons", daemonCounts, "Numbers of daemons");
+    slopes->add_option("--backends", backendCounts, "Numbers of backend servers");
+    CLI::App *decisions =
+        app.add_subcommand("decisions", "Compare the planner with plain ways of choosing");
+    int requests = 20'000;
+    decisions->add_option("--requests", requests, "Requests of each way")->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     try {
         if (*write) {
@@ -91,6 +170,37 @@
             const Trial trial(arguments.paths, options);
             std::cout << "Wrote settings to " << arguments.paths.work << ".\n";
         }
+        if (*slopes) {
+            std::vector<FleetSize> sizes;
+            for (const int daemons : daemonCounts) {
+                for (const int backends : backendCounts) {
+                    sizes.push_back({daemons, backends});
+                }
+            }
+            measureSlopes(arguments.paths, arguments.firstPort, sizes,
+                          std::chrono::duration_cast<Duration>(
+                              std::chrono::duration<double>(arguments.seconds)),
+                          std::cout);
+        }
+        if (*decisions) {
+            compareDecisions(arguments.paths.deployment, arguments.workload.seed, requests,
+                             std::cout);
+        }
+        if (*overhead) {
+            FleetOptions options;
+            options.firstPort = arguments.firstPort;
+            options.proxied = false;
+            Trial trial(arguments.paths, options);
+            trial.start();
+            measureOverhead(trial, repetitions, std::cout);
+        }
+        if (*matrix && list) {
+            listCells();
+            return 0;
+        }
+        if (*matrix) {
+            return runMatrix(arguments, wanted, parallel) == 0 ? 0 : 1;
+        }
         if (*demo) {
             return runDemo(arguments);
         }
