Stop bad versions at a rare false alarm, and protect callers from suspects

Two faults: the yardstick of a version without a predecessor was its plain past share, and a threshold of 7 gives a false stop every 1,100 answers. Change: yardstick is the upper 95 % bound; threshold 20; from a score of 3 on all answers are rated and the version does not run alone. The unit test's bound on rated answers goes from 12 to the stated target of 50, since the threshold changed; the check on false stops is stricter (20 x 50,000 answers).

--- a/Source/Config/Settings.cpp
+++ b/Source/Config/Settings.cpp
@@ -113,7 +113,7 @@
 
 std::string readKey(YamlReader &reader, const Option &option)
 {
-    const std::string key = reader.requiredText(option);
+    std::string key = reader.requiredText(option);
     if (!key.empty() && key.size() < ShortestKey) {
         reader.report(option.key, std::to_string(key.size()) + " characters",
                       "at least " + std::to_string(ShortestKey) + " characters");
--- a/Source/Config/YamlReader.cpp
+++ b/Source/Config/YamlReader.cpp
@@ -25,9 +25,9 @@
 
 } // namespace
 
-YamlReader::YamlReader(YAML::Node node, std::string file, std::string path, Findings &findings,
-                       std::string *reference)
-    : m_node(std::move(node))
+YamlReader::YamlReader(const YAML::Node &node, std::string file, std::string path,
+                       Findings &findings, std::string *reference)
+    : m_node(node)
     , m_file(std::move(file))
     , m_path(std::move(path))
     , m_findings(findings)
@@ -104,7 +104,7 @@
 
 std::string YamlReader::requiredText(const Option &option)
 {
-    const std::string value = scalar<std::string>(option, "text", "", "required");
+    std::string value = scalar<std::string>(option, "text", "", "required");
     if (value.empty()) {
         report(option.key, "nothing", "text");
     }
@@ -123,7 +123,7 @@
     for (const std::string &one : choices) {
         type += " " + one;
     }
-    const std::string value = scalar<std::string>(option, type, fallback, fallback);
+    std::string value = scalar<std::string>(option, type, fallback, fallback);
     if (std::find(choices.begin(), choices.end(), value) == choices.end()) {
         report(option.key, "'" + value + "'", type);
         return fallback;
--- a/Source/Config/YamlReader.h
+++ b/Source/Config/YamlReader.h
@@ -33,7 +33,7 @@
 {
 public:
     /// \p file names the document in findings. \p path is the place of this map in it.
-    YamlReader(YAML::Node node, std::string file, std::string path, Findings &findings,
+    YamlReader(const YAML::Node &node, std::string file, std::string path, Findings &findings,
                std::string *reference = nullptr);
 
     /// Parses \p text; a syntax error becomes a finding and an empty document.
--- a/Source/Platform/BackendConnection.cpp
+++ b/Source/Platform/BackendConnection.cpp
@@ -21,7 +21,9 @@
 protected:
     int write(const char *buffer, std::streamsize length) override
     {
-        return HTTPSession::write(buffer, length);
+        // The base class of the library's client session writes without reconnecting.
+        return Poco::Net::HTTPSession::write(buffer,
+                                             length); // NOLINT(bugprone-parent-virtual-call)
     }
 };
 
--- a/Source/Routing/RolloutGuard.h
+++ b/Source/Routing/RolloutGuard.h
@@ -24,9 +24,10 @@
 {
 public:
     static constexpr double WorseBy = 0.25;
-    static constexpr double Threshold = 7.0; ///< Natural logarithm of the odds, about 1100 to 1.
+    /// The mean number of rated answers between two false stops is at least exp(Threshold).
+    static constexpr double Threshold = 20.0;
     /// From this score on, a version is a suspect.
-    static constexpr double SuspectScore = 2.0;
+    static constexpr double SuspectScore = 3.0;
     static constexpr double LeastBadShare = 0.02;
     static constexpr double MostBadShare = 0.70;
 
--- a/Source/Routing/RolloutWatch.cpp
+++ b/Source/Routing/RolloutWatch.cpp
@@ -7,10 +7,13 @@
 namespace {
 constexpr double EnoughRatings = 30;
 
+constexpr double BoundDeviations = 1.64; ///< One-sided 95 %.
+
+/// Upper bound of the share of bad answers, so that a lucky start does not become a yardstick.
 double badShare(const VersionCount &count)
 {
     const double outcomes = count.rated + count.errors;
-    return outcomes > 0 ? (count.rated - count.good + count.errors) / outcomes : 0;
+    return 1.0 - wilsonLowerBound(count.good, outcomes, BoundDeviations);
 }
 
 /// Growth of a count; counts fade, which is no evidence.
--- a/Tests/Routing/testRolloutGuard.cpp
+++ b/Tests/Routing/testRolloutGuard.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 const VersionId Version("v");
+constexpr int MostExposed = 50; ///< Requests that a bad version may reach.
 
 /// Answers until the guard stops a version with a share of bad answers; \p most if it does not.
 int answersUntilStop(double badShare, double baseline, int most, std::uint64_t seed)
@@ -30,17 +31,15 @@
 Test(rolloutGuard, a_fully_bad_version_is_stopped_within_a_few_answers)
 {
     for (const double baseline : {0.0, 0.02, 0.1, 0.3}) {
-        cr_expect_leq(answersUntilStop(1.0, baseline, 1000, 1), 12);
+        cr_expect_leq(answersUntilStop(1.0, baseline, 1000, 1), MostExposed);
     }
 }
 
-Test(rolloutGuard, a_version_as_good_as_the_replaced_one_is_kept)
+Test(rolloutGuard, a_version_as_good_as_the_replaced_one_is_kept_for_long)
 {
-    int stopped = 0;
-    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-        stopped += answersUntilStop(0.1, 0.1, 1000, seed) < 1000 ? 1 : 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        cr_expect_eq(answersUntilStop(0.1, 0.1, 50'000, seed), 50'000);
     }
-    cr_expect_leq(stopped, 2);
 }
 
 Test(rolloutGuard, a_version_that_turns_bad_late_is_stopped_as_fast)
@@ -51,5 +50,5 @@
     while (!guard.observe(Version, {0, 1}, 0.1)) {
         ++answers;
     }
-    cr_expect_leq(answers, 12);
+    cr_expect_leq(answers, MostExposed);
 }
--- /dev/null
+++ b/Tests/Trial/testFleet.cpp
@@ -0,0 +1,62 @@
+#include <criterion/criterion.h>
+
+#include <iostream>
+
+#include "Scenario.h"
+
+using namespace lycheearch;
+using namespace lycheearch::trial;
+
+/// Cells of the fault matrix with real processes, in a short form. Each has ports of its own.
+namespace {
+
+constexpr Duration LoadLength = 8s;
+constexpr double RequestsPerSecond = 20;
+
+void expectGreen(const std::string &name, std::uint16_t firstPort)
+{
+    const std::string build = LYCHEEARCH_BUILD_DIR;
+    const TrialPaths paths{build,
+                           std::string(LYCHEEARCH_SOURCE_DIR) + "/Utilities/Deployments/sitara",
+                           build + "/test-" + name};
+    WorkloadSpec spec;
+    spec.length = LoadLength;
+    spec.requestsPerSecond = RequestsPerSecond;
+    for (const Scenario &scenario : allScenarios()) {
+        if (scenario.name != name) {
+            continue;
+        }
+        const ScenarioOutcome outcome = runScenario(scenario, paths, firstPort, spec);
+        printOutcome(outcome, std::cout);
+        cr_expect(outcome.green(), "%s", name.c_str());
+        return;
+    }
+    cr_assert_fail("no such cell: %s", name.c_str());
+}
+
+} // namespace
+
+Test(fleet, keeps_all_promises_without_a_fault)
+{
+    expectGreen("none", 24000);
+}
+
+Test(fleet, keeps_all_promises_when_daemons_are_killed)
+{
+    expectGreen("daemon-killed", 24200);
+}
+
+Test(fleet, keeps_all_promises_while_the_log_is_down)
+{
+    expectGreen("log-down-daemon-killed", 24400);
+}
+
+Test(fleet, keeps_all_promises_when_a_data_centre_is_cut_off)
+{
+    expectGreen("cut-from-both", 24600);
+}
+
+Test(fleet, keeps_all_promises_with_cold_engines)
+{
+    expectGreen("engines-start-cold", 24800);
+}
--- a/Utilities/Trial/Decisions.cpp
+++ b/Utilities/Trial/Decisions.cpp
@@ -27,6 +27,7 @@
 struct Tally
 {
     double cost = 0;
+    double costBefore = 0; ///< Of the first half.
     int good = 0;
     int exposed = 0; ///< Bad answers delivered from the version that turned bad.
     int requests = 0;
@@ -73,6 +74,7 @@
     Tally tally;
     for (int i = 0; i < requests; ++i) {
         if (i == requests / 2) {
+            tally.costBefore = tally.cost;
             world.turnBad(turningBad);
         }
         const double difficulty = world.draw();
@@ -174,10 +176,11 @@
                 std::ostream &out)
 {
     out << std::left << std::setw(26) << name << std::right << std::fixed << std::setprecision(0)
-        << std::setw(14) << tally.cost / tally.requests << std::setprecision(2) << std::setw(14)
-        << tally.cost / reference.cost << std::setprecision(4) << std::setw(10)
-        << static_cast<double>(tally.good) / tally.requests << std::setw(10) << tally.exposed
-        << "\n";
+        << std::setw(14) << tally.cost / tally.requests << std::setprecision(2) << std::setw(10)
+        << tally.costBefore / reference.costBefore << std::setw(10)
+        << (tally.cost - tally.costBefore) / (reference.cost - reference.costBefore)
+        << std::setprecision(4) << std::setw(10) << static_cast<double>(tally.good) / tally.requests
+        << std::setw(10) << tally.exposed << "\n";
 }
 
 } // namespace
@@ -208,10 +211,11 @@
     const World world(*manifest, plan, seed);
     const Tally reference = play(world, always(strongest), requests, cheapest);
     out << "quality target " << manifest->qualityTarget << ", seed " << seed << ", " << requests
-        << " requests, " << cheapest.value() << " turns bad half-way\n"
+        << " requests, " << cheapest.value()
+        << " turns bad half-way; before and after: cost relative to always the strongest\n"
         << std::left << std::setw(26) << "way" << std::right << std::setw(14) << "cost a request"
-        << std::setw(14) << "of strongest" << std::setw(10) << "quality" << std::setw(10)
-        << "exposed"
+        << std::setw(10) << "before" << std::setw(10) << "after" << std::setw(10) << "quality"
+        << std::setw(10) << "exposed"
         << "\n";
     printTally("always the strongest", reference, reference, out);
     printTally("always the cheapest", play(world, always(cheapest), requests, cheapest), reference,
--- a/Utilities/Trial/Overhead.cpp
+++ b/Utilities/Trial/Overhead.cpp
@@ -29,6 +29,7 @@
     Endpoint address;
     std::string path;
     std::string body;
+    std::string account;
     bool keyed = false;
 };
 
@@ -41,7 +42,7 @@
 {
     Poco::Net::HTTPRequest request("POST", probe.path, Poco::Net::HTTPMessage::HTTP_1_1);
     request.setKeepAlive(true);
-    request.setCredentials("Bearer", "demo-key-multan");
+    request.setCredentials("Bearer", "demo-key-" + probe.account);
     request.set("X-Request-Id", randomHex());
     if (probe.keyed) {
         request.set("Idempotency-Key", randomHex());
@@ -105,15 +106,49 @@
     out << "\n";
 }
 
-/// The address of the first listed backend server that \p wanted accepts.
-Endpoint addressOf(const nlohmann::json &instances, const std::string &kind)
+/// The address of the first listed backend server whose name starts with \p prefix.
+Endpoint addressOf(const nlohmann::json &instances, const std::string &prefix)
 {
     for (const auto &instance : instances) {
-        if (instance.at("kind") == kind) {
+        if (instance.at("id").get<std::string>().starts_with(prefix)) {
             return Endpoint::parse(instance.at("address").get<std::string>()).value();
         }
     }
-    throw std::runtime_error("no backend server of kind " + kind);
+    throw std::runtime_error("no backend server named " + prefix);
+}
+
+/// The group of backend servers that has \p version loaded, or offers a plain service.
+const BackendGroup &groupOf(const FleetPlan &plan, const std::string &version)
+{
+    for (const BackendGroup &group : plan.groups) {
+        const bool loaded = std::find(group.versions.begin(), group.versions.end(), version)
+            != group.versions.end();
+        if (version.empty() ? group.kind == "service" : loaded) {
+            return group;
+        }
+    }
+    throw std::runtime_error("no backend server has " + version);
+}
+
+/// An account that may use one version only, so that direct and routed calls run the same.
+const AccountSpec &accountOfOneVersion(const Manifest &manifest)
+{
+    for (const auto &[id, account] : manifest.accounts) {
+        if (account.versions.size() == 1) {
+            return account;
+        }
+    }
+    throw std::runtime_error("no account has one version only");
+}
+
+const AccountSpec &accountOfServices(const Manifest &manifest)
+{
+    for (const auto &[id, account] : manifest.accounts) {
+        if (!account.services.empty()) {
+            return account;
+        }
+    }
+    throw std::runtime_error("no account may use a service");
 }
 
 } // namespace
@@ -123,12 +158,17 @@
     const auto listed =
         HttpClient(trial.fleet().platform(), 2s).send({"GET", "/instances", "", ""});
     const auto instances = nlohmann::json::parse(listed.value().body).at("instances");
-    const Endpoint service = addressOf(instances, "service");
-    const Endpoint engine = addressOf(instances, "engine");
+    const Manifest &manifest = trial.manifest();
+    const AccountSpec &chatting = accountOfOneVersion(manifest);
+    const std::string version = chatting.versions.begin()->value();
+    const std::string caller = accountOfServices(manifest).id.value();
+    const FleetPlan &plan = trial.fleet().plan();
+    const Endpoint service = addressOf(instances, groupOf(plan, "").prefix);
+    const Endpoint engine = addressOf(instances, groupOf(plan, version).prefix);
     const FleetDaemon &daemon = trial.fleet().daemons().front();
-    const std::string version = trial.manifest().models.begin()->second.versions.front().id.value();
-    const std::string model = trial.manifest().models.begin()->first.value();
-    const std::string serviceName = trial.manifest().services.begin()->first.value();
+    const std::string model = chatting.models.begin()->value();
+    const ServiceSpec &spec = manifest.services.begin()->second;
+    const std::string operation = spec.operations.front().name.value();
     const nlohmann::json generate{{"request_id", "probe"},
                                   {"version", version},
                                   {"prompt", "nonce=probe"},
@@ -137,17 +177,19 @@
                               {"stream", true},
                               {"max_tokens", Tokens},
                               {"messages", {{{"role", "user"}, {"content", "nonce=probe"}}}}};
-    const std::string lookup = "/v1/services/" + serviceName + "/lookup";
-    const Sample directCall = measure({service, "/call/lookup", "{}"}, repetitions);
+    const std::string path = "/v1/services/" + spec.id.value() + "/" + operation;
+    const Sample directCall = measure({service, "/call/" + operation, "{}", caller}, repetitions);
     const Duration before = daemon.process->processorTime();
     const TimePoint start = SystemClock().now();
-    const Sample routedCall = measure({daemon.address, lookup, "{}"}, repetitions);
+    const Sample routedCall = measure({daemon.address, path, "{}", caller}, repetitions);
     const Duration used = daemon.process->processorTime() - before;
     const double seconds = millisecondsSince(start) / 1000;
-    const Sample keyedCall = measure({daemon.address, lookup, "{}", true}, repetitions);
-    const Sample directStream = measure({engine, "/generate", generate.dump()}, repetitions / 4);
+    const Sample keyedCall = measure({daemon.address, path, "{}", caller, true}, repetitions);
+    const Sample directStream =
+        measure({engine, "/generate", generate.dump(), chatting.id.value()}, repetitions / 4);
     const Sample routedStream =
-        measure({daemon.address, "/v1/chat/completions", chat.dump()}, repetitions / 4);
+        measure({daemon.address, "/v1/chat/completions", chat.dump(), chatting.id.value()},
+                repetitions / 4);
     out << std::left << std::setw(34) << "call, milliseconds" << std::right << std::setw(9)
         << "direct" << std::setw(9) << "routed" << std::setw(8) << "ratio" << std::setw(9)
         << "direct" << std::setw(9) << "routed" << std::setw(8) << "ratio"
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -2,11 +2,17 @@
 # Checks the format and lints all sources. Needs a configured build folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-files=$(git ls-files 'Source/*.cpp' 'Source/*.h' 'Utilities/*.cpp' 'Utilities/*.h' 'Tests/*.cpp' \
-    'Tests/*.h' | grep -v 'peer.capnp')
-# shellcheck disable=SC2086
-clang-format --dry-run --Werror $files
-echo "$files" | grep '\.cpp$' | grep -v '^Tests/' \
-    | xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet 2>&1 \
-    | grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header-filter|^$' || true
-test "${PIPESTATUS[1]:-0}" -eq 0
+mapfile -t files < <(git ls-files 'Source/*.cpp' 'Source/*.h' 'Utilities/*.cpp' 'Utilities/*.h' \
+    'Tests/*.cpp' 'Tests/*.h' | grep -v 'peer.capnp')
+clang-format --dry-run --Werror "${files[@]}"
+report=$(mktemp)
+status=0
+printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -v '^Tests/' \
+    | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet >"$report" 2>/dev/null || status=$?
+cat "$report"
+rm -f "$report"
+if [ "$status" -ne 0 ]; then
+    echo "lint failed" >&2
+    exit 1
+fi
+echo "format and lint are clean"
