Engine orders under a log lease; heartbeats without what peers know already

Change: order lease in the log with its offset as fencing number, a reconciler that makes one step at a time, hold-off on takeover; digests only of cold servers; a peer heard of in this period is not asked again.

--- a/Source/Config/Manifest.cpp
+++ b/Source/Config/Manifest.cpp
@@ -59,6 +59,9 @@
         {"cost_per_token", "Charge for a generated token, in millionths."}, CostRange, 0));
     version.rank = static_cast<int>(
         reader.number({"rank", "Claimed strength; higher is stronger."}, {0, 1000}, 0));
+    version.replicas = static_cast<int>(reader.number(
+        {"replicas", "Engines in each data centre that shall have it; 0: not managed."},
+        {0, 10'000}, 0));
     return version;
 }
 
@@ -137,6 +140,8 @@
         {"cold_limit", "Requests at once in cold start, all daemons together."}, LimitRange, 1));
     spec.warmLimit = static_cast<int>(
         reader.number({"warm_limit", "Requests at once when warm."}, LimitRange, 8));
+    spec.versionSlots = static_cast<int>(reader.number(
+        {"version_slots", "Versions that an engine can have loaded at once."}, {1, 1000}, 4));
     spec.checksFencing =
         reader.flag({"checks_fencing", "Whether it refuses old fencing numbers."}, false);
     manifest.backendClasses[spec.name] = spec;
--- a/Source/Config/Manifest.h
+++ b/Source/Config/Manifest.h
@@ -29,6 +29,7 @@
     VersionId replaces; ///< The version that a canary is compared with.
     MicroCost costPerRequest;
     MicroCost costPerToken;
+    int replicas = 0; ///< Engines in each data centre that shall have it loaded; 0: not managed.
     int rank = 0; ///< Strength order that the build pipeline claims; higher is stronger.
 };
 
@@ -80,6 +81,7 @@
     std::string name;
     int coldLimit = 1; ///< Requests at once, from all daemons together, in cold start.
     int warmLimit = 8; ///< Requests at once when warm.
+    int versionSlots = 4; ///< Versions that an engine can have loaded at once.
     bool checksFencing = false; ///< Whether it refuses an order with an old fencing number.
 };
 
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "Daemon/BackendPoller.h"
 #include "Daemon/FrontEnd.h"
 #include "Daemon/LocalPeerService.h"
+#include "Daemon/OrderDuty.h"
 #include "Daemon/PeerExchange.h"
 #include "Peer/RpcPeerNetwork.h"
 #include "Platform/HttpInstanceList.h"
@@ -15,6 +16,7 @@
 #include "Platform/HttpModelEngine.h"
 #include "Platform/HttpPlainService.h"
 #include "Platform/HttpRatingService.h"
+#include "Platform/HttpWeightStore.h"
 #include "Request/AdmitFilter.h"
 #include "Request/AuthenticateFilter.h"
 #include "Request/BillFilter.h"
@@ -74,6 +76,7 @@
     HttpLogService m_log;
     HttpInstanceList m_instanceList;
     HttpRatingService m_ratings;
+    HttpWeightStore m_weights;
     ConnectionPool m_connections;
     HttpModelEngine m_engine;
     HttpPlainService m_plainService;
@@ -102,6 +105,7 @@
     Rater m_rater;
     Planner m_planner;
     RolloutWatch m_rolloutWatch;
+    OrderDuty m_orders;
     GenerationRunner m_generations;
     ServiceRunner m_services;
     Pipeline m_pipeline;
@@ -117,6 +121,7 @@
     , m_log(m_settings.platform.log, m_settings.platform.timeout)
     , m_instanceList(m_settings.platform.instanceList, m_settings.platform.timeout)
     , m_ratings(m_settings.platform.rating, m_settings.platform.timeout)
+    , m_weights(m_settings.platform.weightStore, m_settings.platform.timeout)
     , m_connections(BackendConnectTimeout, m_clock)
     , m_engine({BackendConnectTimeout, m_settings.timing.firstByteTimeout,
                 m_settings.timing.silenceTimeout},
@@ -149,6 +154,9 @@
     , m_rater(m_ratings, m_stats, m_metrics, RatingRing, m_clock)
     , m_planner(m_stats, m_suspects)
     , m_rolloutWatch(m_stats, m_suspects)
+    , m_orders(m_log, m_engine, m_weights, m_backends, m_config,
+               OrderLease(m_settings.dataCentre, m_settings.instance, m_roster.startId()),
+               Reconciler(m_settings.dataCentre), m_timeline, m_metrics, m_clock)
     , m_generations(m_engine, m_gate, m_backends, m_config, m_stats, m_retries, m_timeline,
                     m_metrics, m_clock)
     , m_services(m_plainService, m_gate, m_backends, m_config, m_retries, m_timeline, m_metrics,
@@ -194,6 +202,7 @@
         m_billing.flush(m_clock.now());
         return BillingPeriod;
     });
+    addDuty("orders", [this] { return m_orders.step(); });
     addDuty("rollouts", [this] { return watchRollouts(); });
     addDuty("maintenance", [this] { return maintain(); });
     m_poller = std::make_unique<BackendPoller>(m_backends, m_settings.dataCentre,
--- a/Source/Daemon/OperatorHandler.cpp
+++ b/Source/Daemon/OperatorHandler.cpp
@@ -117,10 +117,15 @@
     }
     nlohmann::json backends = nlohmann::json::array();
     for (const BackendView &view : m_parts.backends.views()) {
+        nlohmann::json versions = nlohmann::json::array();
+        for (const VersionId &version : view.versions) {
+            versions.push_back(version.value());
+        }
         backends.push_back({{"id", view.instance.id.value()},
                             {"data_centre", view.instance.dataCentre.value()},
                             {"known", view.known},
                             {"cold", view.cold},
+                            {"versions", versions},
                             {"outstanding", view.outstanding},
                             {"reported_in_flight", view.reportedInFlight}});
     }
--- /dev/null
+++ b/Source/Daemon/OrderDuty.cpp
@@ -0,0 +1,90 @@
+#include "Daemon/OrderDuty.h"
+
+#include "Base/Logger.h"
+
+namespace lycheearch {
+
+namespace {
+constexpr Duration StepPeriod = 500ms;
+constexpr std::size_t RecordsPerRead = 1000;
+const Logger Log("orders");
+} // namespace
+
+OrderDuty::OrderDuty(LogService &log, ModelEngine &engine, WeightStore &weights,
+                     BackendTable &backends, const ConfigStore &config, OrderLease lease,
+                     Reconciler reconciler, Timeline &timeline, Metrics &metrics,
+                     const Clock &clock)
+    : m_log(log)
+    , m_engine(engine)
+    , m_weights(weights)
+    , m_backends(backends)
+    , m_config(config)
+    , m_lease(std::move(lease))
+    , m_reconciler(std::move(reconciler))
+    , m_timeline(timeline)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+bool OrderDuty::readStream()
+{
+    const auto slice = m_log.read(Streams::OrderLeases, m_position, RecordsPerRead, Duration(0));
+    if (!slice.ok()) {
+        return false;
+    }
+    for (const LogRecord &record : slice.value().records) {
+        if (const auto lease = decodeLeaseRecord(record.data)) {
+            m_lease.fold(record.offset, *lease, m_clock.now());
+        }
+        m_position = record.offset.next();
+    }
+    return true;
+}
+
+Duration OrderDuty::step()
+{
+    if (!readStream()) {
+        return StepPeriod;
+    }
+    if (const auto record = m_lease.wanted(m_clock.now())) {
+        m_log.append(Streams::OrderLeases, {encodeLeaseRecord(*record)});
+        readStream();
+    }
+    const auto since = m_lease.heldSince();
+    if (since && m_clock.now() - *since >= HoldOff) {
+        sendOrder();
+    }
+    return StepPeriod;
+}
+
+void OrderDuty::sendOrder()
+{
+    const auto step = m_reconciler.next(*m_config.current(), m_backends.views());
+    if (!step) {
+        return;
+    }
+    if (step->kind == OrderKind::Load && m_weights.reserveLoad(step->version)) {
+        return; // The weight store asks to come back later.
+    }
+    // The lease is checked last, so that a holder that was paused sends nothing.
+    if (!m_lease.holds(m_clock.now())) {
+        return;
+    }
+    const char *kind = step->kind == OrderKind::Load ? "load" : "unload";
+    const Status failure =
+        m_engine.order(step->address, {step->kind, step->version, m_lease.fence()});
+    m_metrics.count("lycheearch_orders_total",
+                    std::string("kind=\"") + kind + "\",refused=\"" + (failure ? "true" : "false")
+                        + "\"");
+    TimelineEvent event;
+    event.kind = "order";
+    event.backend = step->engine;
+    event.version = step->version;
+    event.detail = std::string(kind) + (failure ? ": " + failure->message : "");
+    m_timeline.record(event);
+    Log.info(std::string("Ordered ") + step->engine.value() + " to " + kind + " "
+             + step->version.value() + (failure ? ": refused." : "."));
+}
+
+} // namespace lycheearch
--- a/Source/Daemon/PeerExchange.cpp
+++ b/Source/Daemon/PeerExchange.cpp
@@ -21,12 +21,18 @@
 {
 }
 
-std::vector<InstanceId> PeerExchange::nextPeers()
+std::vector<InstanceId> PeerExchange::nextPeers(TimePoint now)
 {
-    const std::vector<RosterMember> all = m_roster.peers();
+    std::vector<InstanceId> due;
+    for (const RosterMember &peer : m_roster.peers()) {
+        const bool heardLately = peer.lastHeard && now - *peer.lastHeard < m_period * 3 / 4;
+        if (!heardLately) {
+            due.push_back(peer.id);
+        }
+    }
     std::vector<InstanceId> chosen;
-    for (std::size_t i = 0; i < std::min(all.size(), MostPerRound); ++i) {
-        chosen.push_back(all[(m_position + i) % all.size()].id);
+    for (std::size_t i = 0; i < std::min(due.size(), MostPerRound); ++i) {
+        chosen.push_back(due[(m_position + i) % due.size()]);
     }
     m_position += chosen.size();
     return chosen;
@@ -35,7 +41,7 @@
 Duration PeerExchange::step()
 {
     const TimePoint start = m_clock.now();
-    const std::vector<InstanceId> peers = nextPeers();
+    const std::vector<InstanceId> peers = nextPeers(start);
     const auto answers = m_network.exchangeAll(peers, m_service.message(start));
     for (std::size_t i = 0; i < answers.size(); ++i) {
         if (!answers[i].ok()) {
--- a/Source/Daemon/PeerExchange.h
+++ b/Source/Daemon/PeerExchange.h
@@ -19,7 +19,9 @@
     Duration step();
 
 private:
-    std::vector<InstanceId> nextPeers();
+    /// Peers that are due: those not heard of in this period, because one exchange informs both
+    /// sides.
+    std::vector<InstanceId> nextPeers(TimePoint now);
     void completeClaims();
 
     PeerNetwork &m_network;
--- a/Source/Routing/BackendTable.cpp
+++ b/Source/Routing/BackendTable.cpp
@@ -309,7 +309,7 @@
     std::lock_guard lock(m_mutex);
     std::vector<BackendLoadReport> reports;
     for (const auto &[id, view] : m_backends) {
-        if (view.known && now - view.reportedAt <= m_reportLifetime) {
+        if (view.known && view.cold && now - view.reportedAt <= m_reportLifetime) {
             reports.push_back(
                 {id, view.startId, view.cold, view.reportedInFlight, now - view.reportedAt});
         }
--- a/Source/Routing/BackendTable.h
+++ b/Source/Routing/BackendTable.h
@@ -84,7 +84,7 @@
     std::vector<InstanceRecord> backendRecords() const;
     std::vector<BackendView> views() const;
     std::optional<BackendView> view(const InstanceId &backend) const;
-    /// Recent own reports for peers.
+    /// Recent reports of servers in cold start, which peers must know of before they poll again.
     std::vector<BackendLoadReport> digests(TimePoint now) const;
 
 private:
--- /dev/null
+++ b/Tests/Routing/testOrders.cpp
@@ -0,0 +1,109 @@
+#include <criterion/criterion.h>
+
+#include "Routing/OrderLease.h"
+#include "Routing/Reconciler.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const DataCentreId Here("here");
+const TimePoint T0 = TimePoint() + 100s;
+
+OrderLease lease(const std::string &name)
+{
+    return {Here, InstanceId(name), StartId(name + "-1")};
+}
+
+ConfigState configWith(const std::string &versions)
+{
+    Findings findings;
+    ConfigState config;
+    config.manifest = std::make_shared<Manifest>(
+        parseManifest("deployment: d\nmodels: [{ id: m, versions: [" + versions
+                          + "] }]\nbackend_classes: [{ name: c, version_slots: 2 }]\n",
+                      "m", findings));
+    cr_assert(findings.empty(), "%s", findings.text().c_str());
+    return config;
+}
+
+BackendView engine(const std::string &id, const std::set<VersionId> &versions)
+{
+    BackendView view;
+    view.instance.id = InstanceId(id);
+    view.instance.kind = InstanceKind::Engine;
+    view.instance.dataCentre = Here;
+    view.instance.backendClass = "c";
+    view.versions = versions;
+    view.known = true;
+    return view;
+}
+
+} // namespace
+
+Test(orderLease, of_two_racing_daemons_one_holds_it)
+{
+    OrderLease first = lease("a");
+    OrderLease second = lease("b");
+    const auto firstRecord = first.wanted(T0);
+    const auto secondRecord = second.wanted(T0);
+    cr_assert(firstRecord && secondRecord);
+    for (OrderLease *one : {&first, &second}) {
+        one->fold(Offset(0), *secondRecord, T0 + 1s);
+        one->fold(Offset(1), *firstRecord, T0 + 1s);
+    }
+    cr_expect(second.holds(T0 + 1s));
+    cr_expect_not(first.holds(T0 + 1s));
+    cr_expect_eq(second.fence().value(), 0);
+}
+
+Test(orderLease, a_holder_stops_before_a_challenger_may_start)
+{
+    OrderLease holder = lease("a");
+    OrderLease challenger = lease("b");
+    const auto record = holder.wanted(T0);
+    holder.fold(Offset(0), *record, T0 + 100ms);
+    challenger.fold(Offset(0), *record, T0 + 100ms);
+    for (Duration passed{}; passed < 20s; passed += 100ms) {
+        const bool held = holder.holds(T0 + passed);
+        OrderLease probe = challenger;
+        cr_expect_not(held && probe.wanted(T0 + passed).has_value());
+    }
+    cr_expect(challenger.wanted(T0 + OrderLease::Term + 100ms).has_value());
+}
+
+Test(orderLease, a_renewal_keeps_the_fence_and_a_restart_does_not_inherit_the_lease)
+{
+    OrderLease holder = lease("a");
+    holder.fold(Offset(0), *holder.wanted(T0), T0);
+    holder.fold(Offset(7), *holder.wanted(T0 + 3s), T0 + 3s);
+    cr_expect(holder.holds(T0 + 7s));
+    cr_expect_eq(holder.fence().value(), 0);
+    OrderLease restarted(Here, InstanceId("a"), StartId("a-2"));
+    restarted.fold(Offset(0), {Here, InstanceId("a"), StartId("a-1"), Offset(-1)}, T0 + 4s);
+    cr_expect_not(restarted.holds(T0 + 4s));
+}
+
+Test(reconciler, loads_missing_replicas_before_it_unloads_withdrawn_ones)
+{
+    const ConfigState config = configWith("{ id: old, state: withdrawn, replicas: 1 }, "
+                                          "{ id: new, replicas: 1 }");
+    const Reconciler reconciler(Here);
+    const VersionId fresh("new");
+    const VersionId old("old");
+    auto step = reconciler.next(config, {engine("e1", {old}), engine("e2", {old})});
+    cr_assert(step);
+    cr_expect(step->kind == OrderKind::Load && step->version == fresh);
+    step = reconciler.next(config, {engine("e1", {old, fresh}), engine("e2", {old})});
+    cr_assert(step);
+    cr_expect(step->kind == OrderKind::Unload && step->version == old);
+    cr_expect_not(reconciler.next(config, {engine("e1", {fresh}), engine("e2", {})}));
+}
+
+Test(reconciler, leaves_a_busy_engine_and_foreign_versions_alone)
+{
+    const ConfigState config = configWith("{ id: old, state: withdrawn, replicas: 1 }");
+    BackendView busy = engine("e1", {VersionId("old")});
+    busy.reportedInFlight = 1;
+    cr_expect_not(Reconciler(Here).next(config, {busy, engine("e2", {VersionId("foreign")})}));
+}
--- a/Utilities/Trial/Caller.cpp
+++ b/Utilities/Trial/Caller.cpp
@@ -98,11 +98,11 @@
 
 void Balancer::refresh()
 {
-    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    for (Target &target : m_targets) {
         const auto answer =
-            HttpClient(m_targets[i].address, ReadyTimeout).send({"GET", "/readyz", "", ""});
+            HttpClient(target.address, ReadyTimeout).send({"GET", "/readyz", "", ""});
         std::lock_guard lock(m_mutex);
-        m_targets[i].ready = answer.ok() && answer.value().status == HttpOk;
+        target.ready = answer.ok() && answer.value().status == HttpOk;
     }
 }
 
--- a/Utilities/Trial/FaultProxy.cpp
+++ b/Utilities/Trial/FaultProxy.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr int PollMilliseconds = 20;
+constexpr long PollMicroseconds = 20'000;
 constexpr std::size_t ChunkBytes = 16'384;
 constexpr int Backlog = 256;
 } // namespace
@@ -47,8 +48,7 @@
 {
     while (!m_stopping) {
         removeEnded();
-        if (!m_server.poll(Poco::Timespan(0, PollMilliseconds * 1000),
-                           Poco::Net::Socket::SELECT_READ)) {
+        if (!m_server.poll(Poco::Timespan(0, PollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
             continue;
         }
         try {
@@ -94,8 +94,7 @@
             }
             Poco::Net::Socket::SocketList readable{connection.near, connection.far};
             Poco::Net::Socket::SocketList none;
-            Poco::Net::Socket::select(readable, none, none,
-                                      Poco::Timespan(0, PollMilliseconds * 1000));
+            Poco::Net::Socket::select(readable, none, none, Poco::Timespan(0, PollMicroseconds));
             bool open = true;
             for (const Poco::Net::Socket &socket : readable) {
                 const bool outward = socket == connection.near;
--- a/Utilities/Trial/Scenario.cpp
+++ b/Utilities/Trial/Scenario.cpp
@@ -288,6 +288,23 @@
         spec.requestsPerSecond *= 2;
     };
     cells.push_back(bad);
+    cells.push_back(cell("replicas-wanted-holder-paused",
+                         "the holder of the order lease is paused while it rolls out",
+                         "order and load", [](Trial &trial) {
+                             const std::string version =
+                                 trial.manifest().models.begin()->second.versions.back().id.value();
+                             std::string text = trial.manifestText();
+                             const std::string mark = "id: " + version + ",";
+                             text.replace(text.find(mark), mark.size(), mark + " replicas: 4,");
+                             trial.publish(text);
+                             wait(6s);
+                             FleetDaemon &daemon = trial.fleet().daemons().at(0);
+                             daemon.process->signal(SIGSTOP);
+                             wait(9s);
+                             daemon.process->signal(SIGCONT);
+                             trial.expect(trial.waitReplicas(version, 4, 20s),
+                                          "a data centre has less than 4 replicas of " + version);
+                         }));
     cells.push_back(
         cell("operators-race", "operators publish against each other", "publish", [](Trial &trial) {
             const std::string path = trial.workPath() + "/race.yaml";
--- a/Utilities/Trial/Trial.cpp
+++ b/Utilities/Trial/Trial.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-Trial::Trial(TrialPaths paths, FleetOptions options)
+Trial::Trial(const TrialPaths &paths, FleetOptions options)
     : Trial(paths, std::move(options), loadFleetPlan(paths.deployment + "/fleet.yaml"))
 {
 }
@@ -149,6 +149,29 @@
     return false;
 }
 
+bool Trial::waitReplicas(const std::string &version, int count, Duration limit)
+{
+    const TimePoint end = SystemClock().now() + limit;
+    while (SystemClock().now() < end) {
+        std::map<std::string, int> replicas;
+        const auto status = m_fleet->status(m_fleet->daemons().back());
+        for (const auto &backend : status.value("backends", nlohmann::json::array())) {
+            for (const auto &loaded : backend.at("versions")) {
+                replicas[backend.at("data_centre").get<std::string>()] += loaded == version ? 1 : 0;
+            }
+        }
+        bool everywhere = !replicas.empty();
+        for (const auto &[dataCentre, number] : replicas) {
+            everywhere = everywhere && number >= count;
+        }
+        if (everywhere) {
+            return true;
+        }
+        std::this_thread::sleep_for(WatchPeriod);
+    }
+    return false;
+}
+
 void Trial::watchRevisions()
 {
     std::map<std::string, RevisionTrace> traces;
--- a/Utilities/Trial/Trial.h
+++ b/Utilities/Trial/Trial.h
@@ -23,7 +23,7 @@
 class Trial
 {
 public:
-    Trial(TrialPaths paths, FleetOptions options);
+    Trial(const TrialPaths &paths, FleetOptions options);
     /// As above, with another fleet than the deployment's.
     Trial(TrialPaths paths, FleetOptions options, FleetPlan plan);
     ~Trial();
@@ -48,6 +48,9 @@
     /// Waits until the configuration in every running daemon has \p revision.
     bool waitRevision(std::int64_t revision, Duration limit);
 
+    /// Waits until engines of every data centre have \p version loaded, \p count in each.
+    bool waitReplicas(const std::string &version, int count, Duration limit);
+
     void takeOut(const std::string &dataCentre);
     void bringBack(const std::string &dataCentre);
     void stopGracefully(const std::string &daemon);
