End every wait on a silent connection; tell keepers later; answer oversized bodies

Ruled out: requests in flight (none), the peer thread (its calls are timed). Found by looking at the joined thread: the tail of the configuration waited in a read without a time limit. An HTTP session that is made from a connected socket ignores setTimeout(), so every call to the platform could hang for good once its connection went silent. Peers spread the configuration, which hid it. Change: time limits on the socket; drops of copies are repeated until the keeper is told; the rest of an oversized body is read before the answer. Also: bulk eviction of kept records and one affinity look-up a choice, which were linear and quadratic in the number of servers.

--- a/Source/Config/Settings.cpp
+++ b/Source/Config/Settings.cpp
@@ -47,9 +47,9 @@
     timing.suspicion = reader.milliseconds(
         {"suspicion_ms", "A peer not heard of for this long is suspected."}, TimeoutRange, 2'500);
     timing.pollPeriod = reader.milliseconds(
-        {"poll_ms", "Time between load reports of a backend server."}, PeriodRange, 500);
+        {"poll_ms", "Time between load reports of a backend server."}, PeriodRange, 1'000);
     timing.instanceListPeriod = reader.milliseconds(
-        {"instance_list_ms", "Time between reads of the instance list."}, PeriodRange, 1'000);
+        {"instance_list_ms", "Time between reads of the instance list."}, PeriodRange, 2'000);
     timing.peerTimeout = reader.milliseconds(
         {"peer_timeout_ms", "Longest wait for an answer of a peer."}, TimeoutRange, 400);
     timing.claimLogTimeout =
--- a/Source/Daemon/BackendPoller.h
+++ b/Source/Daemon/BackendPoller.h
@@ -16,7 +16,7 @@
 {
 public:
     static constexpr std::size_t Threads = 4;
-    static constexpr int RemotePeriods = 4; ///< Periods between reports of another data centre.
+    static constexpr int RemotePeriods = 3; ///< Periods between reports of another data centre.
 
     BackendPoller(BackendTable &backends, DataCentreId ownDataCentre, Duration period,
                   Duration timeout, const Clock &clock);
--- a/Source/Daemon/CallerRequestReader.cpp
+++ b/Source/Daemon/CallerRequestReader.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t LongestHeader = 200;
 constexpr Duration LongestDeadline = 600s;
 constexpr std::int64_t MostTokens = 100'000;
+constexpr std::streamsize MostDiscardedBytes = 16'000'000;
 const std::string BearerPrefix = "Bearer ";
 
 bool isPrintable(const std::string &text)
@@ -27,6 +28,13 @@
     return makeFailure(Errc::Malformed, message);
 }
 
+/// Reads the rest of a body that is too large, up to a limit: a connection that is closed with
+/// unread bytes is reset, and the caller would not see the answer.
+void discardBody(std::istream &stream)
+{
+    stream.ignore(MostDiscardedBytes);
+}
+
 /// Reads an optional header of printable characters into \p value.
 Status readHeader(const Poco::Net::HTTPServerRequest &request, const std::string &name,
                   std::string &value)
@@ -83,6 +91,7 @@
 {
     if (request.hasContentLength()
         && request.getContentLength64() > static_cast<Poco::Int64>(m_maxBodyBytes)) {
+        discardBody(request.stream());
         return makeFailure(Errc::TooLarge,
                            "the body has more than " + std::to_string(m_maxBodyBytes) + " bytes");
     }
@@ -90,6 +99,7 @@
     request.stream().read(body.data(), static_cast<std::streamsize>(body.size()));
     body.resize(static_cast<std::size_t>(request.stream().gcount()));
     if (body.size() > m_maxBodyBytes) {
+        discardBody(request.stream());
         return makeFailure(Errc::TooLarge,
                            "the body has more than " + std::to_string(m_maxBodyBytes) + " bytes");
     }
--- a/Source/Platform/BackendConnection.cpp
+++ b/Source/Platform/BackendConnection.cpp
@@ -35,6 +35,9 @@
     socket.connect(Poco::Net::SocketAddress(address.host, address.port),
                    Poco::Timespan(timeout.count()));
     socket.setNoDelay(true);
+    // A session made from a connected socket takes its time limits from the socket alone.
+    socket.setReceiveTimeout(Poco::Timespan(timeout.count()));
+    socket.setSendTimeout(Poco::Timespan(timeout.count()));
     return socket;
 }
 
@@ -47,7 +50,6 @@
 {
     m_session->setKeepAlive(true);
     m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveHours * Poco::Timespan::HOURS));
-    m_session->setTimeout(Poco::Timespan(timeout.count()));
 }
 
 BackendConnection::~BackendConnection() = default;
--- a/Source/Platform/HttpClient.cpp
+++ b/Source/Platform/HttpClient.cpp
@@ -29,8 +29,10 @@
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(m_address.host, m_address.port), span);
         socket.setNoDelay(true);
+        // A session made from a connected socket takes its time limits from the socket alone.
+        socket.setReceiveTimeout(span);
+        socket.setSendTimeout(span);
         Poco::Net::HTTPClientSession session(socket);
-        session.setTimeout(span);
         Poco::Net::HTTPRequest message(request.method, request.path,
                                        Poco::Net::HTTPMessage::HTTP_1_1);
         message.setContentLength(static_cast<std::streamsize>(request.body.size()));
--- a/Source/Routing/BackendTable.cpp
+++ b/Source/Routing/BackendTable.cpp
@@ -137,25 +137,31 @@
     return others + view.outstanding;
 }
 
+InstanceId BackendTable::preferredFor(const BackendNeed &need) const
+{
+    if (need.affinity.empty()) {
+        return {};
+    }
+    std::vector<InstanceId> pool;
+    for (const auto &[id, view] : m_backends) {
+        if (serves(view, need)) {
+            pool.push_back(id);
+        }
+    }
+    const auto best = rendezvous(need.affinity, pool, 1);
+    return best.empty() ? InstanceId() : best.front();
+}
+
 double BackendTable::expectedDelay(const BackendView &view, const BackendClassSpec &spec,
-                                   const BackendNeed &need) const
+                                   const InstanceId &preferred) const
 {
     const double latency = std::max(view.latencySeconds, LeastLatencySeconds);
     double delay = latency * (1.0 + estimatedLoad(view)) / spec.warmLimit;
     if (view.instance.dataCentre != m_ownDataCentre) {
         delay *= RemoteFactor;
     }
-    if (!need.affinity.empty()) {
-        std::vector<InstanceId> pool;
-        for (const auto &[id, other] : m_backends) {
-            if (serves(other, need)) {
-                pool.push_back(id);
-            }
-        }
-        const auto preferred = rendezvous(need.affinity, pool, 1);
-        if (!preferred.empty() && preferred.front() == view.instance.id) {
-            delay *= AffinityFactor;
-        }
+    if (preferred == view.instance.id) {
+        delay *= AffinityFactor;
     }
     return delay;
 }
@@ -167,6 +173,7 @@
 {
     std::lock_guard lock(m_mutex);
     why = NoChoice::NoneServes;
+    const InstanceId preferred = preferredFor(need);
     BackendView *best = nullptr;
     BackendView *cold = nullptr;
     double bestDelay = 0;
@@ -201,7 +208,7 @@
         if (full) {
             continue;
         }
-        const double delay = expectedDelay(view, spec, need);
+        const double delay = expectedDelay(view, spec, preferred);
         if (best == nullptr || delay < bestDelay) {
             best = &view;
             bestDelay = delay;
--- a/Source/Routing/BackendTable.h
+++ b/Source/Routing/BackendTable.h
@@ -91,8 +91,10 @@
     bool inService(const BackendView &view, const ConfigState &config, TimePoint now) const;
     bool serves(const BackendView &view, const BackendNeed &need) const;
     int estimatedLoad(const BackendView &view) const;
+    /// The server that has the prefixes of the need's affinity cached, if any.
+    InstanceId preferredFor(const BackendNeed &need) const;
     double expectedDelay(const BackendView &view, const BackendClassSpec &spec,
-                         const BackendNeed &need) const;
+                         const InstanceId &preferred) const;
     bool mayEject(const BackendView &view, TimePoint now) const;
 
     DataCentreId m_ownDataCentre;
--- a/Source/State/Billing.cpp
+++ b/Source/State/Billing.cpp
@@ -109,6 +109,7 @@
         }
     }
     if (batch.empty()) {
+        sendDrops();
         return true;
     }
     const auto offset = m_log.append(Streams::Billing, records);
@@ -128,15 +129,25 @@
 
 void Billing::dropCopies(const std::map<std::string, Pending> &appended)
 {
-    std::map<InstanceId, std::vector<std::string>> dropped;
     for (const auto &[key, pending] : appended) {
         for (const InstanceId &keeper : pending.keepers) {
-            dropped[keeper].push_back(key);
+            m_toDrop[keeper].push_back(key);
         }
     }
-    for (const auto &[keeper, keys] : dropped) {
+    sendDrops();
+}
+
+void Billing::sendDrops()
+{
+    for (auto it = m_toDrop.begin(); it != m_toDrop.end();) {
+        const auto &[keeper, keys] = *it;
+        const bool gone = !m_roster.isMember(keeper) || keys.size() > m_capacity;
         // A copy that stays behind is appended by its keeper later, which is harmless.
-        m_network.dropKept(keeper, KeptKind::Bill, keys);
+        if (gone || !m_network.dropKept(keeper, KeptKind::Bill, keys)) {
+            it = m_toDrop.erase(it);
+        } else {
+            ++it;
+        }
     }
 }
 
--- a/Source/State/Billing.h
+++ b/Source/State/Billing.h
@@ -50,6 +50,8 @@
     void sendCopies(const std::vector<InstanceId> &keepers, const std::vector<KeptRecord> &records,
                     Pending &pending);
     void dropCopies(const std::map<std::string, Pending> &appended);
+    /// Tells keepers which copies are not needed any more; those out of reach are told later.
+    void sendDrops();
 
     LogService &m_log;
     PeerNetwork &m_network;
@@ -60,6 +62,7 @@
     mutable std::mutex m_mutex;
     std::mutex m_flushMutex; ///< One append at a time.
     std::map<std::string, Pending> m_pending;
+    std::map<InstanceId, std::vector<std::string>> m_toDrop; ///< Guarded by m_flushMutex.
 };
 
 } // namespace lycheearch
--- a/Source/State/KeptStore.cpp
+++ b/Source/State/KeptStore.cpp
@@ -4,6 +4,10 @@
 
 namespace lycheearch {
 
+namespace {
+constexpr std::size_t EvictedPart = 20; ///< One of so many records goes when the store is full.
+} // namespace
+
 KeptStore::KeptStore(std::size_t capacity, Duration lifetime)
     : m_capacity(capacity)
     , m_lifetime(lifetime)
@@ -38,10 +42,16 @@
 
 void KeptStore::makeRoom(Index &index)
 {
-    const auto older = [](const auto &left, const auto &right) {
-        return left.second.usedAt < right.second.usedAt;
-    };
-    index.erase(std::min_element(index.begin(), index.end(), older));
+    // Several records go at once, so that the search for the oldest is paid for seldom.
+    std::vector<TimePoint> times;
+    times.reserve(index.size());
+    for (const auto &[key, entry] : index) {
+        times.push_back(entry.usedAt);
+    }
+    const auto limit = times.begin() + static_cast<std::ptrdiff_t>(times.size() / EvictedPart);
+    std::nth_element(times.begin(), limit, times.end());
+    const TimePoint oldest = *limit;
+    std::erase_if(index, [&](const auto &item) { return item.second.usedAt <= oldest; });
 }
 
 std::optional<KeptRecord> KeptStore::get(KeptKind kind, const std::string &key, TimePoint now)
--- a/Source/Tool/main.cpp
+++ b/Source/Tool/main.cpp
@@ -32,6 +32,7 @@
 struct Subcommands
 {
     CLI::App *validate;
+    CLI::App *describe;
     CLI::App *publish;
     CLI::App *show;
     CLI::App *diff;
@@ -59,6 +60,7 @@
     Subcommands commands{};
     commands.validate = app.add_subcommand("validate", "Check a manifest file");
     commands.validate->add_option("file", arguments.file, "Manifest")->required();
+    commands.describe = app.add_subcommand("describe-manifest", "Print the manifest reference");
     commands.publish = app.add_subcommand("publish", "Publish a manifest");
     commands.publish->add_option("file", arguments.file, "Manifest")->required();
     commands.publish->add_option("--base", arguments.base,
@@ -126,6 +128,10 @@
         return static_cast<int>(
             Commands::validate(arguments.file, arguments.json, std::cout, std::cerr));
     }
+    if (*chosen.describe) {
+        std::cout << manifestReference();
+        return static_cast<int>(ExitCode::Success);
+    }
     Findings findings;
     const ToolSettings settings = loadToolSettings(arguments.config, findings);
     if (!findings.empty()) {
--- /dev/null
+++ b/Tests/Mocks.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <trompeloeil.hpp>
+
+#include "Peer/PeerNetwork.h"
+#include "Platform/LogService.h"
+
+namespace lycheearch {
+
+/// A clock that stands still until it is moved.
+class FixedClock : public Clock
+{
+public:
+    TimePoint now() const override { return time; }
+    WallTime wallTime() const override { return {}; }
+
+    TimePoint time = TimePoint() + 1000s;
+};
+
+class MockLogService : public trompeloeil::mock_interface<LogService>
+{
+public:
+    IMPLEMENT_MOCK2(append);
+    IMPLEMENT_MOCK4(read);
+};
+
+class MockPeerNetwork : public trompeloeil::mock_interface<PeerNetwork>
+{
+public:
+    IMPLEMENT_MOCK1(setPeers);
+    IMPLEMENT_MOCK2(exchange);
+    IMPLEMENT_MOCK2(exchangeAll);
+    IMPLEMENT_MOCK2(fetchConfig);
+    IMPLEMENT_MOCK2(askClaims);
+    IMPLEMENT_MOCK3(releaseClaim);
+    IMPLEMENT_MOCK3(claimStatus);
+    IMPLEMENT_MOCK1(copyClaims);
+    IMPLEMENT_MOCK2(keep);
+    IMPLEMENT_MOCK2(keepAll);
+    IMPLEMENT_MOCK3(fetchKeptAny);
+    IMPLEMENT_MOCK3(fetchKept);
+    IMPLEMENT_MOCK3(dropKept);
+    IMPLEMENT_MOCK3(takePermit);
+    IMPLEMENT_MOCK3(returnPermit);
+};
+
+} // namespace lycheearch
+
+namespace trompeloeil {
+
+/// Reports a violated expectation as a failed test.
+template <>
+struct reporter<specialized>
+{
+    static void send(severity level, const char *, unsigned long, const char *message)
+    {
+        if (level == severity::fatal) {
+            throw expectation_violation(message);
+        }
+        cr_expect(false, "%s", message);
+    }
+
+    static void sendOk(const char *) { }
+};
+
+} // namespace trompeloeil
--- /dev/null
+++ b/Tests/Platform/testSilentServer.cpp
@@ -0,0 +1,35 @@
+#include <criterion/criterion.h>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include "Platform/BackendConnection.h"
+#include "Platform/HttpClient.h"
+
+using namespace lycheearch;
+
+namespace {
+
+/// Accepts connections in its backlog and never says a word.
+Endpoint silentServer(Poco::Net::ServerSocket &socket)
+{
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+    socket.listen();
+    return {"127.0.0.1", socket.address().port()};
+}
+
+} // namespace
+
+Test(silentServer, a_platform_call_ends_with_an_unknown_outcome, .timeout = 20)
+{
+    Poco::Net::ServerSocket socket;
+    const auto answer = HttpClient(silentServer(socket), 200ms).send({"POST", "/x", "{}", ""});
+    cr_assert_not(answer.ok());
+    cr_expect(answer.failure().run == RunState::Unknown);
+}
+
+Test(silentServer, a_load_report_ends, .timeout = 20)
+{
+    Poco::Net::ServerSocket socket;
+    BackendConnection connection(silentServer(socket), 200ms);
+    cr_expect_throw(connection.readReport(), Poco::Exception);
+}
--- /dev/null
+++ b/Tests/State/testClaimProtocol.cpp
@@ -0,0 +1,97 @@
+#include <criterion/criterion.h>
+
+#include "Mocks.h"
+#include "State/ClaimProtocol.h"
+
+using namespace lycheearch;
+using trompeloeil::_;
+
+namespace {
+
+const RequestKey Key("a/k");
+
+InstanceRecord entry(const std::string &id)
+{
+    InstanceRecord record;
+    record.id = InstanceId(id);
+    return record;
+}
+
+struct Fixture
+{
+    Fixture()
+        : roster(InstanceId("self"), StartId("s"), DataCentreId("here"), 2s, {})
+        , keeper(600s)
+        , logDown(
+              NAMED_ALLOW_CALL(log, append(_, _)).RETURN(makeFailure(Errc::LogUnavailable, "down")))
+        , appender(log, Streams::Claims, 100)
+        , protocol(keeper, appender, network, roster, 200ms, clock)
+    {
+        roster.updateList({entry("self"), entry("p1"), entry("p2")});
+    }
+
+    ClaimOutcome acquire() { return protocol.acquire(Key, clock.time + 10s, clock.time); }
+
+    FixedClock clock;
+    MockLogService log;
+    MockPeerNetwork network;
+    Roster roster;
+    ClaimKeeper keeper;
+    std::unique_ptr<trompeloeil::expectation> logDown;
+    StreamAppender appender;
+    ClaimProtocol protocol;
+};
+
+using Answers = std::vector<Result<ClaimAnswer>>;
+
+Result<ClaimAnswer> consent(bool given)
+{
+    ClaimAnswer answer;
+    answer.consent = given;
+    return answer;
+}
+
+} // namespace
+
+Test(claimProtocol, a_fresh_daemon_claims_nothing)
+{
+    Fixture fixture;
+    const ClaimOutcome outcome = fixture.acquire();
+    cr_expect(outcome.kind == ClaimOutcome::Kind::Refused);
+    cr_expect(outcome.failure->run == RunState::NotRun);
+}
+
+Test(claimProtocol, without_the_log_all_peers_must_consent)
+{
+    Fixture fixture;
+    fixture.keeper.setComplete();
+    REQUIRE_CALL(fixture.network, askClaims(_, _))
+        .WITH(_1.size() == 2 && _2.roster.size() == 3)
+        .RETURN(Answers{consent(true), consent(true)});
+    const ClaimOutcome outcome = fixture.acquire();
+    cr_expect(outcome.kind == ClaimOutcome::Kind::Granted);
+    cr_expect(outcome.byPeers);
+}
+
+Test(claimProtocol, one_veto_refuses_and_releases_the_claim_everywhere)
+{
+    Fixture fixture;
+    fixture.keeper.setComplete();
+    REQUIRE_CALL(fixture.network, askClaims(_, _)).RETURN(Answers{consent(true), consent(false)});
+    REQUIRE_CALL(fixture.network, releaseClaim(_, Key, _)).WITH(_1.size() == 2);
+    const ClaimOutcome outcome = fixture.acquire();
+    cr_expect(outcome.kind == ClaimOutcome::Kind::Refused);
+    cr_expect(outcome.failure->retryAfter > Duration::zero());
+    cr_expect(fixture.keeper.find(Key).phase == ClaimPhase::Released);
+}
+
+Test(claimProtocol, one_silent_peer_refuses)
+{
+    Fixture fixture;
+    fixture.keeper.setComplete();
+    REQUIRE_CALL(fixture.network, askClaims(_, _))
+        .RETURN(Answers{consent(true),
+                        Result<ClaimAnswer>(makeFailure(Errc::PeerUnavailable, "silent"))});
+    ALLOW_CALL(fixture.network, releaseClaim(_, _, _));
+    cr_expect(fixture.acquire().kind == ClaimOutcome::Kind::Refused);
+}
--- a/Utilities/Trial/Scenario.cpp
+++ b/Utilities/Trial/Scenario.cpp
@@ -156,97 +156,80 @@
     }));
 }
 
-void addPlatformCells(std::vector<Scenario> &cells)
+/// Switches a fault of the platform on for a while.
+std::function<void(Trial &)> platformFault(const std::string &name, std::int64_t value,
+                                           Duration length)
 {
-    cells.push_back(cell("log-down", "log down", "claim and bill", [](Trial &trial) {
+    return [=](Trial &trial) {
         wait(1s);
-        trial.fleet().setFault("", "log_down", 1);
-        wait(7s);
-        trial.fleet().setFault("", "log_down", 0);
-    }));
-    cells.push_back(cell("log-slow", "log answers after 3 s", "claim and bill", [](Trial &trial) {
+        trial.fleet().setFault("", name, value);
+        wait(length);
+        trial.fleet().setFault("", name, 0);
+    };
+}
+
+void addPlatformCells(std::vector<Scenario> &cells)
+{
+    const auto add = [&](const std::string &name, const std::string &fault, const std::string &step,
+                         std::function<void(Trial &)> inject) {
+        cells.push_back(cell(name, fault, step, std::move(inject)));
+    };
+    add("log-down", "log down", "claim and bill", platformFault("log_down", 1, 7s));
+    add("log-slow", "log answers after 3 s", "claim and bill",
+        platformFault("log_slow", 3'000, 6s));
+    add("log-answers-lost", "appends take effect and their answers are lost", "claim and bill",
+        platformFault("log_lose_answer", 200, 6s));
+    add("list-down", "instance list down", "dispatch", platformFault("list_down", 1, 7s));
+    add("rating-down", "rating service down", "rate", platformFault("rating_down", 1, 7s));
+    add("rating-slow", "rating service silent for 5 s", "rate",
+        platformFault("rating_slow", 5'000, 7s));
+    add("log-down-daemon-killed", "log down, and a daemon killed in it", "claim and bill",
+        [](Trial &trial) {
+            wait(1s);
+            trial.fleet().setFault("", "log_down", 1);
+            wait(1s);
+            trial.killDaemon(daemonOf(trial, 0));
+            wait(4s);
+            trial.restart(daemonOf(trial, 0));
+            wait(2s);
+            trial.fleet().setFault("", "log_down", 0);
+        });
+}
+
+/// Cuts the links of the first data centre for a while.
+std::function<void(Trial &)> isolation(LinkState peers, LinkState platform)
+{
+    return [=](Trial &trial) {
         wait(1s);
-        trial.fleet().setFault("", "log_slow", 3'000);
+        isolate(trial, 0, peers, platform);
         wait(6s);
-        trial.fleet().setFault("", "log_slow", 0);
-    }));
-    cells.push_back(cell("log-answers-lost", "appends take effect and their answers are lost",
-                         "claim and bill", [](Trial &trial) {
-                             wait(500ms);
-                             trial.fleet().setFault("", "log_lose_answer", 200);
-                             wait(6s);
-                             trial.fleet().setFault("", "log_lose_answer", 0);
-                         }));
-    cells.push_back(cell("log-down-daemon-killed", "log down, and a daemon killed in it",
-                         "claim and bill", [](Trial &trial) {
-                             wait(1s);
-                             trial.fleet().setFault("", "log_down", 1);
-                             wait(1s);
-                             trial.killDaemon(daemonOf(trial, 0));
-                             wait(4s);
-                             trial.restart(daemonOf(trial, 0));
-                             wait(2s);
-                             trial.fleet().setFault("", "log_down", 0);
-                         }));
-    cells.push_back(cell("list-down", "instance list down", "dispatch", [](Trial &trial) {
-        wait(500ms);
-        trial.fleet().setFault("", "list_down", 1);
-        wait(7s);
-        trial.fleet().setFault("", "list_down", 0);
-    }));
-    cells.push_back(cell("rating-down", "rating service down", "rate", [](Trial &trial) {
-        wait(500ms);
-        trial.fleet().setFault("", "rating_down", 1);
-        wait(7s);
-        trial.fleet().setFault("", "rating_down", 0);
-    }));
-    cells.push_back(cell("rating-slow", "rating service silent for 5 s", "rate", [](Trial &trial) {
-        wait(500ms);
-        trial.fleet().setFault("", "rating_slow", 5'000);
-        wait(7s);
-        trial.fleet().setFault("", "rating_slow", 0);
-    }));
+        isolate(trial, 0, LinkState::Open, LinkState::Open);
+    };
 }
 
 void addPartitionCells(std::vector<Scenario> &cells)
 {
-    cells.push_back(cell("cut-from-platform", "data centre cut from the platform", "all steps",
-                         [](Trial &trial) {
-                             wait(1s);
-                             isolate(trial, 0, LinkState::Open, LinkState::Cut);
-                             wait(6s);
-                             isolate(trial, 0, LinkState::Open, LinkState::Open);
-                         }));
-    cells.push_back(
-        cell("cut-from-peers", "data centre cut from the others", "all steps", [](Trial &trial) {
-            wait(1s);
-            isolate(trial, 0, LinkState::Cut, LinkState::Open);
-            wait(6s);
-            isolate(trial, 0, LinkState::Open, LinkState::Open);
-        }));
-    cells.push_back(
-        cell("cut-from-both", "data centre cut from both", "all steps", [](Trial &trial) {
-            wait(1s);
-            isolate(trial, 0, LinkState::Cut, LinkState::Cut);
-            wait(6s);
-            isolate(trial, 0, LinkState::Open, LinkState::Open);
-        }));
-    cells.push_back(cell("cut-from-both-log-down", "two cut off, and the log down for the rest",
-                         "all steps", [](Trial &trial) {
-                             wait(1s);
-                             isolate(trial, 0, LinkState::Cut, LinkState::Cut);
-                             trial.fleet().setFault("", "log_down", 1);
-                             wait(5s);
-                             trial.fleet().setFault("", "log_down", 0);
-                             isolate(trial, 0, LinkState::Open, LinkState::Open);
-                         }));
-    cells.push_back(
-        cell("links-silent", "open connections go silent for good", "all steps", [](Trial &trial) {
-            for (int round = 0; round < 3; ++round) {
-                wait(2s);
-                trial.fleet().silenceLinks();
-            }
-        }));
+    const auto add = [&](const std::string &name, const std::string &fault,
+                         std::function<void(Trial &)> inject) {
+        cells.push_back(cell(name, fault, "all steps", std::move(inject)));
+    };
+    add("cut-from-platform", "data centre cut from the platform",
+        isolation(LinkState::Open, LinkState::Cut));
+    add("cut-from-peers", "data centre cut from the others",
+        isolation(LinkState::Cut, LinkState::Open));
+    add("cut-from-both", "data centre cut from both", isolation(LinkState::Cut, LinkState::Cut));
+    add("cut-from-both-log-down", "data centre cut from both, and the log down for the rest",
+        [](Trial &trial) {
+            trial.fleet().setFault("", "log_down", 1);
+            isolation(LinkState::Cut, LinkState::Cut)(trial);
+            trial.fleet().setFault("", "log_down", 0);
+        });
+    add("links-silent", "open connections go silent for good", [](Trial &trial) {
+        for (int round = 0; round < 3; ++round) {
+            wait(2s);
+            trial.fleet().silenceLinks();
+        }
+    });
 }
 
 void addOperatorCells(std::vector<Scenario> &cells)
--- a/Utilities/Trial/main.cpp
+++ b/Utilities/Trial/main.cpp
@@ -70,6 +70,29 @@
     return held && billed ? 0 : 1;
 }
 
+/// Sends a load without faults and prints latencies and goodput.
+int runLoad(const Arguments &arguments)
+{
+    FleetOptions options;
+    options.firstPort = arguments.firstPort;
+    options.proxied = false;
+    Trial trial(arguments.paths, options);
+    trial.start();
+    WorkloadSpec spec = arguments.workload;
+    spec.length =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(arguments.seconds));
+    const TimePoint start = SystemClock().now();
+    trial.load(spec);
+    const double seconds = std::chrono::duration<double>(SystemClock().now() - start).count();
+    std::size_t answered = 0;
+    for (const RequestRecord &record : trial.evidence().records) {
+        answered += record.answered ? 1 : 0;
+    }
+    printLoad(trial.evidence().records, std::cout);
+    std::cout << "goodput " << static_cast<double>(answered) / seconds << " requests/s\n";
+    return 0;
+}
+
 /// Runs the cells whose names contain \p wanted. Returns the number of red ones.
 int runMatrix(const Arguments &arguments, const std::string &wanted, int parallel)
 {
@@ -161,6 +184,13 @@
         app.add_subcommand("decisions", "Compare the planner with plain ways of choosing");
     int requests = 20'000;
     decisions->add_option("--requests", requests, "Requests of each way")->capture_default_str();
+    CLI::App *load = app.add_subcommand("load", "Send a load without faults");
+    load->add_option("--chat", arguments.workload.chatShare, "Share of chats")
+        ->capture_default_str();
+    load->add_option("--bookings", arguments.workload.bookingShare, "Share of bookings")
+        ->capture_default_str();
+    load->add_option("--tokens", arguments.workload.tokens, "Tokens of a chat's answer")
+        ->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     try {
         if (*write) {
@@ -186,6 +216,9 @@
             compareDecisions(arguments.paths.deployment, arguments.workload.seed, requests,
                              std::cout);
         }
+        if (*load) {
+            return runLoad(arguments);
+        }
         if (*overhead) {
             FleetOptions options;
             options.firstPort = arguments.firstPort;
