--- a/Source/Platform/BackendConnection.cpp
+++ b/Source/Platform/BackendConnection.cpp
@@ -21,9 +21,9 @@
 protected:
     int write(const char *buffer, std::streamsize length) override
     {
-        // The base class of the library's client session writes without reconnecting.
-        return Poco::Net::HTTPSession::write(buffer,
-                                             length); // NOLINT(bugprone-parent-virtual-call)
+        // The client session's own write reconnects, so the one below it is called.
+        // NOLINTNEXTLINE(bugprone-parent-virtual-call)
+        return HTTPSession::write(buffer, length);
     }
 };
 
