--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -179,7 +179,7 @@
                                                    m_timeline, m_clock));
     filters.push_back(std::make_unique<BillFilter>(m_billing, m_metrics, m_clock));
     filters.push_back(std::make_unique<DispatchFilter>(m_generations, m_services, m_rater,
-                                                       m_suspects, m_metrics, m_timeline, m_clock));
+                                                       m_suspects, m_metrics, m_timeline));
     return filters;
 }
 
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -27,7 +27,7 @@
     /// Asks all \p peers at once. A peer that does not answer has its failure in its place.
     virtual std::vector<Result<ClaimAnswer>> askClaims(const std::vector<InstanceId> &peers,
                                                        const ClaimAsk &ask) = 0;
-    /// Tells all \p peers, without waiting for answers.
+    /// Tells all \p peers at once; those out of reach are left out.
     virtual void releaseClaim(const std::vector<InstanceId> &peers, const RequestKey &key,
                               const ClaimId &claim) = 0;
     virtual Result<ClaimAnswer> claimStatus(const InstanceId &peer, const RequestKey &key,
--- a/Source/Request/DispatchFilter.cpp
+++ b/Source/Request/DispatchFilter.cpp
@@ -26,14 +26,13 @@
 
 DispatchFilter::DispatchFilter(GenerationRunner &generations, ServiceRunner &services, Rater &rater,
                                const SuspectVersions &suspects, Metrics &metrics,
-                               Timeline &timeline, const Clock &clock)
+                               Timeline &timeline)
     : m_generations(generations)
     , m_services(services)
     , m_rater(rater)
     , m_suspects(suspects)
     , m_metrics(metrics)
     , m_timeline(timeline)
-    , m_clock(clock)
 {
 }
 
--- a/Source/Request/DispatchFilter.h
+++ b/Source/Request/DispatchFilter.h
@@ -17,8 +17,7 @@
     static constexpr double SampledShare = 0.2;
 
     DispatchFilter(GenerationRunner &generations, ServiceRunner &services, Rater &rater,
-                   const SuspectVersions &suspects, Metrics &metrics, Timeline &timeline,
-                   const Clock &clock);
+                   const SuspectVersions &suspects, Metrics &metrics, Timeline &timeline);
     Status apply(RequestContext &context) override;
 
 private:
@@ -34,7 +33,6 @@
     const SuspectVersions &m_suspects;
     Metrics &m_metrics;
     Timeline &m_timeline;
-    const Clock &m_clock;
 };
 
 } // namespace lycheearch
--- a/Source/State/Roster.cpp
+++ b/Source/State/Roster.cpp
@@ -33,9 +33,9 @@
         member.id = instance.id;
         member.dataCentre = instance.dataCentre;
         member.leaving = instance.leaving;
-        const auto override = m_overrides.find(instance.id);
+        const auto overriding = m_overrides.find(instance.id);
         member.peerAddress =
-            override == m_overrides.end() ? instance.peerAddress : override->second;
+            overriding == m_overrides.end() ? instance.peerAddress : overriding->second;
     }
     std::vector<InstanceId> gone;
     for (const auto &[id, member] : m_peers) {
