--- /dev/null
+++ b/Source/Config/RouterSettings.cpp
@@ -0,0 +1,117 @@
+#include "Config/RouterSettings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "Config/YamlReader.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::int64_t LongestMs = 600'000;
+
+Endpoint endpoint(YamlReader &reader, const Option &option)
+{
+    const std::string text = reader.requiredText(option);
+    if (const auto parsed = Endpoint::parse(text)) {
+        return *parsed;
+    }
+    if (!text.empty()) {
+        reader.report(option.key, text, "IP:PORT");
+    }
+    return {};
+}
+
+Duration bound(YamlReader &reader, const Option &option, std::int64_t fallback)
+{
+    return reader.milliseconds(option, {0, LongestMs}, fallback);
+}
+
+Duration secondsBound(YamlReader &reader, const Option &option, double fallback)
+{
+    constexpr Range<double> Seconds{0, 600};
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(reader.real(option, Seconds, fallback)));
+}
+
+RouterBounds readBounds(YamlReader &reader)
+{
+    constexpr Range<double> Ratio{0, 1000};
+    constexpr Range<double> Count{0, 1'000'000};
+    RouterBounds bounds;
+    bounds.drain = bound(
+        reader, {"drain_ms", "Time in which a draining backend server stops getting work"}, 2000);
+    bounds.grace
+        = secondsBound(reader, {"grace_s", "Seconds from the signal to stop until the kill"}, 8);
+    bounds.configApply = bound(
+        reader, {"config_apply_ms", "Time in which a new configuration comes into force"}, 2000);
+    bounds.retryWindow
+        = secondsBound(reader, {"retry_window_s", "Window of the bound on repeated sends"}, 10);
+    bounds.retryRatio = reader.real(
+        {"retry_ratio", "Repeated sends for each request in the window"}, Ratio, 0.2);
+    bounds.retrySlack = reader.real(
+        {"retry_slack", "Repeated sends beyond that, over all daemons"}, Count, 0);
+    bounds.exposeShare
+        = reader.real({"expose_share", "Most of the traffic for an unproved version"}, Ratio, 0.1);
+    bounds.exposeSlack
+        = reader.real({"expose_slack", "Requests beyond that share"}, Count, 0);
+    bounds.rollback = bound(
+        reader, {"rollback_ms", "Time in which a bad version stops getting work"}, 5000);
+    bounds.coldOvershoot = reader.real(
+        {"cold_overshoot", "Factor on what a cold backend server bears"}, Ratio, 1);
+    bounds.coldSlack
+        = reader.real({"cold_slack", "Requests a second beyond that"}, Count, 0);
+    bounds.sessionGap
+        = secondsBound(reader, {"session_gap_s", "Longest pause within a session"}, 5);
+    return bounds;
+}
+
+RouterSettings readSettings(YamlReader &reader)
+{
+    RouterSettings settings;
+    settings.instance = InstanceId(reader.requiredText({"instance", "Name of this instance"}));
+    settings.dataCentre
+        = DataCentreId(reader.requiredText({"data_centre", "Data centre of this instance"}));
+    settings.listen = endpoint(reader, {"listen", "Address for callers"});
+    settings.readinessListen
+        = endpoint(reader, {"readiness_listen", "Address for the balancer's readiness checks"});
+    settings.metricsListen = endpoint(reader, {"metrics_listen", "Address for metrics"});
+    settings.store = endpoint(reader, {"store", "Address of the log store"});
+    settings.memoryMegabytes
+        = reader.number({"memory_mb", "Memory that the process may use"}, {16, 1'000'000}, 128);
+    settings.routineLogLines = static_cast<int>(
+        reader.number({"routine_log_lines", "Log lines a second for requests that went well"},
+                      {0, 100'000}, 20));
+    reader.section({"bounds", "Bounds for all daemons together"},
+                   [&](YamlReader &section) { settings.bounds = readBounds(section); });
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+RouterSettings loadRouterSettings(const std::string &path, Findings &findings)
+{
+    std::ifstream file(path);
+    if (!file) {
+        findings.add(path, "a file that can't be read", "a settings file in YAML");
+        return {};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    const YAML::Node document = YamlReader::parse(text.str(), path, findings);
+    YamlReader reader(document, path, "", findings);
+    return readSettings(reader);
+}
+
+std::string routerSettingsReference()
+{
+    std::string reference;
+    Findings ignored;
+    YamlReader reader(YAML::Node(YAML::NodeType::Map), "", "", ignored, &reference);
+    readSettings(reader);
+    return reference;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Config/RouterSettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+#include "Base/Endpoint.h"
+#include "Base/Findings.h"
+#include "Base/Ids.h"
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// Bounds that the deployment sets for all daemons together.
+struct RouterBounds
+{
+    Duration drain{}; ///< A draining backend server gets no new work after this.
+    Duration grace{}; ///< From the signal to stop until the process is killed.
+    Duration configApply{}; ///< A new configuration is in force everywhere after this.
+    Duration retryWindow{};
+    double retryRatio = 0; ///< Repeated sends for each request in the window.
+    double retrySlack = 0; ///< Repeated sends beyond the ratio.
+    double exposeShare = 0; ///< Most of the traffic that a bad version may get.
+    double exposeSlack = 0; ///< Requests beyond that share.
+    Duration rollback{}; ///< From the proof that a version is bad until it gets no work.
+    double coldOvershoot = 1;
+    double coldSlack = 0;
+    Duration sessionGap{}; ///< Requests of a session that follow within this belong together.
+};
+
+/// Settings of a daemon that keeps its state in a log store.
+struct RouterSettings
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    Endpoint listen; ///< Callers.
+    Endpoint readinessListen;
+    Endpoint metricsListen;
+    Endpoint store;
+    std::int64_t memoryMegabytes = 0;
+    int routineLogLines = 0; ///< A second.
+    RouterBounds bounds;
+};
+
+/// Reads and checks a settings file.
+RouterSettings loadRouterSettings(const std::string &path, Findings &findings);
+
+/// The reference page, made from the declarations that the checks use.
+std::string routerSettingsReference();
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -0,0 +1,300 @@
+#include "Daemon/RouterDaemon.h"
+
+#include <csignal>
+
+#include <unistd.h>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+
+constexpr FollowerTiming StoreTiming{1500ms, 700ms, 1000ms, 200ms, 1000ms};
+constexpr BackendLink::Limits LinkLimits{
+    400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
+constexpr Duration SweepPeriod = 1s;
+/// While stopping: how long idle connections are left open, so that their callers hear of the
+/// stop with their next answer.
+constexpr Duration IdleCloseDelay = 3s;
+constexpr Duration DrainCheckPeriod = 100ms;
+/// The balancer needs this long to see that the instance is not ready.
+constexpr Duration ShortestDrain = 3500ms;
+/// Left of the grace period when what still runs is broken off.
+constexpr Duration GraceReserve = 300ms;
+/// Assumed number of daemons among which shared slack is divided.
+constexpr double SlackDivisor = 12;
+
+const char *topicName(Topic topic)
+{
+    switch (topic) {
+    case Topic::Operator:
+        return "operator";
+    case Topic::Backends:
+        return "backends";
+    case Topic::Status:
+        return "status";
+    case Topic::Evidence:
+        break;
+    }
+    return "evidence";
+}
+
+RetryBounds retryBounds(const RouterBounds &bounds)
+{
+    return {bounds.retryRatio, bounds.retryWindow, bounds.retrySlack / SlackDivisor};
+}
+
+} // namespace
+
+RouterDaemon::RouterDaemon(RouterSettings settings, Reload reload, const StoreFactory &makeStore,
+                           const RequestDialect &dialect)
+    : m_settings(std::move(settings))
+    , m_reload(std::move(reload))
+    , m_loop(m_clock)
+    , m_log(m_settings.instance.value(), STDOUT_FILENO, m_settings.routineLogLines, m_clock)
+    , m_store(makeStore(m_loop, m_settings))
+    , m_follower(m_loop, *m_store, m_view, *this, StoreTiming)
+    , m_picker(m_settings.dataCentre)
+    , m_links(m_loop, LinkLimits)
+    , m_retries(retryBounds(m_settings.bounds))
+    , m_context{m_loop, m_view, m_picker, m_links, dialect, m_retries, m_rollouts, m_models,
+                m_log, m_metrics}
+    , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
+{
+}
+
+RouterDaemon::~RouterDaemon() = default;
+
+std::string RouterDaemon::start()
+{
+    const auto failed = [](const char *what, const Endpoint &endpoint,
+                           const std::error_code &error) {
+        return std::string(what) + " " + endpoint.text() + ": " + error.message();
+    };
+    std::error_code error;
+    m_callers = std::make_unique<CallerServer>(m_context, m_settings.listen, error);
+    if (error) {
+        return failed("listen", m_settings.listen, error);
+    }
+    m_readinessServer = std::make_unique<HttpResponder>(
+        m_loop, m_settings.readinessListen,
+        [this](const HttpRequestHead &, TimePoint now) { return readiness(now); }, error);
+    if (error) {
+        return failed("readiness_listen", m_settings.readinessListen, error);
+    }
+    m_metricsServer = std::make_unique<HttpResponder>(
+        m_loop, m_settings.metricsListen,
+        [this](const HttpRequestHead &, TimePoint now) { return metricsPage(now); }, error);
+    if (error) {
+        return failed("metrics_listen", m_settings.metricsListen, error);
+    }
+    return {};
+}
+
+void RouterDaemon::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    m_signals.handle(SIGTERM);
+    m_signals.handle(SIGINT);
+    m_signals.handle(SIGHUP);
+    m_log.write(LogWeight::Notable,
+                LogLine("process.start")
+                    .add("data_centre", m_settings.dataCentre.value())
+                    .add("listen", m_settings.listen.text())
+                    .add("store", m_settings.store.text()),
+                m_loop.now());
+    m_follower.start();
+    sweep(m_loop.now());
+    m_loop.run();
+    m_log.write(LogWeight::Notable, LogLine("process.stop"), m_loop.now());
+}
+
+void RouterDaemon::onSignal(int signal, TimePoint now)
+{
+    if (signal == SIGHUP) {
+        reloadSettings(now);
+    } else {
+        beginDrain(now);
+    }
+}
+
+void RouterDaemon::reloadSettings(TimePoint now)
+{
+    Findings findings;
+    const RouterSettings fresh = m_reload(findings);
+    if (!findings.empty()) {
+        m_log.write(LogWeight::Notable,
+                    LogLine("settings.rejected").add("findings", findings.text()), now);
+        return;
+    }
+    const bool restartNeeded = fresh.listen != m_settings.listen
+        || fresh.readinessListen != m_settings.readinessListen
+        || fresh.metricsListen != m_settings.metricsListen || fresh.store != m_settings.store
+        || fresh.instance != m_settings.instance || fresh.dataCentre != m_settings.dataCentre;
+    m_settings.bounds = fresh.bounds;
+    m_retries = RetryAllowance(retryBounds(fresh.bounds));
+    m_log.write(LogWeight::Notable,
+                LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
+                now);
+}
+
+void RouterDaemon::beginDrain(TimePoint now)
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    m_drainStart = now;
+    m_callers->drain(now);
+    m_log.write(LogWeight::Notable,
+                LogLine("process.draining")
+                    .add("connections", static_cast<std::int64_t>(m_callers->connections()))
+                    .add("grace_ms", m_settings.bounds.grace),
+                now);
+    checkDrained(now);
+}
+
+void RouterDaemon::checkDrained(TimePoint now)
+{
+    const Duration elapsed = now - m_drainStart;
+    if (elapsed >= IdleCloseDelay) {
+        m_callers->closeIdle(now);
+    }
+    const bool quiet = m_callers->connections() == 0 && elapsed >= ShortestDrain;
+    if (quiet || elapsed >= m_settings.bounds.grace - GraceReserve) {
+        m_callers->terminateAll(now);
+        m_loop.stop();
+        return;
+    }
+    m_loop.at(now + DrainCheckPeriod, [this](TimePoint present) { checkDrained(present); });
+}
+
+void RouterDaemon::sweep(TimePoint now)
+{
+    m_links.sweep(now, [this](const InstanceId &id) {
+        const BackendState *state = m_view.backend(id);
+        return state != nullptr && !state->draining;
+    });
+    m_picker.prune(m_view);
+    m_loop.at(now + SweepPeriod, [this](TimePoint present) { sweep(present); });
+}
+
+HttpReply RouterDaemon::readiness(TimePoint now)
+{
+    const bool ready = m_follower.synced() && !m_draining;
+    if (ready != m_wasReady) {
+        m_wasReady = ready;
+        m_log.write(LogWeight::Notable,
+                    LogLine("process.ready").add("ready", ready ? "yes" : "no"), now);
+    }
+    return {ready ? StatusOk : StatusUnavailable, {}, ready ? "ready\n" : "not ready\n"};
+}
+
+HttpReply RouterDaemon::metricsPage(TimePoint)
+{
+    HttpReply reply{StatusOk, {}, m_metrics.text()};
+    reply.fields.add("Content-Type", "text/plain; version=0.0.4");
+    reply.body += "# TYPE lycheearch_backend_connections_opened_total counter\n"
+                  "lycheearch_backend_connections_opened_total "
+        + std::to_string(m_links.opened()) + "\n"
+        + "# TYPE lycheearch_log_lines_left_out_total counter\n"
+          "lycheearch_log_lines_left_out_total "
+        + std::to_string(m_log.leftOut()) + "\n";
+    return reply;
+}
+
+void RouterDaemon::applyConfig(TimePoint now)
+{
+    const auto table = m_view.table();
+    for (const auto &[name, service] : table->config().services) {
+        m_picker.setColdLimits(name, {service.coldPerSecond, service.coldPeriod});
+    }
+    m_log.write(LogWeight::Notable,
+                LogLine("config.applied")
+                    .add("version", table->version().value())
+                    .add("routes", static_cast<std::int64_t>(table->config().routes.size()))
+                    .add("accounts", static_cast<std::int64_t>(table->config().accounts.size())),
+                now);
+}
+
+void RouterDaemon::onRecord(ViewChange change, const StoredRecord &stored, TimePoint now)
+{
+    switch (change) {
+    case ViewChange::Config:
+        applyConfig(now);
+        break;
+    case ViewChange::Backend: {
+        const BackendReport &report = std::get<BackendReported>(stored.record).report;
+        const BackendState *state = m_view.backend(report.id);
+        m_log.write(LogWeight::Notable,
+                    LogLine("backend.seen")
+                        .add("backend", report.id.value())
+                        .add("service", report.service.value())
+                        .add("address", report.address.text())
+                        .add("data_centre", report.dataCentre.value())
+                        .add("version", report.version.value())
+                        .add("draining", state->draining ? "yes" : "no")
+                        .add("cold_ms", report.coldFor)
+                        .add("offset", stored.offset.value()),
+                    now);
+        break;
+    }
+    case ViewChange::BackendGone:
+        onBackendDropped(std::get<BackendRemoved>(stored.record).id, "removed", now);
+        break;
+    case ViewChange::Evacuation: {
+        const auto &evacuation = std::get<EvacuationChanged>(stored.record);
+        m_log.write(LogWeight::Notable,
+                    LogLine("data_centre.evacuation")
+                        .add("data_centre", evacuation.dataCentre.value())
+                        .add("evacuated", evacuation.evacuated ? "yes" : "no"),
+                    now);
+        break;
+    }
+    case ViewChange::Rollout:
+        m_log.write(LogWeight::Notable,
+                    LogLine("rollout.record").add("offset", stored.offset.value()), now);
+        break;
+    case ViewChange::Unreadable: {
+        const auto &record = std::get<UnreadableRecord>(stored.record);
+        m_log.write(LogWeight::Notable,
+                    LogLine("record.unreadable")
+                        .add("key", record.key)
+                        .add("offset", stored.offset.value())
+                        .add("reason", record.reason),
+                    now);
+        break;
+    }
+    case ViewChange::None:
+    case ViewChange::Stale:
+        break;
+    }
+}
+
+void RouterDaemon::onBackendDropped(const InstanceId &id, const char *reason, TimePoint now)
+{
+    m_log.write(LogWeight::Notable,
+                LogLine("backend.gone").add("backend", id.value()).add("reason", reason), now);
+}
+
+void RouterDaemon::onStoreLost(Topic topic, StoreFault fault, const std::string &detail,
+                               TimePoint now)
+{
+    m_log.write(LogWeight::Notable,
+                LogLine("store.lost")
+                    .add("topic", topicName(topic))
+                    .add("fault", storeFaultName(fault))
+                    .add("detail", detail),
+                now);
+}
+
+void RouterDaemon::onStoreRegained(Topic topic, Duration lostFor, TimePoint now)
+{
+    m_log.write(LogWeight::Notable,
+                LogLine("store.regained").add("topic", topicName(topic)).add("lost_ms", lostFor),
+                now);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Daemon/RouterDaemon.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Base/Metrics.h"
+#include "Config/RouterSettings.h"
+#include "Fleet/FleetFollower.h"
+#include "Fleet/FleetStore.h"
+#include "Fleet/FleetView.h"
+#include "Forward/CallerServer.h"
+#include "Forward/RequestDialect.h"
+#include "Log/DecisionLog.h"
+#include "Net/HttpResponder.h"
+#include "Net/SignalPipe.h"
+
+namespace lycheearch {
+
+/// Makes the client of a store on an event loop.
+using StoreFactory
+    = std::function<std::unique_ptr<FleetStore>(EventLoop &loop, const RouterSettings &settings)>;
+
+/// A daemon that keeps nothing: it follows the store, forwards requests, and stops gracefully.
+class RouterDaemon : private FleetObserver
+{
+public:
+    /// \p reload reads the settings again, or reports findings.
+    using Reload = std::function<RouterSettings(Findings &findings)>;
+
+    RouterDaemon(RouterSettings settings, Reload reload, const StoreFactory &makeStore,
+                 const RequestDialect &dialect);
+    ~RouterDaemon() override;
+
+    /// Opens the listening sockets. Returns an error text if one can't be opened.
+    std::string start();
+    /// Serves until it is told to stop and all requests have ended.
+    void run();
+
+private:
+    void onRecord(ViewChange change, const StoredRecord &record, TimePoint now) override;
+    void onBackendDropped(const InstanceId &id, const char *reason, TimePoint now) override;
+    void onStoreLost(Topic topic, StoreFault fault, const std::string &detail,
+                     TimePoint now) override;
+    void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) override;
+
+    void onSignal(int signal, TimePoint now);
+    void reloadSettings(TimePoint now);
+    void beginDrain(TimePoint now);
+    void checkDrained(TimePoint now);
+    void sweep(TimePoint now);
+    void applyConfig(TimePoint now);
+    HttpReply readiness(TimePoint now);
+    HttpReply metricsPage(TimePoint now);
+
+    RouterSettings m_settings;
+    Reload m_reload;
+    SystemClock m_clock;
+    EventLoop m_loop;
+    DecisionLog m_log;
+    Metrics m_metrics;
+    FleetView m_view;
+    std::unique_ptr<FleetStore> m_store;
+    FleetFollower m_follower;
+    BackendPicker m_picker;
+    BackendLinkPool m_links;
+    RetryAllowance m_retries;
+    RolloutDirector m_rollouts;
+    LargestModelChooser m_models;
+    ForwardContext m_context;
+    SignalPipe m_signals;
+    std::unique_ptr<CallerServer> m_callers;
+    std::unique_ptr<HttpResponder> m_readinessServer;
+    std::unique_ptr<HttpResponder> m_metricsServer;
+    bool m_draining = false;
+    bool m_wasReady = false;
+    TimePoint m_drainStart;
+};
+
+} // namespace lycheearch
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -7,6 +7,8 @@
 #include "Config/Manifest.h"
 #include "Config/Settings.h"
 #include "Daemon/Daemon.h"
+#include "Daemon/RouterDaemon.h"
+#include "platform/PlatformAdapter.h"
 
 using namespace lycheearch;
 
@@ -27,6 +29,30 @@
     return daemon.stop() == 0 ? Success : BillsLost;
 }
 
+/// Runs the daemon on the platform's store until it is told to stop.
+int runRouter(const std::string &path, bool checkOnly)
+{
+    const auto load = [path](Findings &findings) { return loadRouterSettings(path, findings); };
+    Findings findings;
+    RouterSettings settings = load(findings);
+    if (!findings.empty()) {
+        std::cerr << findings.text();
+        return BadSettings;
+    }
+    if (checkOnly) {
+        std::cout << path << ": the settings are valid.\n";
+        return Success;
+    }
+    RouterDaemon daemon(std::move(settings), load, platform::makeStore, platform::requestDialect());
+    const std::string failure = daemon.start();
+    if (!failure.empty()) {
+        std::cerr << "lycheearchd: " << failure << "\n";
+        return Failed;
+    }
+    daemon.run();
+    return Success;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -38,13 +64,18 @@
     app.add_option("--config", path, "Settings file in YAML");
     app.add_flag("--check-config", checkOnly, "Check the settings and exit");
     app.add_flag("--describe-config", describe, "Print the settings reference and exit");
+    bool onPlatform = false;
+    app.add_flag("--platform", onPlatform, "Run on the prepared platform, with its settings");
     app.footer("Exit codes: 0 success, 1 failure to start, 2 bad settings, 3 stopped with bills\n"
                "that no other process holds.");
     CLI11_PARSE(app, argc, argv);
     if (describe) {
-        std::cout << settingsReference();
+        std::cout << (onPlatform ? routerSettingsReference() : settingsReference());
         return Success;
     }
+    if (onPlatform && !path.empty()) {
+        return runRouter(path, checkOnly);
+    }
     Findings findings;
     if (path.empty()) {
         findings.add("--config", "nothing", "the path of a settings file");
--- /dev/null
+++ b/Source/Fleet/FleetView.cpp
@@ -0,0 +1,191 @@
+#include "Fleet/FleetView.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+namespace {
+
+/// Removed backend servers whose late reports are still recognized.
+constexpr std::size_t RememberedRemovals = 2000;
+
+/// Calls the overload for the kind of a record.
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+ViewChange FleetView::apply(const StoredRecord &stored, TimePoint now)
+{
+    const auto handler = Overloaded{
+        [&](const ConfigPublished &record) { return applyConfig(record, now); },
+        [&](const BackendReported &record) { return applyReport(record.report, now); },
+        [&](const BackendRemoved &record) { return applyRemoval(record.id, now); },
+        [&](const EvacuationChanged &record) { return applyEvacuation(record); },
+        [&](const RolloutOrdered &record) {
+            m_rollouts[record.service] = record;
+            ++m_revision;
+            return ViewChange::Rollout;
+        },
+        [&](const RolloutWithdrawn &record) {
+            m_rollouts.erase(record.service);
+            ++m_revision;
+            return ViewChange::Rollout;
+        },
+        [&](const RolloutReported &record) {
+            m_rolloutStates[record.service] = record;
+            ++m_revision;
+            return ViewChange::Rollout;
+        },
+        [&](const VersionEvidence &record) {
+            m_evidence[record.daemon + "/" + record.service.value()] = record;
+            return ViewChange::None;
+        },
+        [&](const UnreadableRecord &) { return ViewChange::Unreadable; },
+    };
+    return std::visit(handler, stored.record);
+}
+
+ViewChange FleetView::applyConfig(const ConfigPublished &record, TimePoint now)
+{
+    if (m_table && record.config.version <= m_table->version()) {
+        return ViewChange::Stale;
+    }
+    m_table = std::make_shared<RoutingTable>(record.config);
+    m_configReadAt = now;
+    ++m_revision;
+    return ViewChange::Config;
+}
+
+bool FleetView::isStale(const BackendReport &report) const
+{
+    const auto older = [&](std::int64_t startedAt, std::int64_t sequence) {
+        return report.startedAt < startedAt
+            || (report.startedAt == startedAt && report.sequence < sequence);
+    };
+    if (const auto known = m_backends.find(report.id); known != m_backends.end()) {
+        return older(known->second.report.startedAt, known->second.report.sequence);
+    }
+    const auto removed = m_removed.find(report.id);
+    return removed != m_removed.end()
+        && older(removed->second.startedAt, removed->second.sequence + 1);
+}
+
+ViewChange FleetView::applyReport(const BackendReport &report, TimePoint now)
+{
+    if (isStale(report)) {
+        return ViewChange::Stale;
+    }
+    m_removed.erase(report.id);
+    BackendState &state = m_backends[report.id];
+    const bool restarted = state.report.startedAt != report.startedAt;
+    const bool drained = state.draining && !restarted;
+    const bool changed = restarted || state.draining != report.draining || state.lapsed
+        || state.report.address != report.address || state.report.version != report.version;
+    state.report = report;
+    state.heardAt = now;
+    state.draining = report.draining || drained;
+    state.lapsed = false;
+    if (report.coldFor > Duration::zero()) {
+        state.coldUntil = now + report.coldFor;
+    }
+    if (!changed) {
+        return ViewChange::None;
+    }
+    ++m_revision;
+    return ViewChange::Backend;
+}
+
+ViewChange FleetView::applyRemoval(const InstanceId &id, TimePoint now)
+{
+    const auto found = m_backends.find(id);
+    if (found == m_backends.end()) {
+        return ViewChange::None;
+    }
+    if (now < m_lapseGraceUntil) {
+        found->second.lapsed = true;
+        return ViewChange::None;
+    }
+    forget(id);
+    return ViewChange::BackendGone;
+}
+
+ViewChange FleetView::applyEvacuation(const EvacuationChanged &record)
+{
+    const bool changed = record.evacuated ? m_evacuated.insert(record.dataCentre).second
+                                          : m_evacuated.erase(record.dataCentre) > 0;
+    if (!changed) {
+        return ViewChange::None;
+    }
+    ++m_revision;
+    return ViewChange::Evacuation;
+}
+
+std::vector<InstanceId> FleetView::retain(const std::set<InstanceId> &listed, TimePoint now)
+{
+    std::vector<InstanceId> missing;
+    for (const auto &[id, state] : m_backends) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    std::erase_if(missing, [&](const InstanceId &id) {
+        return applyRemoval(id, now) != ViewChange::BackendGone;
+    });
+    return missing;
+}
+
+void FleetView::retainOrders(const std::set<DataCentreId> &evacuations,
+                             const std::set<ServiceId> &rollouts)
+{
+    std::erase_if(m_evacuated,
+                  [&](const DataCentreId &dataCentre) { return !evacuations.contains(dataCentre); });
+    std::erase_if(m_rollouts, [&](const auto &entry) { return !rollouts.contains(entry.first); });
+    ++m_revision;
+}
+
+std::vector<InstanceId> FleetView::dropLapsed(TimePoint now)
+{
+    std::vector<InstanceId> dropped;
+    if (now < m_lapseGraceUntil) {
+        return dropped;
+    }
+    for (const auto &[id, state] : m_backends) {
+        if (state.lapsed) {
+            dropped.push_back(id);
+        }
+    }
+    for (const InstanceId &id : dropped) {
+        forget(id);
+    }
+    return dropped;
+}
+
+void FleetView::forget(const InstanceId &id)
+{
+    const auto found = m_backends.find(id);
+    if (m_removed.size() >= RememberedRemovals) {
+        m_removed.erase(m_removed.begin());
+    }
+    m_removed[id] = {found->second.report.startedAt, found->second.report.sequence};
+    m_backends.erase(found);
+    ++m_revision;
+}
+
+const BackendState *FleetView::backend(const InstanceId &id) const
+{
+    const auto found = m_backends.find(id);
+    return found == m_backends.end() ? nullptr : &found->second;
+}
+
+bool FleetView::evacuated(const DataCentreId &dataCentre) const
+{
+    return m_evacuated.contains(dataCentre);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Fleet/FleetView.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Fleet/FleetRecord.h"
+#include "Fleet/RoutingTable.h"
+
+namespace lycheearch {
+
+/// What a record changed, for the log and for those who follow the view.
+enum class ViewChange {
+    None,
+    Config,
+    Backend,
+    BackendGone,
+    Evacuation,
+    Rollout,
+    Stale, ///< Older than what is known; ignored.
+    Unreadable,
+};
+
+/// A backend server as this daemon believes it to be.
+struct BackendState
+{
+    BackendReport report;
+    TimePoint heardAt; ///< When its last report was read.
+    TimePoint coldUntil;
+    bool draining = false;
+    bool lapsed = false; ///< Its entry vanished around an outage of the store; it may come back.
+};
+
+/// The belief of one daemon about configuration, backend servers and the operator's orders, folded
+/// from records. Versions and reports never go back.
+class FleetView
+{
+public:
+    /// Time after the store's return in which lapsed entries may come back.
+    static constexpr Duration LapseGrace = 2200ms;
+
+    ViewChange apply(const StoredRecord &stored, TimePoint now);
+    /// Removes the backend servers that a full listing up to \p listedEnd did not name.
+    std::vector<InstanceId> retain(const std::set<InstanceId> &listed, TimePoint now);
+    /// Forgets the operator's orders that a full listing did not name.
+    void retainOrders(const std::set<DataCentreId> &evacuations,
+                      const std::set<ServiceId> &rollouts);
+    /// The store answers again after an outage.
+    void contactRegained(TimePoint now) { m_lapseGraceUntil = now + LapseGrace; }
+    /// Drops lapsed entries whose grace is over. Returns them.
+    std::vector<InstanceId> dropLapsed(TimePoint now);
+
+    std::shared_ptr<const RoutingTable> table() const { return m_table; }
+    TimePoint configReadAt() const { return m_configReadAt; }
+    const std::map<InstanceId, BackendState> &backends() const { return m_backends; }
+    const BackendState *backend(const InstanceId &id) const;
+    bool evacuated(const DataCentreId &dataCentre) const;
+    const std::map<ServiceId, RolloutOrdered> &rollouts() const { return m_rollouts; }
+    const std::map<ServiceId, RolloutReported> &rolloutStates() const { return m_rolloutStates; }
+    const std::map<std::string, VersionEvidence> &evidence() const { return m_evidence; }
+    /// Grows with each change that may change who can be sent work.
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    struct Incarnation
+    {
+        std::int64_t startedAt = 0;
+        std::int64_t sequence = 0;
+    };
+
+    ViewChange applyConfig(const ConfigPublished &record, TimePoint now);
+    ViewChange applyReport(const BackendReport &report, TimePoint now);
+    ViewChange applyRemoval(const InstanceId &id, TimePoint now);
+    ViewChange applyEvacuation(const EvacuationChanged &record);
+    bool isStale(const BackendReport &report) const;
+    void forget(const InstanceId &id);
+
+    std::shared_ptr<const RoutingTable> m_table;
+    TimePoint m_configReadAt;
+    TimePoint m_lapseGraceUntil;
+    std::map<InstanceId, BackendState> m_backends;
+    std::map<InstanceId, Incarnation> m_removed; ///< Last report of those that were removed.
+    std::set<DataCentreId> m_evacuated;
+    std::map<ServiceId, RolloutOrdered> m_rollouts;
+    std::map<ServiceId, RolloutReported> m_rolloutStates;
+    std::map<std::string, VersionEvidence> m_evidence;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Fleet/RoutingTable.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Fleet/RoutingConfig.h"
+
+namespace lycheearch {
+
+/// Looks up routes and keys in one version of the configuration.
+class RoutingTable
+{
+public:
+    explicit RoutingTable(RoutingConfig config);
+
+    /// The route with the longest prefix that begins \p target, or null.
+    const Route *route(std::string_view host, std::string_view target) const;
+    /// The account that holds \p key, or null.
+    const AccountProfile *account(std::string_view key) const;
+    const ServiceProfile *service(const ServiceId &name) const;
+    bool needsKeys() const { return !m_config.accounts.empty(); }
+    ConfigVersion version() const { return m_config.version; }
+    const CallerLimits &limits() const { return m_config.limits; }
+    const RoutingConfig &config() const { return m_config; }
+
+private:
+    RoutingConfig m_config;
+    std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< Longest prefix first.
+    std::unordered_map<std::string, const AccountProfile *> m_byKey;
+};
+
+/// Chooses among the services of a route by their weights. The same \p hash leads to the same
+/// service. Returns null if the route names none.
+const ServiceId *chooseService(const Route &route, std::uint64_t hash);
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/BackendLink.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include "Base/Endpoint.h"
+#include "Net/HttpParser.h"
+#include "Net/Socket.h"
+#include "Net/StreamSocket.h"
+
+namespace lycheearch {
+
+/// Whether bytes of a request can have reached the backend server.
+enum class Delivery { NotSent, MaybeSent };
+
+/// Receives the answer to one request. A link calls no listener after onAnswerEnd or onLinkLost.
+class BackendLinkListener
+{
+public:
+    enum class Verdict { Accept, Skip };
+
+    virtual ~BackendLinkListener() = default;
+    /// Skip drops this answer: it belongs to another request, and the right one may follow.
+    virtual Verdict onAnswerHead(const HttpResponseHead &head, TimePoint now) = 0;
+    virtual void onAnswerBody(std::string_view bytes, TimePoint now) = 0;
+    virtual void onAnswerEnd(TimePoint now) = 0;
+    virtual void onLinkLost(Delivery delivery, std::error_code error, TimePoint now) = 0;
+};
+
+/// A connection to a backend server that carries one request at a time.
+class BackendLink : public StreamSocketListener, public HttpResponseSink
+{
+public:
+    /// Bounds and time limits of links.
+    struct Limits
+    {
+        Duration connectTimeout{};
+        HttpLimits http;
+        Liveness liveness;
+    };
+
+    /// Connects. Returns null and sets \p error if not even a socket can be had.
+    static std::unique_ptr<BackendLink> open(EventLoop &loop, const Endpoint &address,
+                                             const Limits &limits, std::error_code &error);
+    BackendLink(EventLoop &loop, int fd, const Limits &limits);
+    ~BackendLink() override;
+
+    /// Sends a request; the answer goes to \p listener.
+    void send(std::string_view bytes, bool bodyless, BackendLinkListener &listener, TimePoint now);
+    /// Ends the connection. The listener hears nothing more.
+    void abort();
+
+    /// Whether another request may follow on this connection.
+    bool reusable() const;
+    bool fresh() const { return m_answers == 0; }
+    TimePoint idleSince() const { return m_idleSince; }
+    /// How long the server keeps an idle connection, as it told.
+    Duration serverIdleTimeout() const { return m_serverIdleTimeout; }
+
+private:
+    void onConnected(TimePoint now) override;
+    void onBytes(std::string_view bytes, TimePoint now) override;
+    void onEnd(TimePoint now) override;
+    void onError(std::error_code error, TimePoint now) override;
+    void onResponseHead(HttpResponseHead head) override;
+    void onResponseBody(std::string_view bytes) override;
+
+    void feed(TimePoint now);
+    void restartParser();
+    void completeAnswer(TimePoint now);
+    void lose(std::error_code error, TimePoint now);
+
+    EventLoop &m_loop;
+    Limits m_limits;
+    StreamSocket m_socket;
+    std::unique_ptr<HttpResponseParser> m_parser;
+    std::string m_input;
+    BackendLinkListener *m_listener = nullptr;
+    TimerId m_connectTimer;
+    TimePoint m_now;
+    TimePoint m_idleSince;
+    Duration m_serverIdleTimeout;
+    bool m_bodyless = false;
+    bool m_skipping = false;
+    bool m_skippedAny = false;
+    bool m_keepAlive = true;
+    bool m_interim = false; ///< The answer at hand has a 1xx status.
+    int m_answers = 0;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/CallerConnection.cpp
@@ -0,0 +1,294 @@
+#include "Forward/CallerConnection.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int PayloadTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+
+/// Bytes of a following request that are kept while one is being served.
+constexpr std::size_t MostPipelinedBytes = 64 * 1024;
+/// How long the caller may take to close after the last answer.
+constexpr Duration LingerTime = 1s;
+constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
+
+} // namespace
+
+CallerConnection::CallerConnection(ForwardContext &context, int fd, bool draining,
+                                   EndedCallback ended, TimePoint now)
+    : m_context(context)
+    , m_ended(std::move(ended))
+    , m_socket(context.loop, fd, StreamSocket::Start::Connected, *this)
+    , m_draining(draining)
+{
+    setLiveness(fd, CallerLiveness);
+    startRequest(now);
+}
+
+CallerConnection::~CallerConnection()
+{
+    m_context.loop.cancel(m_timer);
+}
+
+CallerLimits CallerConnection::limits() const
+{
+    const auto table = m_context.view.table();
+    return table ? table->limits() : CallerLimits();
+}
+
+void CallerConnection::startRequest(TimePoint now)
+{
+    const CallerLimits bounds = limits();
+    m_state = State::Waiting;
+    m_parser = std::make_unique<HttpRequestParser>(HttpLimits{bounds.headBytes, bounds.bodyBytes},
+                                                   *this);
+    m_body.clear();
+    arm(bounds.idleTimeout, now);
+}
+
+void CallerConnection::drain()
+{
+    m_draining = true;
+}
+
+void CallerConnection::closeIfIdle(TimePoint now)
+{
+    if (idle()) {
+        linger(now);
+    }
+}
+
+void CallerConnection::terminate(TimePoint now)
+{
+    if (m_exchange) {
+        m_exchange->cancel(now);
+    }
+    close(now);
+}
+
+void CallerConnection::onBytes(std::string_view bytes, TimePoint now)
+{
+    if (m_state == State::Lingering || m_state == State::Closed) {
+        return;
+    }
+    m_input.append(bytes);
+    if (m_state == State::Serving) {
+        if (m_input.size() > MostPipelinedBytes) {
+            m_socket.setReading(false);
+        }
+        return;
+    }
+    parse(now);
+}
+
+void CallerConnection::parse(TimePoint now)
+{
+    m_now = now;
+    if (m_state == State::Waiting && !m_input.empty()) {
+        m_state = State::Reading;
+        arm(limits().headTimeout, now);
+    }
+    const bool headWasComplete = m_parser->headComplete();
+    m_parser->feed(m_input);
+    switch (m_parser->fault()) {
+    case HttpFault::None:
+        break;
+    case HttpFault::HeadTooLarge:
+        refuse(HeadTooLarge, "request header fields too large", now);
+        return;
+    case HttpFault::BodyTooLarge:
+        refuse(PayloadTooLarge, "request body too large", now);
+        return;
+    case HttpFault::Malformed:
+    case HttpFault::Truncated:
+        refuse(BadRequest, "malformed request", now);
+        return;
+    }
+    if (m_parser->complete()) {
+        serve(now);
+    } else if (m_parser->headComplete()) {
+        if (!headWasComplete && m_head.fields.hasToken("Expect", "100-continue")) {
+            m_socket.send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        arm(limits().idleTimeout, now);
+    }
+}
+
+void CallerConnection::onRequestHead(HttpRequestHead head)
+{
+    m_head = std::move(head);
+}
+
+void CallerConnection::onRequestBody(std::string_view bytes)
+{
+    m_body.append(bytes);
+}
+
+void CallerConnection::serve(TimePoint now)
+{
+    m_state = State::Serving;
+    m_context.loop.cancel(m_timer);
+    m_keepAlive = m_head.keepAlive;
+    m_chunkedAnswer = !m_head.httpOneZero;
+    m_bodyless = m_head.method == "HEAD";
+    if (m_head.method == "CONNECT" || m_head.fields.count("Host") != 1) {
+        refuse(BadRequest, "a request needs one Host field", now);
+        return;
+    }
+    CallerRequest request = m_context.dialect.decodeRequest(std::move(m_head));
+    m_exchange = std::make_unique<Exchange>(m_context, *this, std::move(request),
+                                            std::move(m_body), now);
+    m_body = std::string();
+    m_exchange->start(now);
+}
+
+void CallerConnection::refuse(int status, const char *cause, TimePoint now)
+{
+    m_context.log.write(LogWeight::Notable,
+                        LogLine("request.refused").add("status", status).add("cause", cause), now);
+    m_context.metrics.count("lycheearch_requests_total",
+                            "status=\"" + std::to_string(status) + "\"");
+    m_state = State::Serving;
+    m_keepAlive = false;
+    HttpFields fields;
+    fields.add("Content-Type", "text/plain");
+    sendWhole(status, reasonPhrase(status), std::move(fields), std::string(cause) + "\n", now);
+}
+
+void CallerConnection::sendWhole(int status, std::string_view reason, HttpFields fields,
+                                 std::string_view body, TimePoint now)
+{
+    if (m_draining) {
+        m_keepAlive = false;
+    }
+    fields.add("Content-Length", std::to_string(body.size()));
+    if (!m_keepAlive) {
+        fields.add("Connection", "close");
+    }
+    std::string bytes = serializeResponseHead(status, reason, fields);
+    if (!m_bodyless) {
+        bytes.append(body);
+    }
+    m_socket.send(bytes);
+    answered(now);
+}
+
+void CallerConnection::beginStream(int status, std::string_view reason, HttpFields fields)
+{
+    if (m_draining || !m_chunkedAnswer) {
+        m_keepAlive = false;
+    }
+    if (m_chunkedAnswer) {
+        fields.add("Transfer-Encoding", "chunked");
+    }
+    if (!m_keepAlive) {
+        fields.add("Connection", "close");
+    }
+    m_socket.send(serializeResponseHead(status, reason, fields));
+}
+
+void CallerConnection::streamBytes(std::string_view bytes)
+{
+    m_socket.send(m_chunkedAnswer ? serializeChunk(bytes) : std::string(bytes));
+}
+
+void CallerConnection::endStream(TimePoint now)
+{
+    if (m_chunkedAnswer) {
+        m_socket.send(LastChunk);
+    }
+    if (m_draining) {
+        m_keepAlive = false;
+    }
+    answered(now);
+}
+
+void CallerConnection::breakOff(TimePoint now)
+{
+    close(now);
+}
+
+void CallerConnection::answered(TimePoint now)
+{
+    if (!m_keepAlive) {
+        linger(now);
+        return;
+    }
+    // The exchange and the parser may be further up the call stack.
+    m_context.loop.defer([this] {
+        if (m_state != State::Serving) {
+            return;
+        }
+        const TimePoint present = m_context.loop.now();
+        m_exchange.reset();
+        startRequest(present);
+        m_socket.setReading(true);
+        if (!m_input.empty()) {
+            parse(present);
+        }
+    });
+}
+
+void CallerConnection::linger(TimePoint now)
+{
+    m_state = State::Lingering;
+    m_input.clear();
+    m_socket.setReading(true);
+    m_socket.shutdownSending();
+    arm(LingerTime, now);
+}
+
+void CallerConnection::onEnd(TimePoint now)
+{
+    terminate(now);
+}
+
+void CallerConnection::onError(std::error_code, TimePoint now)
+{
+    terminate(now);
+}
+
+void CallerConnection::onDrained(TimePoint) { }
+
+void CallerConnection::close(TimePoint)
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    m_context.loop.cancel(m_timer);
+    m_socket.close();
+    m_ended(*this);
+}
+
+void CallerConnection::arm(Duration limit, TimePoint now)
+{
+    m_context.loop.cancel(m_timer);
+    m_timer = m_context.loop.at(now + limit, [this](TimePoint present) {
+        m_timer = TimerId();
+        onTimer(present);
+    });
+}
+
+void CallerConnection::onTimer(TimePoint now)
+{
+    switch (m_state) {
+    case State::Waiting:
+        linger(now);
+        break;
+    case State::Reading:
+        refuse(RequestTimeout, "the request did not arrive in time", now);
+        break;
+    case State::Lingering:
+        close(now);
+        break;
+    case State::Serving:
+    case State::Closed:
+        break;
+    }
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/CallerConnection.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Forward/AnswerSink.h"
+#include "Forward/Exchange.h"
+#include "Net/HttpParser.h"
+#include "Net/StreamSocket.h"
+
+namespace lycheearch {
+
+/// One connection of a caller: reads requests one after the other and writes their answers.
+class CallerConnection : public StreamSocketListener, public HttpRequestSink, public AnswerSink
+{
+public:
+    /// Is told when the connection has ended and may be destroyed, later.
+    using EndedCallback = std::function<void(CallerConnection &)>;
+
+    CallerConnection(ForwardContext &context, int fd, bool draining, EndedCallback ended,
+                     TimePoint now);
+    ~CallerConnection() override;
+
+    /// The process is stopping: the next answer is the last of this connection.
+    void drain();
+    /// Closes the connection if no request is in progress.
+    void closeIfIdle(TimePoint now);
+    /// Ends the connection whatever it does.
+    void terminate(TimePoint now);
+    bool idle() const { return m_state == State::Waiting && m_input.empty(); }
+
+private:
+    enum class State {
+        Waiting, ///< For the first byte of a request.
+        Reading, ///< A request has begun to arrive.
+        Serving, ///< A request is complete and not yet answered.
+        Lingering, ///< The last answer is sent; waits for the caller to close.
+        Closed,
+    };
+
+    void onBytes(std::string_view bytes, TimePoint now) override;
+    void onEnd(TimePoint now) override;
+    void onError(std::error_code error, TimePoint now) override;
+    void onDrained(TimePoint now) override;
+    void onRequestHead(HttpRequestHead head) override;
+    void onRequestBody(std::string_view bytes) override;
+
+    void sendWhole(int status, std::string_view reason, HttpFields fields, std::string_view body,
+                   TimePoint now) override;
+    void beginStream(int status, std::string_view reason, HttpFields fields) override;
+    void streamBytes(std::string_view bytes) override;
+    void endStream(TimePoint now) override;
+    void breakOff(TimePoint now) override;
+
+    void startRequest(TimePoint now);
+    void parse(TimePoint now);
+    void serve(TimePoint now);
+    void refuse(int status, const char *cause, TimePoint now);
+    void answered(TimePoint now);
+    void linger(TimePoint now);
+    void close(TimePoint now);
+    void arm(Duration limit, TimePoint now);
+    void onTimer(TimePoint now);
+    CallerLimits limits() const;
+
+    ForwardContext &m_context;
+    EndedCallback m_ended;
+    StreamSocket m_socket;
+    State m_state = State::Waiting;
+    std::string m_input;
+    std::unique_ptr<HttpRequestParser> m_parser;
+    HttpRequestHead m_head;
+    std::string m_body;
+    std::unique_ptr<Exchange> m_exchange;
+    TimerId m_timer;
+    TimePoint m_now;
+    bool m_keepAlive = true;
+    bool m_chunkedAnswer = true;
+    bool m_bodyless = false;
+    bool m_draining = false;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/CallerServer.cpp
@@ -0,0 +1,86 @@
+#include "Forward/CallerServer.h"
+
+#include <vector>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "Net/Socket.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int AcceptsPerRound = 64;
+
+} // namespace
+
+CallerServer::CallerServer(ForwardContext &context, const Endpoint &listen, std::error_code &error)
+    : m_context(context)
+    , m_listener(listenTcp(listen, error))
+{
+    if (m_listener >= 0) {
+        m_context.loop.watch(m_listener, EPOLLIN, *this);
+    }
+}
+
+CallerServer::~CallerServer()
+{
+    if (m_listener >= 0) {
+        m_context.loop.unwatch(m_listener);
+        close(m_listener);
+    }
+}
+
+void CallerServer::onReady(std::uint32_t, TimePoint now)
+{
+    for (int i = 0; i < AcceptsPerRound; ++i) {
+        std::error_code error;
+        const int fd = acceptTcp(m_listener, error);
+        if (fd < 0) {
+            return;
+        }
+        auto connection = std::make_unique<CallerConnection>(
+            m_context, fd, m_draining, [this](CallerConnection &ended) { onEnded(ended); }, now);
+        m_connections.emplace(connection.get(), std::move(connection));
+    }
+}
+
+void CallerServer::onEnded(CallerConnection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    std::shared_ptr<CallerConnection> dead = std::move(found->second);
+    m_connections.erase(found);
+    m_context.loop.defer([dead] { });
+}
+
+void CallerServer::drain(TimePoint)
+{
+    m_draining = true;
+    for (const auto &[key, connection] : m_connections) {
+        connection->drain();
+    }
+}
+
+void CallerServer::closeIdle(TimePoint now)
+{
+    for (const auto &[key, connection] : m_connections) {
+        connection->closeIfIdle(now);
+    }
+}
+
+void CallerServer::terminateAll(TimePoint now)
+{
+    std::vector<CallerConnection *> all;
+    for (const auto &[key, connection] : m_connections) {
+        all.push_back(key);
+    }
+    for (CallerConnection *connection : all) {
+        connection->terminate(now);
+    }
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/EventSplitter.cpp
@@ -0,0 +1,62 @@
+#include "Forward/EventSplitter.h"
+
+#include "Net/HttpHead.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::size_t LargestEvent = 1024 * 1024;
+
+std::optional<std::int64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view Prefix = "id:";
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with(Prefix)) {
+            return parseNumber(trimmed(line.substr(Prefix.size())));
+        }
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+/// The position behind the blank line that ends the first event, or npos.
+std::size_t endOfEvent(std::string_view text)
+{
+    constexpr std::string_view Plain = "\n\n";
+    constexpr std::string_view WithReturns = "\r\n\r\n";
+    const std::size_t plain = text.find(Plain);
+    const std::size_t withReturns = text.find(WithReturns);
+    if (plain == std::string_view::npos && withReturns == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    return plain < withReturns ? plain + Plain.size() : withReturns + WithReturns.size();
+}
+
+} // namespace
+
+bool EventSplitter::feed(std::string_view bytes, std::vector<StreamEvent> &events)
+{
+    m_pending.append(bytes);
+    std::size_t used = 0;
+    while (true) {
+        const std::size_t length = endOfEvent(std::string_view(m_pending).substr(used));
+        if (length == std::string_view::npos) {
+            break;
+        }
+        StreamEvent event;
+        event.bytes = m_pending.substr(used, length);
+        event.id = eventId(event.bytes);
+        events.push_back(std::move(event));
+        used += length;
+    }
+    m_pending.erase(0, used);
+    return m_pending.size() <= LargestEvent;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/Exchange.cpp
@@ -0,0 +1,602 @@
+#include "Forward/Exchange.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int FirstFailure = 300;
+constexpr int FirstServerFailure = 500;
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int RequestTimeout = 408;
+constexpr int Misdirected = 421;
+constexpr int TooManyRequests = 429;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// Connections that are tried for one request before it fails.
+constexpr int MostConnectFailures = 4;
+/// A kept connection that was idle for longer is not trusted with a request that may run once.
+constexpr Duration TrustedIdle = 1500ms;
+constexpr Duration LongestIdle = 30s;
+/// When a caller is told to come back after a refusal.
+constexpr Duration ShortRetryAfter = 300ms;
+constexpr Duration NotReadyRetryAfter = 500ms;
+/// Time that a repeat needs to be of use.
+constexpr Duration LeastTimeForRepeat = 30ms;
+/// A plain request is sent again after this many times its latency objective without an answer.
+constexpr int PlainStallObjectives = 3;
+constexpr Duration ShortestStreamStall = 1500ms;
+constexpr int StallGapObjectives = 2;
+
+bool promisesNotRun(int status)
+{
+    return status == RequestTimeout || status == Misdirected || status == TooManyRequests
+        || status == Unavailable;
+}
+
+std::string seconds(Duration duration)
+{
+    constexpr int Fraction = 1000;
+    const std::int64_t ms = toMilliseconds(duration);
+    std::string fraction = std::to_string(Fraction + ms % Fraction).substr(1);
+    return std::to_string(ms / Fraction) + "." + fraction;
+}
+
+const char *outcomeName(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Served:
+        return "served";
+    case SendOutcome::ServerFailed:
+        return "server_failed";
+    case SendOutcome::Broken:
+        return "broken";
+    case SendOutcome::Unreachable:
+        return "unreachable";
+    case SendOutcome::Overloaded:
+        return "overloaded";
+    case SendOutcome::Misdirected:
+        return "misdirected";
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+const char *pickFaultName(PickFault fault)
+{
+    switch (fault) {
+    case PickFault::NoBackend:
+        return "no backend server";
+    case PickFault::AllCold:
+        return "all backend servers are cold";
+    case PickFault::AllFull:
+        return "all backend servers are full";
+    case PickFault::None:
+        break;
+    }
+    return "none";
+}
+
+} // namespace
+
+Exchange::Exchange(ForwardContext &context, AnswerSink &sink, CallerRequest request,
+                   std::string body, TimePoint receivedAt)
+    : m_context(context)
+    , m_sink(sink)
+    , m_request(std::move(request))
+    , m_body(std::move(body))
+    , m_table(context.view.table())
+    , m_receivedAt(receivedAt)
+    , m_lastEvent(m_request.lastEvent)
+{
+}
+
+Exchange::~Exchange()
+{
+    m_context.loop.cancel(m_deadlineTimer);
+    m_context.loop.cancel(m_attempt.stallTimer);
+}
+
+void Exchange::start(TimePoint now)
+{
+    if (admit(now)) {
+        dispatch(now);
+    }
+}
+
+bool Exchange::admit(TimePoint now)
+{
+    if (!m_table) {
+        answerOwn(Unavailable, "no configuration yet", now, NotReadyRetryAfter);
+        return false;
+    }
+    m_route = m_table->route(m_request.host, m_request.head.target);
+    if (m_route == nullptr) {
+        answerOwn(NotFound, "no route", now);
+        return false;
+    }
+    if (!authenticate(now)) {
+        return false;
+    }
+    m_sessionHash = stableHash(m_request.session.empty() ? m_request.id.value()
+                                                         : m_request.session.value());
+    const ServiceId *service = chooseService(*m_route, m_sessionHash);
+    if (service == nullptr) {
+        answerOwn(Unavailable, "the route names no service", now, NotReadyRetryAfter);
+        return false;
+    }
+    m_service = *service;
+    m_model = m_context.models.choose(*m_route, {0, m_request.promptTokens});
+    if (m_request.prompt.size() > 1) {
+        const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
+        m_affinity = stableHash(shared.id + "/" + m_model) | 1;
+    }
+    const Duration allowed = std::min(m_request.timeLeft.value_or(m_route->timeout),
+                                      m_route->timeout);
+    m_deadline = m_receivedAt + allowed;
+    m_deadlineTimer = m_context.loop.at(m_deadline, [this](TimePoint present) {
+        m_deadlineTimer = TimerId();
+        onDeadline(present);
+    });
+    m_context.retries.onRequest(m_service, now);
+    return true;
+}
+
+bool Exchange::authenticate(TimePoint now)
+{
+    if (m_route->isPublic || !m_table->needsKeys()) {
+        return true;
+    }
+    const AccountProfile *account = m_table->account(m_request.key);
+    if (account == nullptr) {
+        answerOwn(Unauthorized, "unknown key", now);
+        return false;
+    }
+    m_account = account->name;
+    return true;
+}
+
+PickRequest Exchange::pickRequest(TimePoint now) const
+{
+    PickRequest pick;
+    pick.service = m_service;
+    pick.affinity = m_affinity;
+    pick.promptTokens = m_request.promptTokens;
+    pick.versions = m_context.rollouts.rule(m_service, m_sessionHash, m_context.view, now);
+    pick.avoid = m_tried;
+    pick.avoid.insert(m_unreachable.begin(), m_unreachable.end());
+    return pick;
+}
+
+void Exchange::dispatch(TimePoint now)
+{
+    while (!m_finished) {
+        PickFault fault = PickFault::None;
+        const auto pick = m_context.picker.pick(pickRequest(now), m_context.view, now, fault);
+        if (!pick) {
+            fail(pickFaultName(fault), now);
+            return;
+        }
+        if (openLink(*pick, now)) {
+            send(*pick, now);
+            return;
+        }
+        if (++m_connectFailures >= MostConnectFailures) {
+            fail("no connection to a backend server", now);
+            return;
+        }
+    }
+}
+
+bool Exchange::openLink(const Pick &pick, TimePoint now)
+{
+    const BackendState *state = m_context.view.backend(pick.backend);
+    std::error_code error;
+    const Duration longestIdle = m_route->repeatable() ? LongestIdle : TrustedIdle;
+    auto link = m_context.links.acquire(pick.backend, state->report.address, longestIdle, now,
+                                        error);
+    if (!link) {
+        m_unreachable.insert(pick.backend);
+        m_context.log.write(LogWeight::Notable,
+                            LogLine("dispatch.no_socket")
+                                .add("id", m_request.id.value())
+                                .add("backend", pick.backend.value())
+                                .add("error", error.message()),
+                            now);
+        return false;
+    }
+    m_attempt = Attempt();
+    m_attempt.backend = pick.backend;
+    m_attempt.freshLink = link->fresh();
+    m_attempt.link = std::move(link);
+    return true;
+}
+
+void Exchange::send(const Pick &pick, TimePoint now)
+{
+    DispatchOrder order;
+    order.target = pick.backend;
+    order.account = m_account;
+    order.timeLeft = m_deadline - now;
+    order.model = m_model;
+    order.lastEvent = m_lastEvent;
+    HttpRequestHead head = m_context.dialect.encodeRequest(m_request, order);
+    removeConnectionFields(head.fields);
+    head.fields.remove("Content-Length");
+    if (m_request.head.contentLength || m_request.head.chunked) {
+        head.fields.add("Content-Length", std::to_string(m_body.size()));
+    }
+    ++m_sends;
+    m_inAttempt = true;
+    m_attempt.sentAt = now;
+    m_attempt.lastByteAt = now;
+    m_context.picker.onSent(pick.backend, now);
+    logDispatch(pick, now);
+    armStall(now);
+    m_attempt.link->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this, now);
+}
+
+void Exchange::logDispatch(const Pick &pick, TimePoint now)
+{
+    if (m_sends == 1 && !m_context.log.routineAllowed(now)) {
+        return;
+    }
+    const BackendState *state = m_context.view.backend(pick.backend);
+    m_context.log.write(m_sends == 1 ? LogWeight::Routine : LogWeight::Notable,
+                        LogLine("dispatch")
+                            .add("id", m_request.id.value())
+                            .add("send", m_sends)
+                            .add("backend", pick.backend.value())
+                            .add("why", pick.reason)
+                            .add("load", pick.load)
+                            .add("local", pick.local ? "yes" : "no")
+                            .add("candidates", pick.candidates)
+                            .add("model", m_model)
+                            .add("version", state->report.version.value())
+                            .add("view_age_ms", now - state->heardAt)
+                            .add("left_ms", m_deadline - now),
+                        now);
+}
+
+BackendLinkListener::Verdict Exchange::onAnswerHead(const HttpResponseHead &head, TimePoint now)
+{
+    AnswerFacts facts = m_context.dialect.decodeAnswer(head);
+    if (!facts.requestId.empty() && facts.requestId != m_request.id.value()) {
+        m_context.log.write(LogWeight::Notable,
+                            LogLine("answer.foreign")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("answer_id", facts.requestId),
+                            now);
+        return Verdict::Skip;
+    }
+    if (facts.load) {
+        m_context.picker.onLoadReported(m_attempt.backend,
+                                        facts.load->running + facts.load->waiting, now);
+    }
+    m_attempt.answered = true;
+    m_attempt.lastByteAt = now;
+    m_attempt.streaming = m_route->kind == RequestKind::EventStream && head.status == StatusOk
+        && facts.sealed && head.fields.find("Content-Encoding") == nullptr;
+    m_attempt.head = head;
+    m_attempt.facts = std::move(facts);
+    return Verdict::Accept;
+}
+
+void Exchange::onAnswerBody(std::string_view bytes, TimePoint now)
+{
+    m_attempt.lastByteAt = now;
+    if (!m_attempt.streaming) {
+        m_attempt.body.append(bytes);
+        return;
+    }
+    std::vector<StreamEvent> events;
+    if (!m_attempt.splitter.feed(bytes, events)) {
+        releaseAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("an event without end", now);
+        return;
+    }
+    relayEvents(events, now);
+}
+
+void Exchange::relayEvents(const std::vector<StreamEvent> &events, TimePoint now)
+{
+    std::string bytes;
+    for (const StreamEvent &event : events) {
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
+            continue; // Sent before by an earlier backend server.
+        }
+        if (event.id) {
+            m_lastEvent = event.id;
+        }
+        bytes.append(event.bytes);
+        ++m_events;
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_firstByteAt = now;
+        HttpFields fields = m_attempt.head.fields;
+        removeConnectionFields(fields);
+        fields.remove("Content-Length");
+        m_sink.beginStream(m_attempt.head.status, m_attempt.head.reason, std::move(fields));
+    } else {
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+    }
+    m_lastEventAt = now;
+    m_sink.streamBytes(bytes);
+    if (!m_finished) {
+        armStall(now);
+    }
+}
+
+void Exchange::onAnswerEnd(TimePoint now)
+{
+    if (m_attempt.streaming) {
+        onStreamEnd(now);
+    } else {
+        onWholeAnswer(now);
+    }
+}
+
+void Exchange::onStreamEnd(TimePoint now)
+{
+    if (!m_attempt.splitter.atBoundary() || !m_streamBegun) {
+        releaseAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("the stream ended within an event", now);
+        return;
+    }
+    releaseAttempt(SendOutcome::Served, true, now);
+    finish(m_attempt.head.status, "served", now);
+    m_sink.endStream(now);
+}
+
+void Exchange::onWholeAnswer(TimePoint now)
+{
+    const int status = m_attempt.head.status;
+    if (m_attempt.facts.notExecuted) {
+        releaseAttempt(status == Misdirected ? SendOutcome::Misdirected : SendOutcome::Overloaded,
+                       true, now);
+        retryOrFail(status == Misdirected ? "another server has the address" : "server full", now);
+        return;
+    }
+    m_mayHaveRun = true;
+    if (status < FirstFailure) {
+        const bool whole = m_attempt.facts.sealed
+            && m_attempt.head.fields.find("Content-Encoding") == nullptr;
+        releaseAttempt(whole ? SendOutcome::Served : SendOutcome::Broken, whole, now);
+        if (whole) {
+            deliverAttempt(now);
+        } else {
+            retryOrFail("an answer without seal", now);
+        }
+        return;
+    }
+    releaseAttempt(status >= FirstServerFailure ? SendOutcome::ServerFailed : SendOutcome::Served,
+                   true, now);
+    if (!promisesNotRun(status)) {
+        m_failedHead = m_attempt.head;
+        m_failedBody = m_attempt.body;
+    }
+    if (status >= FirstServerFailure || promisesNotRun(status)) {
+        retryOrFail("the server failed", now);
+    } else {
+        deliverAttempt(now);
+    }
+}
+
+void Exchange::onLinkLost(Delivery delivery, std::error_code error, TimePoint now)
+{
+    m_context.log.write(LogWeight::Notable,
+                        LogLine("link.lost")
+                            .add("id", m_request.id.value())
+                            .add("backend", m_attempt.backend.value())
+                            .add("sent", delivery == Delivery::NotSent ? "no" : "maybe")
+                            .add("fresh", m_attempt.freshLink ? "yes" : "no")
+                            .add("error", error.message())
+                            .add("after_ms", now - m_attempt.sentAt),
+                        now);
+    if (delivery == Delivery::NotSent) {
+        --m_sends;
+        m_unreachable.insert(m_attempt.backend);
+        releaseAttempt(SendOutcome::Unreachable, false, now);
+        if (++m_connectFailures >= MostConnectFailures) {
+            fail("no connection to a backend server", now);
+        } else {
+            dispatch(now);
+        }
+        return;
+    }
+    m_mayHaveRun = true;
+    releaseAttempt(SendOutcome::Broken, false, now);
+    retryOrFail("the connection broke", now);
+}
+
+void Exchange::releaseAttempt(SendOutcome outcome, bool keepLink, TimePoint now)
+{
+    m_inAttempt = false;
+    m_context.loop.cancel(m_attempt.stallTimer);
+    m_context.picker.onEnded(m_attempt.backend, outcome, now);
+    m_tried.insert(m_attempt.backend);
+    if (outcome != SendOutcome::Served) {
+        m_context.log.write(LogWeight::Notable,
+                            LogLine("send.ended")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("outcome", outcomeName(outcome))
+                                .add("status", m_attempt.head.status)
+                                .add("after_ms", now - m_attempt.sentAt),
+                            now);
+    }
+    if (keepLink) {
+        m_context.links.release(m_attempt.backend, std::move(m_attempt.link));
+    } else if (m_attempt.link) {
+        m_context.links.discard(std::move(m_attempt.link));
+    }
+}
+
+bool Exchange::mayRepeat(TimePoint now) const
+{
+    const bool safe = m_route->repeatable() || !m_mayHaveRun;
+    return safe && m_sends < m_route->maxAttempts && m_deadline - now > LeastTimeForRepeat;
+}
+
+void Exchange::retryOrFail(const char *cause, TimePoint now)
+{
+    if (!mayRepeat(now)) {
+        fail(cause, now);
+        return;
+    }
+    if (!m_context.retries.withdraw(m_service, now)) {
+        m_context.metrics.count("lycheearch_retries_denied_total");
+        fail(cause, now);
+        return;
+    }
+    dispatch(now);
+}
+
+Duration Exchange::stallLimit() const
+{
+    if (m_route->kind != RequestKind::EventStream) {
+        return m_route->latencyObjective * PlainStallObjectives;
+    }
+    if (!m_streamBegun) {
+        return m_route->latencyObjective;
+    }
+    return std::max(ShortestStreamStall, m_route->gapObjective * StallGapObjectives);
+}
+
+void Exchange::armStall(TimePoint now)
+{
+    m_context.loop.cancel(m_attempt.stallTimer);
+    const bool useful = m_route->repeatable() && m_sends < m_route->maxAttempts;
+    if (!useful) {
+        return;
+    }
+    m_attempt.stallTimer = m_context.loop.at(now + stallLimit(), [this](TimePoint present) {
+        m_attempt.stallTimer = TimerId();
+        onStall(present);
+    });
+}
+
+void Exchange::onStall(TimePoint now)
+{
+    if (!mayRepeat(now) || !m_context.retries.withdraw(m_service, now)) {
+        return;
+    }
+    m_mayHaveRun = true;
+    releaseAttempt(SendOutcome::Broken, false, now);
+    dispatch(now);
+}
+
+void Exchange::onDeadline(TimePoint now)
+{
+    if (m_inAttempt) {
+        m_mayHaveRun = true;
+        releaseAttempt(SendOutcome::Broken, false, now);
+    }
+    fail("timeout", now);
+}
+
+void Exchange::deliverAttempt(TimePoint now)
+{
+    HttpFields fields = m_attempt.head.fields;
+    removeConnectionFields(fields);
+    fields.remove("Content-Length");
+    m_firstByteAt = now;
+    finish(m_attempt.head.status, "served", now);
+    m_sink.sendWhole(m_attempt.head.status, m_attempt.head.reason, std::move(fields),
+                     m_attempt.body, now);
+}
+
+void Exchange::fail(const char *cause, TimePoint now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (m_streamBegun) {
+        finish(0, cause, now);
+        m_sink.breakOff(now);
+        return;
+    }
+    if (m_failedHead) {
+        HttpFields fields = m_failedHead->fields;
+        removeConnectionFields(fields);
+        fields.remove("Content-Length");
+        finish(m_failedHead->status, "the server's failure", now);
+        m_sink.sendWhole(m_failedHead->status, m_failedHead->reason, std::move(fields),
+                         m_failedBody, now);
+        return;
+    }
+    if (!m_mayHaveRun) {
+        answerOwn(Unavailable, cause, now, ShortRetryAfter);
+        return;
+    }
+    answerOwn(now >= m_deadline ? GatewayTimeout : BadGateway, cause, now);
+}
+
+void Exchange::answerOwn(int status, const char *cause, TimePoint now,
+                         std::optional<Duration> retryAfter)
+{
+    HttpFields fields;
+    fields.add("Content-Type", "text/plain");
+    if (retryAfter) {
+        fields.add("Retry-After", seconds(*retryAfter));
+    }
+    finish(status, cause, now);
+    m_sink.sendWhole(status, reasonPhrase(status), std::move(fields), std::string(cause) + "\n",
+                     now);
+}
+
+void Exchange::cancel(TimePoint now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (m_inAttempt) {
+        releaseAttempt(SendOutcome::Cancelled, false, now);
+    }
+    finish(0, "the caller left", now);
+}
+
+void Exchange::finish(int status, const char *cause, TimePoint now)
+{
+    m_finished = true;
+    m_context.loop.cancel(m_deadlineTimer);
+    m_context.metrics.count("lycheearch_requests_total",
+                            "status=\"" + std::to_string(status) + "\"");
+    const bool good = status >= StatusOk && status < FirstFailure;
+    if (good && !m_context.log.routineAllowed(now)) {
+        return;
+    }
+    m_context.log.write(good ? LogWeight::Routine : LogWeight::Notable,
+                        LogLine("request.done")
+                            .add("id", m_request.id.value())
+                            .add("route", m_route == nullptr ? "" : m_route->name)
+                            .add("account", m_account.value())
+                            .add("status", status)
+                            .add("cause", cause)
+                            .add("sends", m_sends)
+                            .add("backend", m_attempt.backend.value())
+                            .add("events", m_events)
+                            .add("first_ms", m_firstByteAt == TimePoint()
+                                     ? Duration(-1000)
+                                     : m_firstByteAt - m_receivedAt)
+                            .add("gap_ms", m_longestGap)
+                            .add("total_ms", now - m_receivedAt)
+                            .add("config", m_table ? m_table->version().value() : -1)
+                            .add("config_age_ms", now - m_context.view.configReadAt()),
+                        now);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/Exchange.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Forward/AnswerSink.h"
+#include "Forward/BackendLink.h"
+#include "Forward/EventSplitter.h"
+#include "Forward/ForwardContext.h"
+
+namespace lycheearch {
+
+/// One request of a caller, from its last byte to its final answer: admits it, chooses backend
+/// servers, sends it, repeats it where that is safe and worth it, and passes the answer on.
+///
+/// An answer that says "not run" is given only while no send can have run.
+class Exchange : public BackendLinkListener
+{
+public:
+    Exchange(ForwardContext &context, AnswerSink &sink, CallerRequest request, std::string body,
+             TimePoint receivedAt);
+    ~Exchange() override;
+
+    /// Starts. The sink's last call may come from within.
+    void start(TimePoint now);
+    /// The caller left: whatever runs for it is cancelled.
+    void cancel(TimePoint now);
+    bool finished() const { return m_finished; }
+
+private:
+    /// What came of the last send.
+    struct Attempt
+    {
+        InstanceId backend;
+        std::unique_ptr<BackendLink> link;
+        HttpResponseHead head;
+        AnswerFacts facts;
+        std::string body;
+        EventSplitter splitter;
+        bool answered = false; ///< The head of its answer has come.
+        bool streaming = false;
+        bool freshLink = false;
+        TimePoint sentAt;
+        TimePoint lastByteAt;
+        TimerId stallTimer;
+    };
+
+    Verdict onAnswerHead(const HttpResponseHead &head, TimePoint now) override;
+    void onAnswerBody(std::string_view bytes, TimePoint now) override;
+    void onAnswerEnd(TimePoint now) override;
+    void onLinkLost(Delivery delivery, std::error_code error, TimePoint now) override;
+
+    bool admit(TimePoint now);
+    bool authenticate(TimePoint now);
+    void dispatch(TimePoint now);
+    PickRequest pickRequest(TimePoint now) const;
+    bool openLink(const Pick &pick, TimePoint now);
+    void send(const Pick &pick, TimePoint now);
+    void logDispatch(const Pick &pick, TimePoint now);
+
+    void onWholeAnswer(TimePoint now);
+    void onStreamEnd(TimePoint now);
+    void relayEvents(const std::vector<StreamEvent> &events, TimePoint now);
+    void releaseAttempt(SendOutcome outcome, bool keepLink, TimePoint now);
+    void retryOrFail(const char *cause, TimePoint now);
+    bool mayRepeat(TimePoint now) const;
+
+    void armStall(TimePoint now);
+    Duration stallLimit() const;
+    void onStall(TimePoint now);
+    void onDeadline(TimePoint now);
+
+    void deliverAttempt(TimePoint now);
+    void fail(const char *cause, TimePoint now);
+    void answerOwn(int status, const char *cause, TimePoint now,
+                   std::optional<Duration> retryAfter = std::nullopt);
+    void finish(int status, const char *cause, TimePoint now);
+
+    ForwardContext &m_context;
+    AnswerSink &m_sink;
+    CallerRequest m_request;
+    std::string m_body;
+    std::shared_ptr<const RoutingTable> m_table;
+    const Route *m_route = nullptr;
+    AccountId m_account;
+    ServiceId m_service;
+    std::string m_model;
+    std::uint64_t m_sessionHash = 0;
+    std::uint64_t m_affinity = 0;
+
+    TimePoint m_receivedAt;
+    TimePoint m_deadline;
+    TimerId m_deadlineTimer;
+    Attempt m_attempt;
+    bool m_inAttempt = false;
+    std::set<InstanceId> m_tried;
+    std::set<InstanceId> m_unreachable;
+    int m_sends = 0; ///< That may have reached a backend server.
+    int m_connectFailures = 0;
+    bool m_mayHaveRun = false;
+    std::optional<HttpResponseHead> m_failedHead; ///< A backend server's own failure, kept while
+                                                  ///< another one is tried.
+    std::string m_failedBody;
+    bool m_streamBegun = false;
+    std::optional<std::int64_t> m_lastEvent;
+    std::int64_t m_events = 0;
+    TimePoint m_firstByteAt;
+    Duration m_longestGap{};
+    TimePoint m_lastEventAt;
+    bool m_finished = false;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Forward/ForwardContext.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/Metrics.h"
+#include "Fleet/FleetView.h"
+#include "Forward/BackendLinkPool.h"
+#include "Forward/RequestDialect.h"
+#include "Log/DecisionLog.h"
+#include "Net/EventLoop.h"
+#include "Routing/BackendPicker.h"
+#include "Routing/ModelChooser.h"
+#include "Routing/RetryAllowance.h"
+#include "Routing/RolloutDirector.h"
+
+namespace lycheearch {
+
+/// What all requests of a daemon share.
+struct ForwardContext
+{
+    EventLoop &loop;
+    const FleetView &view;
+    BackendPicker &picker;
+    BackendLinkPool &links;
+    const RequestDialect &dialect;
+    RetryAllowance &retries;
+    RolloutDirector &rollouts;
+    const ModelChooser &models;
+    DecisionLog &log;
+    Metrics &metrics;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/EventLoop.cpp
@@ -0,0 +1,145 @@
+#include "Net/EventLoop.h"
+
+#include <array>
+#include <system_error>
+
+#include <cerrno>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int EventsPerRound = 128;
+constexpr int LongestWaitMs = 1000;
+constexpr unsigned GenerationShift = 32;
+
+std::uint64_t eventKey(int fd, std::uint32_t generation)
+{
+    return (static_cast<std::uint64_t>(generation) << GenerationShift)
+        | static_cast<std::uint32_t>(fd);
+}
+
+} // namespace
+
+EventLoop::EventLoop(const Clock &clock)
+    : m_clock(clock)
+    , m_epoll(epoll_create1(EPOLL_CLOEXEC))
+{
+    if (m_epoll < 0) {
+        throw std::system_error(errno, std::generic_category(), "epoll_create1");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    close(m_epoll);
+}
+
+void EventLoop::watch(int fd, std::uint32_t events, IoHandler &handler)
+{
+    Watch &watch = m_watches[fd];
+    const bool fresh = watch.handler == nullptr;
+    if (!fresh && watch.events == events && watch.handler == &handler) {
+        return;
+    }
+    if (fresh) {
+        watch.generation = m_nextGeneration++;
+    }
+    watch.handler = &handler;
+    watch.events = events;
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = eventKey(fd, watch.generation);
+    epoll_ctl(m_epoll, fresh ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, &event);
+}
+
+void EventLoop::unwatch(int fd)
+{
+    if (m_watches.erase(fd) > 0) {
+        epoll_ctl(m_epoll, EPOLL_CTL_DEL, fd, nullptr);
+    }
+}
+
+TimerId EventLoop::at(TimePoint due, Callback callback)
+{
+    const TimerId timer{due, m_nextTimer++};
+    m_timers.emplace(timer, std::move(callback));
+    return timer;
+}
+
+void EventLoop::cancel(TimerId &timer)
+{
+    if (timer.active()) {
+        m_timers.erase(timer);
+        timer = TimerId();
+    }
+}
+
+void EventLoop::defer(std::function<void()> callback)
+{
+    m_deferred.push_back(std::move(callback));
+}
+
+void EventLoop::run()
+{
+    std::array<epoll_event, EventsPerRound> events{};
+    while (!m_stopped) {
+        const int count = epoll_wait(m_epoll, events.data(), EventsPerRound, waitMilliseconds());
+        for (int i = 0; i < count; ++i) {
+            const std::uint64_t key = events[i].data.u64;
+            dispatch(static_cast<int>(key & UINT32_MAX), key >> GenerationShift, events[i].events);
+        }
+        runTimers();
+        runDeferred();
+    }
+    runDeferred();
+}
+
+void EventLoop::dispatch(int fd, std::uint64_t generation, std::uint32_t events)
+{
+    const auto found = m_watches.find(fd);
+    if (found != m_watches.end() && found->second.generation == generation) {
+        found->second.handler->onReady(events, now());
+    }
+}
+
+void EventLoop::runTimers()
+{
+    const TimePoint present = now();
+    while (!m_timers.empty() && m_timers.begin()->first.due <= present && !m_stopped) {
+        Callback callback = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        callback(present);
+    }
+}
+
+void EventLoop::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        std::vector<std::function<void()>> batch;
+        batch.swap(m_deferred);
+        for (const auto &callback : batch) {
+            callback();
+        }
+    }
+}
+
+int EventLoop::waitMilliseconds() const
+{
+    if (!m_deferred.empty()) {
+        return 0;
+    }
+    if (m_timers.empty()) {
+        return LongestWaitMs;
+    }
+    const Duration left = m_timers.begin()->first.due - now();
+    if (left <= Duration::zero()) {
+        return 0;
+    }
+    // Rounds up, so that a timer is due when the wait ends.
+    return static_cast<int>(std::min<std::int64_t>(LongestWaitMs, toMilliseconds(left) + 1));
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/HttpCallChannel.cpp
@@ -0,0 +1,155 @@
+#include "Net/HttpCallChannel.h"
+
+namespace lycheearch {
+
+HttpCallChannel::HttpCallChannel(EventLoop &loop, Endpoint server, Liveness liveness,
+                                 HttpLimits limits)
+    : m_loop(loop)
+    , m_server(std::move(server))
+    , m_liveness(liveness)
+    , m_limits(limits)
+{
+}
+
+HttpCallChannel::~HttpCallChannel()
+{
+    m_loop.cancel(m_timer);
+}
+
+void HttpCallChannel::call(HttpCall call)
+{
+    const TimePoint now = m_loop.now();
+    const TimePoint deadline = now + call.timeout;
+    m_waiting.push_back({std::move(call), deadline, false});
+    startNext(now);
+}
+
+void HttpCallChannel::startNext(TimePoint now)
+{
+    if (m_current || m_waiting.empty()) {
+        return;
+    }
+    m_current = std::make_unique<Pending>(std::move(m_waiting.front()));
+    m_waiting.pop_front();
+    m_timer = m_loop.at(m_current->deadline, [this](TimePoint present) {
+        m_timer = TimerId();
+        finish(std::make_error_code(std::errc::timed_out), present);
+    });
+    sendCurrent(now);
+}
+
+void HttpCallChannel::sendCurrent(TimePoint now)
+{
+    if (!m_socket) {
+        std::error_code error;
+        const int fd = connectTcp(m_server, error);
+        if (fd < 0) {
+            m_loop.defer([this, error] { finish(error, m_loop.now()); });
+            return;
+        }
+        setLiveness(fd, m_liveness);
+        m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting,
+                                                  *this);
+        m_used = false;
+    }
+    m_reply = HttpReply();
+    m_input.clear();
+    m_parser = std::make_unique<HttpResponseParser>(m_limits, false, *this);
+    HttpRequestHead head = m_current->call.head;
+    head.fields.set("Host", m_server.text());
+    if (!m_current->call.body.empty() || head.method != "GET") {
+        head.fields.set("Content-Length", std::to_string(m_current->call.body.size()));
+    }
+    m_socket->send(serializeRequestHead(head) + m_current->call.body);
+}
+
+void HttpCallChannel::onBytes(std::string_view bytes, TimePoint now)
+{
+    if (!m_current || !m_parser) {
+        dropConnection();
+        return;
+    }
+    m_input.append(bytes);
+    m_parser->feed(m_input);
+    if (m_parser->fault() != HttpFault::None) {
+        finish(std::make_error_code(std::errc::protocol_error), now);
+    } else if (m_parser->complete()) {
+        finish({}, now);
+    }
+}
+
+void HttpCallChannel::onEnd(TimePoint now)
+{
+    if (m_current && m_parser && m_parser->headComplete()) {
+        m_parser->finish();
+        finish(m_parser->complete() ? std::error_code()
+                                    : std::make_error_code(std::errc::connection_reset),
+               now);
+        return;
+    }
+    lose(std::make_error_code(std::errc::connection_reset), now);
+}
+
+void HttpCallChannel::onError(std::error_code error, TimePoint now)
+{
+    lose(error, now);
+}
+
+void HttpCallChannel::onResponseHead(HttpResponseHead head)
+{
+    m_reply.status = head.status;
+    m_keepAlive = head.keepAlive && !head.endsWithConnection();
+    m_reply.fields = std::move(head.fields);
+}
+
+void HttpCallChannel::onResponseBody(std::string_view bytes)
+{
+    m_reply.body.append(bytes);
+}
+
+void HttpCallChannel::lose(std::error_code error, TimePoint now)
+{
+    const bool repeat = m_current && m_used && !m_current->repeated
+        && m_current->call.head.method == "GET" && !m_parser->headComplete();
+    dropConnection();
+    if (repeat) {
+        m_current->repeated = true;
+        m_loop.defer([this] {
+            if (m_current) {
+                sendCurrent(m_loop.now());
+            }
+        });
+        return;
+    }
+    finish(error, now);
+}
+
+void HttpCallChannel::finish(std::error_code error, TimePoint now)
+{
+    if (!m_current) {
+        return;
+    }
+    m_loop.cancel(m_timer);
+    if (error || !m_keepAlive) {
+        dropConnection();
+    }
+    m_used = true;
+    const std::unique_ptr<Pending> done = std::move(m_current);
+    HttpReply reply = std::move(m_reply);
+    done->call.callback(error, std::move(reply), now);
+    startNext(m_loop.now());
+}
+
+void HttpCallChannel::dropConnection()
+{
+    if (!m_socket) {
+        return;
+    }
+    m_socket->close();
+    // The socket or the parser may be further up the call stack.
+    m_loop.defer([socket = std::shared_ptr<StreamSocket>(std::move(m_socket)),
+                  parser = std::shared_ptr<HttpResponseParser>(std::move(m_parser))] { });
+    m_keepAlive = true;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/HttpParser.cpp
@@ -0,0 +1,263 @@
+#include "Net/HttpParser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace lycheearch {
+
+namespace {
+
+namespace http = boost::beast::http;
+using BoostError = boost::beast::error_code;
+using BoostView = boost::beast::string_view;
+
+std::string toString(BoostView text)
+{
+    return {text.data(), text.size()};
+}
+
+HttpFault toFault(const BoostError &error)
+{
+    if (error == http::error::header_limit) {
+        return HttpFault::HeadTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return HttpFault::BodyTooLarge;
+    }
+    if (error == http::error::partial_message || error == http::error::end_of_stream) {
+        return HttpFault::Truncated;
+    }
+    return HttpFault::Malformed;
+}
+
+/// Whether the framing fields leave no doubt about where the body ends.
+bool framingIsPlain(const HttpFields &fields, bool chunked)
+{
+    const std::size_t encodings = fields.count("transfer-encoding");
+    const std::size_t lengths = fields.count("content-length");
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
+        return false;
+    }
+    if (encodings == 1) {
+        return chunked && equalIgnoringCase(*fields.find("transfer-encoding"), "chunked");
+    }
+    return lengths == 0 || parseNumber(*fields.find("content-length")).has_value();
+}
+
+/// What requests and responses share: collects the fields and passes body bytes on.
+template <bool IsRequest>
+class MessageReader : public http::basic_parser<IsRequest>
+{
+public:
+    using Base = http::basic_parser<IsRequest>;
+
+    explicit MessageReader(HttpLimits limits)
+    {
+        this->header_limit(limits.headBytes);
+        this->body_limit(limits.bodyBytes);
+        this->eager(true);
+    }
+
+    void feed(std::string &input)
+    {
+        std::size_t used = 0;
+        while (used < input.size() && !m_error && !this->is_done()) {
+            BoostError error;
+            const std::size_t count
+                = this->put(boost::asio::buffer(input.data() + used, input.size() - used), error);
+            used += count;
+            if (error == http::error::need_more) {
+                break;
+            }
+            m_error = error;
+            if (count == 0 && !error) {
+                break;
+            }
+        }
+        input.erase(0, used);
+    }
+
+    void finish()
+    {
+        if (!m_error && !this->is_done()) {
+            BoostError error;
+            this->put_eof(error);
+            m_error = error;
+        }
+    }
+
+    HttpFault fault() const { return m_error ? toFault(m_error) : HttpFault::None; }
+
+protected:
+    HttpFields m_fields;
+
+    void on_field_impl(http::field, BoostView name, BoostView value, BoostError &) override
+    {
+        m_fields.add(toString(name), toString(value));
+    }
+    void on_body_init_impl(boost::optional<std::uint64_t> const &, BoostError &) override { }
+    void on_chunk_header_impl(std::uint64_t, BoostView, BoostError &) override { }
+    void on_finish_impl(BoostError &) override { }
+
+private:
+    BoostError m_error;
+};
+
+} // namespace
+
+class HttpRequestParser::Private : public MessageReader<true>
+{
+public:
+    Private(HttpLimits limits, HttpRequestSink &sink)
+        : MessageReader<true>(limits)
+        , m_sink(sink)
+    {
+    }
+
+private:
+    void on_request_impl(http::verb, BoostView method, BoostView target, int version,
+                         BoostError &) override
+    {
+        constexpr int VersionOneZero = 10;
+        m_head.method = toString(method);
+        m_head.target = toString(target);
+        m_head.httpOneZero = version == VersionOneZero;
+    }
+    void on_response_impl(int, BoostView, int, BoostError &) override { }
+
+    void on_header_impl(BoostError &error) override
+    {
+        if (!framingIsPlain(m_fields, chunked()) || (m_head.httpOneZero && chunked())) {
+            error = http::error::bad_content_length;
+            return;
+        }
+        m_head.fields = std::move(m_fields);
+        m_head.keepAlive = keep_alive();
+        m_head.chunked = chunked();
+        if (const auto length = content_length()) {
+            m_head.contentLength = *length;
+        }
+        m_sink.onRequestHead(std::move(m_head));
+    }
+
+    std::size_t on_body_impl(BoostView body, BoostError &) override
+    {
+        m_sink.onRequestBody({body.data(), body.size()});
+        return body.size();
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, BoostView body, BoostError &error) override
+    {
+        return on_body_impl(body, error);
+    }
+
+    HttpRequestSink &m_sink;
+    HttpRequestHead m_head;
+};
+
+HttpRequestParser::HttpRequestParser(HttpLimits limits, HttpRequestSink &sink)
+    : m_private(std::make_unique<Private>(limits, sink))
+{
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+void HttpRequestParser::feed(std::string &input)
+{
+    m_private->feed(input);
+}
+
+bool HttpRequestParser::headComplete() const
+{
+    return m_private->is_header_done();
+}
+
+bool HttpRequestParser::complete() const
+{
+    return m_private->is_done();
+}
+
+HttpFault HttpRequestParser::fault() const
+{
+    return m_private->fault();
+}
+
+class HttpResponseParser::Private : public MessageReader<false>
+{
+public:
+    Private(HttpLimits limits, bool bodyless, HttpResponseSink &sink)
+        : MessageReader<false>(limits)
+        , m_sink(sink)
+    {
+        skip(bodyless);
+    }
+
+private:
+    void on_request_impl(http::verb, BoostView, BoostView, int, BoostError &) override { }
+
+    void on_response_impl(int status, BoostView reason, int, BoostError &) override
+    {
+        m_head.status = status;
+        m_head.reason = toString(reason);
+    }
+
+    void on_header_impl(BoostError &error) override
+    {
+        if (!framingIsPlain(m_fields, chunked())) {
+            error = http::error::bad_content_length;
+            return;
+        }
+        m_head.fields = std::move(m_fields);
+        m_head.keepAlive = keep_alive();
+        m_head.chunked = chunked();
+        if (const auto length = content_length()) {
+            m_head.contentLength = *length;
+        }
+        m_sink.onResponseHead(std::move(m_head));
+    }
+
+    std::size_t on_body_impl(BoostView body, BoostError &) override
+    {
+        m_sink.onResponseBody({body.data(), body.size()});
+        return body.size();
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, BoostView body, BoostError &error) override
+    {
+        return on_body_impl(body, error);
+    }
+
+    HttpResponseSink &m_sink;
+    HttpResponseHead m_head;
+};
+
+HttpResponseParser::HttpResponseParser(HttpLimits limits, bool bodyless, HttpResponseSink &sink)
+    : m_private(std::make_unique<Private>(limits, bodyless, sink))
+{
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+void HttpResponseParser::feed(std::string &input)
+{
+    m_private->feed(input);
+}
+
+void HttpResponseParser::finish()
+{
+    m_private->finish();
+}
+
+bool HttpResponseParser::headComplete() const
+{
+    return m_private->is_header_done();
+}
+
+bool HttpResponseParser::complete() const
+{
+    return m_private->is_done();
+}
+
+HttpFault HttpResponseParser::fault() const
+{
+    return m_private->fault();
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/HttpResponder.cpp
@@ -0,0 +1,133 @@
+#include "Net/HttpResponder.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr HttpLimits PageLimits{8 * 1024, 64 * 1024};
+constexpr Liveness PageLiveness{5s, 1s, 2, 5s};
+/// A connection without a whole request for this long is closed.
+constexpr Duration QuietLimit = 30s;
+constexpr std::size_t MostConnections = 64;
+
+} // namespace
+
+/// One connection of a reader of pages.
+class HttpResponder::Connection : public StreamSocketListener, public HttpRequestSink
+{
+public:
+    Connection(HttpResponder &server, int fd)
+        : m_server(server)
+        , m_socket(server.m_loop, fd, StreamSocket::Start::Connected, *this)
+    {
+        setLiveness(fd, PageLiveness);
+        restart();
+    }
+
+    ~Connection() override { m_server.m_loop.cancel(m_timer); }
+
+    void onBytes(std::string_view bytes, TimePoint now) override
+    {
+        m_input.append(bytes);
+        while (!m_input.empty()) {
+            m_parser->feed(m_input);
+            if (m_parser->fault() != HttpFault::None) {
+                end();
+                return;
+            }
+            if (!m_parser->complete()) {
+                return;
+            }
+            answer(now);
+            if (!m_head.keepAlive) {
+                end();
+                return;
+            }
+            restart();
+        }
+    }
+    void onEnd(TimePoint) override { end(); }
+    void onError(std::error_code, TimePoint) override { end(); }
+    void onRequestHead(HttpRequestHead head) override { m_head = std::move(head); }
+    void onRequestBody(std::string_view) override { }
+
+private:
+    void restart()
+    {
+        m_parser = std::make_unique<HttpRequestParser>(PageLimits, *this);
+        m_server.m_loop.cancel(m_timer);
+        m_timer = m_server.m_loop.at(m_server.m_loop.now() + QuietLimit, [this](TimePoint) {
+            m_timer = TimerId();
+            end();
+        });
+    }
+
+    void answer(TimePoint now)
+    {
+        HttpReply reply = m_server.m_handler(m_head, now);
+        reply.fields.set("Content-Length", std::to_string(reply.body.size()));
+        m_socket.send(serializeResponseHead(reply.status, reasonPhrase(reply.status), reply.fields)
+                      + reply.body);
+    }
+
+    void end()
+    {
+        m_socket.close();
+        m_server.remove(*this);
+    }
+
+    HttpResponder &m_server;
+    StreamSocket m_socket;
+    std::unique_ptr<HttpRequestParser> m_parser;
+    std::string m_input;
+    HttpRequestHead m_head;
+    TimerId m_timer;
+};
+
+HttpResponder::HttpResponder(EventLoop &loop, const Endpoint &listen, Handler handler,
+                             std::error_code &error)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_listener(listenTcp(listen, error))
+{
+    if (m_listener >= 0) {
+        m_loop.watch(m_listener, EPOLLIN, *this);
+    }
+}
+
+HttpResponder::~HttpResponder()
+{
+    if (m_listener >= 0) {
+        m_loop.unwatch(m_listener);
+        close(m_listener);
+    }
+}
+
+void HttpResponder::onReady(std::uint32_t, TimePoint)
+{
+    std::error_code error;
+    const int fd = acceptTcp(m_listener, error);
+    if (fd < 0) {
+        return;
+    }
+    if (m_connections.size() >= MostConnections) {
+        close(fd);
+        return;
+    }
+    auto connection = std::make_shared<Connection>(*this, fd);
+    m_connections.emplace(connection.get(), std::move(connection));
+}
+
+void HttpResponder::remove(Connection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found != m_connections.end()) {
+        m_loop.defer([dead = std::move(found->second)] { });
+        m_connections.erase(found);
+    }
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/SignalPipe.cpp
@@ -0,0 +1,65 @@
+#include "Net/SignalPipe.h"
+
+#include <csignal>
+#include <system_error>
+
+#include <cerrno>
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace lycheearch {
+
+namespace {
+
+volatile std::sig_atomic_t signalWriter = -1;
+
+void onSignal(int signal)
+{
+    const int saved = errno;
+    const auto byte = static_cast<unsigned char>(signal);
+    // A full pipe means that the loop is about to be woken anyway.
+    [[maybe_unused]] const ssize_t count = write(signalWriter, &byte, 1);
+    errno = saved;
+}
+
+} // namespace
+
+SignalPipe::SignalPipe(EventLoop &loop, Callback callback)
+    : m_loop(loop)
+    , m_callback(std::move(callback))
+{
+    if (pipe2(m_pipe.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
+        throw std::system_error(errno, std::generic_category(), "pipe2");
+    }
+    signalWriter = m_pipe[1];
+    m_loop.watch(m_pipe[0], EPOLLIN, *this);
+}
+
+SignalPipe::~SignalPipe()
+{
+    signalWriter = -1;
+    m_loop.unwatch(m_pipe[0]);
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+}
+
+void SignalPipe::handle(int signal)
+{
+    struct sigaction action = {};
+    action.sa_handler = onSignal;
+    action.sa_flags = SA_RESTART;
+    sigemptyset(&action.sa_mask);
+    sigaction(signal, &action, nullptr);
+}
+
+void SignalPipe::onReady(std::uint32_t, TimePoint now)
+{
+    std::array<unsigned char, 64> bytes{};
+    const ssize_t count = read(m_pipe[0], bytes.data(), bytes.size());
+    for (ssize_t i = 0; i < count; ++i) {
+        m_callback(bytes[static_cast<std::size_t>(i)], now);
+    }
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Net/StreamSocket.cpp
@@ -0,0 +1,178 @@
+#include "Net/StreamSocket.h"
+
+#include <array>
+
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Net/Socket.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::size_t ReceiveBytes = 32 * 1024;
+/// Sent bytes are dropped from the front of the queue once there are this many.
+constexpr std::size_t CompactBytes = 64 * 1024;
+
+bool wouldBlock(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+StreamSocket::StreamSocket(EventLoop &loop, int fd, Start start, StreamSocketListener &listener)
+    : m_loop(loop)
+    , m_fd(fd)
+    , m_listener(listener)
+    , m_connected(start == Start::Connected)
+{
+    updateInterest();
+}
+
+StreamSocket::~StreamSocket()
+{
+    close();
+}
+
+void StreamSocket::send(std::string_view bytes)
+{
+    if (m_fd < 0) {
+        return;
+    }
+    m_queue.append(bytes);
+    if (m_connected) {
+        flush();
+    }
+    updateInterest();
+}
+
+void StreamSocket::shutdownSending()
+{
+    m_shutdownWanted = true;
+    if (m_fd >= 0 && m_connected && queuedBytes() == 0) {
+        ::shutdown(m_fd, SHUT_WR);
+    }
+}
+
+void StreamSocket::setReading(bool reading)
+{
+    m_reading = reading;
+    updateInterest();
+}
+
+void StreamSocket::close()
+{
+    if (m_fd < 0) {
+        return;
+    }
+    m_loop.unwatch(m_fd);
+    ::close(m_fd);
+    m_fd = -1;
+}
+
+void StreamSocket::onReady(std::uint32_t events, TimePoint now)
+{
+    if (!m_connected) {
+        finishConnect(now);
+        return;
+    }
+    if ((events & EPOLLOUT) != 0 && queuedBytes() > 0) {
+        flush();
+        updateInterest();
+        if (queuedBytes() == 0 && !m_sendError) {
+            m_listener.onDrained(now);
+        }
+    }
+    if (m_fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+        receive(now);
+    }
+    if (m_fd >= 0 && m_sendError) {
+        fail(m_sendError, now);
+    }
+}
+
+void StreamSocket::finishConnect(TimePoint now)
+{
+    if (const std::error_code error = socketError(m_fd)) {
+        fail(error, now);
+        return;
+    }
+    m_connected = true;
+    flush();
+    updateInterest();
+    m_listener.onConnected(now);
+}
+
+void StreamSocket::receive(TimePoint now)
+{
+    static thread_local std::array<char, ReceiveBytes> buffer;
+    if (m_ended) {
+        // Only an error or a hang-up can be new after the end of the incoming bytes.
+        if (const std::error_code error = socketError(m_fd)) {
+            fail(error, now);
+        }
+        return;
+    }
+    const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        m_listener.onBytes({buffer.data(), static_cast<std::size_t>(count)}, now);
+    } else if (count == 0) {
+        m_ended = true;
+        updateInterest();
+        m_listener.onEnd(now);
+    } else if (!wouldBlock(errno)) {
+        fail({errno, std::generic_category()}, now);
+    }
+}
+
+void StreamSocket::flush()
+{
+    while (queuedBytes() > 0 && !m_sendError) {
+        const ssize_t count
+            = ::send(m_fd, m_queue.data() + m_sent, queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0) {
+            if (!wouldBlock(errno)) {
+                m_sendError = {errno, std::generic_category()};
+            }
+            break;
+        }
+        m_sent += static_cast<std::size_t>(count);
+    }
+    if (queuedBytes() == 0) {
+        m_queue.clear();
+        m_sent = 0;
+        if (m_shutdownWanted) {
+            ::shutdown(m_fd, SHUT_WR);
+        }
+    } else if (m_sent > CompactBytes) {
+        m_queue.erase(0, m_sent);
+        m_sent = 0;
+    }
+}
+
+void StreamSocket::updateInterest()
+{
+    if (m_fd < 0) {
+        return;
+    }
+    std::uint32_t events = 0;
+    if (!m_connected || queuedBytes() > 0 || m_sendError) {
+        events |= EPOLLOUT;
+    }
+    if (m_connected && !m_ended) {
+        events |= m_reading ? (EPOLLIN | EPOLLRDHUP) : EPOLLRDHUP;
+    }
+    m_loop.watch(m_fd, events, *this);
+}
+
+void StreamSocket::fail(std::error_code error, TimePoint now)
+{
+    close();
+    m_listener.onError(error, now);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/BackendPicker.cpp
@@ -0,0 +1,256 @@
+#include "Routing/BackendPicker.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+
+namespace lycheearch {
+
+namespace {
+
+/// Pause after the first failure in a row; doubles with each further one.
+constexpr Duration FirstExclusion = 400ms;
+constexpr Duration LongestExclusion = 4s;
+/// Weight of the newest outcome in the moving average of failures.
+constexpr double FailureWeight = 0.15;
+/// A server that fails this much more often than its peers is left out for a while.
+constexpr double FailureExcess = 0.3;
+constexpr int SamplesForExclusion = 6;
+/// A reported load is believed for this long.
+constexpr Duration ReportLifetime = 2s;
+/// Load above the mean, in slots, up to which a cached prompt attracts requests.
+constexpr double AffinityBound = 1.4;
+constexpr double AffinitySlack = 0.06;
+/// Extra load, in slots, that a server in another data centre stands for.
+constexpr double RemotePenalty = 0.35;
+/// Requests a second that one daemon sends to a cold server.
+constexpr int ColdSendsPerSecond = 1;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
+} // namespace
+
+BackendPicker::BackendPicker(DataCentreId home)
+    : m_home(std::move(home))
+{
+}
+
+std::optional<Pick> BackendPicker::pick(const PickRequest &request, const FleetView &view,
+                                        TimePoint now, PickFault &fault)
+{
+    std::vector<Candidate> candidates = collect(request, view, now, fault);
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    fault = PickFault::None;
+    const auto isExcluded = [](const Candidate &candidate) { return candidate.excluded; };
+    if (!std::all_of(candidates.begin(), candidates.end(), isExcluded)) {
+        std::erase_if(candidates, isExcluded);
+    }
+    std::optional<Pick> pick;
+    if (request.affinity != 0) {
+        pick = pickByAffinity(request, candidates);
+    }
+    return pick ? pick : pickLeastLoaded(candidates);
+}
+
+std::vector<BackendPicker::Candidate>
+BackendPicker::collect(const PickRequest &request, const FleetView &view, TimePoint now,
+                       PickFault &fault)
+{
+    std::vector<Candidate> candidates;
+    fault = PickFault::NoBackend;
+    for (const auto &[id, state] : view.backends()) {
+        if (state.report.service != request.service || state.draining
+            || view.evacuated(state.report.dataCentre) || request.avoid.contains(id)
+            || !request.versions.allows(state.report.version)) {
+            continue;
+        }
+        Health &health = m_health[id];
+        if (!coldAllows(state, health, now)) {
+            fault = PickFault::AllCold;
+            continue;
+        }
+        candidates.push_back({&state, &health, loadOf(health, state, now),
+                              state.report.dataCentre == m_home, health.excludedUntil > now});
+    }
+    return candidates;
+}
+
+std::optional<Pick> BackendPicker::pickByAffinity(const PickRequest &request,
+                                                  const std::vector<Candidate> &candidates) const
+{
+    double total = 0;
+    for (const Candidate &candidate : candidates) {
+        total += candidate.load;
+    }
+    const double mean = total / static_cast<double>(candidates.size());
+    const double bound = mean * AffinityBound + AffinitySlack;
+    const Candidate *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    bool bestLocal = false;
+    bool first = true;
+    std::uint64_t topWeight = 0;
+    const Candidate *top = nullptr;
+    for (const Candidate &candidate : candidates) {
+        const std::uint64_t weight
+            = mix(request.affinity ^ stableHash(candidate.state->report.id.value()));
+        if (candidate.local && (top == nullptr || weight > topWeight)) {
+            top = &candidate;
+            topWeight = weight;
+        }
+        if (candidate.load > bound) {
+            continue;
+        }
+        if (first || (candidate.local && !bestLocal)
+            || (candidate.local == bestLocal && weight > bestWeight)) {
+            best = &candidate;
+            bestWeight = weight;
+            bestLocal = candidate.local;
+            first = false;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return Pick{best->state->report.id, best->load, best->local,
+                static_cast<int>(candidates.size()), best == top ? "affinity" : "spill"};
+}
+
+std::optional<Pick> BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates)
+{
+    const Candidate *best = nullptr;
+    double bestCost = 0;
+    std::uint64_t bestTie = 0;
+    ++m_tieBreak;
+    for (const Candidate &candidate : candidates) {
+        const double cost = candidate.load + (candidate.local ? 0 : RemotePenalty);
+        const std::uint64_t tie = mix(m_tieBreak ^ stableHash(candidate.state->report.id.value()));
+        if (best == nullptr || cost < bestCost || (cost == bestCost && tie > bestTie)) {
+            best = &candidate;
+            bestCost = cost;
+            bestTie = tie;
+        }
+    }
+    return Pick{best->state->report.id, best->load, best->local,
+                static_cast<int>(candidates.size()), "least"};
+}
+
+double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
+{
+    double requests = health.inFlight;
+    if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
+        requests = std::max<double>(requests, health.reported + health.inFlight
+                                        - health.inFlightAtReport);
+    }
+    return requests / std::max(1, state.report.slots);
+}
+
+bool BackendPicker::coldAllows(const BackendState &state, Health &health, TimePoint now) const
+{
+    const auto limits = m_cold.find(state.report.service);
+    if (limits == m_cold.end() || limits->second.perSecond <= 0) {
+        return true;
+    }
+    if (state.coldUntil <= now && health.coldUntil <= now) {
+        return true;
+    }
+    while (!health.coldSends.empty() && health.coldSends.front() <= now - Duration(1s)) {
+        health.coldSends.pop_front();
+    }
+    return health.coldSends.size() < ColdSendsPerSecond;
+}
+
+void BackendPicker::onSent(const InstanceId &id, TimePoint now)
+{
+    Health &health = m_health[id];
+    ++health.inFlight;
+    health.coldSends.push_back(now);
+    constexpr std::size_t RememberedSends = 8;
+    if (health.coldSends.size() > RememberedSends) {
+        health.coldSends.pop_front();
+    }
+}
+
+void BackendPicker::exclude(Health &health, TimePoint now)
+{
+    constexpr int MostDoublings = 5;
+    const int doublings = std::min(health.failures, MostDoublings);
+    ++health.failures;
+    health.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
+}
+
+void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome, TimePoint now)
+{
+    Health &health = m_health[id];
+    health.inFlight = std::max(0, health.inFlight - 1);
+    if (outcome == SendOutcome::Cancelled) {
+        return;
+    }
+    const bool bad = outcome == SendOutcome::ServerFailed || outcome == SendOutcome::Broken
+        || outcome == SendOutcome::Unreachable;
+    health.failureRate += FailureWeight * ((bad ? 1.0 : 0.0) - health.failureRate);
+    ++health.samples;
+    switch (outcome) {
+    case SendOutcome::Served:
+        health.failures = 0;
+        health.wasDown = false;
+        break;
+    case SendOutcome::Unreachable:
+    case SendOutcome::Misdirected:
+        health.wasDown = true;
+        exclude(health, now);
+        break;
+    case SendOutcome::Broken:
+    case SendOutcome::ServerFailed: {
+        double total = 0;
+        int peers = 0;
+        for (const auto &[other, state] : m_health) {
+            if (other != id && state.samples > 0) {
+                total += state.failureRate;
+                ++peers;
+            }
+        }
+        const double usual = peers > 0 ? total / peers : 0;
+        if (health.samples >= SamplesForExclusion && health.failureRate > usual + FailureExcess) {
+            exclude(health, now);
+        }
+        break;
+    }
+    case SendOutcome::Overloaded:
+        health.excludedUntil = now + FirstExclusion / 4;
+        break;
+    case SendOutcome::Cancelled:
+        break;
+    }
+}
+
+void BackendPicker::onLoadReported(const InstanceId &id, int atServer, TimePoint now)
+{
+    Health &health = m_health[id];
+    health.reported = atServer;
+    health.inFlightAtReport = health.inFlight;
+    health.reportedAt = now;
+}
+
+void BackendPicker::prune(const FleetView &view)
+{
+    std::erase_if(m_health, [&](const auto &entry) {
+        return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
+    });
+}
+
+int BackendPicker::inFlight(const InstanceId &id) const
+{
+    const auto found = m_health.find(id);
+    return found == m_health.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/BackendPicker.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/Ids.h"
+#include "Base/Time.h"
+#include "Fleet/FleetView.h"
+
+namespace lycheearch {
+
+/// How a request that was sent to a backend server ended, as far as it tells about the server.
+enum class SendOutcome {
+    Served, ///< A good answer.
+    ServerFailed, ///< The server answered with a failure of its own.
+    Broken, ///< The answer broke off, was spoilt or never came.
+    Unreachable, ///< No connection could be made.
+    Overloaded, ///< The server turned the request away because it was full.
+    Misdirected, ///< Another server has the address now.
+    Cancelled, ///< The caller left; tells nothing.
+};
+
+/// Which versions of a service may serve a request.
+struct VersionRule
+{
+    enum class Mode { Any, Only, Except };
+
+    Mode mode = Mode::Any;
+    VersionId version;
+
+    bool allows(const VersionId &candidate) const
+    {
+        return mode == Mode::Any || (candidate == version) == (mode == Mode::Only);
+    }
+};
+
+/// What a request needs from a backend server.
+struct PickRequest
+{
+    ServiceId service;
+    std::uint64_t affinity = 0; ///< Requests with the same value share cached prompt parts; 0: none.
+    std::int64_t promptTokens = 0;
+    VersionRule versions;
+    std::set<InstanceId> avoid; ///< Servers that were tried before.
+};
+
+/// Bounds for backend servers that are cold.
+struct ColdLimits
+{
+    double perSecond = 0; ///< 0: no limit.
+    Duration period{}; ///< How long a server stays cold after its start.
+};
+
+/// A choice, with the inputs that decided it.
+struct Pick
+{
+    InstanceId backend;
+    double load = 0; ///< Requests there for each slot.
+    bool local = false; ///< In the data centre of this daemon.
+    int candidates = 0;
+    const char *reason = ""; ///< "affinity", "spill", "least" or "last".
+};
+
+/// Why no backend server was chosen.
+enum class PickFault { None, NoBackend, AllCold, AllFull };
+
+/// Chooses the backend server for each request of one daemon, and keeps what the daemon knows of
+/// the servers' load and health. Answers to: steady load with shared prompts (bounded-load
+/// rendezvous hashing keeps a prompt's cache in one place for each data centre), a hot prompt
+/// (spill to the next places), lost servers (exclusion with growing pauses, with a floor under
+/// how many may be excluded), cold servers (a share of the requests a second they bear).
+class BackendPicker
+{
+public:
+    explicit BackendPicker(DataCentreId home);
+
+
+    /// Chooses a server among \p view's for a request, or tells in \p fault why there is none.
+    std::optional<Pick> pick(const PickRequest &request, const FleetView &view, TimePoint now,
+                             PickFault &fault);
+    /// A request was sent.
+    void onSent(const InstanceId &id, TimePoint now);
+    /// A request left the server.
+    void onEnded(const InstanceId &id, SendOutcome outcome, TimePoint now);
+    /// The server told its load with an answer.
+    void onLoadReported(const InstanceId &id, int atServer, TimePoint now);
+    void setColdLimits(const ServiceId &service, ColdLimits limits) { m_cold[service] = limits; }
+    /// Forgets servers that the view no longer holds.
+    void prune(const FleetView &view);
+    /// Requests of this daemon that are at the server.
+    int inFlight(const InstanceId &id) const;
+
+private:
+    /// What this daemon knows of one server.
+    struct Health
+    {
+        int inFlight = 0;
+        int reported = 0; ///< Requests at the server from all daemons, as last reported.
+        int inFlightAtReport = 0;
+        TimePoint reportedAt;
+        int failures = 0; ///< In a row.
+        TimePoint excludedUntil;
+        double failureRate = 0; ///< Moving average.
+        int samples = 0;
+        bool wasDown = false; ///< Failed to connect since its last answer.
+        std::int64_t startedAt = 0;
+        TimePoint coldUntil;
+        std::deque<TimePoint> coldSends; ///< In the last second.
+    };
+
+    struct Candidate
+    {
+        const BackendState *state = nullptr;
+        Health *health = nullptr;
+        double load = 0;
+        bool local = false;
+        bool excluded = false;
+    };
+
+    std::vector<Candidate> collect(const PickRequest &request, const FleetView &view, TimePoint now,
+                                   PickFault &fault);
+    std::optional<Pick> pickByAffinity(const PickRequest &request,
+                                       const std::vector<Candidate> &candidates) const;
+    std::optional<Pick> pickLeastLoaded(const std::vector<Candidate> &candidates);
+    double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
+    bool coldAllows(const BackendState &state, Health &health, TimePoint now) const;
+    void exclude(Health &health, TimePoint now);
+
+    DataCentreId m_home;
+    std::map<InstanceId, Health> m_health;
+    std::map<ServiceId, ColdLimits> m_cold;
+    std::uint64_t m_tieBreak = 0;
+};
+
+} // namespace lycheearch
