Place prompts by one rendezvous place for all daemons, weighed against the backlog

Cause: places chosen within each data centre and left at a small load; 5.5 of 11.4 million prompt tokens were shared parts read again. Change: BackendPicker counts work in prompt tokens; engine priority from route and account.

--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -20,6 +20,7 @@
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
 
+constexpr int LowestEnginePriority = 9;
 /// Connections that are tried for one request before it fails.
 constexpr int MostConnectFailures = 4;
 /// A kept connection that was idle for longer is not trusted with a request that may run once.
@@ -32,6 +33,8 @@
 constexpr Duration LeastTimeForRepeat = 30ms;
 /// A plain request is sent again after this many times its latency objective without an answer.
 constexpr int PlainStallObjectives = 3;
+/// A stream without a first event is sent again after this many times its latency objective.
+constexpr int FirstEventStallObjectives = 2;
 constexpr Duration ShortestStreamStall = 1500ms;
 constexpr int StallGapObjectives = 2;
 
@@ -123,6 +126,7 @@
         answerOwn(NotFound, "no route", now);
         return false;
     }
+    m_priority = m_route->priority;
     if (!authenticate(now)) {
         return false;
     }
@@ -135,9 +139,15 @@
     }
     m_service = *service;
     m_model = m_context.models.choose(*m_route, {0, m_request.promptTokens});
+    const ServiceProfile *profile = m_table->service(m_service);
+    m_engine = profile != nullptr && profile->engine;
     if (m_request.prompt.size() > 1) {
+        // The last part belongs to this request alone.
         const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
         m_affinity = stableHash(shared.id + "/" + m_model) | 1;
+        for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
+            m_sharedTokens += m_request.prompt[i].tokens;
+        }
     }
     const Duration allowed = std::min(m_request.timeLeft.value_or(m_route->timeout),
                                       m_route->timeout);
@@ -161,6 +171,7 @@
         return false;
     }
     m_account = account->name;
+    m_priority = account->priority.value_or(m_route->priority);
     return true;
 }
 
@@ -170,12 +181,19 @@
     pick.service = m_service;
     pick.affinity = m_affinity;
     pick.promptTokens = m_request.promptTokens;
+    pick.sharedTokens = m_sharedTokens;
+    pick.engine = m_engine;
     pick.versions = m_context.rollouts.rule(m_service, m_sessionHash, m_context.view, now);
     pick.avoid = m_tried;
     pick.avoid.insert(m_unreachable.begin(), m_unreachable.end());
     return pick;
 }
 
+std::int64_t Exchange::unansweredTokens() const
+{
+    return m_attempt.answered ? 0 : m_request.promptTokens;
+}
+
 void Exchange::dispatch(TimePoint now)
 {
     while (!m_finished) {
@@ -228,6 +246,9 @@
     order.timeLeft = m_deadline - now;
     order.model = m_model;
     order.lastEvent = m_lastEvent;
+    if (m_engine) {
+        order.enginePriority = std::clamp(m_priority, 0, LowestEnginePriority);
+    }
     HttpRequestHead head = m_context.dialect.encodeRequest(m_request, order);
     removeConnectionFields(head.fields);
     head.fields.remove("Content-Length");
@@ -238,7 +259,7 @@
     m_inAttempt = true;
     m_attempt.sentAt = now;
     m_attempt.lastByteAt = now;
-    m_context.picker.onSent(pick.backend, now);
+    m_context.picker.onSent(pick.backend, pickRequest(now), now);
     logDispatch(pick, now);
     armStall(now);
     m_attempt.link->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this, now);
@@ -257,6 +278,7 @@
                             .add("backend", pick.backend.value())
                             .add("why", pick.reason)
                             .add("load", pick.load)
+                            .add("backlog", static_cast<std::int64_t>(pick.backlogTokens))
                             .add("local", pick.local ? "yes" : "no")
                             .add("candidates", pick.candidates)
                             .add("model", m_model)
@@ -279,9 +301,10 @@
         return Verdict::Skip;
     }
     if (facts.load) {
-        m_context.picker.onLoadReported(m_attempt.backend,
-                                        facts.load->running + facts.load->waiting, now);
+        m_context.picker.onLoadReported(m_attempt.backend, facts.load->running,
+                                        facts.load->waiting, now);
     }
+    m_context.picker.onAnswering(m_attempt.backend, unansweredTokens(), now);
     m_attempt.answered = true;
     m_attempt.lastByteAt = now;
     m_attempt.streaming = m_route->kind == RequestKind::EventStream && head.status == StatusOk
@@ -426,7 +449,7 @@
 {
     m_inAttempt = false;
     m_context.loop.cancel(m_attempt.stallTimer);
-    m_context.picker.onEnded(m_attempt.backend, outcome, now);
+    m_context.picker.onEnded(m_attempt.backend, outcome, unansweredTokens(), now);
     m_tried.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
         m_context.log.write(LogWeight::Notable,
@@ -471,7 +494,7 @@
         return m_route->latencyObjective * PlainStallObjectives;
     }
     if (!m_streamBegun) {
-        return m_route->latencyObjective;
+        return m_route->latencyObjective * FirstEventStallObjectives;
     }
     return std::max(ShortestStreamStall, m_route->gapObjective * StallGapObjectives);
 }
--- a/Source/Forward/Exchange.h
+++ b/Source/Forward/Exchange.h
@@ -57,6 +57,7 @@
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
     PickRequest pickRequest(TimePoint now) const;
+    std::int64_t unansweredTokens() const;
     bool openLink(const Pick &pick, TimePoint now);
     void send(const Pick &pick, TimePoint now);
     void logDispatch(const Pick &pick, TimePoint now);
@@ -86,10 +87,13 @@
     std::shared_ptr<const RoutingTable> m_table;
     const Route *m_route = nullptr;
     AccountId m_account;
+    int m_priority = 0; ///< 0 is the most important.
     ServiceId m_service;
     std::string m_model;
     std::uint64_t m_sessionHash = 0;
     std::uint64_t m_affinity = 0;
+    std::int64_t m_sharedTokens = 0;
+    bool m_engine = false;
 
     TimePoint m_receivedAt;
     TimePoint m_deadline;
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -18,11 +18,17 @@
 constexpr int SamplesForExclusion = 6;
 /// A reported load is believed for this long.
 constexpr Duration ReportLifetime = 2s;
-/// Load above the mean, in slots, up to which a cached prompt attracts requests.
-constexpr double AffinityBound = 1.4;
-constexpr double AffinitySlack = 0.06;
 /// Extra load, in slots, that a server in another data centre stands for.
 constexpr double RemotePenalty = 0.35;
+/// What a server in another data centre costs, in prompt tokens.
+constexpr double RemoteTokens = 500;
+/// What each running request costs those that come after it, in prompt tokens.
+constexpr double RunningTokens = 60;
+/// A shared part stays cached at least this long after its last use.
+constexpr Duration CacheMemory = 15s;
+constexpr std::size_t MostRememberedVisits = 4096;
+/// Weight of the newest prompt in the mean.
+constexpr double MeanWeight = 0.05;
 /// Requests a second that one daemon sends to a cold server.
 constexpr int ColdSendsPerSecond = 1;
 
@@ -54,11 +60,7 @@
     if (!std::all_of(candidates.begin(), candidates.end(), isExcluded)) {
         std::erase_if(candidates, isExcluded);
     }
-    std::optional<Pick> pick;
-    if (request.affinity != 0) {
-        pick = pickByAffinity(request, candidates);
-    }
-    return pick ? pick : pickLeastLoaded(candidates);
+    return request.engine ? pickForPrompt(request, candidates, now) : pickLeastLoaded(candidates);
 }
 
 std::vector<BackendPicker::Candidate>
@@ -84,47 +86,64 @@
     return candidates;
 }
 
-std::optional<Pick> BackendPicker::pickByAffinity(const PickRequest &request,
-                                                  const std::vector<Candidate> &candidates) const
+Pick BackendPicker::pickForPrompt(const PickRequest &request, std::vector<Candidate> &candidates,
+                                  TimePoint now) const
 {
-    double total = 0;
-    for (const Candidate &candidate : candidates) {
-        total += candidate.load;
+    std::uint64_t topWeight = 0;
+    for (Candidate &candidate : candidates) {
+        candidate.weight = mix(request.affinity ^ stableHash(candidate.state->report.id.value()));
+        topWeight = std::max(topWeight, candidate.weight);
     }
-    const double mean = total / static_cast<double>(candidates.size());
-    const double bound = mean * AffinityBound + AffinitySlack;
     const Candidate *best = nullptr;
-    std::uint64_t bestWeight = 0;
-    bool bestLocal = false;
-    bool first = true;
-    std::uint64_t topWeight = 0;
-    const Candidate *top = nullptr;
+    double bestCost = 0;
+    double bestBacklog = 0;
+    bool bestCached = false;
     for (const Candidate &candidate : candidates) {
-        const std::uint64_t weight
-            = mix(request.affinity ^ stableHash(candidate.state->report.id.value()));
-        if (candidate.local && (top == nullptr || weight > topWeight)) {
-            top = &candidate;
-            topWeight = weight;
-        }
-        if (candidate.load > bound) {
-            continue;
-        }
-        if (first || (candidate.local && !bestLocal)
-            || (candidate.local == bestLocal && weight > bestWeight)) {
+        const double backlog = backlogTokens(*candidate.health, request.service, now);
+        const bool cached = request.affinity != 0
+            && (candidate.weight == topWeight
+                || visitedLately(request.affinity, candidate.state->report.id, now));
+        const double cost = backlog + (cached ? 0 : static_cast<double>(request.sharedTokens))
+            + (candidate.local ? 0 : RemoteTokens);
+        if (best == nullptr || cost < bestCost
+            || (cost == bestCost && candidate.weight > best->weight)) {
             best = &candidate;
-            bestWeight = weight;
-            bestLocal = candidate.local;
-            first = false;
+            bestCost = cost;
+            bestBacklog = backlog;
+            bestCached = cached;
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
+    return {best->state->report.id, best->load, bestBacklog, best->local,
+            static_cast<int>(candidates.size()),
+            bestCached ? "cached" : (request.affinity != 0 ? "spill" : "least")};
+}
+
+double BackendPicker::backlogTokens(const Health &health, const ServiceId &service,
+                                    TimePoint now) const
+{
+    const auto unanswered = static_cast<double>(health.unansweredTokens);
+    if (health.reportedAt == TimePoint() || now - health.reportedAt > ReportLifetime) {
+        return unanswered + RunningTokens * health.inFlight;
     }
-    return Pick{best->state->report.id, best->load, best->local,
-                static_cast<int>(candidates.size()), best == top ? "affinity" : "spill"};
+    const auto mean = m_meanPromptTokens.find(service);
+    const double waiting = health.waiting * (mean == m_meanPromptTokens.end() ? 0 : mean->second);
+    const auto since = static_cast<double>(
+        std::max<std::int64_t>(0, health.unansweredTokens - health.unansweredAtReport));
+    const int running = std::max(health.inFlight, health.running);
+    return std::max(unanswered, waiting + since) + RunningTokens * running;
+}
+
+bool BackendPicker::visitedLately(std::uint64_t affinity, const InstanceId &id,
+                                  TimePoint now) const
+{
+    const auto found = m_visits.find(affinity);
+    return found != m_visits.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const Visit &visit) {
+               return visit.backend == id && now - visit.at < CacheMemory;
+           });
 }
 
-std::optional<Pick> BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates)
+Pick BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates)
 {
     const Candidate *best = nullptr;
     double bestCost = 0;
@@ -139,15 +158,15 @@
             bestTie = tie;
         }
     }
-    return Pick{best->state->report.id, best->load, best->local,
-                static_cast<int>(candidates.size()), "least"};
+    return {best->state->report.id, best->load, 0, best->local,
+            static_cast<int>(candidates.size()), "least"};
 }
 
 double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
 {
     double requests = health.inFlight;
     if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
-        requests = std::max<double>(requests, health.reported + health.inFlight
+        requests = std::max<double>(requests, health.running + health.waiting + health.inFlight
                                         - health.inFlightAtReport);
     }
     return requests / std::max(1, state.report.slots);
@@ -168,15 +187,36 @@
     return health.coldSends.size() < ColdSendsPerSecond;
 }
 
-void BackendPicker::onSent(const InstanceId &id, TimePoint now)
+void BackendPicker::onSent(const InstanceId &id, const PickRequest &request, TimePoint now)
 {
     Health &health = m_health[id];
     ++health.inFlight;
+    health.unansweredTokens += request.promptTokens;
     health.coldSends.push_back(now);
     constexpr std::size_t RememberedSends = 8;
     if (health.coldSends.size() > RememberedSends) {
         health.coldSends.pop_front();
     }
+    double &mean = m_meanPromptTokens[request.service];
+    mean += MeanWeight * (static_cast<double>(request.promptTokens) - mean);
+    if (request.affinity == 0 || request.sharedTokens == 0) {
+        return;
+    }
+    if (m_visits.size() >= MostRememberedVisits) {
+        m_visits.clear();
+    }
+    std::vector<Visit> &visits = m_visits[request.affinity];
+    std::erase_if(visits, [&](const Visit &visit) {
+        return visit.backend == id || now - visit.at >= CacheMemory;
+    });
+    visits.push_back({id, now});
+}
+
+void BackendPicker::onAnswering(const InstanceId &id, std::int64_t promptTokens, TimePoint now)
+{
+    Health &health = m_health[id];
+    health.unansweredTokens = std::max<std::int64_t>(0, health.unansweredTokens - promptTokens);
+    health.heardAt = now;
 }
 
 void BackendPicker::exclude(Health &health, TimePoint now)
@@ -187,9 +227,11 @@
     health.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
 }
 
-void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome, TimePoint now)
+void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome,
+                            std::int64_t unansweredTokens, TimePoint now)
 {
     Health &health = m_health[id];
+    health.unansweredTokens = std::max<std::int64_t>(0, health.unansweredTokens - unansweredTokens);
     health.inFlight = std::max(0, health.inFlight - 1);
     if (outcome == SendOutcome::Cancelled) {
         return;
@@ -202,6 +244,7 @@
     case SendOutcome::Served:
         health.failures = 0;
         health.wasDown = false;
+        health.heardAt = now;
         break;
     case SendOutcome::Unreachable:
     case SendOutcome::Misdirected:
@@ -232,14 +275,22 @@
     }
 }
 
-void BackendPicker::onLoadReported(const InstanceId &id, int atServer, TimePoint now)
+void BackendPicker::onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now)
 {
     Health &health = m_health[id];
-    health.reported = atServer;
+    health.running = running;
+    health.waiting = waiting;
     health.inFlightAtReport = health.inFlight;
+    health.unansweredAtReport = health.unansweredTokens;
     health.reportedAt = now;
 }
 
+TimePoint BackendPicker::lastHeardAt(const InstanceId &id) const
+{
+    const auto found = m_health.find(id);
+    return found == m_health.end() ? TimePoint() : found->second.heardAt;
+}
+
 void BackendPicker::prune(const FleetView &view)
 {
     std::erase_if(m_health, [&](const auto &entry) {
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Base/Ids.h"
@@ -45,6 +46,8 @@
     ServiceId service;
     std::uint64_t affinity = 0; ///< Requests with the same value share cached prompt parts; 0: none.
     std::int64_t promptTokens = 0;
+    std::int64_t sharedTokens = 0; ///< Of the prompt, in parts that other requests have too.
+    bool engine = false; ///< The service runs models: work is counted in prompt tokens.
     VersionRule versions;
     std::set<InstanceId> avoid; ///< Servers that were tried before.
 };
@@ -61,19 +64,21 @@
 {
     InstanceId backend;
     double load = 0; ///< Requests there for each slot.
+    double backlogTokens = 0; ///< Prompt tokens there that are still to be read.
     bool local = false; ///< In the data centre of this daemon.
     int candidates = 0;
-    const char *reason = ""; ///< "affinity", "spill", "least" or "last".
+    const char *reason = ""; ///< "cached", "spill" or "least".
 };
 
 /// Why no backend server was chosen.
 enum class PickFault { None, NoBackend, AllCold, AllFull };
 
 /// Chooses the backend server for each request of one daemon, and keeps what the daemon knows of
-/// the servers' load and health. Answers to: steady load with shared prompts (bounded-load
-/// rendezvous hashing keeps a prompt's cache in one place for each data centre), a hot prompt
-/// (spill to the next places), lost servers (exclusion with growing pauses, with a floor under
-/// how many may be excluded), cold servers (a share of the requests a second they bear).
+/// the servers' load and health. Answers to: steady load with shared prompts (each shared part has
+/// one place by rendezvous hashing, the same for all daemons, which holds as long as waiting there
+/// costs less than reading the part again elsewhere), a hot prompt (spill to the next places),
+/// lost servers (exclusion with growing pauses, never of all), cold servers (a share of the
+/// requests a second that they bear).
 class BackendPicker
 {
 public:
@@ -84,11 +89,17 @@
     std::optional<Pick> pick(const PickRequest &request, const FleetView &view, TimePoint now,
                              PickFault &fault);
     /// A request was sent.
-    void onSent(const InstanceId &id, TimePoint now);
-    /// A request left the server.
-    void onEnded(const InstanceId &id, SendOutcome outcome, TimePoint now);
+    void onSent(const InstanceId &id, const PickRequest &request, TimePoint now);
+    /// The first byte of the answer to a request with this many prompt tokens came.
+    void onAnswering(const InstanceId &id, std::int64_t promptTokens, TimePoint now);
+    /// A request left the server. \p unansweredTokens are its prompt tokens if no byte of its
+    /// answer came.
+    void onEnded(const InstanceId &id, SendOutcome outcome, std::int64_t unansweredTokens,
+                 TimePoint now);
     /// The server told its load with an answer.
-    void onLoadReported(const InstanceId &id, int atServer, TimePoint now);
+    void onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now);
+    /// When any answer of the server last made progress.
+    TimePoint lastHeardAt(const InstanceId &id) const;
     void setColdLimits(const ServiceId &service, ColdLimits limits) { m_cold[service] = limits; }
     /// Forgets servers that the view no longer holds.
     void prune(const FleetView &view);
@@ -100,8 +111,12 @@
     struct Health
     {
         int inFlight = 0;
-        int reported = 0; ///< Requests at the server from all daemons, as last reported.
+        std::int64_t unansweredTokens = 0; ///< Prompt tokens sent without an answer so far.
+        int running = 0; ///< Requests there from all daemons, as last reported.
+        int waiting = 0;
         int inFlightAtReport = 0;
+        std::int64_t unansweredAtReport = 0;
+        TimePoint heardAt;
         TimePoint reportedAt;
         int failures = 0; ///< In a row.
         TimePoint excludedUntil;
@@ -120,13 +135,23 @@
         double load = 0;
         bool local = false;
         bool excluded = false;
+        std::uint64_t weight = 0; ///< Rendezvous weight for the affinity of the request.
+    };
+
+    /// Where this daemon sent requests with one affinity of late.
+    struct Visit
+    {
+        InstanceId backend;
+        TimePoint at;
     };
 
     std::vector<Candidate> collect(const PickRequest &request, const FleetView &view, TimePoint now,
                                    PickFault &fault);
-    std::optional<Pick> pickByAffinity(const PickRequest &request,
-                                       const std::vector<Candidate> &candidates) const;
-    std::optional<Pick> pickLeastLoaded(const std::vector<Candidate> &candidates);
+    Pick pickForPrompt(const PickRequest &request, std::vector<Candidate> &candidates,
+                       TimePoint now) const;
+    Pick pickLeastLoaded(const std::vector<Candidate> &candidates);
+    double backlogTokens(const Health &health, const ServiceId &service, TimePoint now) const;
+    bool visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
     bool coldAllows(const BackendState &state, Health &health, TimePoint now) const;
     void exclude(Health &health, TimePoint now);
@@ -134,6 +159,8 @@
     DataCentreId m_home;
     std::map<InstanceId, Health> m_health;
     std::map<ServiceId, ColdLimits> m_cold;
+    std::map<ServiceId, double> m_meanPromptTokens;
+    std::unordered_map<std::uint64_t, std::vector<Visit>> m_visits;
     std::uint64_t m_tieBreak = 0;
 };
 
