Cascade from the smallest model, stop policy, fewer store reads

Change: ModelCascade drops a small model's answer that is likely wrong before the caller sees any of it; StopPolicy takes on only what can end in time; longer waits at the store.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -11,7 +11,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-constexpr FollowerTiming StoreTiming{1500ms, 700ms, 1000ms, 200ms, 1000ms};
+constexpr FollowerTiming StoreTiming{3s, 1100ms, 1500ms, 200ms, 1000ms};
 constexpr BackendLink::Limits LinkLimits{
     400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration SweepPeriod = 1s;
@@ -20,9 +20,7 @@
 constexpr Duration IdleCloseDelay = 3s;
 constexpr Duration DrainCheckPeriod = 100ms;
 /// The balancer needs this long to see that the instance is not ready.
-constexpr Duration ShortestDrain = 3500ms;
-/// Left of the grace period when what still runs is broken off.
-constexpr Duration GraceReserve = 300ms;
+constexpr Duration ListenPeriod = 3500ms;
 /// Assumed number of daemons among which shared slack is divided.
 constexpr double SlackDivisor = 12;
 
@@ -60,7 +58,7 @@
     , m_links(m_loop, LinkLimits)
     , m_retries(retryBounds(m_settings.bounds))
     , m_context{m_loop, m_view, m_picker, m_links, dialect, m_retries, m_rollouts, m_models,
-                m_log, m_metrics}
+                m_stop, m_log, m_metrics}
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
 }
@@ -142,11 +140,10 @@
 
 void RouterDaemon::beginDrain(TimePoint now)
 {
-    if (m_draining) {
+    if (m_stop.stopping()) {
         return;
     }
-    m_draining = true;
-    m_drainStart = now;
+    m_stop.begin(m_settings.bounds.grace, now);
     m_callers->drain(now);
     m_log.write(LogWeight::Notable,
                 LogLine("process.draining")
@@ -158,12 +155,15 @@
 
 void RouterDaemon::checkDrained(TimePoint now)
 {
-    const Duration elapsed = now - m_drainStart;
+    const Duration elapsed = m_stop.elapsed(now);
     if (elapsed >= IdleCloseDelay) {
         m_callers->closeIdle(now);
     }
-    const bool quiet = m_callers->connections() == 0 && elapsed >= ShortestDrain;
-    if (quiet || elapsed >= m_settings.bounds.grace - GraceReserve) {
+    if (elapsed >= ListenPeriod) {
+        m_callers->stopListening();
+    }
+    const bool quiet = m_callers->connections() == 0 && elapsed >= ListenPeriod;
+    if (quiet || m_stop.mustEnd(now)) {
         m_callers->terminateAll(now);
         m_loop.stop();
         return;
@@ -183,7 +183,7 @@
 
 HttpReply RouterDaemon::readiness(TimePoint now)
 {
-    const bool ready = m_follower.synced() && !m_draining;
+    const bool ready = m_follower.synced() && !m_stop.stopping();
     if (ready != m_wasReady) {
         m_wasReady = ready;
         m_log.write(LogWeight::Notable,
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -66,15 +66,14 @@
     BackendLinkPool m_links;
     RetryAllowance m_retries;
     RolloutDirector m_rollouts;
-    LargestModelChooser m_models;
+    ModelCascade m_models;
+    StopPolicy m_stop;
     ForwardContext m_context;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<HttpResponder> m_readinessServer;
     std::unique_ptr<HttpResponder> m_metricsServer;
-    bool m_draining = false;
     bool m_wasReady = false;
-    TimePoint m_drainStart;
 };
 
 } // namespace lycheearch
--- a/Source/Forward/CallerServer.cpp
+++ b/Source/Forward/CallerServer.cpp
@@ -25,10 +25,16 @@
 }
 
 CallerServer::~CallerServer()
+{
+    stopListening();
+}
+
+void CallerServer::stopListening()
 {
     if (m_listener >= 0) {
         m_context.loop.unwatch(m_listener);
         close(m_listener);
+        m_listener = -1;
     }
 }
 
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -19,6 +19,8 @@
 
     /// Answers from now on are the last of their connection.
     void drain(TimePoint now);
+    /// Takes no further connections.
+    void stopListening();
     /// Closes the connections on which no request is in progress.
     void closeIdle(TimePoint now);
     /// Ends all connections.
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -28,6 +28,7 @@
 constexpr Duration LongestIdle = 30s;
 /// When a caller is told to come back after a refusal.
 constexpr Duration ShortRetryAfter = 300ms;
+constexpr Duration StoppingRetryAfter = 20ms;
 constexpr Duration NotReadyRetryAfter = 500ms;
 /// Time that a repeat needs to be of use.
 constexpr Duration LeastTimeForRepeat = 30ms;
@@ -130,6 +131,12 @@
     if (!authenticate(now)) {
         return false;
     }
+    if (!m_context.stop.admits(std::min(m_request.timeLeft.value_or(m_route->timeout),
+                                        m_route->timeout),
+                               now)) {
+        answerOwn(Unavailable, "the process is stopping", now, StoppingRetryAfter);
+        return false;
+    }
     m_sessionHash = stableHash(m_request.session.empty() ? m_request.id.value()
                                                          : m_request.session.value());
     const ServiceId *service = chooseService(*m_route, m_sessionHash);
@@ -138,17 +145,15 @@
         return false;
     }
     m_service = *service;
-    m_model = m_context.models.choose(*m_route, {0, m_request.promptTokens});
     const ServiceProfile *profile = m_table->service(m_service);
     m_engine = profile != nullptr && profile->engine;
     if (m_request.prompt.size() > 1) {
         // The last part belongs to this request alone.
-        const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
-        m_affinity = stableHash(shared.id + "/" + m_model) | 1;
         for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
             m_sharedTokens += m_request.prompt[i].tokens;
         }
     }
+    setModel(m_context.models.first(*m_route));
     const Duration allowed = std::min(m_request.timeLeft.value_or(m_route->timeout),
                                       m_route->timeout);
     m_deadline = m_receivedAt + allowed;
@@ -160,6 +165,15 @@
     return true;
 }
 
+void Exchange::setModel(std::string model)
+{
+    m_model = std::move(model);
+    if (m_sharedTokens > 0) {
+        const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
+        m_affinity = stableHash(shared.id + "/" + m_model) | 1;
+    }
+}
+
 bool Exchange::authenticate(TimePoint now)
 {
     if (m_route->isPublic || !m_table->needsKeys()) {
@@ -311,12 +325,52 @@
         && facts.sealed && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
     m_attempt.facts = std::move(facts);
+    if (m_attempt.streaming && !m_streamBegun) {
+        m_context.models.onFirstEvent(m_model, now - m_attempt.sentAt);
+        m_attempt.dropped = escalate(now);
+    }
     return Verdict::Accept;
 }
 
+bool Exchange::escalate(TimePoint now)
+{
+    if (m_sends >= m_route->maxAttempts || !m_route->repeatable()) {
+        return false;
+    }
+    const auto larger = m_context.models.escalate(
+        *m_route,
+        {m_model, m_attempt.facts.confidence, m_request.outputTokens, now - m_receivedAt,
+         m_deadline - now});
+    if (!larger || !m_context.retries.withdraw(m_service, now)) {
+        return false;
+    }
+    m_context.log.write(LogWeight::Routine,
+                        LogLine("model.escalate")
+                            .add("id", m_request.id.value())
+                            .add("from", m_model)
+                            .add("to", *larger)
+                            .add("confidence", m_attempt.facts.confidence.value_or(-1)),
+                        now);
+    m_mayHaveRun = true;
+    setModel(*larger);
+    // The link must not be ended while it reports the head of the answer.
+    m_context.loop.defer([this] {
+        if (m_inAttempt && m_attempt.dropped && !m_finished) {
+            const TimePoint present = m_context.loop.now();
+            releaseAttempt(SendOutcome::Cancelled, false, present);
+            m_tried.clear();
+            dispatch(present);
+        }
+    });
+    return true;
+}
+
 void Exchange::onAnswerBody(std::string_view bytes, TimePoint now)
 {
     m_attempt.lastByteAt = now;
+    if (m_attempt.dropped) {
+        return;
+    }
     if (!m_attempt.streaming) {
         m_attempt.body.append(bytes);
         return;
@@ -355,6 +409,7 @@
         m_sink.beginStream(m_attempt.head.status, m_attempt.head.reason, std::move(fields));
     } else {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+        m_context.models.onGap(m_model, now - m_lastEventAt);
     }
     m_lastEventAt = now;
     m_sink.streamBytes(bytes);
@@ -365,6 +420,12 @@
 
 void Exchange::onAnswerEnd(TimePoint now)
 {
+    if (m_attempt.dropped) {
+        releaseAttempt(SendOutcome::Served, true, now);
+        m_tried.clear();
+        dispatch(now);
+        return;
+    }
     if (m_attempt.streaming) {
         onStreamEnd(now);
     } else {
--- a/Source/Forward/Exchange.h
+++ b/Source/Forward/Exchange.h
@@ -43,6 +43,7 @@
         bool answered = false; ///< The head of its answer has come.
         bool streaming = false;
         bool freshLink = false;
+        bool dropped = false; ///< A larger model is asked instead.
         TimePoint sentAt;
         TimePoint lastByteAt;
         TimerId stallTimer;
@@ -62,6 +63,8 @@
     void send(const Pick &pick, TimePoint now);
     void logDispatch(const Pick &pick, TimePoint now);
 
+    bool escalate(TimePoint now);
+    void setModel(std::string model);
     void onWholeAnswer(TimePoint now);
     void onStreamEnd(TimePoint now);
     void relayEvents(const std::vector<StreamEvent> &events, TimePoint now);
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -7,9 +7,10 @@
 #include "Log/DecisionLog.h"
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
-#include "Routing/ModelChooser.h"
+#include "Routing/ModelCascade.h"
 #include "Routing/RetryAllowance.h"
 #include "Routing/RolloutDirector.h"
+#include "Routing/StopPolicy.h"
 
 namespace lycheearch {
 
@@ -23,7 +24,8 @@
     const RequestDialect &dialect;
     RetryAllowance &retries;
     RolloutDirector &rollouts;
-    const ModelChooser &models;
+    ModelCascade &models;
+    const StopPolicy &stop;
     DecisionLog &log;
     Metrics &metrics;
 };
--- a/Source/Routing/RetryAllowance.cpp
+++ b/Source/Routing/RetryAllowance.cpp
@@ -6,7 +6,7 @@
 
 constexpr int SpansPerWindow = 20;
 /// Part of the bound that is used: windows slide, and daemons see them shifted.
-constexpr double Margin = 0.6;
+constexpr double Margin = 0.85;
 
 } // namespace
 
