--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -77,6 +77,7 @@
     settings.readinessListen
         = endpoint(reader, {"readiness_listen", "Address for the balancer's readiness checks"});
     settings.metricsListen = endpoint(reader, {"metrics_listen", "Address for metrics"});
+    settings.feedListen = endpoint(reader, {"feed_listen", "Address for other daemons"});
     settings.store = endpoint(reader, {"store", "Address of the log store"});
     settings.memoryMegabytes
         = reader.number({"memory_mb", "Memory that the process may use"}, {16, 1'000'000}, 128);
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -34,6 +34,7 @@
     Endpoint listen; ///< Callers.
     Endpoint readinessListen;
     Endpoint metricsListen;
+    Endpoint feedListen; ///< Daemons that follow what this one reads.
     Endpoint store;
     std::int64_t memoryMegabytes = 0;
     int routineLogLines = 0; ///< A second.
--- /dev/null
+++ b/Source/Daemon/RolloutDuty.cpp
@@ -0,0 +1,225 @@
+#include "Daemon/RolloutDuty.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr Duration StepPeriod = 400ms;
+constexpr Duration EvidenceWritePeriod = 700ms;
+/// How much longer each further reader in the members' order waits before it acts.
+constexpr Duration PrecedenceStep = 1500ms;
+constexpr int MostPrecedenceSteps = 3;
+
+} // namespace
+
+RolloutDuty::RolloutDuty(EventLoop &loop, InstanceId self, FleetStore &store,
+                         const RecordCodec &codec, const FleetView &view, FleetFollower &follower,
+                         FeedClient &feed, const RolloutCounts &counts, DecisionLog &log)
+    : m_loop(loop)
+    , m_self(std::move(self))
+    , m_store(store)
+    , m_codec(codec)
+    , m_view(view)
+    , m_follower(follower)
+    , m_feed(feed)
+    , m_counts(counts)
+    , m_log(log)
+{
+}
+
+RolloutDuty::~RolloutDuty()
+{
+    m_loop.cancel(m_timer);
+}
+
+void RolloutDuty::start()
+{
+    step(m_loop.now());
+}
+
+void RolloutDuty::collect(const FeedEvidence &evidence)
+{
+    if (!evidence.evidence.empty()) {
+        m_collected[evidence.evidence.front().daemon] = evidence.evidence;
+    }
+}
+
+void RolloutDuty::step(TimePoint now)
+{
+    m_timer = m_loop.at(now + StepPeriod, [this](TimePoint present) { step(present); });
+    if (!m_follower.synced() || m_view.rollouts().empty()) {
+        return;
+    }
+    if (rolloutUnderWay(m_view)) {
+        shareEvidence(now);
+    }
+    if (!m_follower.fed()) {
+        writeCollected(now);
+        direct(now);
+    }
+}
+
+void RolloutDuty::shareEvidence(TimePoint)
+{
+    std::vector<RolloutEvidence> evidence = m_counts.evidence(m_self, m_view);
+    if (evidence == m_lastShared) {
+        return;
+    }
+    if (m_follower.fed() && m_feed.sendEvidence(evidence)) {
+        m_lastShared = std::move(evidence);
+    } else if (!m_follower.fed()) {
+        m_collected[m_self] = evidence;
+        m_lastShared = std::move(evidence);
+    }
+}
+
+void RolloutDuty::writeCollected(TimePoint now)
+{
+    if (!rolloutUnderWay(m_view) || now - m_lastWriteAt < EvidenceWritePeriod) {
+        return;
+    }
+    EvidenceCollected bundle;
+    bundle.collector = m_self;
+    for (const auto &[daemon, evidence] : m_collected) {
+        bundle.evidence.insert(bundle.evidence.end(), evidence.begin(), evidence.end());
+    }
+    if (bundle.evidence == m_lastWritten) {
+        return;
+    }
+    m_lastWritten = bundle.evidence;
+    m_lastWriteAt = now;
+    m_store.append(Topic::Own, m_codec.encode(bundle), std::nullopt,
+                   [this](const StoreOutcome<Offset> &outcome, TimePoint) {
+                       if (!outcome.ok()) {
+                           m_lastWritten.clear(); // Written again with the next counts.
+                       }
+                   });
+}
+
+void RolloutDuty::direct(TimePoint now)
+{
+    if (m_writing) {
+        return;
+    }
+    for (const auto &[service, order] : m_view.rollouts()) {
+        directOne(order, now);
+    }
+}
+
+void RolloutDuty::directOne(const RolloutOrdered &order, TimePoint now)
+{
+    const auto current = storedStage(order.service);
+    const RolloutTotals totals = rolloutTotals(order.service, order.target, m_view.evidence());
+    auto next = m_director.decide(order, current, totals, readyTargets(order, now), now);
+    const bool final = current && current->target == order.target
+        && (current->condemned || current->complete);
+    const RolloutState wanted = final && current->complete ? RolloutState::Complete
+        : final                                             ? RolloutState::RolledBack
+                                                            : RolloutState::Running;
+    const bool known = m_view.rolloutStates().contains(order.service)
+        && m_view.rolloutStates().at(order.service).target == order.target
+        && m_view.rolloutStates().at(order.service).state != RolloutState::Running;
+    const bool stateDue = !known && !stateIs(order.service, order.target, wanted);
+    if (!next && !stateDue) {
+        m_dueSince.erase(order.service);
+        return;
+    }
+    const TimePoint due = m_dueSince.emplace(order.service, now).first->second;
+    if (now - due < precedence()) {
+        return;
+    }
+    m_dueSince.erase(order.service);
+    if (stateDue) {
+        writeState({order.service, order.target, wanted}, now);
+    } else if (next) {
+        m_log.write(LogWeight::Notable,
+                    LogLine("rollout.evidence")
+                        .add("service", order.service.value())
+                        .add("target", order.target.value())
+                        .add("daemons", totals.daemons)
+                        .add("target_good", totals.target.good)
+                        .add("target_bad", totals.target.bad)
+                        .add("other_good", totals.other.good)
+                        .add("other_bad", totals.other.bad)
+                        .add("other_in_flight", totals.other.inFlight),
+                    now);
+        writeStage(*next, now);
+    }
+}
+
+void RolloutDuty::writeStage(const RolloutStage &stage, TimePoint now)
+{
+    m_writing = true;
+    m_log.write(LogWeight::Notable,
+                LogLine("rollout.stage")
+                    .add("service", stage.service.value())
+                    .add("target", stage.target.value())
+                    .add("stage", stage.stage)
+                    .add("condemned", stage.condemned ? "yes" : "no")
+                    .add("complete", stage.complete ? "yes" : "no"),
+                now);
+    m_store.append(Topic::Own, m_codec.encode(stage), std::nullopt,
+                   [this](const StoreOutcome<Offset> &, TimePoint) {
+                       // Done or not, the topic tells.
+                       m_writing = false;
+                       m_follower.hurry(Topic::Own);
+                   });
+}
+
+void RolloutDuty::writeState(const RolloutReported &state, TimePoint now)
+{
+    m_writing = true;
+    m_store.append(Topic::Status, m_codec.encode(state), m_follower.endOf(Topic::Status),
+                   [this, state](const StoreOutcome<Offset> &outcome, TimePoint present) {
+                       m_writing = false;
+                       m_log.write(LogWeight::Notable,
+                                   LogLine("rollout.state")
+                                       .add("service", state.service.value())
+                                       .add("target", state.target.value())
+                                       .add("state", static_cast<int>(state.state))
+                                       .add("written", outcome.ok() ? "yes" : "no")
+                                       .add("fault", storeFaultName(outcome.fault)),
+                                   present);
+                       m_follower.relist(Topic::Status);
+                   });
+}
+
+Duration RolloutDuty::precedence() const
+{
+    const auto rank = [](const InstanceId &id) { return stableHash("feed/" + id.value()); };
+    const auto before = std::count_if(
+        m_view.members().begin(), m_view.members().end(),
+        [&](const auto &entry) { return rank(entry.first) < rank(m_self); });
+    return PrecedenceStep * std::min<std::int64_t>(before, MostPrecedenceSteps);
+}
+
+int RolloutDuty::readyTargets(const RolloutOrdered &order, TimePoint now) const
+{
+    return static_cast<int>(std::count_if(
+        m_view.backends().begin(), m_view.backends().end(), [&](const auto &entry) {
+            const BackendState &state = entry.second;
+            return state.report.service == order.service && state.report.version == order.target
+                && !state.draining && state.coldUntil <= now;
+        }));
+}
+
+std::optional<RolloutStage> RolloutDuty::storedStage(const ServiceId &service) const
+{
+    const auto found = m_view.stages().find(service);
+    return found == m_view.stages().end() ? std::nullopt
+                                          : std::optional<RolloutStage>(found->second);
+}
+
+bool RolloutDuty::stateIs(const ServiceId &service, const VersionId &target,
+                          RolloutState state) const
+{
+    const auto found = m_view.rolloutStates().find(service);
+    return found != m_view.rolloutStates().end() && found->second.target == target
+        && found->second.state == state;
+}
+
+} // namespace lycheearch
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/RouterDaemon.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <unistd.h>
@@ -11,9 +12,13 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-constexpr FollowerTiming StoreTiming{3s, 1100ms, 1500ms, 200ms, 1000ms};
+constexpr FollowerTiming StoreTiming{1500ms, 500ms, 4s, 700ms, 200ms, 1000ms};
 constexpr BackendLink::Limits LinkLimits{
     400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
+constexpr Duration RegisterPeriod = 30s;
+constexpr Duration RegisterRetry = 1s;
+/// Daemons that are assumed as long as fewer are known.
+constexpr int LeastDaemons = 8;
 constexpr Duration SweepPeriod = 1s;
 /// While stopping: how long idle connections are left open, so that their callers hear of the
 /// stop with their next answer.
@@ -24,21 +29,6 @@
 /// Assumed number of daemons among which shared slack is divided.
 constexpr double SlackDivisor = 12;
 
-const char *topicName(Topic topic)
-{
-    switch (topic) {
-    case Topic::Operator:
-        return "operator";
-    case Topic::Backends:
-        return "backends";
-    case Topic::Status:
-        return "status";
-    case Topic::Evidence:
-        break;
-    }
-    return "evidence";
-}
-
 RetryBounds retryBounds(const RouterBounds &bounds)
 {
     return {bounds.retryRatio, bounds.retryWindow, bounds.retrySlack / SlackDivisor};
@@ -47,18 +37,23 @@
 } // namespace
 
 RouterDaemon::RouterDaemon(RouterSettings settings, Reload reload, const StoreFactory &makeStore,
-                           const RequestDialect &dialect)
+                           const RecordCodec &codec, const RequestDialect &dialect)
     : m_settings(std::move(settings))
     , m_reload(std::move(reload))
     , m_loop(m_clock)
     , m_log(m_settings.instance.value(), STDOUT_FILENO, m_settings.routineLogLines, m_clock)
     , m_store(makeStore(m_loop, m_settings))
-    , m_follower(m_loop, *m_store, m_view, *this, StoreTiming)
+    , m_codec(codec)
+    , m_follower(m_loop, *m_store, codec, m_view, *this, StoreTiming)
     , m_picker(m_settings.dataCentre)
     , m_links(m_loop, LinkLimits)
     , m_retries(retryBounds(m_settings.bounds))
     , m_context{m_loop, m_view, m_picker, m_links, dialect, m_retries, m_rollouts, m_models,
                 m_stop, m_log, m_metrics}
+    , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
+                   [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
+    , m_rolloutDuty(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
+                    m_rollouts, m_log)
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
 }
@@ -76,6 +71,12 @@
     if (error) {
         return failed("listen", m_settings.listen, error);
     }
+    m_feedServer = std::make_unique<FeedServer>(
+        m_loop, m_settings.feedListen, m_follower,
+        [this](const FeedEvidence &evidence) { m_rolloutDuty.collect(evidence); }, error);
+    if (error) {
+        return failed("feed_listen", m_settings.feedListen, error);
+    }
     m_readinessServer = std::make_unique<HttpResponder>(
         m_loop, m_settings.readinessListen,
         [this](const HttpRequestHead &, TimePoint now) { return readiness(now); }, error);
@@ -104,11 +105,65 @@
                     .add("store", m_settings.store.text()),
                 m_loop.now());
     m_follower.start();
+    m_feedClient.start();
+    m_rolloutDuty.start();
+    registerMember(m_loop.now());
     sweep(m_loop.now());
     m_loop.run();
     m_log.write(LogWeight::Notable, LogLine("process.stop"), m_loop.now());
 }
 
+std::int64_t RouterDaemon::wallMilliseconds() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               m_clock.wallTime().time_since_epoch())
+        .count();
+}
+
+void RouterDaemon::registerMember(TimePoint now)
+{
+    const MemberRegistered member{m_settings.instance, m_settings.dataCentre,
+                                  m_settings.feedListen, wallMilliseconds()};
+    m_store->append(Topic::Own, m_codec.encode(member), std::nullopt,
+                    [this](const StoreOutcome<Offset> &outcome, TimePoint present) {
+                        m_loop.at(present + (outcome.ok() ? RegisterPeriod : RegisterRetry),
+                                  [this](TimePoint due) { registerMember(due); });
+                    });
+}
+
+void RouterDaemon::onFeedChange(const InstanceId &source, const char *why)
+{
+    m_log.write(LogWeight::Notable,
+                LogLine(source.empty() ? "feed.lost" : "feed.followed")
+                    .add("source", source.value())
+                    .add("why", why),
+                m_loop.now());
+}
+
+void RouterDaemon::onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint)
+{
+    m_feedServer->broadcast(topic, page, listing);
+}
+
+void RouterDaemon::updateColdLimits()
+{
+    const auto table = m_view.table();
+    if (!table) {
+        return;
+    }
+    const std::int64_t wall = wallMilliseconds();
+    const auto daemons = static_cast<int>(
+        std::count_if(m_view.members().begin(), m_view.members().end(),
+                      [&](const auto &entry) { return memberIsCurrent(entry.second, wall); }));
+    const RouterBounds &bounds = m_settings.bounds;
+    for (const auto &[name, service] : table->config().services) {
+        const double limit = service.coldPerSecond <= 0
+            ? 0
+            : service.coldPerSecond * bounds.coldOvershoot + bounds.coldSlack;
+        m_picker.setColdLimits(name, {limit, std::max(daemons, LeastDaemons)});
+    }
+}
+
 void RouterDaemon::onSignal(int signal, TimePoint now)
 {
     if (signal == SIGHUP) {
@@ -178,6 +233,7 @@
         return state != nullptr && !state->draining;
     });
     m_picker.prune(m_view);
+    updateColdLimits();
     m_loop.at(now + SweepPeriod, [this](TimePoint present) { sweep(present); });
 }
 
@@ -208,9 +264,7 @@
 void RouterDaemon::applyConfig(TimePoint now)
 {
     const auto table = m_view.table();
-    for (const auto &[name, service] : table->config().services) {
-        m_picker.setColdLimits(name, {service.coldPerSecond, service.coldPeriod});
-    }
+    updateColdLimits();
     m_log.write(LogWeight::Notable,
                 LogLine("config.applied")
                     .add("version", table->version().value())
@@ -257,6 +311,13 @@
         m_log.write(LogWeight::Notable,
                     LogLine("rollout.record").add("offset", stored.offset.value()), now);
         break;
+    case ViewChange::Member:
+        m_log.write(LogWeight::Notable,
+                    LogLine("member.seen")
+                        .add("member",
+                             std::get<MemberRegistered>(stored.record).instance.value()),
+                    now);
+        break;
     case ViewChange::Unreadable: {
         const auto &record = std::get<UnreadableRecord>(stored.record);
         m_log.write(LogWeight::Notable,
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -6,6 +6,9 @@
 
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
+#include "Daemon/RolloutDuty.h"
+#include "Feed/FeedClient.h"
+#include "Feed/FeedServer.h"
 #include "Fleet/FleetFollower.h"
 #include "Fleet/FleetStore.h"
 #include "Fleet/FleetView.h"
@@ -29,7 +32,7 @@
     using Reload = std::function<RouterSettings(Findings &findings)>;
 
     RouterDaemon(RouterSettings settings, Reload reload, const StoreFactory &makeStore,
-                 const RequestDialect &dialect);
+                 const RecordCodec &codec, const RequestDialect &dialect);
     ~RouterDaemon() override;
 
     /// Opens the listening sockets. Returns an error text if one can't be opened.
@@ -44,6 +47,12 @@
                      TimePoint now) override;
     void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) override;
 
+    void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) override;
+
+    void onFeedChange(const InstanceId &source, const char *why);
+    void registerMember(TimePoint now);
+    void updateColdLimits();
+    std::int64_t wallMilliseconds() const;
     void onSignal(int signal, TimePoint now);
     void reloadSettings(TimePoint now);
     void beginDrain(TimePoint now);
@@ -61,16 +70,20 @@
     Metrics m_metrics;
     FleetView m_view;
     std::unique_ptr<FleetStore> m_store;
+    const RecordCodec &m_codec;
     FleetFollower m_follower;
     BackendPicker m_picker;
     BackendLinkPool m_links;
     RetryAllowance m_retries;
-    RolloutDirector m_rollouts;
+    RolloutCounts m_rollouts;
     ModelCascade m_models;
     StopPolicy m_stop;
     ForwardContext m_context;
+    FeedClient m_feedClient;
+    RolloutDuty m_rolloutDuty;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callers;
+    std::unique_ptr<FeedServer> m_feedServer;
     std::unique_ptr<HttpResponder> m_readinessServer;
     std::unique_ptr<HttpResponder> m_metricsServer;
     bool m_wasReady = false;
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -43,7 +43,8 @@
         std::cout << path << ": the settings are valid.\n";
         return Success;
     }
-    RouterDaemon daemon(std::move(settings), load, platform::makeStore, platform::requestDialect());
+    RouterDaemon daemon(std::move(settings), load, platform::makeStore, platform::recordCodec(),
+                        platform::requestDialect());
     const std::string failure = daemon.start();
     if (!failure.empty()) {
         std::cerr << "lycheearchd: " << failure << "\n";
--- /dev/null
+++ b/Source/Feed/FeedClient.cpp
@@ -0,0 +1,192 @@
+#include "Feed/FeedClient.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+#include "Feed/FeedTiming.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr Duration CheckPeriod = 200ms;
+/// A source that failed is not tried again for this long.
+constexpr Duration AvoidPeriod = 3s;
+/// A member that has not registered for this long is taken for gone.
+constexpr std::int64_t MemberLifetimeMs = 90'000;
+
+} // namespace
+
+bool memberIsCurrent(const MemberRegistered &member, std::int64_t wallMilliseconds)
+{
+    return member.registeredAt > wallMilliseconds - MemberLifetimeMs;
+}
+
+std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
+                                             const InstanceId &self,
+                                             const DataCentreId &dataCentre,
+                                             std::int64_t wallMilliseconds)
+{
+    std::vector<MemberRegistered> candidates;
+    const auto rank = [](const InstanceId &id) { return stableHash("feed/" + id.value()); };
+    for (const auto &[id, member] : members) {
+        const bool before = rank(id) < rank(self) || (rank(id) == rank(self) && id < self);
+        if (member.dataCentre == dataCentre && id != self && before
+            && memberIsCurrent(member, wallMilliseconds)) {
+            candidates.push_back(member);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [&](const MemberRegistered &left, const MemberRegistered &right) {
+                  return rank(left.instance) < rank(right.instance);
+              });
+    return candidates;
+}
+
+FeedClient::FeedClient(EventLoop &loop, InstanceId self, DataCentreId dataCentre,
+                       const FleetView &view, FleetFollower &follower, const Clock &clock,
+                       ChangeCallback changed)
+    : m_loop(loop)
+    , m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+    , m_view(view)
+    , m_follower(follower)
+    , m_clock(clock)
+    , m_changed(std::move(changed))
+{
+}
+
+FeedClient::~FeedClient()
+{
+    m_loop.cancel(m_timer);
+}
+
+void FeedClient::start()
+{
+    check(m_loop.now());
+}
+
+void FeedClient::check(TimePoint now)
+{
+    m_timer = m_loop.at(now + CheckPeriod, [this](TimePoint present) { check(present); });
+    if (m_socket && now - m_heardAt > FeedSilenceLimit) {
+        giveUp("silent", now);
+    }
+    if (!m_follower.synced()) {
+        return;
+    }
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_clock.wallTime().time_since_epoch());
+    for (const MemberRegistered &member :
+         feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count())) {
+        const auto avoided = m_avoidUntil.find(member.instance);
+        if (avoided != m_avoidUntil.end() && avoided->second > now) {
+            continue;
+        }
+        if (m_source != member.instance) {
+            connectTo(member, now);
+        }
+        return;
+    }
+}
+
+void FeedClient::connectTo(const MemberRegistered &member, TimePoint now)
+{
+    if (m_socket) {
+        giveUp("a better source is known", now);
+        m_avoidUntil.clear();
+    }
+    std::error_code error;
+    const int fd = connectTcp(member.feed, error);
+    if (fd < 0) {
+        m_avoidUntil[member.instance] = now + AvoidPeriod;
+        return;
+    }
+    setLiveness(fd, FeedLiveness);
+    m_source = member.instance;
+    m_heardAt = now;
+    m_reader = FeedFrameReader();
+    m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
+    m_socket->send(encodeFeedFrame(FeedSubscribe{m_self}));
+}
+
+void FeedClient::onConnected(TimePoint now)
+{
+    m_heardAt = now;
+}
+
+void FeedClient::onBytes(std::string_view bytes, TimePoint now)
+{
+    std::vector<FeedMessage> messages;
+    if (!m_reader.feed(bytes, messages)) {
+        giveUp("unreadable", now);
+        return;
+    }
+    m_heardAt = now;
+    for (const FeedMessage &message : messages) {
+        if (m_socket) {
+            onMessage(message, now);
+        }
+    }
+}
+
+void FeedClient::onMessage(const FeedMessage &message, TimePoint now)
+{
+    if (const auto *page = std::get_if<FeedPage>(&message)) {
+        m_follower.applyFed(page->topic, page->page, page->listing, now);
+        return;
+    }
+    const auto *heartbeat = std::get_if<FeedHeartbeat>(&message);
+    if (heartbeat == nullptr) {
+        return;
+    }
+    if (!heartbeat->storeAge) {
+        giveUp("it does not read the store", now);
+    } else if (*heartbeat->storeAge > FeedStoreAgeLimit) {
+        setFed(false, "its knowledge is old");
+    } else {
+        setFed(true, "fresh");
+    }
+}
+
+bool FeedClient::sendEvidence(const std::vector<RolloutEvidence> &evidence)
+{
+    if (!m_socket || !m_follower.fed()) {
+        return false;
+    }
+    m_socket->send(encodeFeedFrame(FeedEvidence{evidence}));
+    return true;
+}
+
+void FeedClient::onEnd(TimePoint now)
+{
+    giveUp("closed", now);
+}
+
+void FeedClient::onError(std::error_code, TimePoint now)
+{
+    giveUp("broken", now);
+}
+
+void FeedClient::giveUp(const char *why, TimePoint now)
+{
+    if (!m_socket) {
+        return;
+    }
+    m_avoidUntil[m_source] = now + AvoidPeriod;
+    m_source = InstanceId();
+    m_socket->close();
+    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
+    setFed(false, why);
+}
+
+void FeedClient::setFed(bool fed, const char *why)
+{
+    if (m_follower.fed() == fed) {
+        return;
+    }
+    m_follower.setFed(fed);
+    m_changed(fed ? m_source : InstanceId(), why);
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Feed/FeedMessages.cpp
@@ -0,0 +1,245 @@
+#include "Feed/FeedMessages.h"
+
+#include <sstream>
+
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include "Feed/feed.capnp.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t HeaderBytes = LengthBytes + 1;
+constexpr std::size_t LargestFrame = 8 * 1024 * 1024;
+constexpr std::size_t LargestMessage = 64 * 1024 * 1024;
+/// Messages from this size on are compressed.
+constexpr std::size_t CompressFrom = 2048;
+constexpr char Plain = 0;
+constexpr char Compressed = 1;
+
+void writeCounts(wire::FeedCounts::Builder builder, const VersionCounts &counts)
+{
+    builder.setGood(counts.good);
+    builder.setBad(counts.bad);
+    builder.setLatencySeconds(counts.latencySeconds);
+    builder.setTimed(counts.timed);
+    builder.setInFlight(counts.inFlight);
+}
+
+VersionCounts readCounts(wire::FeedCounts::Reader reader)
+{
+    return {reader.getGood(), reader.getBad(), reader.getTimed(), reader.getLatencySeconds(),
+            reader.getInFlight()};
+}
+
+void writePage(wire::FeedPage::Builder builder, const FeedPage &page)
+{
+    builder.setTopic(static_cast<int>(page.topic));
+    builder.setListing(page.listing);
+    builder.setEnd(page.page.end.value());
+    auto records = builder.initRecords(static_cast<unsigned>(page.page.records.size()));
+    for (unsigned i = 0; i < records.size(); ++i) {
+        const RawRecord &record = page.page.records[i];
+        records[i].setOffset(record.offset.value());
+        records[i].setKey(record.key.c_str());
+        records[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte *>(record.value.data()),
+                                         record.value.size()));
+    }
+}
+
+std::optional<FeedMessage> readPage(wire::FeedPage::Reader reader)
+{
+    if (reader.getTopic() < 0 || reader.getTopic() >= TopicCount) {
+        return std::nullopt;
+    }
+    FeedPage page;
+    page.topic = static_cast<Topic>(reader.getTopic());
+    page.listing = reader.getListing();
+    page.page.end = Offset(reader.getEnd());
+    for (const auto record : reader.getRecords()) {
+        const auto value = record.getValue().asChars();
+        page.page.records.push_back({Offset(record.getOffset()), record.getKey().cStr(),
+                                     std::string(value.begin(), value.size())});
+    }
+    return page;
+}
+
+void writeEvidence(wire::FeedMessage::Builder builder, const FeedEvidence &message)
+{
+    auto list = builder.initEvidence(static_cast<unsigned>(message.evidence.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        const RolloutEvidence &evidence = message.evidence[i];
+        list[i].setDaemon(evidence.daemon.value());
+        list[i].setService(evidence.service.value());
+        list[i].setTarget(evidence.target.value());
+        list[i].setStage(evidence.stage);
+        writeCounts(list[i].initTargetCounts(), evidence.targetCounts);
+        writeCounts(list[i].initOtherCounts(), evidence.otherCounts);
+    }
+}
+
+FeedMessage readEvidence(capnp::List<wire::FeedEvidence>::Reader list)
+{
+    FeedEvidence message;
+    for (const auto entry : list) {
+        RolloutEvidence evidence;
+        evidence.daemon = InstanceId(entry.getDaemon().cStr());
+        evidence.service = ServiceId(entry.getService().cStr());
+        evidence.target = VersionId(entry.getTarget().cStr());
+        evidence.stage = entry.getStage();
+        evidence.targetCounts = readCounts(entry.getTargetCounts());
+        evidence.otherCounts = readCounts(entry.getOtherCounts());
+        message.evidence.push_back(std::move(evidence));
+    }
+    return message;
+}
+
+std::optional<FeedMessage> decodeMessage(const std::string &bytes)
+{
+    // The reader needs words that are aligned.
+    kj::Array<capnp::word> words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::copy_n(bytes.data(), words.size() * sizeof(capnp::word),
+                reinterpret_cast<char *>(words.begin()));
+    capnp::FlatArrayMessageReader reader(words);
+    const auto root = reader.getRoot<wire::FeedMessage>();
+    switch (root.which()) {
+    case wire::FeedMessage::SUBSCRIBE:
+        return FeedSubscribe{InstanceId(root.getSubscribe().cStr())};
+    case wire::FeedMessage::PAGE:
+        return readPage(root.getPage());
+    case wire::FeedMessage::HEARTBEAT:
+        if (root.getHeartbeat() < 0) {
+            return FeedHeartbeat{};
+        }
+        return FeedHeartbeat{Duration(root.getHeartbeat())};
+    case wire::FeedMessage::EVIDENCE:
+        return readEvidence(root.getEvidence());
+    }
+    return std::nullopt;
+}
+
+std::string compress(const std::string &bytes)
+{
+    std::ostringstream output;
+    Poco::DeflatingOutputStream deflater(output, Poco::DeflatingStreamBuf::STREAM_ZLIB, 1);
+    deflater << bytes;
+    deflater.close();
+    return output.str();
+}
+
+/// Returns nothing for bytes that are not compressed or grow too large.
+std::optional<std::string> decompress(const std::string &bytes)
+{
+    std::istringstream input(bytes);
+    Poco::InflatingInputStream inflater(input, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string output;
+    constexpr std::size_t PieceBytes = 16 * 1024;
+    std::string piece(PieceBytes, '\0');
+    while (inflater.read(piece.data(), PieceBytes) || inflater.gcount() > 0) {
+        output.append(piece.data(), static_cast<std::size_t>(inflater.gcount()));
+        if (output.size() > LargestMessage) {
+            return std::nullopt;
+        }
+    }
+    return inflater.bad() ? std::nullopt : std::optional<std::string>(std::move(output));
+}
+
+std::string frameHeader(std::size_t length, char form)
+{
+    constexpr int BitsPerByte = 8;
+    std::string header;
+    for (std::size_t i = 0; i < LengthBytes; ++i) {
+        header.push_back(static_cast<char>((length >> (BitsPerByte * i)) & 0xFF));
+    }
+    header.push_back(form);
+    return header;
+}
+
+std::size_t frameLength(std::string_view header)
+{
+    constexpr int BitsPerByte = 8;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < LengthBytes; ++i) {
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(header[i]))
+            << (BitsPerByte * i);
+    }
+    return length;
+}
+
+std::optional<FeedMessage> decodeFrame(char form, std::string body)
+{
+    try {
+        if (form == Compressed) {
+            auto plain = decompress(body);
+            if (!plain) {
+                return std::nullopt;
+            }
+            body = std::move(*plain);
+        } else if (form != Plain) {
+            return std::nullopt;
+        }
+        return decodeMessage(body);
+    } catch (const kj::Exception &) {
+        return std::nullopt; // Reported by the owner of the connection, which ends it.
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodeFeedFrame(const FeedMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::FeedMessage>();
+    if (const auto *subscribe = std::get_if<FeedSubscribe>(&message)) {
+        root.setSubscribe(subscribe->instance.value());
+    } else if (const auto *page = std::get_if<FeedPage>(&message)) {
+        writePage(root.initPage(), *page);
+    } else if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
+        root.setHeartbeat(heartbeat->storeAge ? heartbeat->storeAge->count() : -1);
+    } else {
+        writeEvidence(root, std::get<FeedEvidence>(message));
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    std::string body(bytes.begin(), bytes.size());
+    char form = Plain;
+    if (body.size() >= CompressFrom) {
+        body = compress(body);
+        form = Compressed;
+    }
+    return frameHeader(body.size(), form) + body;
+}
+
+bool FeedFrameReader::feed(std::string_view bytes, std::vector<FeedMessage> &messages)
+{
+    m_pending.append(bytes);
+    std::size_t used = 0;
+    while (m_pending.size() - used >= HeaderBytes) {
+        const std::string_view header = std::string_view(m_pending).substr(used, HeaderBytes);
+        const std::size_t length = frameLength(header);
+        if (length > LargestFrame) {
+            return false;
+        }
+        if (m_pending.size() - used < HeaderBytes + length) {
+            break;
+        }
+        auto message = decodeFrame(header.back(), m_pending.substr(used + HeaderBytes, length));
+        if (!message) {
+            return false;
+        }
+        messages.push_back(std::move(*message));
+        used += HeaderBytes + length;
+    }
+    m_pending.erase(0, used);
+    return true;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Feed/FeedServer.cpp
@@ -0,0 +1,164 @@
+#include "Feed/FeedServer.h"
+
+#include <vector>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "Feed/FeedTiming.h"
+#include "Net/Socket.h"
+#include "Net/StreamSocket.h"
+
+namespace lycheearch {
+
+namespace {
+
+constexpr std::size_t MostFollowers = 256;
+/// A follower that leaves this much unread is dropped.
+constexpr std::size_t MostQueuedBytes = 8 * 1024 * 1024;
+
+} // namespace
+
+/// The connection of one follower.
+class FeedServer::Link : public StreamSocketListener
+{
+public:
+    Link(FeedServer &server, int fd)
+        : m_server(server)
+        , m_socket(server.m_loop, fd, StreamSocket::Start::Connected, *this)
+    {
+        setLiveness(fd, FeedLiveness);
+    }
+
+    void send(std::string_view frame)
+    {
+        m_socket.send(frame);
+    }
+    bool overfull() const { return m_socket.queuedBytes() > MostQueuedBytes; }
+    bool subscribed() const { return m_subscribed; }
+    void end()
+    {
+        m_socket.close();
+        m_server.remove(*this);
+    }
+
+private:
+    void onBytes(std::string_view bytes, TimePoint) override
+    {
+        std::vector<FeedMessage> messages;
+        if (!m_reader.feed(bytes, messages)) {
+            end();
+            return;
+        }
+        for (const FeedMessage &message : messages) {
+            if (std::holds_alternative<FeedSubscribe>(message) && !m_subscribed) {
+                m_subscribed = true;
+                m_server.welcome(*this);
+            } else if (const auto *evidence = std::get_if<FeedEvidence>(&message)) {
+                m_server.m_onEvidence(*evidence);
+            }
+        }
+    }
+    void onEnd(TimePoint) override { end(); }
+    void onError(std::error_code, TimePoint) override { end(); }
+
+    FeedServer &m_server;
+    StreamSocket m_socket;
+    FeedFrameReader m_reader;
+    bool m_subscribed = false;
+};
+
+FeedServer::FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
+                       EvidenceCallback onEvidence, std::error_code &error)
+    : m_loop(loop)
+    , m_follower(follower)
+    , m_onEvidence(std::move(onEvidence))
+    , m_listener(listenTcp(listen, error))
+{
+    if (m_listener >= 0) {
+        m_loop.watch(m_listener, EPOLLIN, *this);
+    }
+}
+
+FeedServer::~FeedServer()
+{
+    m_loop.cancel(m_timer);
+    if (m_listener >= 0) {
+        m_loop.unwatch(m_listener);
+        close(m_listener);
+    }
+}
+
+void FeedServer::onReady(std::uint32_t, TimePoint)
+{
+    std::error_code error;
+    const int fd = acceptTcp(m_listener, error);
+    if (fd < 0) {
+        return;
+    }
+    if (m_links.size() >= MostFollowers) {
+        close(fd);
+        return;
+    }
+    auto link = std::make_shared<Link>(*this, fd);
+    m_links.emplace(link.get(), std::move(link));
+}
+
+void FeedServer::welcome(Link &link)
+{
+    for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own}) {
+        RecordPage listing = m_follower.mirror().listing(topic);
+        listing.end = m_follower.endOf(topic);
+        link.send(encodeFeedFrame(FeedPage{topic, true, std::move(listing)}));
+    }
+    link.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeAge(m_loop.now())}));
+    if (!m_timer.active()) {
+        beat(m_loop.now());
+    }
+}
+
+void FeedServer::broadcast(Topic topic, const RecordPage &page, bool listing)
+{
+    if (m_links.empty()) {
+        return;
+    }
+    const std::string frame = encodeFeedFrame(FeedPage{topic, listing, page});
+    std::vector<Link *> overfull;
+    for (const auto &[key, link] : m_links) {
+        if (link->subscribed()) {
+            link->send(frame);
+        }
+        if (link->overfull()) {
+            overfull.push_back(key);
+        }
+    }
+    for (Link *link : overfull) {
+        link->end();
+    }
+}
+
+void FeedServer::beat(TimePoint now)
+{
+    m_timer = TimerId();
+    if (m_links.empty()) {
+        return;
+    }
+    const std::string frame = encodeFeedFrame(FeedHeartbeat{m_follower.storeAge(now)});
+    for (const auto &[key, link] : m_links) {
+        if (link->subscribed()) {
+            link->send(frame);
+        }
+    }
+    m_timer = m_loop.at(now + FeedHeartbeatPeriod, [this](TimePoint present) { beat(present); });
+}
+
+void FeedServer::remove(Link &link)
+{
+    const auto found = m_links.find(&link);
+    if (found != m_links.end()) {
+        m_loop.defer([dead = std::move(found->second)] { });
+        m_links.erase(found);
+    }
+}
+
+} // namespace lycheearch
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -6,16 +6,15 @@
 
 namespace {
 
-/// Topics that every daemon follows from its start.
-constexpr Topic FollowedTopics[] = {Topic::Operator, Topic::Backends, Topic::Status,
-                                    Topic::Evidence};
+constexpr Topic AllTopics[] = {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own};
 
 } // namespace
 
-FleetFollower::FleetFollower(EventLoop &loop, FleetStore &store, FleetView &view,
-                             FleetObserver &observer, FollowerTiming timing)
+FleetFollower::FleetFollower(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
+                             FleetView &view, FleetObserver &observer, FollowerTiming timing)
     : m_loop(loop)
     , m_store(store)
+    , m_codec(codec)
     , m_view(view)
     , m_observer(observer)
     , m_timing(timing)
@@ -32,43 +31,77 @@
 
 void FleetFollower::start()
 {
-    for (const Topic topic : FollowedTopics) {
+    for (const Topic topic : AllTopics) {
         m_cursors[topic].retryDelay = m_timing.retryDelay;
         step(topic);
     }
 }
 
+void FleetFollower::setFed(bool fed)
+{
+    if (m_fed == fed) {
+        return;
+    }
+    m_fed = fed;
+    if (fed) {
+        clearLosses(m_loop.now());
+    } else {
+        for (const Topic topic : AllTopics) {
+            hurry(topic);
+        }
+    }
+}
+
+void FleetFollower::hurry(Topic topic)
+{
+    if (!m_cursors[topic].calling) {
+        schedule(topic, Duration::zero());
+    }
+}
+
+void FleetFollower::relist(Topic topic)
+{
+    m_cursors[topic].listing = true;
+    hurry(topic);
+}
+
 bool FleetFollower::synced() const
 {
     const auto listed = [&](Topic topic) {
         const auto found = m_cursors.find(topic);
         return found != m_cursors.end() && found->second.listed;
     };
-    return m_view.table() && listed(Topic::Operator) && listed(Topic::Backends);
+    return m_view.table() && listed(Topic::Operator) && listed(Topic::Backends)
+        && listed(Topic::Own) && listed(Topic::Status);
 }
 
-bool FleetFollower::inContact() const
+std::optional<Duration> FleetFollower::storeAge(TimePoint now) const
 {
-    return std::none_of(m_cursors.begin(), m_cursors.end(),
-                        [](const auto &entry) { return entry.second.lost; });
+    if (m_fed || !synced()) {
+        return std::nullopt;
+    }
+    const Duration backends = now - m_cursors.at(Topic::Backends).readAt;
+    const Duration operators = now - m_cursors.at(Topic::Operator).readAt - m_timing.operatorWait;
+    return std::max({backends, operators, Duration::zero()});
 }
 
-TimePoint FleetFollower::backendsReadAt() const
+Offset FleetFollower::endOf(Topic topic) const
 {
-    const auto found = m_cursors.find(Topic::Backends);
-    return found == m_cursors.end() ? TimePoint() : found->second.readAt;
+    const auto found = m_cursors.find(topic);
+    return found == m_cursors.end() ? Offset() : found->second.next;
 }
 
 void FleetFollower::step(Topic topic)
 {
-    const Cursor &cursor = m_cursors[topic];
-    const bool needed = topic == Topic::Operator || topic == Topic::Backends || rolloutRunning();
-    if (cursor.listed && !cursor.listing && !needed) {
-        schedule(topic, m_timing.rolloutPeriod);
-    } else if (cursor.listed && !cursor.listing) {
-        tail(topic);
-    } else {
+    Cursor &cursor = m_cursors[topic];
+    if (cursor.calling || (m_fed && cursor.listed && !cursor.listing)) {
+        return;
+    }
+    if (!cursor.listed || cursor.listing) {
         list(topic);
+    } else if (topic != Topic::Status) {
+        // States of rollouts are written by the daemons, which tell each other in our own topic.
+        tail(topic);
     }
 }
 
@@ -76,8 +109,10 @@
 {
     Cursor &cursor = m_cursors[topic];
     cursor.listing = true;
+    cursor.calling = true;
     m_store.newest(topic, cursor.afterKey,
                    [this, topic](StoreOutcome<RecordPage> outcome, TimePoint now) {
+                       m_cursors[topic].calling = false;
                        onListed(topic, std::move(outcome), now);
                    });
 }
@@ -85,8 +120,10 @@
 void FleetFollower::tail(Topic topic)
 {
     const Duration wait = topic == Topic::Operator ? m_timing.operatorWait : Duration::zero();
+    m_cursors[topic].calling = true;
     m_store.read(topic, m_cursors[topic].next, wait,
                  [this, topic](StoreOutcome<RecordPage> outcome, TimePoint now) {
+                     m_cursors[topic].calling = false;
                      onTail(topic, std::move(outcome), now);
                  });
 }
@@ -97,61 +134,74 @@
         return;
     }
     Cursor &cursor = m_cursors[topic];
-    const RecordPage &page = *outcome.value;
+    RecordPage &page = *outcome.value;
     if (cursor.afterKey.empty()) {
-        cursor.listEnd = page.end;
-        cursor.backends.clear();
-        cursor.evacuations.clear();
-        cursor.rollouts.clear();
-    }
-    for (const StoredRecord &stored : page.records) {
-        noteListed(cursor, stored.record);
-        // What was read before can only come back older.
-        if (!cursor.listed || stored.offset >= cursor.next) {
-            m_observer.onRecord(m_view.apply(stored, now), stored, now);
-        }
+        cursor.pages = RecordPage();
+        cursor.pages.end = page.end;
     }
+    std::move(page.records.begin(), page.records.end(), std::back_inserter(cursor.pages.records));
     if (page.hasMore && !page.lastKey.empty()) {
         cursor.afterKey = page.lastKey;
         schedule(topic, Duration::zero());
         return;
     }
-    finishListing(topic, now);
-}
-
-void FleetFollower::noteListed(Cursor &cursor, const FleetRecord &record)
-{
-    if (const auto *reported = std::get_if<BackendReported>(&record)) {
-        cursor.backends.insert(reported->report.id);
-    } else if (const auto *evacuation = std::get_if<EvacuationChanged>(&record)) {
-        cursor.evacuations.insert(evacuation->dataCentre);
-    } else if (const auto *rollout = std::get_if<RolloutOrdered>(&record)) {
-        cursor.rollouts.insert(rollout->service);
+    cursor.afterKey.clear();
+    const RecordPage listing = std::move(cursor.pages);
+    cursor.pages = RecordPage();
+    if (!applyListing(topic, listing, now)) {
+        // The listing is older than what was read: the store serves stale reads for now.
+        schedule(topic, m_timing.retryDelayLimit);
+        return;
     }
+    cursor.readAt = now;
+    m_observer.onPageRead(topic, listing, true, now);
+    schedule(topic, pause(topic));
 }
 
-void FleetFollower::finishListing(Topic topic, TimePoint now)
+bool FleetFollower::applyListing(Topic topic, const RecordPage &listing, TimePoint now)
 {
     Cursor &cursor = m_cursors[topic];
-    cursor.afterKey.clear();
-    if (cursor.listed && cursor.listEnd < cursor.next) {
-        // The listing is older than what was read: the store serves stale reads for now.
-        schedule(topic, m_timing.retryDelayLimit);
-        return;
+    if (cursor.listed && listing.end < cursor.next) {
+        return false;
     }
-    if (cursor.listed && topic == Topic::Backends) {
-        for (const InstanceId &id : m_view.retain(cursor.backends, now)) {
-            m_observer.onBackendDropped(id, "not listed", now);
+    m_mirror.replace(topic, listing);
+    for (const RawRecord &raw : listing.records) {
+        // What was read before can only come back older.
+        if (!cursor.listed || raw.offset >= cursor.next) {
+            applyOne(topic, raw, now);
         }
     }
-    if (cursor.listed && topic == Topic::Operator) {
-        m_view.retainOrders(cursor.evacuations, cursor.rollouts);
+    if (cursor.listed) {
+        retainListed(topic, listing, now);
     }
     cursor.listed = true;
     cursor.listing = false;
-    cursor.next = cursor.listEnd;
-    cursor.readAt = now;
-    schedule(topic, pause(topic));
+    cursor.next = listing.end;
+    return true;
+}
+
+void FleetFollower::retainListed(Topic topic, const RecordPage &listing, TimePoint now)
+{
+    std::set<InstanceId> backends;
+    std::set<DataCentreId> evacuations;
+    std::set<ServiceId> rollouts;
+    for (const RawRecord &raw : listing.records) {
+        const FleetRecord record = m_codec.decode(topic, raw);
+        if (const auto *reported = std::get_if<BackendReported>(&record)) {
+            backends.insert(reported->report.id);
+        } else if (const auto *evacuation = std::get_if<EvacuationChanged>(&record)) {
+            evacuations.insert(evacuation->dataCentre);
+        } else if (const auto *rollout = std::get_if<RolloutOrdered>(&record)) {
+            rollouts.insert(rollout->service);
+        }
+    }
+    if (topic == Topic::Operator) {
+        m_view.retainOrders(evacuations, rollouts);
+    } else if (topic == Topic::Backends) {
+        for (const InstanceId &id : m_view.retain(backends, now)) {
+            m_observer.onBackendDropped(id, "not listed", now);
+        }
+    }
 }
 
 void FleetFollower::onTail(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now)
@@ -166,21 +216,43 @@
         return;
     }
     cursor.readAt = now;
-    applyPage(cursor, *outcome.value, now);
+    applyRecords(topic, *outcome.value, now);
+    if (!outcome.value->records.empty()) {
+        m_observer.onPageRead(topic, *outcome.value, false, now);
+    }
     schedule(topic, pause(topic));
 }
 
-void FleetFollower::applyPage(Cursor &cursor, const RecordPage &page, TimePoint now)
+void FleetFollower::applyFed(Topic topic, const RecordPage &page, bool listing, TimePoint now)
+{
+    if (listing) {
+        applyListing(topic, page, now);
+    } else {
+        applyRecords(topic, page, now);
+    }
+}
+
+void FleetFollower::applyRecords(Topic topic, const RecordPage &page, TimePoint now)
 {
-    for (const StoredRecord &stored : page.records) {
-        if (stored.offset < cursor.next) {
-            continue;
+    Cursor &cursor = m_cursors[topic];
+    if (!page.records.empty() && page.records.front().offset > cursor.next) {
+        return; // Records between are missing; the next read from the store brings them.
+    }
+    m_mirror.apply(topic, page);
+    for (const RawRecord &raw : page.records) {
+        if (raw.offset >= cursor.next) {
+            applyOne(topic, raw, now);
+            cursor.next = raw.offset.next();
         }
-        m_observer.onRecord(m_view.apply(stored, now), stored, now);
-        cursor.next = stored.offset.next();
     }
 }
 
+void FleetFollower::applyOne(Topic topic, const RawRecord &raw, TimePoint now)
+{
+    const StoredRecord stored{raw.offset, m_codec.decode(topic, raw)};
+    m_observer.onRecord(m_view.apply(stored, now), stored, now);
+}
+
 bool FleetFollower::succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now)
 {
     Cursor &cursor = m_cursors[topic];
@@ -188,14 +260,7 @@
         cursor.retryDelay = m_timing.retryDelay;
         if (cursor.lost) {
             cursor.lost = false;
-            m_view.contactRegained(now);
-            m_loop.cancel(m_lapseTimer);
-            m_lapseTimer = m_loop.at(now + FleetView::LapseGrace, [this](TimePoint present) {
-                m_lapseTimer = TimerId();
-                for (const InstanceId &id : m_view.dropLapsed(present)) {
-                    m_observer.onBackendDropped(id, "lapsed", present);
-                }
-            });
+            regained(now);
             m_observer.onStoreRegained(topic, now - cursor.lostAt, now);
         }
         return true;
@@ -210,6 +275,30 @@
     return false;
 }
 
+void FleetFollower::clearLosses(TimePoint now)
+{
+    for (auto &[topic, cursor] : m_cursors) {
+        if (cursor.lost) {
+            cursor.lost = false;
+            cursor.retryDelay = m_timing.retryDelay;
+            regained(now);
+            m_observer.onStoreRegained(topic, now - cursor.lostAt, now);
+        }
+    }
+}
+
+void FleetFollower::regained(TimePoint now)
+{
+    m_view.contactRegained(now);
+    m_loop.cancel(m_lapseTimer);
+    m_lapseTimer = m_loop.at(now + FleetView::LapseGrace, [this](TimePoint present) {
+        m_lapseTimer = TimerId();
+        for (const InstanceId &id : m_view.dropLapsed(present)) {
+            m_observer.onBackendDropped(id, "lapsed", present);
+        }
+    });
+}
+
 void FleetFollower::schedule(Topic topic, Duration delay)
 {
     Cursor &cursor = m_cursors[topic];
@@ -228,22 +317,19 @@
     case Topic::Backends:
         return m_timing.backendsPeriod;
     case Topic::Status:
-    case Topic::Evidence:
+    case Topic::Own:
         break;
     }
-    return m_timing.rolloutPeriod;
+    return rolloutUnderWay(m_view) ? m_timing.rolloutPeriod : m_timing.ownPeriod;
 }
 
-bool FleetFollower::rolloutRunning() const
+bool rolloutUnderWay(const FleetView &view)
 {
-    for (const auto &[service, order] : m_view.rollouts()) {
-        const auto state = m_view.rolloutStates().find(service);
-        if (state == m_view.rolloutStates().end() || state->second.target != order.target
-            || state->second.state == RolloutState::Running) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(view.rollouts().begin(), view.rollouts().end(), [&](const auto &entry) {
+        const auto stage = view.stages().find(entry.first);
+        return stage == view.stages().end() || stage->second.target != entry.second.target
+            || (!stage->second.condemned && !stage->second.complete);
+    });
 }
 
 } // namespace lycheearch
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -6,6 +6,7 @@
 
 #include "Fleet/FleetStore.h"
 #include "Fleet/FleetView.h"
+#include "Fleet/RecordMirror.h"
 #include "Net/EventLoop.h"
 
 namespace lycheearch {
@@ -15,7 +16,8 @@
 {
     Duration operatorWait{}; ///< How long the store holds a read of the operator's records.
     Duration backendsPeriod{}; ///< Between two reads of the backend servers' reports.
-    Duration rolloutPeriod{}; ///< Between two reads of what a running rollout needs.
+    Duration ownPeriod{}; ///< Between two reads of our own records.
+    Duration rolloutPeriod{}; ///< The same while a rollout is under way.
     Duration retryDelay{}; ///< After the first failed call; doubles up to the limit below.
     Duration retryDelayLimit{};
 };
@@ -30,25 +32,40 @@
     virtual void onStoreLost(Topic topic, StoreFault fault, const std::string &detail,
                              TimePoint now) = 0;
     virtual void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) = 0;
+    /// Records were read from the store itself. A \p listing holds all keys of the topic.
+    virtual void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) = 0;
 };
 
-/// Keeps a FleetView up to date from the store: lists each topic once, then reads what is new.
-/// The operator's records are waited for; those of the backend servers, which come many times a
-/// second, are read in batches. Goes on with the last view while the store is away.
+/// Keeps a FleetView up to date: lists each topic once, then reads what is new. The operator's
+/// records are waited for; those of the backend servers, which come many times a second, are read
+/// in batches. While another daemon's feed is fresh, its pages take the place of reads. While the
+/// store is away, the last view stays.
 class FleetFollower
 {
 public:
-    FleetFollower(EventLoop &loop, FleetStore &store, FleetView &view, FleetObserver &observer,
-                  FollowerTiming timing);
+    FleetFollower(EventLoop &loop, FleetStore &store, const RecordCodec &codec, FleetView &view,
+                  FleetObserver &observer, FollowerTiming timing);
     ~FleetFollower();
 
     void start();
+    /// Stops to read the store, or goes on with it, beginning at once.
+    void setFed(bool fed);
+    bool fed() const { return m_fed; }
+    /// A page that another daemon read.
+    void applyFed(Topic topic, const RecordPage &page, bool listing, TimePoint now);
+    /// Lists a topic again, now.
+    void relist(Topic topic);
+    /// Makes the next read of a topic due now.
+    void hurry(Topic topic);
+
     /// Whether configuration and backend servers have been listed once.
     bool synced() const;
-    /// The store answered the last call of each topic.
-    bool inContact() const;
-    /// When the backend servers' reports were last read.
-    TimePoint backendsReadAt() const;
+    /// How long ago the store itself was last known to answer this daemon about configuration and
+    /// backend servers; nothing while it is fed.
+    std::optional<Duration> storeAge(TimePoint now) const;
+    const RecordMirror &mirror() const { return m_mirror; }
+    /// Offset at which a topic ends as far as it was read.
+    Offset endOf(Topic topic) const;
 
 private:
     /// Where this daemon is in one topic.
@@ -56,12 +73,10 @@
     {
         bool listed = false; ///< The topic was listed once.
         bool listing = false;
+        bool calling = false; ///< A call is under way.
         std::string afterKey; ///< Where the next page of the listing begins.
-        Offset listEnd; ///< End of the topic as the first page told.
+        RecordPage pages; ///< Of the running listing.
         Offset next; ///< Offset of the next record to read.
-        std::set<InstanceId> backends; ///< Named by the running listing.
-        std::set<DataCentreId> evacuations;
-        std::set<ServiceId> rollouts;
         bool lost = false;
         TimePoint lostAt;
         TimePoint readAt;
@@ -74,21 +89,30 @@
     void tail(Topic topic);
     void onListed(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now);
     void onTail(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now);
-    void finishListing(Topic topic, TimePoint now);
-    void noteListed(Cursor &cursor, const FleetRecord &record);
-    void applyPage(Cursor &cursor, const RecordPage &page, TimePoint now);
+    bool applyListing(Topic topic, const RecordPage &listing, TimePoint now);
+    void applyRecords(Topic topic, const RecordPage &page, TimePoint now);
+    void applyOne(Topic topic, const RawRecord &raw, TimePoint now);
+    void retainListed(Topic topic, const RecordPage &listing, TimePoint now);
     bool succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now);
+    /// Another daemon's feed shows that the store is back.
+    void clearLosses(TimePoint now);
+    void regained(TimePoint now);
     void schedule(Topic topic, Duration delay);
     Duration pause(Topic topic) const;
-    bool rolloutRunning() const;
 
     EventLoop &m_loop;
     FleetStore &m_store;
+    const RecordCodec &m_codec;
     FleetView &m_view;
     FleetObserver &m_observer;
     FollowerTiming m_timing;
     std::map<Topic, Cursor> m_cursors;
+    RecordMirror m_mirror;
+    bool m_fed = false;
     TimerId m_lapseTimer;
 };
 
+/// Whether an ordered rollout is neither complete nor rolled back.
+bool rolloutUnderWay(const FleetView &view);
+
 } // namespace lycheearch
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -76,19 +76,57 @@
     InstanceId id;
 };
 
-/// Outcomes that one daemon saw from one version of a service during a rollout, since its start.
-struct VersionEvidence
+/// A daemon that takes part.
+struct MemberRegistered
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    Endpoint feed; ///< Where other daemons can follow what it reads.
+    std::int64_t registeredAt = 0; ///< Unix milliseconds by the clock of its machine.
+};
+
+/// Outcomes that one daemon saw from one version of a service.
+struct VersionCounts
+{
+    std::int64_t good = 0;
+    std::int64_t bad = 0;
+    std::int64_t timed = 0; ///< Good ones whose pace is known.
+    double latencySeconds = 0; ///< Sum over those: between two events, or until the answer.
+    std::int64_t inFlight = 0;
+
+    bool operator==(const VersionCounts &) const = default;
+};
+
+/// Outcomes that one daemon saw during a rollout since its start.
+struct RolloutEvidence
+{
+    InstanceId daemon;
+    ServiceId service;
+    VersionId target;
+    int stage = 0; ///< That the daemon follows.
+    VersionCounts targetCounts;
+    VersionCounts otherCounts;
+
+    bool operator==(const RolloutEvidence &) const = default;
+};
+
+/// Evidence that one daemon collected from others in its data centre.
+struct EvidenceCollected
+{
+    InstanceId collector;
+    std::vector<RolloutEvidence> evidence;
+};
+
+/// How far a rollout has come, as its director decided.
+struct RolloutStage
 {
-    std::string daemon; ///< One start of a daemon.
     ServiceId service;
     VersionId target;
-    std::int64_t targetGood = 0;
-    std::int64_t targetBad = 0;
-    std::int64_t otherGood = 0;
-    std::int64_t otherBad = 0;
-    bool condemned = false; ///< The daemon has found the target bad.
+    int stage = 0; ///< Index into the steps of traffic; grows only.
+    bool condemned = false; ///< The target is bad: no new work for it, for good.
+    bool complete = false; ///< The other versions get no new work, for good.
 
-    bool operator==(const VersionEvidence &) const = default;
+    bool operator==(const RolloutStage &) const = default;
 };
 
 /// A record that names nothing usable. It harms no other record.
@@ -100,10 +138,18 @@
 
 using FleetRecord
     = std::variant<ConfigPublished, RolloutOrdered, RolloutWithdrawn, RolloutReported,
-                   EvacuationChanged, BackendReported, BackendRemoved, VersionEvidence,
-                   UnreadableRecord>;
+                   EvacuationChanged, BackendReported, BackendRemoved, MemberRegistered,
+                   EvidenceCollected, RolloutStage, UnreadableRecord>;
+
+/// A record as the store keeps it. An empty value drops the key.
+struct RawRecord
+{
+    Offset offset;
+    std::string key;
+    std::string value;
+};
 
-/// A record with its place in its topic.
+/// A decoded record with its place in its topic.
 struct StoredRecord
 {
     Offset offset;
--- a/Source/Fleet/FleetStore.cpp
+++ b/Source/Fleet/FleetStore.cpp
@@ -19,4 +19,19 @@
     return "unexpected";
 }
 
+const char *topicName(Topic topic)
+{
+    switch (topic) {
+    case Topic::Operator:
+        return "operator";
+    case Topic::Backends:
+        return "backends";
+    case Topic::Status:
+        return "status";
+    case Topic::Own:
+        break;
+    }
+    return "own";
+}
+
 } // namespace lycheearch
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -10,7 +10,15 @@
 namespace lycheearch {
 
 /// A stream of records of the store.
-enum class Topic { Operator, Backends, Status, Evidence };
+enum class Topic {
+    Operator, ///< Configuration and orders.
+    Backends, ///< Reports of the backend servers.
+    Status, ///< States of rollouts, for the operator.
+    Own, ///< What the daemons tell each other and what must outlive them.
+};
+constexpr int TopicCount = 4;
+
+const char *topicName(Topic topic);
 
 /// Why a call to the store gave no result.
 enum class StoreFault {
@@ -26,7 +34,7 @@
 /// Records read from a topic.
 struct RecordPage
 {
-    std::vector<StoredRecord> records;
+    std::vector<RawRecord> records;
     Offset end; ///< Offset that the next record of the topic will have.
     std::string lastKey; ///< Key of the last record, to ask for the next page.
     bool hasMore = false;
@@ -57,8 +65,18 @@
     /// Reads the newest record of each key, in pages by key.
     virtual void newest(Topic topic, const std::string &afterKey, PageCallback callback) = 0;
     /// Appends a record. With \p expected, only if the topic ends there.
-    virtual void append(Topic topic, const FleetRecord &record, std::optional<Offset> expected,
+    virtual void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
                         WriteCallback callback) = 0;
 };
 
+/// Translates between records as the store keeps them and typed ones.
+class RecordCodec
+{
+public:
+    virtual ~RecordCodec() = default;
+    /// Whatever can't be read becomes an UnreadableRecord that tells what was found where.
+    virtual FleetRecord decode(Topic topic, const RawRecord &record) const = 0;
+    virtual RawRecord encode(const FleetRecord &record) const = 0;
+};
+
 } // namespace lycheearch
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -28,24 +28,25 @@
         [&](const BackendRemoved &record) { return applyRemoval(record.id, now); },
         [&](const EvacuationChanged &record) { return applyEvacuation(record); },
         [&](const RolloutOrdered &record) {
-            m_rollouts[record.service] = record;
-            ++m_revision;
-            return ViewChange::Rollout;
+            RolloutOrdered &known = m_rollouts[record.service];
+            const bool changed = known != record;
+            known = record;
+            return changed ? ViewChange::Rollout : ViewChange::None;
         },
         [&](const RolloutWithdrawn &record) {
-            m_rollouts.erase(record.service);
-            ++m_revision;
-            return ViewChange::Rollout;
+            return m_rollouts.erase(record.service) > 0 ? ViewChange::Rollout : ViewChange::None;
         },
-        [&](const RolloutReported &record) {
-            m_rolloutStates[record.service] = record;
-            ++m_revision;
-            return ViewChange::Rollout;
-        },
-        [&](const VersionEvidence &record) {
-            m_evidence[record.daemon + "/" + record.service.value()] = record;
+        [&](const RolloutReported &record) { return applyRolloutState(record); },
+        [&](const RolloutStage &record) { return applyStage(record); },
+        [&](const EvidenceCollected &record) {
+            m_evidence[record.collector] = record;
             return ViewChange::None;
         },
+        [&](const MemberRegistered &record) {
+            const bool fresh = !m_members.contains(record.instance);
+            m_members[record.instance] = record;
+            return fresh ? ViewChange::Member : ViewChange::None;
+        },
         [&](const UnreadableRecord &) { return ViewChange::Unreadable; },
     };
     return std::visit(handler, stored.record);
@@ -58,7 +59,6 @@
     }
     m_table = std::make_shared<RoutingTable>(record.config);
     m_configReadAt = now;
-    ++m_revision;
     return ViewChange::Config;
 }
 
@@ -97,7 +97,6 @@
     if (!changed) {
         return ViewChange::None;
     }
-    ++m_revision;
     return ViewChange::Backend;
 }
 
@@ -115,6 +114,36 @@
     return ViewChange::BackendGone;
 }
 
+ViewChange FleetView::applyStage(const RolloutStage &record)
+{
+    RolloutStage &known = m_stages[record.service];
+    if (known.target == record.target) {
+        // A late record must not take back what was decided.
+        RolloutStage merged = record;
+        merged.stage = std::max(known.stage, record.stage);
+        merged.condemned = known.condemned || record.condemned;
+        merged.complete = known.complete || record.complete;
+        if (merged == known) {
+            return ViewChange::None;
+        }
+        known = merged;
+    } else {
+        known = record;
+    }
+    return ViewChange::Rollout;
+}
+
+ViewChange FleetView::applyRolloutState(const RolloutReported &record)
+{
+    RolloutReported &known = m_rolloutStates[record.service];
+    const bool final = known.target == record.target && known.state != RolloutState::Running;
+    if (known == record || final) {
+        return ViewChange::None;
+    }
+    known = record;
+    return ViewChange::Rollout;
+}
+
 ViewChange FleetView::applyEvacuation(const EvacuationChanged &record)
 {
     const bool changed = record.evacuated ? m_evacuated.insert(record.dataCentre).second
@@ -122,7 +151,6 @@
     if (!changed) {
         return ViewChange::None;
     }
-    ++m_revision;
     return ViewChange::Evacuation;
 }
 
@@ -146,7 +174,6 @@
     std::erase_if(m_evacuated,
                   [&](const DataCentreId &dataCentre) { return !evacuations.contains(dataCentre); });
     std::erase_if(m_rollouts, [&](const auto &entry) { return !rollouts.contains(entry.first); });
-    ++m_revision;
 }
 
 std::vector<InstanceId> FleetView::dropLapsed(TimePoint now)
@@ -174,7 +201,6 @@
     }
     m_removed[id] = {found->second.report.startedAt, found->second.report.sequence};
     m_backends.erase(found);
-    ++m_revision;
 }
 
 const BackendState *FleetView::backend(const InstanceId &id) const
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -19,6 +19,7 @@
     BackendGone,
     Evacuation,
     Rollout,
+    Member,
     Stale, ///< Older than what is known; ignored.
     Unreadable,
 };
@@ -59,9 +60,10 @@
     bool evacuated(const DataCentreId &dataCentre) const;
     const std::map<ServiceId, RolloutOrdered> &rollouts() const { return m_rollouts; }
     const std::map<ServiceId, RolloutReported> &rolloutStates() const { return m_rolloutStates; }
-    const std::map<std::string, VersionEvidence> &evidence() const { return m_evidence; }
-    /// Grows with each change that may change who can be sent work.
-    std::uint64_t revision() const { return m_revision; }
+    const std::map<ServiceId, RolloutStage> &stages() const { return m_stages; }
+    /// Evidence by the daemon that collected it.
+    const std::map<InstanceId, EvidenceCollected> &evidence() const { return m_evidence; }
+    const std::map<InstanceId, MemberRegistered> &members() const { return m_members; }
 
 private:
     struct Incarnation
@@ -73,6 +75,8 @@
     ViewChange applyConfig(const ConfigPublished &record, TimePoint now);
     ViewChange applyReport(const BackendReport &report, TimePoint now);
     ViewChange applyRemoval(const InstanceId &id, TimePoint now);
+    ViewChange applyStage(const RolloutStage &record);
+    ViewChange applyRolloutState(const RolloutReported &record);
     ViewChange applyEvacuation(const EvacuationChanged &record);
     bool isStale(const BackendReport &report) const;
     void forget(const InstanceId &id);
@@ -85,8 +89,9 @@
     std::set<DataCentreId> m_evacuated;
     std::map<ServiceId, RolloutOrdered> m_rollouts;
     std::map<ServiceId, RolloutReported> m_rolloutStates;
-    std::map<std::string, VersionEvidence> m_evidence;
-    std::uint64_t m_revision = 0;
+    std::map<ServiceId, RolloutStage> m_stages;
+    std::map<InstanceId, EvidenceCollected> m_evidence;
+    std::map<InstanceId, MemberRegistered> m_members;
 };
 
 } // namespace lycheearch
--- /dev/null
+++ b/Source/Fleet/OwnRecords.cpp
@@ -0,0 +1,128 @@
+#include "Fleet/OwnRecords.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lycheearch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view MemberPrefix = "member/";
+constexpr std::string_view EvidencePrefix = "evidence/";
+constexpr std::string_view StagePrefix = "stage/";
+
+Json toJson(const VersionCounts &counts)
+{
+    return Json::array({counts.good, counts.bad, counts.timed, counts.latencySeconds, counts.inFlight});
+}
+
+VersionCounts countsFrom(const Json &value)
+{
+    VersionCounts counts;
+    counts.good = value.at(0).get<std::int64_t>();
+    counts.bad = value.at(1).get<std::int64_t>();
+    counts.timed = value.at(2).get<std::int64_t>();
+    counts.latencySeconds = value.at(3).get<double>();
+    counts.inFlight = value.at(4).get<std::int64_t>();
+    return counts;
+}
+
+FleetRecord decodeMember(const RawRecord &record, const Json &value)
+{
+    MemberRegistered member;
+    member.instance = InstanceId(record.key.substr(MemberPrefix.size()));
+    member.dataCentre = DataCentreId(value.at("data_centre").get<std::string>());
+    const auto feed = Endpoint::parse(value.at("feed").get<std::string>());
+    if (!feed) {
+        return UnreadableRecord{record.key, "at feed: expected IP:PORT"};
+    }
+    member.feed = *feed;
+    member.registeredAt = value.at("registered_ms").get<std::int64_t>();
+    return member;
+}
+
+FleetRecord decodeEvidence(const RawRecord &record, const Json &value)
+{
+    EvidenceCollected collected;
+    collected.collector = InstanceId(record.key.substr(EvidencePrefix.size()));
+    for (const Json &entry : value) {
+        RolloutEvidence evidence;
+        evidence.daemon = InstanceId(entry.at("daemon").get<std::string>());
+        evidence.service = ServiceId(entry.at("service").get<std::string>());
+        evidence.target = VersionId(entry.at("target").get<std::string>());
+        evidence.stage = entry.at("stage").get<int>();
+        evidence.targetCounts = countsFrom(entry.at("new"));
+        evidence.otherCounts = countsFrom(entry.at("old"));
+        collected.evidence.push_back(std::move(evidence));
+    }
+    return collected;
+}
+
+FleetRecord decodeStage(const RawRecord &record, const Json &value)
+{
+    RolloutStage stage;
+    stage.service = ServiceId(record.key.substr(StagePrefix.size()));
+    stage.target = VersionId(value.at("target").get<std::string>());
+    stage.stage = value.at("stage").get<int>();
+    stage.condemned = value.at("condemned").get<bool>();
+    stage.complete = value.at("complete").get<bool>();
+    return stage;
+}
+
+std::string keyOf(std::string_view prefix, const std::string &name)
+{
+    return std::string(prefix) + name;
+}
+
+} // namespace
+
+FleetRecord decodeOwnRecord(const RawRecord &record)
+{
+    if (record.value.empty()) {
+        return UnreadableRecord{record.key, "the key was dropped"};
+    }
+    const Json value = Json::parse(record.value);
+    if (record.key.starts_with(MemberPrefix)) {
+        return decodeMember(record, value);
+    }
+    if (record.key.starts_with(EvidencePrefix)) {
+        return decodeEvidence(record, value);
+    }
+    if (record.key.starts_with(StagePrefix)) {
+        return decodeStage(record, value);
+    }
+    return UnreadableRecord{record.key, "the key is not known"};
+}
+
+RawRecord encodeOwnRecord(const FleetRecord &record)
+{
+    if (const auto *member = std::get_if<MemberRegistered>(&record)) {
+        const Json value = {{"data_centre", member->dataCentre.value()},
+                            {"feed", member->feed.text()},
+                            {"registered_ms", member->registeredAt}};
+        return {Offset(), keyOf(MemberPrefix, member->instance.value()), value.dump()};
+    }
+    if (const auto *collected = std::get_if<EvidenceCollected>(&record)) {
+        Json value = Json::array();
+        for (const RolloutEvidence &evidence : collected->evidence) {
+            value.push_back({{"daemon", evidence.daemon.value()},
+                             {"service", evidence.service.value()},
+                             {"target", evidence.target.value()},
+                             {"stage", evidence.stage},
+                             {"new", toJson(evidence.targetCounts)},
+                             {"old", toJson(evidence.otherCounts)}});
+        }
+        return {Offset(), keyOf(EvidencePrefix, collected->collector.value()), value.dump()};
+    }
+    if (const auto *stage = std::get_if<RolloutStage>(&record)) {
+        const Json value = {{"target", stage->target.value()},
+                            {"stage", stage->stage},
+                            {"condemned", stage->condemned},
+                            {"complete", stage->complete}};
+        return {Offset(), keyOf(StagePrefix, stage->service.value()), value.dump()};
+    }
+    return {};
+}
+
+} // namespace lycheearch
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -74,6 +74,24 @@
     return "cancelled";
 }
 
+/// What the end of a send tells about the version of the backend server.
+std::optional<bool> versionVerdict(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Served:
+        return true;
+    case SendOutcome::ServerFailed:
+    case SendOutcome::Broken:
+        return false;
+    case SendOutcome::Unreachable:
+    case SendOutcome::Overloaded:
+    case SendOutcome::Misdirected:
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return std::nullopt;
+}
+
 const char *pickFaultName(PickFault fault)
 {
     switch (fault) {
@@ -189,7 +207,7 @@
     return true;
 }
 
-PickRequest Exchange::pickRequest(TimePoint now) const
+PickRequest Exchange::pickRequest() const
 {
     PickRequest pick;
     pick.service = m_service;
@@ -197,7 +215,7 @@
     pick.promptTokens = m_request.promptTokens;
     pick.sharedTokens = m_sharedTokens;
     pick.engine = m_engine;
-    pick.versions = m_context.rollouts.rule(m_service, m_sessionHash, m_context.view, now);
+    pick.versions = rolloutRule(m_service, m_sessionHash, m_context.view);
     pick.avoid = m_tried;
     pick.avoid.insert(m_unreachable.begin(), m_unreachable.end());
     return pick;
@@ -212,7 +230,13 @@
 {
     while (!m_finished) {
         PickFault fault = PickFault::None;
-        const auto pick = m_context.picker.pick(pickRequest(now), m_context.view, now, fault);
+        PickRequest wanted = pickRequest();
+        auto pick = m_context.picker.pick(wanted, m_context.view, now, fault);
+        if (!pick && wanted.versions.mode == VersionRule::Mode::Only) {
+            // Its version can't serve it now; the others may for as long as they are there.
+            wanted.versions = VersionRule();
+            pick = m_context.picker.pick(wanted, m_context.view, now, fault);
+        }
         if (!pick) {
             fail(pickFaultName(fault), now);
             return;
@@ -247,6 +271,7 @@
     }
     m_attempt = Attempt();
     m_attempt.backend = pick.backend;
+    m_attempt.version = state->report.version;
     m_attempt.freshLink = link->fresh();
     m_attempt.link = std::move(link);
     return true;
@@ -273,7 +298,8 @@
     m_inAttempt = true;
     m_attempt.sentAt = now;
     m_attempt.lastByteAt = now;
-    m_context.picker.onSent(pick.backend, pickRequest(now), now);
+    m_context.picker.onSent(pick.backend, pickRequest(), now);
+    m_context.rollouts.onSent(m_service, m_attempt.version);
     logDispatch(pick, now);
     armStall(now);
     m_attempt.link->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this, now);
@@ -396,6 +422,9 @@
         }
         bytes.append(event.bytes);
         ++m_events;
+        if (m_attempt.relayed++ == 0) {
+            m_attempt.firstEventAt = now;
+        }
     }
     if (bytes.empty()) {
         return;
@@ -511,6 +540,7 @@
     m_inAttempt = false;
     m_context.loop.cancel(m_attempt.stallTimer);
     m_context.picker.onEnded(m_attempt.backend, outcome, unansweredTokens(), now);
+    m_context.rollouts.onEnded(m_service, m_attempt.version, versionVerdict(outcome), pace(now));
     m_tried.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
         m_context.log.write(LogWeight::Notable,
@@ -529,6 +559,17 @@
     }
 }
 
+std::optional<Duration> Exchange::pace(TimePoint now) const
+{
+    if (!m_attempt.streaming) {
+        return now - m_attempt.sentAt;
+    }
+    if (m_attempt.relayed < 2) {
+        return std::nullopt;
+    }
+    return (m_lastEventAt - m_attempt.firstEventAt) / (m_attempt.relayed - 1);
+}
+
 bool Exchange::mayRepeat(TimePoint now) const
 {
     const bool safe = m_route->repeatable() || !m_mayHaveRun;
--- a/Source/Forward/Exchange.h
+++ b/Source/Forward/Exchange.h
@@ -35,6 +35,7 @@
     struct Attempt
     {
         InstanceId backend;
+        VersionId version;
         std::unique_ptr<BackendLink> link;
         HttpResponseHead head;
         AnswerFacts facts;
@@ -46,6 +47,8 @@
         bool dropped = false; ///< A larger model is asked instead.
         TimePoint sentAt;
         TimePoint lastByteAt;
+        TimePoint firstEventAt;
+        int relayed = 0; ///< Events passed on to the caller.
         TimerId stallTimer;
     };
 
@@ -57,7 +60,8 @@
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
-    PickRequest pickRequest(TimePoint now) const;
+    PickRequest pickRequest() const;
+    std::optional<Duration> pace(TimePoint now) const;
     std::int64_t unansweredTokens() const;
     bool openLink(const Pick &pick, TimePoint now);
     void send(const Pick &pick, TimePoint now);
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -9,7 +9,7 @@
 #include "Routing/BackendPicker.h"
 #include "Routing/ModelCascade.h"
 #include "Routing/RetryAllowance.h"
-#include "Routing/RolloutDirector.h"
+#include "Routing/RolloutCounts.h"
 #include "Routing/StopPolicy.h"
 
 namespace lycheearch {
@@ -23,7 +23,7 @@
     BackendLinkPool &links;
     const RequestDialect &dialect;
     RetryAllowance &retries;
-    RolloutDirector &rollouts;
+    RolloutCounts &rollouts;
     ModelCascade &models;
     const StopPolicy &stop;
     DecisionLog &log;
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -29,8 +29,10 @@
 constexpr std::size_t MostRememberedVisits = 4096;
 /// Weight of the newest prompt in the mean.
 constexpr double MeanWeight = 0.05;
-/// Requests a second that one daemon sends to a cold server.
-constexpr int ColdSendsPerSecond = 1;
+/// Daemons that may have joined without this one's knowledge, as a part of the known ones.
+constexpr double UnknownDaemons = 0.25;
+/// Latest sends to a server that are remembered.
+constexpr std::size_t RememberedSends = 16;
 
 std::uint64_t mix(std::uint64_t value)
 {
@@ -172,19 +174,24 @@
     return requests / std::max(1, state.report.slots);
 }
 
-bool BackendPicker::coldAllows(const BackendState &state, Health &health, TimePoint now) const
+bool BackendPicker::coldAllows(const BackendState &state, const Health &health,
+                               TimePoint now) const
 {
     const auto limits = m_cold.find(state.report.service);
-    if (limits == m_cold.end() || limits->second.perSecond <= 0) {
+    if (limits == m_cold.end() || limits->second.perSecond <= 0 || state.coldUntil <= now) {
         return true;
     }
-    if (state.coldUntil <= now && health.coldUntil <= now) {
-        return true;
-    }
-    while (!health.coldSends.empty() && health.coldSends.front() <= now - Duration(1s)) {
-        health.coldSends.pop_front();
+    const double share = limits->second.perSecond
+        / (std::max(1, limits->second.daemons) * (1 + UnknownDaemons));
+    if (share < 1) {
+        // Less than one request a second: one in a longer time.
+        const auto interval = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(1 / share));
+        return health.sends.empty() || now - health.sends.back() >= interval;
     }
-    return health.coldSends.size() < ColdSendsPerSecond;
+    const auto allowed = std::min(static_cast<std::size_t>(share), RememberedSends);
+    return health.sends.size() < allowed
+        || now - health.sends[health.sends.size() - allowed] >= Duration(1s);
 }
 
 void BackendPicker::onSent(const InstanceId &id, const PickRequest &request, TimePoint now)
@@ -192,10 +199,9 @@
     Health &health = m_health[id];
     ++health.inFlight;
     health.unansweredTokens += request.promptTokens;
-    health.coldSends.push_back(now);
-    constexpr std::size_t RememberedSends = 8;
-    if (health.coldSends.size() > RememberedSends) {
-        health.coldSends.pop_front();
+    health.sends.push_back(now);
+    if (health.sends.size() > RememberedSends) {
+        health.sends.pop_front();
     }
     double &mean = m_meanPromptTokens[request.service];
     mean += MeanWeight * (static_cast<double>(request.promptTokens) - mean);
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -12,6 +12,7 @@
 #include "Base/Ids.h"
 #include "Base/Time.h"
 #include "Fleet/FleetView.h"
+#include "Routing/RolloutRule.h"
 
 namespace lycheearch {
 
@@ -26,20 +27,6 @@
     Cancelled, ///< The caller left; tells nothing.
 };
 
-/// Which versions of a service may serve a request.
-struct VersionRule
-{
-    enum class Mode { Any, Only, Except };
-
-    Mode mode = Mode::Any;
-    VersionId version;
-
-    bool allows(const VersionId &candidate) const
-    {
-        return mode == Mode::Any || (candidate == version) == (mode == Mode::Only);
-    }
-};
-
 /// What a request needs from a backend server.
 struct PickRequest
 {
@@ -55,8 +42,8 @@
 /// Bounds for backend servers that are cold.
 struct ColdLimits
 {
-    double perSecond = 0; ///< 0: no limit.
-    Duration period{}; ///< How long a server stays cold after its start.
+    double perSecond = 0; ///< Requests that all daemons together may send; 0: no limit.
+    int daemons = 1; ///< Among which they are divided.
 };
 
 /// A choice, with the inputs that decided it.
@@ -124,8 +111,7 @@
         int samples = 0;
         bool wasDown = false; ///< Failed to connect since its last answer.
         std::int64_t startedAt = 0;
-        TimePoint coldUntil;
-        std::deque<TimePoint> coldSends; ///< In the last second.
+        std::deque<TimePoint> sends; ///< The latest, oldest first.
     };
 
     struct Candidate
@@ -153,7 +139,7 @@
     double backlogTokens(const Health &health, const ServiceId &service, TimePoint now) const;
     bool visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
-    bool coldAllows(const BackendState &state, Health &health, TimePoint now) const;
+    bool coldAllows(const BackendState &state, const Health &health, TimePoint now) const;
     void exclude(Health &health, TimePoint now);
 
     DataCentreId m_home;
--- /dev/null
+++ b/Source/Routing/RolloutCounts.cpp
@@ -0,0 +1,54 @@
+#include "Routing/RolloutCounts.h"
+
+namespace lycheearch {
+
+void RolloutCounts::onSent(const ServiceId &service, const VersionId &version)
+{
+    ++m_counts[service][version].inFlight;
+}
+
+void RolloutCounts::onEnded(const ServiceId &service, const VersionId &version,
+                            std::optional<bool> good, std::optional<Duration> pace)
+{
+    VersionCounts &counts = m_counts[service][version];
+    --counts.inFlight;
+    if (!good) {
+        return;
+    }
+    ++(*good ? counts.good : counts.bad);
+    if (*good && pace) {
+        ++counts.timed;
+        counts.latencySeconds += std::chrono::duration<double>(*pace).count();
+    }
+}
+
+std::vector<RolloutEvidence> RolloutCounts::evidence(const InstanceId &self,
+                                                     const FleetView &view) const
+{
+    std::vector<RolloutEvidence> all;
+    for (const auto &[service, order] : view.rollouts()) {
+        RolloutEvidence evidence;
+        evidence.daemon = self;
+        evidence.service = service;
+        evidence.target = order.target;
+        const auto stage = view.stages().find(service);
+        evidence.stage = stage == view.stages().end() ? 0 : stage->second.stage;
+        if (const auto versions = m_counts.find(service); versions != m_counts.end()) {
+            for (const auto &[version, counts] : versions->second) {
+                VersionCounts &side
+                    = version == order.target ? evidence.targetCounts : evidence.otherCounts;
+                side = side + counts;
+            }
+        }
+        all.push_back(std::move(evidence));
+    }
+    return all;
+}
+
+VersionCounts operator+(const VersionCounts &left, const VersionCounts &right)
+{
+    return {left.good + right.good, left.bad + right.bad, left.timed + right.timed,
+            left.latencySeconds + right.latencySeconds, left.inFlight + right.inFlight};
+}
+
+} // namespace lycheearch
--- a/Source/Routing/RolloutDirector.cpp
+++ b/Source/Routing/RolloutDirector.cpp
@@ -1,19 +1,136 @@
 #include "Routing/RolloutDirector.h"
 
+#include <algorithm>
+#include <cmath>
+
+#include "Routing/RolloutCounts.h"
+
 namespace lycheearch {
 
-VersionRule RolloutDirector::rule(const ServiceId &service, std::uint64_t hash,
-                                  const FleetView &view, TimePoint now) const
+namespace {
+
+/// Parts of a rollout's time after which each stage may begin.
+constexpr double StageStarts[] = {0.0, 0.0, 0.52, 0.59, 0.66};
+/// Parts of a rollout's time between which it ends: once the old versions are idle, or at last.
+constexpr double EarliestEnd = 0.76;
+constexpr double LatestEnd = 0.93;
+/// Each stage lasts this long at least, so that its outcomes are seen.
+constexpr Duration ShortestStage = 1200ms;
+
+constexpr int LeastBadAnswers = 4;
+/// Excess of the share of failures over that of the other versions.
+constexpr double LeastExcess = 0.12;
+/// Standard errors between the two shares.
+constexpr double LeastDeviation = 3.0;
+constexpr int LeastTimed = 10;
+constexpr double SlowFactor = 3.5;
+
+bool failsMoreOften(const RolloutTotals &totals)
 {
-    const auto order = view.rollouts().find(service);
-    if (order == view.rollouts().end()) {
-        return {};
-    }
-    const auto state = view.rolloutStates().find(service);
-    const bool complete = state != view.rolloutStates().end()
-        && state->second.target == order->second.target
-        && state->second.state == RolloutState::Complete;
-    return {complete ? VersionRule::Mode::Only : VersionRule::Mode::Except, order->second.target};
+    const auto answers = static_cast<double>(totals.target.good + totals.target.bad);
+    const auto others = static_cast<double>(totals.other.good + totals.other.bad);
+    if (totals.target.bad < LeastBadAnswers) {
+        return false;
+    }
+    const double share = static_cast<double>(totals.target.bad) / answers;
+    const double usual = others > 0 ? static_cast<double>(totals.other.bad) / others : 0;
+    const double pooled = static_cast<double>(totals.target.bad + totals.other.bad)
+        / (answers + others);
+    const double error = std::sqrt(std::max(pooled * (1 - pooled), 1e-6)
+                                   * (1 / answers + 1 / std::max(others, 1.0)));
+    return share - usual > LeastExcess && (share - usual) / error > LeastDeviation;
+}
+
+bool takesLonger(const RolloutTotals &totals)
+{
+    if (totals.target.timed < LeastTimed || totals.other.timed < LeastTimed) {
+        return false;
+    }
+    const double pace = totals.target.latencySeconds / static_cast<double>(totals.target.timed);
+    const double usual = totals.other.latencySeconds / static_cast<double>(totals.other.timed);
+    return pace > SlowFactor * usual;
+}
+
+} // namespace
+
+RolloutTotals rolloutTotals(const ServiceId &service, const VersionId &target,
+                            const std::map<InstanceId, EvidenceCollected> &collected)
+{
+    std::map<InstanceId, const RolloutEvidence *> newest;
+    const auto answers = [](const RolloutEvidence &evidence) {
+        return evidence.targetCounts.good + evidence.targetCounts.bad + evidence.otherCounts.good
+            + evidence.otherCounts.bad;
+    };
+    for (const auto &[collector, bundle] : collected) {
+        for (const RolloutEvidence &evidence : bundle.evidence) {
+            if (evidence.service != service || evidence.target != target) {
+                continue;
+            }
+            const RolloutEvidence *&known = newest[evidence.daemon];
+            if (known == nullptr || answers(evidence) > answers(*known)) {
+                known = &evidence;
+            }
+        }
+    }
+    RolloutTotals totals;
+    for (const auto &[daemon, evidence] : newest) {
+        totals.target = totals.target + evidence->targetCounts;
+        totals.other = totals.other + evidence->otherCounts;
+        totals.lowestStage = totals.daemons == 0 ? evidence->stage
+                                                 : std::min(totals.lowestStage, evidence->stage);
+        ++totals.daemons;
+    }
+    return totals;
+}
+
+bool targetIsBad(const RolloutTotals &totals)
+{
+    return failsMoreOften(totals) || takesLonger(totals);
+}
+
+std::optional<RolloutStage> RolloutDirector::decide(const RolloutOrdered &order,
+                                                    const std::optional<RolloutStage> &current,
+                                                    const RolloutTotals &totals, int readyTargets,
+                                                    TimePoint now)
+{
+    RolloutStage stage = current && current->target == order.target
+        ? *current
+        : RolloutStage{order.service, order.target, 0, false, false};
+    Seen &seen = m_seen[order.service];
+    if (seen.target != order.target) {
+        seen = {order.target, now, stage.stage, now};
+    }
+    if (seen.stage != stage.stage) {
+        seen.stage = stage.stage;
+        seen.stageAt = now;
+    }
+    if (stage.condemned || stage.complete) {
+        return std::nullopt;
+    }
+    if (stage.stage > 0 && targetIsBad(totals)) {
+        stage.condemned = true;
+        return stage;
+    }
+    const double elapsed = std::chrono::duration<double>(now - seen.at).count();
+    const double whole = std::chrono::duration<double>(order.finishWithin).count();
+    const double part = whole > 0 ? elapsed / whole : 1;
+    if (now - seen.stageAt < ShortestStage && stage.stage > 0) {
+        return std::nullopt;
+    }
+    if (stage.stage < LastRolloutStage) {
+        const int next = stage.stage + 1;
+        if (readyTargets == 0 || part < StageStarts[next]) {
+            return std::nullopt;
+        }
+        stage.stage = next;
+        return stage;
+    }
+    const bool idle = totals.other.inFlight <= 0 && totals.lowestStage >= LastRolloutStage;
+    if ((part >= EarliestEnd && idle) || part >= LatestEnd) {
+        stage.complete = true;
+        return stage;
+    }
+    return std::nullopt;
 }
 
 } // namespace lycheearch
--- a/Source/Routing/RolloutDirector.h
+++ b/Source/Routing/RolloutDirector.h
@@ -1,19 +1,56 @@
 #pragma once
 
-#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
 
 #include "Fleet/FleetView.h"
-#include "Routing/BackendPicker.h"
+#include "Routing/RolloutRule.h"
 
 namespace lycheearch {
 
-/// Decides which version of a service serves a request while a rollout is under way.
+/// Evidence of all daemons on one rollout, added up.
+struct RolloutTotals
+{
+    VersionCounts target;
+    VersionCounts other;
+    int lowestStage = 0; ///< Of the daemons that tell; 0 if none does.
+    int daemons = 0;
+};
+
+/// Adds up the newest evidence of each daemon.
+RolloutTotals rolloutTotals(const ServiceId &service, const VersionId &target,
+                            const std::map<InstanceId, EvidenceCollected> &collected);
+
+/// Whether the outcomes prove that the target is worse than the other versions: it fails more
+/// often, at a level that chance hardly gives, or takes several times as long.
+bool targetIsBad(const RolloutTotals &totals);
+
+/// Decides how a rollout goes on: a few requests first, the rest in the second half of its time,
+/// and the end once every daemon has moved and nothing runs on the old versions. Answers to:
+/// versions that fail at once, later, under load or on one route only, and directors that are
+/// killed in between, since the next one goes on from the stage that is stored.
 class RolloutDirector
 {
 public:
-    /// \p hash is the same for all requests of a session, so that a session keeps its version.
-    VersionRule rule(const ServiceId &service, std::uint64_t hash, const FleetView &view,
-                     TimePoint now) const;
+    /// The next stage of a rollout, or nothing if it is to stay as it is. \p readyTargets is the
+    /// number of backend servers of the target that may be sent work.
+    std::optional<RolloutStage> decide(const RolloutOrdered &order,
+                                       const std::optional<RolloutStage> &current,
+                                       const RolloutTotals &totals, int readyTargets,
+                                       TimePoint now);
+
+private:
+    /// When this daemon first saw an order.
+    struct Seen
+    {
+        VersionId target;
+        TimePoint at;
+        int stage = -1;
+        TimePoint stageAt;
+    };
+
+    std::map<ServiceId, Seen> m_seen;
 };
 
 } // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/RolloutRule.cpp
@@ -0,0 +1,41 @@
+#include "Routing/RolloutRule.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view)
+{
+    const auto order = view.rollouts().find(service);
+    if (order == view.rollouts().end()) {
+        return {};
+    }
+    const VersionId &target = order->second.target;
+    const VersionRule onlyTarget{VersionRule::Mode::Only, target};
+    const VersionRule withoutTarget{VersionRule::Mode::Except, target};
+    const auto state = view.rolloutStates().find(service);
+    if (state != view.rolloutStates().end() && state->second.target == target) {
+        if (state->second.state == RolloutState::Complete) {
+            return onlyTarget;
+        }
+        if (state->second.state == RolloutState::RolledBack) {
+            return withoutTarget;
+        }
+    }
+    const auto stage = view.stages().find(service);
+    if (stage == view.stages().end() || stage->second.target != target
+        || stage->second.condemned) {
+        return withoutTarget;
+    }
+    if (stage->second.complete) {
+        return onlyTarget;
+    }
+    constexpr std::uint64_t Steps = 10'000;
+    // The low bits choose among services; these are independent of them.
+    constexpr unsigned IndependentBits = 32;
+    const double point = static_cast<double>((hash >> IndependentBits) % Steps) / Steps;
+    const int index = std::clamp(stage->second.stage, 0, LastRolloutStage);
+    return point < RolloutShares[index] ? onlyTarget : withoutTarget;
+}
+
+} // namespace lycheearch
