--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -42,28 +42,26 @@
     RouterBounds bounds;
     bounds.drain = bound(
         reader, {"drain_ms", "Time in which a draining backend server stops getting work"}, 2000);
-    bounds.grace
-        = secondsBound(reader, {"grace_s", "Seconds from the signal to stop until the kill"}, 8);
+    bounds.grace =
+        secondsBound(reader, {"grace_s", "Seconds from the signal to stop until the kill"}, 8);
     bounds.configApply = bound(
         reader, {"config_apply_ms", "Time in which a new configuration comes into force"}, 2000);
-    bounds.retryWindow
-        = secondsBound(reader, {"retry_window_s", "Window of the bound on repeated sends"}, 10);
-    bounds.retryRatio = reader.real(
-        {"retry_ratio", "Repeated sends for each request in the window"}, Ratio, 0.2);
-    bounds.retrySlack = reader.real(
-        {"retry_slack", "Repeated sends beyond that, over all daemons"}, Count, 0);
-    bounds.exposeShare
-        = reader.real({"expose_share", "Most of the traffic for an unproved version"}, Ratio, 0.1);
-    bounds.exposeSlack
-        = reader.real({"expose_slack", "Requests beyond that share"}, Count, 0);
-    bounds.rollback = bound(
-        reader, {"rollback_ms", "Time in which a bad version stops getting work"}, 5000);
-    bounds.coldOvershoot = reader.real(
-        {"cold_overshoot", "Factor on what a cold backend server bears"}, Ratio, 1);
-    bounds.coldSlack
-        = reader.real({"cold_slack", "Requests a second beyond that"}, Count, 0);
-    bounds.sessionGap
-        = secondsBound(reader, {"session_gap_s", "Longest pause within a session"}, 5);
+    bounds.retryWindow =
+        secondsBound(reader, {"retry_window_s", "Window of the bound on repeated sends"}, 10);
+    bounds.retryRatio =
+        reader.real({"retry_ratio", "Repeated sends for each request in the window"}, Ratio, 0.2);
+    bounds.retrySlack =
+        reader.real({"retry_slack", "Repeated sends beyond that, over all daemons"}, Count, 0);
+    bounds.exposeShare =
+        reader.real({"expose_share", "Most of the traffic for an unproved version"}, Ratio, 0.1);
+    bounds.exposeSlack = reader.real({"expose_slack", "Requests beyond that share"}, Count, 0);
+    bounds.rollback =
+        bound(reader, {"rollback_ms", "Time in which a bad version stops getting work"}, 5000);
+    bounds.coldOvershoot =
+        reader.real({"cold_overshoot", "Factor on what a cold backend server bears"}, Ratio, 1);
+    bounds.coldSlack = reader.real({"cold_slack", "Requests a second beyond that"}, Count, 0);
+    bounds.sessionGap =
+        secondsBound(reader, {"session_gap_s", "Longest pause within a session"}, 5);
     return bounds;
 }
 
@@ -71,19 +69,18 @@
 {
     RouterSettings settings;
     settings.instance = InstanceId(reader.requiredText({"instance", "Name of this instance"}));
-    settings.dataCentre
-        = DataCentreId(reader.requiredText({"data_centre", "Data centre of this instance"}));
+    settings.dataCentre =
+        DataCentreId(reader.requiredText({"data_centre", "Data centre of this instance"}));
     settings.listen = endpoint(reader, {"listen", "Address for callers"});
-    settings.readinessListen
-        = endpoint(reader, {"readiness_listen", "Address for the balancer's readiness checks"});
+    settings.readinessListen =
+        endpoint(reader, {"readiness_listen", "Address for the balancer's readiness checks"});
     settings.metricsListen = endpoint(reader, {"metrics_listen", "Address for metrics"});
     settings.feedListen = endpoint(reader, {"feed_listen", "Address for other daemons"});
     settings.store = endpoint(reader, {"store", "Address of the log store"});
-    settings.memoryMegabytes
-        = reader.number({"memory_mb", "Memory that the process may use"}, {16, 1'000'000}, 128);
-    settings.routineLogLines = static_cast<int>(
-        reader.number({"routine_log_lines", "Log lines a second for requests that went well"},
-                      {0, 100'000}, 20));
+    settings.memoryMegabytes =
+        reader.number({"memory_mb", "Memory that the process may use"}, {16, 1'000'000}, 128);
+    settings.routineLogLines = static_cast<int>(reader.number(
+        {"routine_log_lines", "Log lines a second for requests that went well"}, {0, 100'000}, 20));
     reader.section({"bounds", "Bounds for all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
     reader.finish();
--- a/Source/Daemon/RolloutDuty.cpp
+++ b/Source/Daemon/RolloutDuty.cpp
@@ -115,11 +115,11 @@
     const auto current = storedStage(order.service);
     const RolloutTotals totals = rolloutTotals(order.service, order.target, m_view.evidence());
     auto next = m_director.decide(order, current, totals, readyTargets(order, now), now);
-    const bool final = current && current->target == order.target
-        && (current->condemned || current->complete);
+    const bool final =
+        current && current->target == order.target && (current->condemned || current->complete);
     const RolloutState wanted = final && current->complete ? RolloutState::Complete
-        : final                                             ? RolloutState::RolledBack
-                                                            : RolloutState::Running;
+        : final                                            ? RolloutState::RolledBack
+                                                           : RolloutState::Running;
     const bool known = m_view.rolloutStates().contains(order.service)
         && m_view.rolloutStates().at(order.service).target == order.target
         && m_view.rolloutStates().at(order.service).state != RolloutState::Running;
@@ -191,16 +191,16 @@
 Duration RolloutDuty::precedence() const
 {
     const auto rank = [](const InstanceId &id) { return stableHash("feed/" + id.value()); };
-    const auto before = std::count_if(
-        m_view.members().begin(), m_view.members().end(),
-        [&](const auto &entry) { return rank(entry.first) < rank(m_self); });
+    const auto before =
+        std::count_if(m_view.members().begin(), m_view.members().end(),
+                      [&](const auto &entry) { return rank(entry.first) < rank(m_self); });
     return PrecedenceStep * std::min<std::int64_t>(before, MostPrecedenceSteps);
 }
 
 int RolloutDuty::readyTargets(const RolloutOrdered &order, TimePoint now) const
 {
-    return static_cast<int>(std::count_if(
-        m_view.backends().begin(), m_view.backends().end(), [&](const auto &entry) {
+    return static_cast<int>(
+        std::count_if(m_view.backends().begin(), m_view.backends().end(), [&](const auto &entry) {
             const BackendState &state = entry.second;
             return state.report.service == order.service && state.report.version == order.target
                 && !state.draining && state.coldUntil <= now;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -13,8 +13,7 @@
 constexpr int StatusUnavailable = 503;
 
 constexpr FollowerTiming StoreTiming{1500ms, 500ms, 4s, 700ms, 200ms, 1000ms};
-constexpr BackendLink::Limits LinkLimits{
-    400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
+constexpr BackendLink::Limits LinkLimits{400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration RegisterPeriod = 30s;
 constexpr Duration RegisterRetry = 1s;
 /// Daemons that are assumed as long as fewer are known.
@@ -45,11 +44,11 @@
     , m_store(makeStore(m_loop, m_settings))
     , m_codec(codec)
     , m_follower(m_loop, *m_store, codec, m_view, *this, StoreTiming)
-    , m_picker(m_settings.dataCentre)
+    , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_links(m_loop, LinkLimits)
     , m_retries(retryBounds(m_settings.bounds))
-    , m_context{m_loop, m_view, m_picker, m_links, dialect, m_retries, m_rollouts, m_models,
-                m_stop, m_log, m_metrics}
+    , m_context{m_loop,     m_view,   m_picker, m_links, dialect,  m_retries,
+                m_rollouts, m_models, m_stop,   m_log,   m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutDuty(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -122,8 +121,8 @@
 
 void RouterDaemon::registerMember(TimePoint now)
 {
-    const MemberRegistered member{m_settings.instance, m_settings.dataCentre,
-                                  m_settings.feedListen, wallMilliseconds()};
+    const MemberRegistered member{m_settings.instance, m_settings.dataCentre, m_settings.feedListen,
+                                  wallMilliseconds()};
     m_store->append(Topic::Own, m_codec.encode(member), std::nullopt,
                     [this](const StoreOutcome<Offset> &outcome, TimePoint present) {
                         m_loop.at(present + (outcome.ok() ? RegisterPeriod : RegisterRetry),
@@ -242,8 +241,8 @@
     const bool ready = m_follower.synced() && !m_stop.stopping();
     if (ready != m_wasReady) {
         m_wasReady = ready;
-        m_log.write(LogWeight::Notable,
-                    LogLine("process.ready").add("ready", ready ? "yes" : "no"), now);
+        m_log.write(LogWeight::Notable, LogLine("process.ready").add("ready", ready ? "yes" : "no"),
+                    now);
     }
     return {ready ? StatusOk : StatusUnavailable, {}, ready ? "ready\n" : "not ready\n"};
 }
@@ -280,7 +279,7 @@
         applyConfig(now);
         break;
     case ViewChange::Backend: {
-        const BackendReport &report = std::get<BackendReported>(stored.record).report;
+        const BackendEntry &report = std::get<BackendReported>(stored.record).report;
         const BackendState *state = m_view.backend(report.id);
         m_log.write(LogWeight::Notable,
                     LogLine("backend.seen")
@@ -314,8 +313,7 @@
     case ViewChange::Member:
         m_log.write(LogWeight::Notable,
                     LogLine("member.seen")
-                        .add("member",
-                             std::get<MemberRegistered>(stored.record).instance.value()),
+                        .add("member", std::get<MemberRegistered>(stored.record).instance.value()),
                     now);
         break;
     case ViewChange::Unreadable: {
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -21,8 +21,8 @@
 namespace lycheearch {
 
 /// Makes the client of a store on an event loop.
-using StoreFactory
-    = std::function<std::unique_ptr<FleetStore>(EventLoop &loop, const RouterSettings &settings)>;
+using StoreFactory =
+    std::function<std::unique_ptr<FleetStore>(EventLoop &loop, const RouterSettings &settings)>;
 
 /// A daemon that keeps nothing: it follows the store, forwards requests, and stops gracefully.
 class RouterDaemon : private FleetObserver
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -23,8 +23,7 @@
 }
 
 std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self,
-                                             const DataCentreId &dataCentre,
+                                             const InstanceId &self, const DataCentreId &dataCentre,
                                              std::int64_t wallMilliseconds)
 {
     std::vector<MemberRegistered> candidates;
@@ -176,7 +175,7 @@
     m_avoidUntil[m_source] = now + AvoidPeriod;
     m_source = InstanceId();
     m_socket->close();
-    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
+    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
     setFed(false, why);
 }
 
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -14,8 +14,7 @@
 /// Chooses whom a daemon follows: the members of its data centre stand in one order that is the
 /// same for all, and each follows the first of them that it reaches. The first follows nobody.
 std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self,
-                                             const DataCentreId &dataCentre,
+                                             const InstanceId &self, const DataCentreId &dataCentre,
                                              std::int64_t wallMilliseconds);
 
 /// Whether a member registered lately enough to count.
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -30,10 +30,7 @@
         setLiveness(fd, FeedLiveness);
     }
 
-    void send(std::string_view frame)
-    {
-        m_socket.send(frame);
-    }
+    void send(std::string_view frame) { m_socket.send(frame); }
     bool overfull() const { return m_socket.queuedBytes() > MostQueuedBytes; }
     bool subscribed() const { return m_subscribed; }
     void end()
@@ -156,7 +153,7 @@
 {
     const auto found = m_links.find(&link);
     if (found != m_links.end()) {
-        m_loop.defer([dead = std::move(found->second)] { });
+        m_loop.defer([dead = std::move(found->second)] {});
         m_links.erase(found);
     }
 }
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -10,7 +10,7 @@
 namespace lycheearch {
 
 /// What a backend server says of itself in the registry.
-struct BackendReport
+struct BackendEntry
 {
     InstanceId id;
     ServiceId service;
@@ -68,7 +68,7 @@
 
 struct BackendReported
 {
-    BackendReport report;
+    BackendEntry report;
 };
 
 struct BackendRemoved
@@ -136,10 +136,10 @@
     std::string reason;
 };
 
-using FleetRecord
-    = std::variant<ConfigPublished, RolloutOrdered, RolloutWithdrawn, RolloutReported,
-                   EvacuationChanged, BackendReported, BackendRemoved, MemberRegistered,
-                   EvidenceCollected, RolloutStage, UnreadableRecord>;
+using FleetRecord =
+    std::variant<ConfigPublished, RolloutOrdered, RolloutWithdrawn, RolloutReported,
+                 EvacuationChanged, BackendReported, BackendRemoved, MemberRegistered,
+                 EvidenceCollected, RolloutStage, UnreadableRecord>;
 
 /// A record as the store keeps it. An empty value drops the key.
 struct RawRecord
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -62,7 +62,7 @@
     return ViewChange::Config;
 }
 
-bool FleetView::isStale(const BackendReport &report) const
+bool FleetView::isStale(const BackendEntry &report) const
 {
     const auto older = [&](std::int64_t startedAt, std::int64_t sequence) {
         return report.startedAt < startedAt
@@ -76,7 +76,7 @@
         && older(removed->second.startedAt, removed->second.sequence + 1);
 }
 
-ViewChange FleetView::applyReport(const BackendReport &report, TimePoint now)
+ViewChange FleetView::applyReport(const BackendEntry &report, TimePoint now)
 {
     if (isStale(report)) {
         return ViewChange::Stale;
@@ -171,8 +171,9 @@
 void FleetView::retainOrders(const std::set<DataCentreId> &evacuations,
                              const std::set<ServiceId> &rollouts)
 {
-    std::erase_if(m_evacuated,
-                  [&](const DataCentreId &dataCentre) { return !evacuations.contains(dataCentre); });
+    std::erase_if(m_evacuated, [&](const DataCentreId &dataCentre) {
+        return !evacuations.contains(dataCentre);
+    });
     std::erase_if(m_rollouts, [&](const auto &entry) { return !rollouts.contains(entry.first); });
 }
 
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -27,7 +27,7 @@
 /// A backend server as this daemon believes it to be.
 struct BackendState
 {
-    BackendReport report;
+    BackendEntry report;
     TimePoint heardAt; ///< When its last report was read.
     TimePoint coldUntil;
     bool draining = false;
@@ -73,12 +73,12 @@
     };
 
     ViewChange applyConfig(const ConfigPublished &record, TimePoint now);
-    ViewChange applyReport(const BackendReport &report, TimePoint now);
+    ViewChange applyReport(const BackendEntry &report, TimePoint now);
     ViewChange applyRemoval(const InstanceId &id, TimePoint now);
     ViewChange applyStage(const RolloutStage &record);
     ViewChange applyRolloutState(const RolloutReported &record);
     ViewChange applyEvacuation(const EvacuationChanged &record);
-    bool isStale(const BackendReport &report) const;
+    bool isStale(const BackendEntry &report) const;
     void forget(const InstanceId &id);
 
     std::shared_ptr<const RoutingTable> m_table;
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -14,7 +14,8 @@
 
 Json toJson(const VersionCounts &counts)
 {
-    return Json::array({counts.good, counts.bad, counts.timed, counts.latencySeconds, counts.inFlight});
+    return Json::array(
+        {counts.good, counts.bad, counts.timed, counts.latencySeconds, counts.inFlight});
 }
 
 VersionCounts countsFrom(const Json &value)
--- a/Source/Fleet/RoutingConfig.h
+++ b/Source/Fleet/RoutingConfig.h
@@ -15,7 +15,7 @@
 using ConfigVersion = Quantity<struct ConfigVersionTag>;
 
 /// What may be repeated of a request, and the form of its answer.
-enum class RequestKind { Idempotent, NonIdempotent, EventStream };
+enum class RouteKind { Idempotent, NonIdempotent, EventStream };
 
 /// A service that a route leads to, with its share of the traffic.
 struct ServiceShare
@@ -30,7 +30,7 @@
     std::string name;
     std::string host;
     std::string pathPrefix; ///< Begins and ends with a slash.
-    RequestKind kind = RequestKind::NonIdempotent;
+    RouteKind kind = RouteKind::NonIdempotent;
     std::vector<ServiceShare> services;
     std::vector<std::string> models; ///< Models to choose from, smallest first; may be empty.
     Duration timeout{}; ///< Longest time until the final answer.
@@ -45,7 +45,7 @@
     /// Whether a request that may have run can be sent again.
     bool repeatable() const
     {
-        return kind == RequestKind::Idempotent || (kind == RequestKind::EventStream && resumable);
+        return kind == RouteKind::Idempotent || (kind == RouteKind::EventStream && resumable);
     }
 };
 
--- a/Source/Forward/BackendLinkPool.cpp
+++ b/Source/Forward/BackendLinkPool.cpp
@@ -19,13 +19,12 @@
 
 bool BackendLinkPool::usable(const BackendLink &link, Duration longestIdle, TimePoint now)
 {
-    const auto serverLimit = std::chrono::duration_cast<Duration>(link.serverIdleTimeout()
-                                                                  * IdleShare);
+    const auto serverLimit =
+        std::chrono::duration_cast<Duration>(link.serverIdleTimeout() * IdleShare);
     return link.reusable() && now - link.idleSince() < std::min(longestIdle, serverLimit);
 }
 
-std::unique_ptr<BackendLink> BackendLinkPool::acquire(const InstanceId &id,
-                                                      const Endpoint &address,
+std::unique_ptr<BackendLink> BackendLinkPool::acquire(const InstanceId &id, const Endpoint &address,
                                                       Duration longestIdle, TimePoint now,
                                                       std::error_code &error)
 {
@@ -54,7 +53,7 @@
 void BackendLinkPool::discard(std::unique_ptr<BackendLink> link)
 {
     link->abort();
-    m_loop.defer([dead = std::shared_ptr<BackendLink>(std::move(link))] { });
+    m_loop.defer([dead = std::shared_ptr<BackendLink>(std::move(link))] {});
 }
 
 } // namespace lycheearch
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -43,8 +43,8 @@
 {
     const CallerLimits bounds = limits();
     m_state = State::Waiting;
-    m_parser = std::make_unique<HttpRequestParser>(HttpLimits{bounds.headBytes, bounds.bodyBytes},
-                                                   *this);
+    m_parser =
+        std::make_unique<HttpRequestParser>(HttpLimits{bounds.headBytes, bounds.bodyBytes}, *this);
     m_body.clear();
     arm(bounds.idleTimeout, now);
 }
@@ -138,9 +138,9 @@
         refuse(BadRequest, "a request needs one Host field", now);
         return;
     }
-    CallerRequest request = m_context.dialect.decodeRequest(std::move(m_head));
-    m_exchange = std::make_unique<Exchange>(m_context, *this, std::move(request),
-                                            std::move(m_body), now);
+    RoutedRequest request = m_context.dialect.decodeRequest(std::move(m_head));
+    m_exchange =
+        std::make_unique<Exchange>(m_context, *this, std::move(request), std::move(m_body), now);
     m_body = std::string();
     m_exchange->start(now);
 }
--- a/Source/Forward/CallerServer.cpp
+++ b/Source/Forward/CallerServer.cpp
@@ -60,7 +60,7 @@
     }
     std::shared_ptr<CallerConnection> dead = std::move(found->second);
     m_connections.erase(found);
-    m_context.loop.defer([dead] { });
+    m_context.loop.defer([dead] {});
 }
 
 void CallerServer::drain(TimePoint)
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -109,7 +109,7 @@
 
 } // namespace
 
-Exchange::Exchange(ForwardContext &context, AnswerSink &sink, CallerRequest request,
+Exchange::Exchange(ForwardContext &context, AnswerSink &sink, RoutedRequest request,
                    std::string body, TimePoint receivedAt)
     : m_context(context)
     , m_sink(sink)
@@ -149,14 +149,13 @@
     if (!authenticate(now)) {
         return false;
     }
-    if (!m_context.stop.admits(std::min(m_request.timeLeft.value_or(m_route->timeout),
-                                        m_route->timeout),
-                               now)) {
+    if (!m_context.stop.admits(
+            std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout), now)) {
         answerOwn(Unavailable, "the process is stopping", now, StoppingRetryAfter);
         return false;
     }
-    m_sessionHash = stableHash(m_request.session.empty() ? m_request.id.value()
-                                                         : m_request.session.value());
+    m_sessionHash =
+        stableHash(m_request.session.empty() ? m_request.id.value() : m_request.session.value());
     const ServiceId *service = chooseService(*m_route, m_sessionHash);
     if (service == nullptr) {
         answerOwn(Unavailable, "the route names no service", now, NotReadyRetryAfter);
@@ -172,8 +171,8 @@
         }
     }
     setModel(m_context.models.first(*m_route));
-    const Duration allowed = std::min(m_request.timeLeft.value_or(m_route->timeout),
-                                      m_route->timeout);
+    const Duration allowed =
+        std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_receivedAt + allowed;
     m_deadlineTimer = m_context.loop.at(m_deadline, [this](TimePoint present) {
         m_deadlineTimer = TimerId();
@@ -257,8 +256,8 @@
     const BackendState *state = m_context.view.backend(pick.backend);
     std::error_code error;
     const Duration longestIdle = m_route->repeatable() ? LongestIdle : TrustedIdle;
-    auto link = m_context.links.acquire(pick.backend, state->report.address, longestIdle, now,
-                                        error);
+    auto link =
+        m_context.links.acquire(pick.backend, state->report.address, longestIdle, now, error);
     if (!link) {
         m_unreachable.insert(pick.backend);
         m_context.log.write(LogWeight::Notable,
@@ -341,13 +340,13 @@
         return Verdict::Skip;
     }
     if (facts.load) {
-        m_context.picker.onLoadReported(m_attempt.backend, facts.load->running,
-                                        facts.load->waiting, now);
+        m_context.picker.onLoadReported(m_attempt.backend, facts.load->running, facts.load->waiting,
+                                        now);
     }
     m_context.picker.onAnswering(m_attempt.backend, unansweredTokens(), now);
     m_attempt.answered = true;
     m_attempt.lastByteAt = now;
-    m_attempt.streaming = m_route->kind == RequestKind::EventStream && head.status == StatusOk
+    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == StatusOk
         && facts.sealed && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
     m_attempt.facts = std::move(facts);
@@ -363,10 +362,10 @@
     if (m_sends >= m_route->maxAttempts || !m_route->repeatable()) {
         return false;
     }
-    const auto larger = m_context.models.escalate(
-        *m_route,
-        {m_model, m_attempt.facts.confidence, m_request.outputTokens, now - m_receivedAt,
-         m_deadline - now});
+    const auto larger =
+        m_context.models.escalate(*m_route,
+                                  {m_model, m_attempt.facts.confidence, m_request.outputTokens,
+                                   now - m_receivedAt, m_deadline - now});
     if (!larger || !m_context.retries.withdraw(m_service, now)) {
         return false;
     }
@@ -485,8 +484,8 @@
     }
     m_mayHaveRun = true;
     if (status < FirstFailure) {
-        const bool whole = m_attempt.facts.sealed
-            && m_attempt.head.fields.find("Content-Encoding") == nullptr;
+        const bool whole =
+            m_attempt.facts.sealed && m_attempt.head.fields.find("Content-Encoding") == nullptr;
         releaseAttempt(whole ? SendOutcome::Served : SendOutcome::Broken, whole, now);
         if (whole) {
             deliverAttempt(now);
@@ -592,7 +591,7 @@
 
 Duration Exchange::stallLimit() const
 {
-    if (m_route->kind != RequestKind::EventStream) {
+    if (m_route->kind != RouteKind::EventStream) {
         return m_route->latencyObjective * PlainStallObjectives;
     }
     if (!m_streamBegun) {
@@ -704,24 +703,24 @@
     if (good && !m_context.log.routineAllowed(now)) {
         return;
     }
-    m_context.log.write(good ? LogWeight::Routine : LogWeight::Notable,
-                        LogLine("request.done")
-                            .add("id", m_request.id.value())
-                            .add("route", m_route == nullptr ? "" : m_route->name)
-                            .add("account", m_account.value())
-                            .add("status", status)
-                            .add("cause", cause)
-                            .add("sends", m_sends)
-                            .add("backend", m_attempt.backend.value())
-                            .add("events", m_events)
-                            .add("first_ms", m_firstByteAt == TimePoint()
-                                     ? Duration(-1000)
-                                     : m_firstByteAt - m_receivedAt)
-                            .add("gap_ms", m_longestGap)
-                            .add("total_ms", now - m_receivedAt)
-                            .add("config", m_table ? m_table->version().value() : -1)
-                            .add("config_age_ms", now - m_context.view.configReadAt()),
-                        now);
+    m_context.log.write(
+        good ? LogWeight::Routine : LogWeight::Notable,
+        LogLine("request.done")
+            .add("id", m_request.id.value())
+            .add("route", m_route == nullptr ? "" : m_route->name)
+            .add("account", m_account.value())
+            .add("status", status)
+            .add("cause", cause)
+            .add("sends", m_sends)
+            .add("backend", m_attempt.backend.value())
+            .add("events", m_events)
+            .add("first_ms",
+                 m_firstByteAt == TimePoint() ? Duration(-1000) : m_firstByteAt - m_receivedAt)
+            .add("gap_ms", m_longestGap)
+            .add("total_ms", now - m_receivedAt)
+            .add("config", m_table ? m_table->version().value() : -1)
+            .add("config_age_ms", now - m_context.view.configReadAt()),
+        now);
 }
 
 } // namespace lycheearch
--- a/Source/Forward/Exchange.h
+++ b/Source/Forward/Exchange.h
@@ -20,7 +20,7 @@
 class Exchange : public BackendLinkListener
 {
 public:
-    Exchange(ForwardContext &context, AnswerSink &sink, CallerRequest request, std::string body,
+    Exchange(ForwardContext &context, AnswerSink &sink, RoutedRequest request, std::string body,
              TimePoint receivedAt);
     ~Exchange() override;
 
@@ -89,7 +89,7 @@
 
     ForwardContext &m_context;
     AnswerSink &m_sink;
-    CallerRequest m_request;
+    RoutedRequest m_request;
     std::string m_body;
     std::shared_ptr<const RoutingTable> m_table;
     const Route *m_route = nullptr;
--- a/Source/Forward/RequestDialect.h
+++ b/Source/Forward/RequestDialect.h
@@ -19,7 +19,7 @@
 };
 
 /// What a caller asked for, decoded from its header fields.
-struct CallerRequest
+struct RoutedRequest
 {
     HttpRequestHead head; ///< As received, without fields that only the system may set.
     std::string host;
@@ -67,8 +67,8 @@
 {
 public:
     virtual ~RequestDialect() = default;
-    virtual CallerRequest decodeRequest(HttpRequestHead head) const = 0;
-    virtual HttpRequestHead encodeRequest(const CallerRequest &request,
+    virtual RoutedRequest decodeRequest(HttpRequestHead head) const = 0;
+    virtual HttpRequestHead encodeRequest(const RoutedRequest &request,
                                           const DispatchOrder &order) const = 0;
     virtual AnswerFacts decodeAnswer(const HttpResponseHead &head) const = 0;
 };
--- a/Source/Log/LogLine.h
+++ b/Source/Log/LogLine.h
@@ -16,7 +16,10 @@
     explicit LogLine(std::string_view event);
 
     LogLine &add(std::string_view key, std::string_view value);
-    LogLine &add(std::string_view key, const char *value) { return add(key, std::string_view(value)); }
+    LogLine &add(std::string_view key, const char *value)
+    {
+        return add(key, std::string_view(value));
+    }
     LogLine &add(std::string_view key, std::int64_t value);
     LogLine &add(std::string_view key, int value) { return add(key, std::int64_t{value}); }
     LogLine &add(std::string_view key, double value);
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -55,6 +55,8 @@
     /// Runs until stop() is called.
     void run();
     void stop() { m_stopped = true; }
+    /// Lets run() be called once more after stop().
+    void resume() { m_stopped = false; }
     TimePoint now() const { return m_clock.now(); }
 
 private:
--- a/Source/Net/HttpCallChannel.cpp
+++ b/Source/Net/HttpCallChannel.cpp
@@ -48,8 +48,8 @@
             return;
         }
         setLiveness(fd, m_liveness);
-        m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting,
-                                                  *this);
+        m_socket =
+            std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
         m_used = false;
     }
     m_reply = HttpReply();
@@ -148,7 +148,7 @@
     m_socket->close();
     // The socket or the parser may be further up the call stack.
     m_loop.defer([socket = std::shared_ptr<StreamSocket>(std::move(m_socket)),
-                  parser = std::shared_ptr<HttpResponseParser>(std::move(m_parser))] { });
+                  parser = std::shared_ptr<HttpResponseParser>(std::move(m_parser))] {});
     m_keepAlive = true;
 }
 
--- a/Source/Net/HttpHead.cpp
+++ b/Source/Net/HttpHead.cpp
@@ -93,9 +93,8 @@
 std::size_t HttpFields::count(std::string_view name) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_fields.begin(), m_fields.end(), [&](const HttpField &field) {
-            return equalIgnoringCase(field.name, name);
-        }));
+        std::count_if(m_fields.begin(), m_fields.end(),
+                      [&](const HttpField &field) { return equalIgnoringCase(field.name, name); }));
 }
 
 bool HttpFields::hasToken(std::string_view name, std::string_view token) const
@@ -118,9 +117,9 @@
 
 void removeConnectionFields(HttpFields &fields)
 {
-    static constexpr std::array<std::string_view, 9> Standard
-        = {"connection",          "keep-alive", "proxy-connection", "te",     "trailer",
-           "proxy-authorization", "upgrade",    "transfer-encoding", "expect"};
+    static constexpr std::array<std::string_view, 9> Standard = {
+        "connection",          "keep-alive", "proxy-connection",  "te",    "trailer",
+        "proxy-authorization", "upgrade",    "transfer-encoding", "expect"};
     std::vector<std::string> nominated;
     for (const HttpField &field : fields.all()) {
         if (equalIgnoringCase(field.name, "connection")) {
@@ -187,8 +186,8 @@
 {
     std::array<char, 2 * sizeof(std::size_t)> digits{};
     constexpr int Hexadecimal = 16;
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(),
-                                   Hexadecimal);
+    const auto end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), Hexadecimal);
     std::string text(digits.data(), end.ptr);
     text.append("\r\n").append(bytes).append("\r\n");
     return text;
--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -62,8 +62,8 @@
         std::size_t used = 0;
         while (used < input.size() && !m_error && !this->is_done()) {
             BoostError error;
-            const std::size_t count
-                = this->put(boost::asio::buffer(input.data() + used, input.size() - used), error);
+            const std::size_t count =
+                this->put(boost::asio::buffer(input.data() + used, input.size() - used), error);
             used += count;
             if (error == http::error::need_more) {
                 break;
--- a/Source/Net/HttpResponder.cpp
+++ b/Source/Net/HttpResponder.cpp
@@ -125,7 +125,7 @@
 {
     const auto found = m_connections.find(&connection);
     if (found != m_connections.end()) {
-        m_loop.defer([dead = std::move(found->second)] { });
+        m_loop.defer([dead = std::move(found->second)] {});
         m_connections.erase(found);
     }
 }
--- a/Source/Net/HttpResponder.h
+++ b/Source/Net/HttpResponder.h
@@ -18,8 +18,7 @@
 public:
     using Handler = std::function<HttpReply(const HttpRequestHead &head, TimePoint now)>;
 
-    HttpResponder(EventLoop &loop, const Endpoint &listen, Handler handler,
-                  std::error_code &error);
+    HttpResponder(EventLoop &loop, const Endpoint &listen, Handler handler, std::error_code &error);
     ~HttpResponder() override;
 
 private:
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -132,8 +132,8 @@
 void StreamSocket::flush()
 {
     while (queuedBytes() > 0 && !m_sendError) {
-        const ssize_t count
-            = ::send(m_fd, m_queue.data() + m_sent, queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        const ssize_t count =
+            ::send(m_fd, m_queue.data() + m_sent, queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count < 0) {
             if (!wouldBlock(errno)) {
                 m_sendError = {errno, std::generic_category()};
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -31,6 +31,8 @@
 constexpr double MeanWeight = 0.05;
 /// Daemons that may have joined without this one's knowledge, as a part of the known ones.
 constexpr double UnknownDaemons = 0.25;
+/// How long a daemon's turn at a cold server lasts.
+constexpr Duration ColdTurn = 200ms;
 /// Latest sends to a server that are remembered.
 constexpr std::size_t RememberedSends = 16;
 
@@ -45,8 +47,9 @@
 
 } // namespace
 
-BackendPicker::BackendPicker(DataCentreId home)
-    : m_home(std::move(home))
+BackendPicker::BackendPicker(const InstanceId &self, DataCentreId home)
+    : m_phase(stableHash("cold/" + self.value()))
+    , m_home(std::move(home))
 {
 }
 
@@ -65,9 +68,9 @@
     return request.engine ? pickForPrompt(request, candidates, now) : pickLeastLoaded(candidates);
 }
 
-std::vector<BackendPicker::Candidate>
-BackendPicker::collect(const PickRequest &request, const FleetView &view, TimePoint now,
-                       PickFault &fault)
+std::vector<BackendPicker::Candidate> BackendPicker::collect(const PickRequest &request,
+                                                             const FleetView &view, TimePoint now,
+                                                             PickFault &fault)
 {
     std::vector<Candidate> candidates;
     fault = PickFault::NoBackend;
@@ -115,7 +118,10 @@
             bestCached = cached;
         }
     }
-    return {best->state->report.id, best->load, bestBacklog, best->local,
+    return {best->state->report.id,
+            best->load,
+            bestBacklog,
+            best->local,
             static_cast<int>(candidates.size()),
             bestCached ? "cached" : (request.affinity != 0 ? "spill" : "least")};
 }
@@ -135,8 +141,7 @@
     return std::max(unanswered, waiting + since) + RunningTokens * running;
 }
 
-bool BackendPicker::visitedLately(std::uint64_t affinity, const InstanceId &id,
-                                  TimePoint now) const
+bool BackendPicker::visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const
 {
     const auto found = m_visits.find(affinity);
     return found != m_visits.end()
@@ -160,34 +165,49 @@
             bestTie = tie;
         }
     }
-    return {best->state->report.id, best->load, 0, best->local,
-            static_cast<int>(candidates.size()), "least"};
+    return {best->state->report.id,
+            best->load,
+            0,
+            best->local,
+            static_cast<int>(candidates.size()),
+            "least"};
 }
 
 double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
 {
     double requests = health.inFlight;
     if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
-        requests = std::max<double>(requests, health.running + health.waiting + health.inFlight
-                                        - health.inFlightAtReport);
+        requests = std::max<double>(
+            requests, health.running + health.waiting + health.inFlight - health.inFlightAtReport);
     }
     return requests / std::max(1, state.report.slots);
 }
 
-bool BackendPicker::coldAllows(const BackendState &state, const Health &health,
-                               TimePoint now) const
+bool BackendPicker::coldTurn(const BackendState &state, const Health &health, double share,
+                             TimePoint now) const
+{
+    // Turns spread out by chance only: a window of one second holds a few more of them than share.
+    constexpr double ChanceReserve = 1.6;
+    const auto interval =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ChanceReserve / share));
+    const Duration phase(
+        static_cast<std::int64_t>(mix(m_phase) % static_cast<std::uint64_t>(interval.count())));
+    const Duration sinceTurn = (now - state.coldUntil + phase) % interval;
+    const Duration positive = sinceTurn < Duration::zero() ? sinceTurn + interval : sinceTurn;
+    const bool used = !health.sends.empty() && now - health.sends.back() < interval / 2;
+    return positive < ColdTurn && !used;
+}
+
+bool BackendPicker::coldAllows(const BackendState &state, const Health &health, TimePoint now) const
 {
     const auto limits = m_cold.find(state.report.service);
     if (limits == m_cold.end() || limits->second.perSecond <= 0 || state.coldUntil <= now) {
         return true;
     }
-    const double share = limits->second.perSecond
-        / (std::max(1, limits->second.daemons) * (1 + UnknownDaemons));
+    const double share =
+        limits->second.perSecond / (std::max(1, limits->second.daemons) * (1 + UnknownDaemons));
     if (share < 1) {
-        // Less than one request a second: one in a longer time.
-        const auto interval = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(1 / share));
-        return health.sends.empty() || now - health.sends.back() >= interval;
+        return coldTurn(state, health, share, now);
     }
     const auto allowed = std::min(static_cast<std::size_t>(share), RememberedSends);
     return health.sends.size() < allowed
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -31,7 +31,8 @@
 struct PickRequest
 {
     ServiceId service;
-    std::uint64_t affinity = 0; ///< Requests with the same value share cached prompt parts; 0: none.
+    std::uint64_t affinity =
+        0; ///< Requests with the same value share cached prompt parts; 0: none.
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0; ///< Of the prompt, in parts that other requests have too.
     bool engine = false; ///< The service runs models: work is counted in prompt tokens.
@@ -69,8 +70,7 @@
 class BackendPicker
 {
 public:
-    explicit BackendPicker(DataCentreId home);
-
+    BackendPicker(const InstanceId &self, DataCentreId home);
 
     /// Chooses a server among \p view's for a request, or tells in \p fault why there is none.
     std::optional<Pick> pick(const PickRequest &request, const FleetView &view, TimePoint now,
@@ -139,9 +139,14 @@
     double backlogTokens(const Health &health, const ServiceId &service, TimePoint now) const;
     bool visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
+    /// Whether it is this daemon's turn at a server that bears less than a request a second
+    /// from each.
+    bool coldTurn(const BackendState &state, const Health &health, double share,
+                  TimePoint now) const;
     bool coldAllows(const BackendState &state, const Health &health, TimePoint now) const;
     void exclude(Health &health, TimePoint now);
 
+    std::uint64_t m_phase; ///< Sets this daemon's turns at cold servers apart from others'.
     DataCentreId m_home;
     std::map<InstanceId, Health> m_health;
     std::map<ServiceId, ColdLimits> m_cold;
--- a/Source/Routing/RolloutCounts.cpp
+++ b/Source/Routing/RolloutCounts.cpp
@@ -35,8 +35,8 @@
         evidence.stage = stage == view.stages().end() ? 0 : stage->second.stage;
         if (const auto versions = m_counts.find(service); versions != m_counts.end()) {
             for (const auto &[version, counts] : versions->second) {
-                VersionCounts &side
-                    = version == order.target ? evidence.targetCounts : evidence.otherCounts;
+                VersionCounts &side =
+                    version == order.target ? evidence.targetCounts : evidence.otherCounts;
                 side = side + counts;
             }
         }
--- a/Source/Routing/RolloutDirector.cpp
+++ b/Source/Routing/RolloutDirector.cpp
@@ -19,7 +19,7 @@
 
 constexpr int LeastBadAnswers = 4;
 /// Excess of the share of failures over that of the other versions.
-constexpr double LeastExcess = 0.12;
+constexpr double LeastExcess = 0.05;
 /// Standard errors between the two shares.
 constexpr double LeastDeviation = 3.0;
 constexpr int LeastTimed = 10;
@@ -34,8 +34,8 @@
     }
     const double share = static_cast<double>(totals.target.bad) / answers;
     const double usual = others > 0 ? static_cast<double>(totals.other.bad) / others : 0;
-    const double pooled = static_cast<double>(totals.target.bad + totals.other.bad)
-        / (answers + others);
+    const double pooled =
+        static_cast<double>(totals.target.bad + totals.other.bad) / (answers + others);
     const double error = std::sqrt(std::max(pooled * (1 - pooled), 1e-6)
                                    * (1 / answers + 1 / std::max(others, 1.0)));
     return share - usual > LeastExcess && (share - usual) / error > LeastDeviation;
@@ -76,8 +76,8 @@
     for (const auto &[daemon, evidence] : newest) {
         totals.target = totals.target + evidence->targetCounts;
         totals.other = totals.other + evidence->otherCounts;
-        totals.lowestStage = totals.daemons == 0 ? evidence->stage
-                                                 : std::min(totals.lowestStage, evidence->stage);
+        totals.lowestStage =
+            totals.daemons == 0 ? evidence->stage : std::min(totals.lowestStage, evidence->stage);
         ++totals.daemons;
     }
     return totals;
--- a/Source/Routing/RolloutRule.cpp
+++ b/Source/Routing/RolloutRule.cpp
@@ -23,8 +23,7 @@
         }
     }
     const auto stage = view.stages().find(service);
-    if (stage == view.stages().end() || stage->second.target != target
-        || stage->second.condemned) {
+    if (stage == view.stages().end() || stage->second.target != target || stage->second.condemned) {
         return withoutTarget;
     }
     if (stage->second.complete) {
--- /dev/null
+++ b/Tests/Feed/testFeed.cpp
@@ -0,0 +1,207 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "Feed/FeedClient.h"
+#include "Feed/FeedServer.h"
+#include "Fleet/FakeStore.h"
+#include "Mocks.h"
+#include "platform/RecordCodec.h"
+
+using namespace lycheearch;
+
+namespace {
+
+std::vector<FeedMessage> readAll(std::string_view bytes, std::size_t piece)
+{
+    FeedFrameReader reader;
+    std::vector<FeedMessage> messages;
+    while (!bytes.empty()) {
+        cr_assert(reader.feed(bytes.substr(0, piece), messages));
+        bytes.remove_prefix(std::min(piece, bytes.size()));
+    }
+    return messages;
+}
+
+MemberRegistered member(const std::string &name, const std::string &place, std::int64_t at)
+{
+    return {InstanceId(name), DataCentreId(place), {"127.0.0.1", 1}, at};
+}
+
+struct Silent : FleetObserver
+{
+    void onRecord(ViewChange, const StoredRecord &, TimePoint) override { }
+    void onBackendDropped(const InstanceId &, const char *, TimePoint) override { }
+    void onStoreLost(Topic, StoreFault, const std::string &, TimePoint) override { }
+    void onStoreRegained(Topic, Duration, TimePoint) override { }
+    void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint) override
+    {
+        if (server != nullptr) {
+            server->broadcast(topic, page, listing);
+        }
+    }
+
+    FeedServer *server = nullptr;
+};
+
+/// One daemon's follower over a store that the test answers.
+struct Node
+{
+    explicit Node(EventLoop &loop)
+        : follower(loop, store, codec, view, observer, {1500ms, 200ms, 4s, 700ms, 200ms, 1000ms})
+    {
+    }
+
+    void list(TimePoint now, const std::vector<MemberRegistered> &members)
+    {
+        follower.start();
+        RecordPage config;
+        config.records = {{Offset(0), "config", R"({"Version":1,"Routes":[],"Services":[]})"}};
+        config.end = Offset(1);
+        store.answer(Topic::Operator, config, now);
+        store.answer(Topic::Backends, {}, now);
+        store.answer(Topic::Status, {}, now);
+        RecordPage own;
+        for (const MemberRegistered &registered : members) {
+            own.records.push_back(codec.encode(registered));
+            own.records.back().offset = own.end;
+            own.end = own.end.next();
+        }
+        store.answer(Topic::Own, own, now);
+    }
+
+    FakeStore store;
+    platform::PlatformRecordCodec codec;
+    FleetView view;
+    Silent observer;
+    FleetFollower follower;
+};
+
+} // namespace
+
+Test(feed, messages_survive_the_wire_in_any_pieces)
+{
+    RecordPage page;
+    page.end = Offset(8);
+    page.records = {{Offset(7), "key", std::string("a\0b", 3)}, {Offset(6), "gone", ""}};
+    FeedEvidence evidence;
+    evidence.evidence = {
+        {InstanceId("d"), ServiceId("s"), VersionId("v"), 2, {1, 2, 3, 4, 5}, {6, 7, 8, 9, 10}}};
+    const std::string bytes = encodeFeedFrame(FeedSubscribe{InstanceId("me")})
+        + encodeFeedFrame(FeedPage{Topic::Backends, true, page})
+        + encodeFeedFrame(FeedHeartbeat{Duration(5ms)}) + encodeFeedFrame(FeedHeartbeat{})
+        + encodeFeedFrame(evidence);
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+        const auto messages = readAll(bytes, piece);
+        cr_assert_eq(messages.size(), 5);
+        cr_expect_str_eq(std::get<FeedSubscribe>(messages[0]).instance.value().c_str(), "me");
+        const auto &read = std::get<FeedPage>(messages[1]);
+        cr_expect(read.listing && read.topic == Topic::Backends);
+        cr_expect_eq(read.page.records[0].value.size(), 3);
+        cr_expect_eq(std::get<FeedHeartbeat>(messages[2]).storeAge->count(), Duration(5ms).count());
+        cr_expect_not(std::get<FeedHeartbeat>(messages[3]).storeAge.has_value());
+        cr_expect(std::get<FeedEvidence>(messages[4]).evidence == evidence.evidence);
+    }
+}
+
+Test(feed, a_large_page_is_compressed)
+{
+    RecordPage page;
+    page.records = {{Offset(0), "config", std::string(200'000, 'x')}};
+    const std::string frame = encodeFeedFrame(FeedPage{Topic::Operator, false, page});
+    cr_expect(frame.size() < 20'000, "%zu", frame.size());
+    const auto messages = readAll(frame, frame.size());
+    cr_expect_eq(std::get<FeedPage>(messages.at(0)).page.records[0].value.size(), 200'000);
+}
+
+Test(feed, noise_ends_the_connection_and_nothing_else)
+{
+    std::mt19937 random(17);
+    for (int round = 0; round < 2000; ++round) {
+        std::string bytes = encodeFeedFrame(FeedSubscribe{InstanceId("me")});
+        const std::size_t flips = 1 + random() % 8;
+        for (std::size_t i = 0; i < flips; ++i) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        FeedFrameReader reader;
+        std::vector<FeedMessage> messages;
+        reader.feed(bytes, messages);
+        cr_expect(messages.size() <= 1);
+    }
+}
+
+Test(feed, all_members_of_a_data_centre_choose_in_one_order)
+{
+    std::map<InstanceId, MemberRegistered> members;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        members[InstanceId(name)] = member(name, "here", 1'000'000);
+    }
+    members[InstanceId("x")] = member("x", "there", 1'000'000);
+    members[InstanceId("old")] = member("old", "here", 0);
+    int withoutSource = 0;
+    std::set<InstanceId> firsts;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        const auto candidates =
+            feedCandidates(members, InstanceId(name), DataCentreId("here"), 1'000'000);
+        withoutSource += candidates.empty() ? 1 : 0;
+        for (const MemberRegistered &candidate : candidates) {
+            cr_expect(candidate.dataCentre == DataCentreId("here"));
+            cr_expect(candidate.instance != InstanceId("old"));
+        }
+        if (!candidates.empty()) {
+            firsts.insert(candidates.front().instance);
+        }
+    }
+    cr_expect_eq(withoutSource, 1);
+    cr_expect_eq(firsts.size(), 1);
+}
+
+Test(feed, a_follower_stops_reading_and_takes_over_when_its_source_dies, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::int64_t wall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallTime().time_since_epoch())
+            .count();
+    Node reader(loop);
+    Node follower(loop);
+    // Whoever stands first in the order is the one that reads.
+    std::map<InstanceId, MemberRegistered> both;
+    both[InstanceId("a")] = member("a", "here", wall);
+    both[InstanceId("b")] = member("b", "here", wall);
+    const bool aFirst = feedCandidates(both, InstanceId("a"), DataCentreId("here"), wall).empty();
+    const InstanceId source(aFirst ? "a" : "b");
+    const InstanceId self(aFirst ? "b" : "a");
+    const Endpoint listen{"127.0.0.1", 29471};
+    std::error_code error;
+    auto server = std::make_unique<FeedServer>(
+        loop, listen, reader.follower, [](const FeedEvidence &) {}, error);
+    cr_assert_not(error);
+    reader.observer.server = server.get();
+    const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
+                                                   member(self.value(), "here", wall)};
+    reader.list(clock.now(), members);
+    follower.list(clock.now(), members);
+    FeedClient client(loop, self, DataCentreId("here"), follower.view, follower.follower, clock,
+                      [](const InstanceId &, const char *) {});
+    client.start();
+    loop.at(clock.now() + 600ms, [&](TimePoint) {
+        cr_expect(follower.follower.fed());
+        RecordPage page;
+        page.records = {{Offset(0), "i-1",
+                         R"({"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1",
+                            "Slots":4,"State":"ready","ColdMs":0,"Sequence":1})"}};
+        page.end = Offset(1);
+        reader.store.answer(Topic::Backends, page, loop.now());
+    });
+    loop.at(clock.now() + 800ms, [&](TimePoint) {
+        cr_expect_not_null(follower.view.backend(InstanceId("i-1")));
+        reader.observer.server = nullptr;
+        server.reset();
+    });
+    loop.at(clock.now() + 1500ms, [&](TimePoint) {
+        cr_expect_not(follower.follower.fed());
+        loop.stop();
+    });
+    loop.run();
+}
--- /dev/null
+++ b/Tests/Fleet/FakeStore.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "Fleet/FleetStore.h"
+
+namespace lycheearch {
+
+/// A store whose calls are kept until the test answers them.
+class FakeStore : public FleetStore
+{
+public:
+    struct Call
+    {
+        bool listing = false;
+        Offset from;
+        std::string afterKey;
+        PageCallback callback;
+    };
+    struct Write
+    {
+        Topic topic = Topic::Own;
+        RawRecord record;
+        std::optional<Offset> expected;
+        WriteCallback callback;
+    };
+
+    void read(Topic topic, Offset from, Duration, PageCallback callback) override
+    {
+        calls[topic].push_back({false, from, "", std::move(callback)});
+    }
+    void newest(Topic topic, const std::string &afterKey, PageCallback callback) override
+    {
+        calls[topic].push_back({true, Offset(), afterKey, std::move(callback)});
+    }
+    void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+                WriteCallback callback) override
+    {
+        writes.push_back({topic, record, expected, std::move(callback)});
+    }
+
+    /// Answers the oldest open call of a topic.
+    void answer(Topic topic, RecordPage page, TimePoint now)
+    {
+        Call call = take(topic);
+        call.callback({std::move(page), StoreFault::Unexpected, ""}, now);
+    }
+    void fail(Topic topic, StoreFault fault, TimePoint now)
+    {
+        Call call = take(topic);
+        call.callback({std::nullopt, fault, "test"}, now);
+    }
+
+    std::map<Topic, std::vector<Call>> calls;
+    std::vector<Write> writes;
+
+private:
+    Call take(Topic topic)
+    {
+        std::vector<Call> &open = calls.at(topic);
+        Call call = std::move(open.front());
+        open.erase(open.begin());
+        return call;
+    }
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -0,0 +1,205 @@
+#include <criterion/criterion.h>
+
+#include "Fleet/FakeStore.h"
+#include "Fleet/FleetFollower.h"
+#include "Mocks.h"
+#include "platform/RecordCodec.h"
+
+using namespace lycheearch;
+
+namespace {
+
+constexpr FollowerTiming Timing{1500ms, 500ms, 4s, 700ms, 200ms, 1000ms};
+
+struct Observer : FleetObserver
+{
+    void onRecord(ViewChange, const StoredRecord &, TimePoint) override { ++records; }
+    void onBackendDropped(const InstanceId &id, const char *, TimePoint) override
+    {
+        dropped.push_back(id);
+    }
+    void onStoreLost(Topic, StoreFault, const std::string &, TimePoint) override { ++lost; }
+    void onStoreRegained(Topic, Duration, TimePoint) override { ++regained; }
+    void onPageRead(Topic, const RecordPage &, bool, TimePoint) override { ++pages; }
+
+    int records = 0;
+    int lost = 0;
+    int regained = 0;
+    int pages = 0;
+    std::vector<InstanceId> dropped;
+};
+
+/// A follower on a clock that the test moves; the loop runs what is due.
+struct Fixture
+{
+    Fixture()
+        : loop(clock)
+        , follower(loop, store, codec, view, observer, Timing)
+    {
+    }
+
+    void runFor(Duration span)
+    {
+        const TimePoint end = clock.time + span;
+        while (clock.time < end) {
+            clock.time += 10ms;
+            loop.at(clock.time, [this](TimePoint) { loop.stop(); });
+            loop.run();
+            loop.resume();
+        }
+    }
+
+    void list(const RecordPage &backends)
+    {
+        follower.start();
+        RecordPage config;
+        config.records = {configRecord(0, 1)};
+        config.end = Offset(1);
+        store.answer(Topic::Operator, config, clock.time);
+        store.answer(Topic::Backends, backends, clock.time);
+        store.answer(Topic::Status, {}, clock.time);
+        store.answer(Topic::Own, {}, clock.time);
+    }
+
+    static RawRecord configRecord(std::int64_t offset, int version)
+    {
+        return {Offset(offset), "config",
+                R"({"Version":)" + std::to_string(version) + R"(,"Routes":[],"Services":[]})"};
+    }
+
+    static RawRecord backendRecord(std::int64_t offset, const std::string &id, int sequence)
+    {
+        return {Offset(offset), id,
+                R"({"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1","Slots":4,)"
+                R"("State":"ready","ColdMs":0,"Sequence":)"
+                    + std::to_string(sequence) + "}"};
+    }
+
+    static RecordPage page(std::vector<RawRecord> records, std::int64_t end)
+    {
+        RecordPage made;
+        made.records = std::move(records);
+        made.end = Offset(end);
+        return made;
+    }
+
+    FixedClock clock;
+    EventLoop loop;
+    FakeStore store;
+    platform::PlatformRecordCodec codec;
+    FleetView view;
+    Observer observer;
+    FleetFollower follower;
+};
+
+} // namespace
+
+Test(fleetFollower, it_lists_each_topic_and_then_reads_on)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    cr_expect(fixture.follower.synced());
+    cr_expect_not_null(fixture.view.backend(InstanceId("one")));
+    fixture.runFor(600ms);
+    cr_assert_eq(fixture.store.calls[Topic::Backends].size(), 1);
+    cr_expect_not(fixture.store.calls[Topic::Backends][0].listing);
+    cr_expect_eq(fixture.store.calls[Topic::Backends][0].from.value(), 5);
+}
+
+Test(fleetFollower, reads_that_were_cut_off_lead_to_a_new_listing)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    fixture.runFor(600ms);
+    fixture.store.fail(Topic::Backends, StoreFault::Truncated, fixture.clock.time);
+    fixture.runFor(20ms);
+    cr_assert(fixture.store.calls[Topic::Backends].at(0).listing);
+    fixture.store.answer(Topic::Backends, Fixture::page({Fixture::backendRecord(9, "two", 1)}, 12),
+                         fixture.clock.time);
+    cr_expect_null(fixture.view.backend(InstanceId("one")));
+    cr_expect_not_null(fixture.view.backend(InstanceId("two")));
+    cr_expect_eq(fixture.observer.dropped.size(), 1);
+}
+
+Test(fleetFollower, a_listing_older_than_what_was_read_is_not_believed)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    fixture.runFor(600ms);
+    fixture.store.fail(Topic::Backends, StoreFault::Truncated, fixture.clock.time);
+    fixture.runFor(20ms);
+    fixture.store.answer(Topic::Backends, Fixture::page({}, 3), fixture.clock.time);
+    cr_expect_not_null(fixture.view.backend(InstanceId("one")));
+    fixture.runFor(1100ms);
+    cr_expect(fixture.store.calls[Topic::Backends].at(0).listing);
+}
+
+Test(fleetFollower, a_lost_store_is_asked_again_with_growing_pauses)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    fixture.runFor(600ms);
+    int asked = 0;
+    for (int i = 0; i < 40; ++i) {
+        if (!fixture.store.calls[Topic::Backends].empty()) {
+            fixture.store.fail(Topic::Backends, StoreFault::Unreachable, fixture.clock.time);
+            ++asked;
+        }
+        fixture.runFor(100ms);
+    }
+    cr_expect(asked >= 4 && asked <= 7, "%d", asked);
+    cr_expect_eq(fixture.observer.lost, 1);
+    cr_expect_not_null(fixture.view.backend(InstanceId("one")));
+}
+
+Test(fleetFollower, entries_lapsed_during_an_outage_are_kept_for_a_while)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    fixture.runFor(600ms);
+    fixture.store.fail(Topic::Backends, StoreFault::Refused, fixture.clock.time);
+    fixture.runFor(300ms);
+    fixture.store.answer(Topic::Backends, Fixture::page({{Offset(5), "one", ""}}, 6),
+                         fixture.clock.time);
+    cr_expect_not_null(fixture.view.backend(InstanceId("one")));
+    fixture.runFor(2300ms);
+    cr_expect_null(fixture.view.backend(InstanceId("one")));
+}
+
+Test(fleetFollower, a_fed_daemon_does_not_read_and_goes_on_when_the_feed_ends)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({}, 5));
+    fixture.follower.setFed(true);
+    fixture.runFor(2s);
+    cr_expect(fixture.store.calls[Topic::Backends].empty());
+    fixture.follower.applyFed(Topic::Backends,
+                              Fixture::page({Fixture::backendRecord(5, "fed", 1)}, 6), false,
+                              fixture.clock.time);
+    cr_expect_not_null(fixture.view.backend(InstanceId("fed")));
+    fixture.follower.setFed(false);
+    fixture.runFor(20ms);
+    cr_assert_eq(fixture.store.calls[Topic::Backends].size(), 1);
+    cr_expect_eq(fixture.store.calls[Topic::Backends][0].from.value(), 6);
+}
+
+Test(fleetFollower, a_fed_page_behind_a_gap_is_left_to_the_store)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({}, 5));
+    fixture.follower.applyFed(Topic::Backends,
+                              Fixture::page({Fixture::backendRecord(8, "late", 1)}, 9), false,
+                              fixture.clock.time);
+    cr_expect_null(fixture.view.backend(InstanceId("late")));
+}
+
+Test(fleetFollower, a_record_that_comes_twice_counts_once)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({}, 5));
+    const RecordPage page = Fixture::page({Fixture::backendRecord(5, "one", 1)}, 6);
+    fixture.follower.applyFed(Topic::Backends, page, false, fixture.clock.time);
+    const int before = fixture.observer.records;
+    fixture.follower.applyFed(Topic::Backends, page, false, fixture.clock.time);
+    cr_expect_eq(fixture.observer.records, before);
+}
--- /dev/null
+++ b/Tests/Fleet/testFleetView.cpp
@@ -0,0 +1,151 @@
+#include <criterion/criterion.h>
+
+#include "Fleet/FleetView.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const TimePoint Start = TimePoint() + 100s;
+const InstanceId One("one");
+
+BackendEntry report(std::int64_t startedAt, std::int64_t sequence)
+{
+    BackendEntry made;
+    made.id = One;
+    made.service = ServiceId("s");
+    made.address = {"10.0.0.1", 80};
+    made.dataCentre = DataCentreId("d");
+    made.version = VersionId("v1");
+    made.startedAt = startedAt;
+    made.sequence = sequence;
+    return made;
+}
+
+ViewChange apply(FleetView &view, FleetRecord record, TimePoint now = Start)
+{
+    return view.apply({Offset(0), std::move(record)}, now);
+}
+
+ConfigPublished config(std::int64_t version)
+{
+    ConfigPublished published;
+    published.config.version = ConfigVersion(version);
+    return published;
+}
+
+} // namespace
+
+Test(fleetView, a_configuration_never_goes_back)
+{
+    FleetView view;
+    cr_expect_eq(apply(view, config(5)), ViewChange::Config);
+    cr_expect_eq(apply(view, config(3)), ViewChange::Stale);
+    cr_expect_eq(view.table()->version().value(), 5);
+    cr_expect_eq(apply(view, config(9)), ViewChange::Config);
+}
+
+Test(fleetView, an_older_report_changes_nothing)
+{
+    FleetView view;
+    BackendEntry draining = report(1000, 7);
+    draining.draining = true;
+    apply(view, BackendReported{draining});
+    cr_expect_eq(apply(view, BackendReported{report(1000, 6)}), ViewChange::Stale);
+    cr_expect(view.backend(One)->draining);
+    cr_expect_eq(apply(view, BackendReported{report(900, 99)}), ViewChange::Stale);
+}
+
+Test(fleetView, a_draining_server_stays_so_until_it_starts_again)
+{
+    FleetView view;
+    BackendEntry draining = report(1000, 7);
+    draining.draining = true;
+    apply(view, BackendReported{draining});
+    apply(view, BackendReported{report(1000, 8)});
+    cr_expect(view.backend(One)->draining);
+    apply(view, BackendReported{report(2000, 1)});
+    cr_expect_not(view.backend(One)->draining);
+}
+
+Test(fleetView, a_late_report_does_not_bring_back_a_removed_server)
+{
+    FleetView view;
+    apply(view, BackendReported{report(1000, 7)});
+    cr_expect_eq(apply(view, BackendRemoved{One}), ViewChange::BackendGone);
+    cr_expect_eq(apply(view, BackendReported{report(1000, 7)}), ViewChange::Stale);
+    cr_expect_null(view.backend(One));
+    apply(view, BackendReported{report(1000, 8)});
+    cr_expect_not_null(view.backend(One));
+}
+
+Test(fleetView, entries_lapsed_in_an_outage_have_two_seconds_to_come_back)
+{
+    FleetView view;
+    apply(view, BackendReported{report(1000, 7)});
+    view.contactRegained(Start);
+    apply(view, BackendRemoved{One}, Start + 10ms);
+    cr_expect_not_null(view.backend(One));
+    cr_expect(view.dropLapsed(Start + 2s).empty());
+    cr_expect_eq(view.dropLapsed(Start + FleetView::LapseGrace).size(), 1);
+    cr_expect_null(view.backend(One));
+}
+
+Test(fleetView, a_lapsed_entry_that_reports_again_stays)
+{
+    FleetView view;
+    apply(view, BackendReported{report(1000, 7)});
+    view.contactRegained(Start);
+    apply(view, BackendRemoved{One}, Start + 10ms);
+    apply(view, BackendReported{report(1000, 8)}, Start + 1s);
+    cr_expect(view.dropLapsed(Start + 3s).empty());
+    cr_expect_not_null(view.backend(One));
+}
+
+Test(fleetView, a_listing_drops_what_it_does_not_name)
+{
+    FleetView view;
+    apply(view, BackendReported{report(1000, 7)});
+    cr_expect_eq(view.retain({One}, Start).size(), 0);
+    cr_expect_eq(view.retain({}, Start).size(), 1);
+    cr_expect_null(view.backend(One));
+}
+
+Test(fleetView, an_unreadable_record_harms_no_other)
+{
+    FleetView view;
+    apply(view, BackendReported{report(1000, 7)});
+    cr_expect_eq(apply(view, UnreadableRecord{"one", "bad"}), ViewChange::Unreadable);
+    cr_expect_not_null(view.backend(One));
+}
+
+Test(fleetView, a_final_stage_is_not_taken_back)
+{
+    FleetView view;
+    const ServiceId service("s");
+    apply(view, RolloutStage{service, VersionId("v2"), 3, true, false});
+    cr_expect_eq(apply(view, RolloutStage{service, VersionId("v2"), 1, false, false}),
+                 ViewChange::None);
+    cr_expect(view.stages().at(service).condemned);
+    cr_expect_eq(view.stages().at(service).stage, 3);
+}
+
+Test(fleetView, a_data_centre_is_taken_out_and_back)
+{
+    FleetView view;
+    const DataCentreId place("d");
+    cr_expect_eq(apply(view, EvacuationChanged{place, true}), ViewChange::Evacuation);
+    cr_expect(view.evacuated(place));
+    cr_expect_eq(apply(view, EvacuationChanged{place, true}), ViewChange::None);
+    view.retainOrders({}, {});
+    cr_expect_not(view.evacuated(place));
+}
+
+Test(fleetView, a_cold_server_is_cold_for_as_long_as_it_says)
+{
+    FleetView view;
+    BackendEntry cold = report(1000, 1);
+    cold.coldFor = 3s;
+    apply(view, BackendReported{cold});
+    cr_expect_eq((view.backend(One)->coldUntil - Start).count(), Duration(3s).count());
+}
--- /dev/null
+++ b/Tests/Fleet/testRoutingTable.cpp
@@ -0,0 +1,82 @@
+#include <criterion/criterion.h>
+
+#include "Fleet/RoutingTable.h"
+
+using namespace lycheearch;
+
+namespace {
+
+Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route made;
+    made.name = name;
+    made.host = host;
+    made.pathPrefix = prefix;
+    made.services = {{ServiceId("s"), 1}};
+    return made;
+}
+
+RoutingTable table()
+{
+    RoutingConfig config;
+    config.version = ConfigVersion(7);
+    config.routes = {route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"),
+                     route("other", "g.example", "/a/")};
+    config.accounts = {{AccountId("one"), {"k1", "k2"}, std::nullopt}};
+    return RoutingTable(std::move(config));
+}
+
+std::string nameOf(const Route *found)
+{
+    return found == nullptr ? "" : found->name;
+}
+
+} // namespace
+
+Test(routingTable, the_longest_prefix_wins)
+{
+    const RoutingTable routes = table();
+    cr_expect_str_eq(nameOf(routes.route("h.example", "/a/b/c")).c_str(), "long");
+    cr_expect_str_eq(nameOf(routes.route("h.example", "/a/bc")).c_str(), "short");
+    cr_expect_str_eq(nameOf(routes.route("H.Example:80", "/a/?x=/b/")).c_str(), "short");
+    cr_expect_str_eq(nameOf(routes.route("g.example", "/a/b/c")).c_str(), "other");
+}
+
+Test(routingTable, what_matches_no_route_has_none)
+{
+    const RoutingTable routes = table();
+    cr_expect_null(routes.route("h.example", "/b/"));
+    cr_expect_null(routes.route("h.example", "/a"));
+    cr_expect_null(routes.route("x.example", "/a/"));
+}
+
+Test(routingTable, each_key_names_its_account)
+{
+    const RoutingTable routes = table();
+    cr_assert_not_null(routes.account("k2"));
+    cr_expect_str_eq(routes.account("k2")->name.value().c_str(), "one");
+    cr_expect_null(routes.account("k3"));
+    cr_expect_null(routes.account(""));
+}
+
+Test(routingTable, weights_divide_the_traffic)
+{
+    Route split = route("split", "h", "/");
+    split.services = {{ServiceId("nine"), 90}, {ServiceId("one"), 10}, {ServiceId("none"), 0}};
+    int ones = 0;
+    constexpr int Requests = 10'000;
+    for (int i = 0; i < Requests; ++i) {
+        const ServiceId *service = chooseService(split, static_cast<std::uint64_t>(i) * 7919);
+        cr_assert_not_null(service);
+        cr_assert(service->value() != "none");
+        ones += service->value() == "one" ? 1 : 0;
+    }
+    cr_expect(ones > Requests / 20 && ones < Requests / 5, "%d", ones);
+}
+
+Test(routingTable, a_route_without_weight_leads_nowhere)
+{
+    Route split = route("split", "h", "/");
+    split.services = {{ServiceId("none"), 0}};
+    cr_expect_null(chooseService(split, 5));
+}
--- /dev/null
+++ b/Tests/Forward/ForwardHarness.h
@@ -0,0 +1,274 @@
+#pragma once
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "Forward/CallerServer.h"
+#include "Net/Socket.h"
+#include "platform/RecordCodec.h"
+#include "platform/RequestHeaders.h"
+
+namespace lycheearch {
+
+/// A backend server on the test's event loop. The test scripts its answers.
+class ScriptedBackend : private IoHandler
+{
+public:
+    /// One connection to it.
+    class Link : public StreamSocketListener
+    {
+    public:
+        Link(ScriptedBackend &owner, int fd)
+            : m_owner(owner)
+            , socket(owner.m_loop, fd, StreamSocket::Start::Connected, *this)
+        {
+        }
+
+        void onBytes(std::string_view bytes, TimePoint) override
+        {
+            input.append(bytes);
+            const std::size_t head = input.find("\r\n\r\n");
+            if (head == std::string::npos) {
+                return;
+            }
+            const std::size_t length = bodyLength(input.substr(0, head));
+            if (input.size() < head + 4 + length) {
+                return;
+            }
+            const std::string request = input.substr(0, head + 4 + length);
+            input.erase(0, request.size());
+            m_owner.requests.push_back(request);
+            m_owner.onRequest(*this, request);
+        }
+        void onEnd(TimePoint) override
+        {
+            ++m_owner.closed;
+            socket.close();
+        }
+        void onError(std::error_code, TimePoint) override { ++m_owner.closed; }
+
+        void send(const std::string &bytes) { socket.send(bytes); }
+        void close() { socket.close(); }
+
+    private:
+        static std::size_t bodyLength(const std::string &head)
+        {
+            const std::size_t at = head.find("Content-Length: ");
+            return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
+        }
+
+        ScriptedBackend &m_owner;
+
+    public:
+        StreamSocket socket;
+        std::string input;
+    };
+
+    using Script = std::function<void(Link &link, const std::string &request)>;
+
+    ScriptedBackend(EventLoop &loop, std::string id, std::uint16_t port, Script script)
+        : m_loop(loop)
+        , id(std::move(id))
+        , address{"127.0.0.1", port}
+        , onRequest(std::move(script))
+    {
+        std::error_code error;
+        m_listener = listenTcp(address, error);
+        cr_assert_not(error, "%s", error.message().c_str());
+        loop.watch(m_listener, EPOLLIN, *this);
+    }
+    ~ScriptedBackend() override
+    {
+        m_loop.unwatch(m_listener);
+        ::close(m_listener);
+    }
+
+    void onReady(std::uint32_t, TimePoint) override
+    {
+        std::error_code error;
+        const int fd = acceptTcp(m_listener, error);
+        if (fd >= 0) {
+            links.push_back(std::make_unique<Link>(*this, fd));
+        }
+    }
+
+private:
+    EventLoop &m_loop;
+    int m_listener = -1;
+
+public:
+    std::string id;
+    Endpoint address;
+    Script onRequest;
+    std::vector<std::string> requests;
+    std::vector<std::unique_ptr<Link>> links;
+    int closed = 0;
+};
+
+/// The whole path from a caller's socket to scripted backend servers, on one event loop.
+class ForwardHarness
+{
+public:
+    /// Tests run side by side, each in a process of its own: each has its own ports.
+    const std::uint16_t firstPort = static_cast<std::uint16_t>(10'000 + getpid() % 1100 * 16);
+
+    ForwardHarness()
+        : loop(clock)
+        , picker(InstanceId("self"), DataCentreId("here"))
+        , links(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
+        , retries({0.9, 10s, 10})
+        , log("test", STDERR_FILENO, 0, clock)
+        , context{loop, view, picker, links, headers, retries, rollouts, models, stop, log, metrics}
+    {
+    }
+
+    /// Publishes one route under /a/ that leads to service "s", with key "k" of account "acc".
+    void publish(Route route)
+    {
+        route.name = "r";
+        route.host = "h.example";
+        route.pathPrefix = "/a/";
+        route.services = {{ServiceId("s"), 1}};
+        ConfigPublished published;
+        published.config.version = ConfigVersion(++m_version);
+        published.config.routes = {route};
+        ServiceProfile service;
+        service.name = ServiceId("s");
+        published.config.services[service.name] = service;
+        published.config.accounts = {{AccountId("acc"), {"k"}, std::nullopt}};
+        published.config.limits = limits;
+        view.apply({Offset(0), published}, loop.now());
+    }
+
+    ScriptedBackend &addBackend(ScriptedBackend::Script script)
+    {
+        const auto number = static_cast<std::uint16_t>(backends.size());
+        backends.push_back(std::make_unique<ScriptedBackend>(
+            loop, "b" + std::to_string(number), static_cast<std::uint16_t>(firstPort + 1 + number),
+            std::move(script)));
+        announce(backends.back()->id, backends.back()->address);
+        return *backends.back();
+    }
+
+    void announce(const std::string &id, const Endpoint &address)
+    {
+        BackendEntry report;
+        report.id = InstanceId(id);
+        report.service = ServiceId("s");
+        report.address = address;
+        report.dataCentre = DataCentreId("here");
+        report.version = VersionId("v1");
+        report.slots = 4;
+        view.apply({Offset(0), BackendReported{report}}, loop.now());
+    }
+
+    /// Sends bytes as a caller and returns what came back until the connection ended or \p time
+    /// passed. \p meanwhile is called once \p after has passed.
+    std::string call(const std::string &bytes, Duration time = 3s,
+                     const std::function<void()> &meanwhile = {}, Duration after = 100ms)
+    {
+        std::error_code error;
+        if (!server) {
+            server =
+                std::make_unique<CallerServer>(context, Endpoint{"127.0.0.1", firstPort}, error);
+            cr_assert_not(error, "%s", error.message().c_str());
+        }
+        Caller caller(*this);
+        caller.socket.send(bytes);
+        current = &caller;
+        TimerId timer = loop.at(loop.now() + time, [this](TimePoint) { loop.stop(); });
+        TimerId other;
+        if (meanwhile) {
+            other = loop.at(loop.now() + after, [&](TimePoint) { meanwhile(); });
+        }
+        loop.run();
+        loop.resume();
+        loop.cancel(timer);
+        loop.cancel(other);
+        current = nullptr;
+        return caller.received;
+    }
+
+    /// Lets the loop run, for what happens after a call.
+    void settle(Duration time = 100ms)
+    {
+        loop.at(loop.now() + time, [this](TimePoint) { loop.stop(); });
+        loop.run();
+        loop.resume();
+    }
+
+    void hangUp() { current->socket.close(); }
+
+    static std::string request(const std::string &method, const std::string &extra = "",
+                               const std::string &body = "")
+    {
+        return method
+            + " /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: q1\r\nApi-Key: k\r\n"
+              "Time-Budget-Ms: 2000\r\nConnection: close\r\n"
+            + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string answer(int status, const std::string &fields, const std::string &body,
+                              const std::string &id = "q1")
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nAttempt-Id: " + id + "\r\n" + fields
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string sealed(int status, const std::string &body)
+    {
+        return answer(status, "Response-Seal: seal\r\n", body);
+    }
+
+    struct Caller : StreamSocketListener
+    {
+        explicit Caller(ForwardHarness &harness)
+            : m_harness(harness)
+            , socket(harness.loop, connect(harness.firstPort), StreamSocket::Start::Connecting,
+                     *this)
+        {
+        }
+        static int connect(std::uint16_t port)
+        {
+            std::error_code error;
+            return connectTcp({"127.0.0.1", port}, error);
+        }
+        void onBytes(std::string_view bytes, TimePoint) override { received.append(bytes); }
+        void onEnd(TimePoint) override { m_harness.loop.stop(); }
+        void onError(std::error_code, TimePoint) override { m_harness.loop.stop(); }
+
+        ForwardHarness &m_harness;
+        StreamSocket socket;
+        std::string received;
+    };
+
+    SystemClock clock;
+    EventLoop loop;
+    FleetView view;
+    BackendPicker picker;
+    BackendLinkPool links;
+    platform::RequestHeaders headers;
+    RetryAllowance retries;
+    RolloutCounts rollouts;
+    ModelCascade models;
+    StopPolicy stop;
+    DecisionLog log;
+    Metrics metrics;
+    ForwardContext context;
+    CallerLimits limits;
+    std::vector<std::unique_ptr<ScriptedBackend>> backends;
+    std::unique_ptr<CallerServer> server;
+    Caller *current = nullptr;
+
+private:
+    int m_version = 0;
+};
+
+} // namespace lycheearch
--- /dev/null
+++ b/Tests/Routing/testBackendPicker.cpp
@@ -0,0 +1,238 @@
+#include <criterion/criterion.h>
+
+#include "Routing/BackendPicker.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const DataCentreId Here("here");
+const DataCentreId There("there");
+const ServiceId Engines("engines");
+const ServiceId Desk("desk");
+const TimePoint Start = TimePoint() + 100s;
+
+void add(FleetView &view, const std::string &id, const ServiceId &service,
+         const DataCentreId &dataCentre, Duration coldFor = Duration::zero())
+{
+    BackendEntry report;
+    report.id = InstanceId(id);
+    report.service = service;
+    report.address = {"10.0.0.1", 80};
+    report.dataCentre = dataCentre;
+    report.version = VersionId("v1");
+    report.slots = 6;
+    report.coldFor = coldFor;
+    view.apply({Offset(0), BackendReported{report}}, Start);
+}
+
+FleetView engineFleet(int count)
+{
+    FleetView view;
+    for (int i = 0; i < count; ++i) {
+        add(view, "e" + std::to_string(i), Engines, i % 2 == 0 ? Here : There);
+    }
+    return view;
+}
+
+PickRequest promptRequest(std::uint64_t affinity)
+{
+    PickRequest request;
+    request.service = Engines;
+    request.engine = true;
+    request.affinity = affinity;
+    request.sharedTokens = 13'000;
+    request.promptTokens = 17'000;
+    return request;
+}
+
+std::optional<Pick> pick(BackendPicker &picker, const PickRequest &request, const FleetView &view,
+                         TimePoint now = Start)
+{
+    PickFault fault = PickFault::None;
+    return picker.pick(request, view, now, fault);
+}
+
+} // namespace
+
+Test(backendPicker, all_daemons_send_a_shared_prompt_to_one_place)
+{
+    const FleetView view = engineFleet(9);
+    BackendPicker here(InstanceId("one"), Here);
+    BackendPicker there(InstanceId("two"), There);
+    std::set<InstanceId> places;
+    for (std::uint64_t affinity = 1; affinity < 60; ++affinity) {
+        const auto one = pick(here, promptRequest(affinity), view);
+        const auto other = pick(there, promptRequest(affinity), view);
+        cr_assert(one && other);
+        cr_expect(one->backend == other->backend);
+        places.insert(one->backend);
+    }
+    cr_expect(places.size() >= 7, "%zu places", places.size());
+}
+
+Test(backendPicker, a_hot_prompt_spills_once_waiting_costs_more_than_reading_it_again)
+{
+    const FleetView view = engineFleet(9);
+    BackendPicker picker(InstanceId("self"), Here);
+    std::map<InstanceId, int> sent;
+    for (int i = 0; i < 40; ++i) {
+        const PickRequest request = promptRequest(7);
+        const auto chosen = pick(picker, request, view);
+        picker.onSent(chosen->backend, request, Start);
+        ++sent[chosen->backend];
+    }
+    cr_expect(sent.size() >= 4, "%zu", sent.size());
+    for (const auto &[id, count] : sent) {
+        cr_expect(count <= 12, "%s got %d", id.value().c_str(), count);
+    }
+}
+
+Test(backendPicker, answers_that_came_make_room_again)
+{
+    const FleetView view = engineFleet(9);
+    BackendPicker picker(InstanceId("self"), Here);
+    const PickRequest request = promptRequest(7);
+    const InstanceId first = pick(picker, request, view)->backend;
+    for (int i = 0; i < 20; ++i) {
+        const auto chosen = pick(picker, request, view);
+        cr_expect(chosen->backend == first);
+        picker.onSent(chosen->backend, request, Start);
+        picker.onAnswering(chosen->backend, request.promptTokens, Start);
+        picker.onEnded(chosen->backend, SendOutcome::Served, 0, Start);
+    }
+}
+
+Test(backendPicker, a_plain_request_stays_in_its_data_centre_while_there_is_room)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    int near = 0;
+    for (int i = 0; i < 10; ++i) {
+        const auto chosen = pick(picker, request, view);
+        picker.onSent(chosen->backend, request, Start);
+        near += chosen->backend == InstanceId("near") ? 1 : 0;
+    }
+    cr_expect(near >= 5 && near < 10, "%d", near);
+}
+
+Test(backendPicker, an_unreachable_server_is_left_out_with_growing_pauses)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    TimePoint now = Start;
+    Duration last{};
+    for (int i = 0; i < 4; ++i) {
+        picker.onSent(InstanceId("near"), request, now);
+        picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, now);
+        const TimePoint since = now;
+        while (pick(picker, request, view, now)->backend != InstanceId("near")) {
+            now += 10ms;
+        }
+        cr_expect(now - since > last);
+        last = now - since;
+    }
+}
+
+Test(backendPicker, never_are_all_servers_left_out)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    picker.onSent(InstanceId("near"), request, Start);
+    picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, Start);
+    cr_expect(pick(picker, request, view).has_value());
+}
+
+Test(backendPicker, a_server_that_fails_like_its_peers_stays_in)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    for (int i = 0; i < 60; ++i) {
+        for (const char *id : {"near", "far"}) {
+            picker.onSent(InstanceId(id), request, Start);
+            picker.onEnded(InstanceId(id),
+                           i % 7 == 0 ? SendOutcome::ServerFailed : SendOutcome::Served, 0, Start);
+        }
+    }
+    cr_expect(pick(picker, request, view)->backend == InstanceId("near"));
+}
+
+Test(backendPicker, a_server_that_fails_more_than_its_peers_is_left_out)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    for (int i = 0; i < 20; ++i) {
+        picker.onSent(InstanceId("near"), request, Start);
+        picker.onEnded(InstanceId("near"), SendOutcome::Broken, 0, Start);
+        picker.onSent(InstanceId("far"), request, Start);
+        picker.onEnded(InstanceId("far"), SendOutcome::Served, 0, Start);
+    }
+    cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
+}
+
+Test(backendPicker, draining_evacuated_and_tried_servers_get_nothing)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    view.apply({Offset(1), EvacuationChanged{Here, true}}, Start);
+    cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
+    request.avoid = {InstanceId("far")};
+    cr_expect_not(pick(picker, request, view).has_value());
+}
+
+Test(backendPicker, all_daemons_together_keep_the_bound_of_a_cold_server)
+{
+    constexpr double Bound = 8 * 1.5 + 5;
+    for (const int daemons : {1, 3, 8, 20, 76}) {
+        FleetView view;
+        add(view, "cold", Engines, Here, 20s);
+        std::vector<BackendPicker> pickers;
+        for (int i = 0; i < daemons; ++i) {
+            pickers.emplace_back(InstanceId("d" + std::to_string(i)), Here);
+            pickers.back().setColdLimits(Engines, {Bound, daemons});
+        }
+        std::deque<TimePoint> sends;
+        std::size_t most = 0;
+        std::size_t all = 0;
+        for (TimePoint now = Start; now < Start + 10s; now += 5ms) {
+            // Each daemon has more work than the server bears.
+            BackendPicker &picker =
+                pickers[static_cast<std::size_t>((now - Start) / 5ms) % pickers.size()];
+            const PickRequest request = promptRequest(3);
+            if (const auto chosen = pick(picker, request, view, now)) {
+                picker.onSent(chosen->backend, request, now);
+                sends.push_back(now);
+                ++all;
+            }
+            while (!sends.empty() && sends.front() <= now - Duration(1s)) {
+                sends.pop_front();
+            }
+            most = std::max(most, sends.size());
+        }
+        cr_expect(static_cast<double>(most) <= Bound, "%d daemons: %zu in a second", daemons, most);
+        cr_expect(all > 20, "%d daemons: %zu in ten seconds", daemons, all);
+    }
+}
--- /dev/null
+++ b/Tests/Routing/testRolloutDirector.cpp
@@ -0,0 +1,222 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "Routing/RolloutCounts.h"
+#include "Routing/RolloutDirector.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const TimePoint Start = TimePoint() + 100s;
+const ServiceId Service("s");
+const VersionId Old("v1");
+const VersionId New("v2");
+const RolloutOrdered Order{Service, New, 24s};
+
+RolloutTotals totals(std::int64_t good, std::int64_t bad, std::int64_t otherGood,
+                     std::int64_t otherBad)
+{
+    RolloutTotals made;
+    made.target.good = good;
+    made.target.bad = bad;
+    made.other.good = otherGood;
+    made.other.bad = otherBad;
+    made.lowestStage = LastRolloutStage;
+    made.daemons = 1;
+    return made;
+}
+
+/// Plays a rollout with 50 requests a second.
+struct Play
+{
+    /// Probability that a request of the new version fails \p part of the way through its time.
+    using FailureRate = std::function<double(double part, double share)>;
+
+    explicit Play(FailureRate rate, unsigned seed = 5)
+        : failureRate(std::move(rate))
+        , random(seed)
+    {
+    }
+
+    void run(TimePoint from, TimePoint until, RolloutDirector &director)
+    {
+        std::uniform_real_distribution<double> unit(0, 1);
+        FleetView view;
+        view.apply({Offset(0), Order}, Start);
+        for (TimePoint now = from; now < until; now += 20ms) {
+            if (stage) {
+                view.apply({Offset(1), *stage}, now);
+            }
+            const VersionRule rule = rolloutRule(Service, random() << 32 | random(), view);
+            ++requests;
+            const double part = std::chrono::duration<double>(now - Start).count() / 24;
+            const double share = stage ? RolloutShares[stage->stage] : 0;
+            if (rule.allows(New)) {
+                ++exposed;
+                const bool bad = unit(random) < failureRate(part, share);
+                bad ? ++counts.target.bad : ++counts.target.good;
+            } else {
+                unit(random) < 0.02 ? ++counts.other.bad : ++counts.other.good;
+            }
+            counts.lowestStage = stage ? stage->stage : 0;
+            counts.daemons = 1;
+            // Evidence reaches the director within about two seconds.
+            if ((now - Start) / 20ms % 100 == 0) {
+                seen = counts;
+            }
+            if (auto next = director.decide(Order, stage, seen, 3, now)) {
+                stage = next;
+                if ((stage->complete || stage->condemned) && endedAt == TimePoint()) {
+                    endedAt = now;
+                }
+            }
+        }
+    }
+
+    FailureRate failureRate;
+    std::mt19937_64 random;
+    std::optional<RolloutStage> stage;
+    RolloutTotals counts;
+    RolloutTotals seen;
+    int requests = 0;
+    int exposed = 0;
+    TimePoint endedAt;
+};
+
+} // namespace
+
+Test(rolloutDirector, a_good_version_is_complete_in_time)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        Play play([](double, double) { return 0.02; }, seed);
+        RolloutDirector director;
+        play.run(Start, Start + 24s, director);
+        cr_assert(play.stage && play.stage->complete, "seed %u", seed);
+        cr_expect(play.endedAt < Start + 23s);
+    }
+}
+
+Test(rolloutDirector, a_bad_version_is_stopped_within_its_exposure)
+{
+    const std::vector<std::pair<const char *, Play::FailureRate>> kinds = {
+        {"at once", [](double, double) { return 0.5; }},
+        {"later", [](double part, double) { return part > 0.3 ? 0.5 : 0.02; }},
+        {"under load", [](double, double share) { return share >= 0.25 ? 0.5 : 0.02; }},
+        {"on one route", [](double, double) { return 0.25 * 0.6; }},
+    };
+    for (const auto &[name, rate] : kinds) {
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            Play play(rate, seed);
+            RolloutDirector director;
+            play.run(Start, Start + 24s, director);
+            cr_expect(play.stage && play.stage->condemned && !play.stage->complete, "%s, seed %u",
+                      name, seed);
+            cr_expect(play.exposed <= 0.15 * play.requests + 30, "%s, seed %u: %d of %d", name,
+                      seed, play.exposed, play.requests);
+        }
+    }
+}
+
+Test(rolloutDirector, another_director_goes_on_from_the_stored_stage)
+{
+    Play play([](double, double) { return 0.02; });
+    RolloutDirector first;
+    play.run(Start, Start + 15s, first);
+    cr_assert(play.stage && play.stage->stage >= 2);
+    RolloutDirector second;
+    const auto next = second.decide(Order, play.stage, play.seen, 3, Start + 15s);
+    cr_expect(!next || (next->stage >= play.stage->stage && !next->complete));
+    play.run(Start + 15s, Start + 45s, second);
+    cr_expect(play.stage->complete);
+}
+
+Test(rolloutDirector, nothing_moves_without_servers_of_the_new_version)
+{
+    RolloutDirector director;
+    for (TimePoint now = Start; now < Start + 30s; now += 100ms) {
+        cr_expect_not(director.decide(Order, std::nullopt, {}, 0, now).has_value());
+    }
+}
+
+Test(rolloutDirector, an_ended_rollout_stays_as_it_is)
+{
+    RolloutDirector director;
+    const RolloutStage condemned{Service, New, 3, true, false};
+    const RolloutStage complete{Service, New, 4, false, true};
+    cr_expect_not(director.decide(Order, condemned, totals(100, 0, 100, 0), 3, Start + 20s));
+    cr_expect_not(director.decide(Order, complete, totals(0, 100, 100, 0), 3, Start + 20s));
+}
+
+Test(rolloutDirector, it_waits_for_what_runs_on_the_old_version)
+{
+    RolloutDirector director;
+    const RolloutStage moved{Service, New, LastRolloutStage, false, false};
+    RolloutTotals busy = totals(100, 0, 100, 0);
+    busy.other.inFlight = 3;
+    director.decide(Order, moved, busy, 3, Start);
+    cr_expect_not(director.decide(Order, moved, busy, 3, Start + 20s).has_value());
+    busy.other.inFlight = 0;
+    cr_expect(director.decide(Order, moved, busy, 3, Start + 20s)->complete);
+}
+
+Test(rolloutDirector, failures_that_hit_both_versions_condemn_none)
+{
+    cr_expect_not(targetIsBad(totals(30, 20, 60, 40)));
+    cr_expect(targetIsBad(totals(30, 20, 100, 1)));
+    cr_expect_not(targetIsBad(totals(0, 3, 100, 0)));
+}
+
+Test(rolloutDirector, a_version_that_takes_several_times_as_long_is_bad)
+{
+    RolloutTotals slow = totals(20, 0, 100, 0);
+    slow.target.timed = 20;
+    slow.target.latencySeconds = 20 * 0.4;
+    slow.other.timed = 100;
+    slow.other.latencySeconds = 100 * 0.05;
+    cr_expect(targetIsBad(slow));
+    slow.target.latencySeconds = 20 * 0.1;
+    cr_expect_not(targetIsBad(slow));
+}
+
+Test(rolloutDirector, evidence_of_a_daemon_counts_once_whoever_collected_it)
+{
+    RolloutEvidence early{InstanceId("d"), Service, New, 1, {5, 0, 0, 0, 1}, {10, 0, 0, 0, 2}};
+    RolloutEvidence late{InstanceId("d"), Service, New, 4, {9, 1, 0, 0, 0}, {12, 0, 0, 0, 0}};
+    std::map<InstanceId, EvidenceCollected> collected;
+    collected[InstanceId("x")] = {InstanceId("x"), {early}};
+    collected[InstanceId("y")] = {InstanceId("y"), {late}};
+    const RolloutTotals sum = rolloutTotals(Service, New, collected);
+    cr_expect_eq(sum.daemons, 1);
+    cr_expect_eq(sum.target.good, 9);
+    cr_expect_eq(sum.other.inFlight, 0);
+    cr_expect_eq(sum.lowestStage, 4);
+}
+
+Test(rolloutRule, a_session_moves_forward_only)
+{
+    FleetView view;
+    view.apply({Offset(0), Order}, Start);
+    std::vector<bool> moved(500, false);
+    for (int stage = 0; stage <= LastRolloutStage; ++stage) {
+        view.apply({Offset(1), RolloutStage{Service, New, stage, false, false}}, Start);
+        for (std::size_t i = 0; i < moved.size(); ++i) {
+            const std::uint64_t hash = (i * 0x9e3779b97f4a7c15ULL);
+            const bool now = rolloutRule(Service, hash, view).allows(New);
+            cr_expect(now || !moved[i]);
+            moved[i] = now;
+        }
+    }
+    cr_expect(std::all_of(moved.begin(), moved.end(), [](bool one) { return one; }));
+}
+
+Test(rolloutRule, a_reported_end_binds_also_without_its_stage)
+{
+    FleetView view;
+    view.apply({Offset(0), Order}, Start);
+    cr_expect_not(rolloutRule(Service, 0, view).allows(New));
+    view.apply({Offset(0), RolloutReported{Service, New, RolloutState::Complete}}, Start);
+    cr_expect(rolloutRule(Service, ~0ULL, view).allows(New));
+    cr_expect_not(rolloutRule(Service, ~0ULL, view).allows(Old));
+}
--- /dev/null
+++ b/Tests/Routing/testRouterPolicies.cpp
@@ -0,0 +1,120 @@
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <random>
+
+#include "Routing/ModelCascade.h"
+#include "Routing/RetryAllowance.h"
+#include "Routing/StopPolicy.h"
+
+using namespace lycheearch;
+
+namespace {
+
+const TimePoint Start = TimePoint() + 100s;
+const ServiceId Service("s");
+
+Route modelRoute()
+{
+    Route route;
+    route.models = {"small", "medium", "large"};
+    route.latencyObjective = 3s;
+    return route;
+}
+
+CascadeQuestion question(int confidence)
+{
+    return {"small", confidence, 100, 100ms, 10s};
+}
+
+} // namespace
+
+Test(modelCascade, it_begins_with_the_smallest_model)
+{
+    cr_expect_str_eq(ModelCascade().first(modelRoute()).c_str(), "small");
+    cr_expect_str_eq(ModelCascade().first(Route()).c_str(), "");
+}
+
+Test(modelCascade, a_doubtful_answer_is_dropped_for_the_largest_model)
+{
+    const ModelCascade cascade;
+    cr_expect_str_eq(cascade.escalate(modelRoute(), question(10)).value_or("").c_str(), "large");
+    cr_expect_not(cascade.escalate(modelRoute(), question(90)).has_value());
+}
+
+Test(modelCascade, the_largest_models_answer_is_always_taken)
+{
+    CascadeQuestion asked = question(0);
+    asked.model = "large";
+    cr_expect_not(ModelCascade().escalate(modelRoute(), asked).has_value());
+}
+
+Test(modelCascade, an_answer_without_opinion_is_taken)
+{
+    CascadeQuestion asked = question(0);
+    asked.confidence.reset();
+    cr_expect_not(ModelCascade().escalate(modelRoute(), asked).has_value());
+}
+
+Test(modelCascade, a_larger_model_that_can_not_be_in_time_is_not_asked)
+{
+    ModelCascade cascade;
+    for (int i = 0; i < 200; ++i) {
+        cascade.onFirstEvent("large", 8s);
+    }
+    CascadeQuestion asked = question(10);
+    asked.timeLeft = 5s;
+    cr_expect_not(cascade.escalate(modelRoute(), asked).has_value());
+    asked.timeLeft = 11s;
+    cr_expect_not(cascade.escalate(modelRoute(), asked).has_value());
+}
+
+Test(retryAllowance, all_daemons_together_keep_the_bound_under_any_load)
+{
+    constexpr int Daemons = 8;
+    constexpr double Ratio = 0.9;
+    constexpr double Slack = 54;
+    for (const unsigned seed : {1u, 2u, 3u}) {
+        std::mt19937 random(seed);
+        std::vector<RetryAllowance> allowances(Daemons, RetryAllowance({Ratio, 10s, Slack / 12}));
+        std::deque<TimePoint> requests;
+        std::deque<TimePoint> repeats;
+        for (TimePoint now = Start; now < Start + 60s; now += 5ms) {
+            RetryAllowance &allowance = allowances[random() % Daemons];
+            // Load comes and goes; every send fails.
+            if (random() % 100 < (now.time_since_epoch() / 7s % 2 == 0 ? 60u : 5u)) {
+                allowance.onRequest(Service, now);
+                requests.push_back(now);
+            }
+            while (random() % 2 == 0 && allowance.withdraw(Service, now)) {
+                repeats.push_back(now);
+            }
+            while (!requests.empty() && requests.front() <= now - Duration(20s)) {
+                requests.pop_front();
+            }
+            while (!repeats.empty() && repeats.front() <= now - Duration(10s)) {
+                repeats.pop_front();
+            }
+            const auto recent = std::count_if(requests.begin(), requests.end(), [&](TimePoint at) {
+                return at > now - Duration(10s);
+            });
+            const auto before = static_cast<std::ptrdiff_t>(requests.size()) - recent;
+            const double bound = Ratio * static_cast<double>(std::max(recent, before)) + Slack;
+            cr_assert(static_cast<double>(repeats.size()) <= bound,
+                      "seed %u: %zu repeats, bound %f", seed, repeats.size(), bound);
+        }
+    }
+}
+
+Test(stopPolicy, a_stopping_daemon_takes_on_what_can_end_in_time)
+{
+    StopPolicy stop;
+    cr_expect(stop.admits(60s, Start));
+    stop.begin(8s, Start);
+    cr_expect(stop.admits(60s, Start + 1s));
+    cr_expect_not(stop.admits(8s, Start + 3s));
+    cr_expect(stop.admits(800ms, Start + 3s));
+    cr_expect_not(stop.admits(800ms, Start + 7500ms));
+    cr_expect_not(stop.mustEnd(Start + 7s));
+    cr_expect(stop.mustEnd(Start + 7800ms));
+}
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files 'Source/*.cpp' 'Source/*.h' 'Utilities/*.cpp' 'Utilities/*.h' \
-    'Tests/*.cpp' 'Tests/*.h' | grep -v 'peer.capnp')
+    'Tests/*.cpp' 'Tests/*.h' 'platform/*.cpp' 'platform/*.h' | grep -vE 'peer.capnp|feed.capnp')
 clang-format --dry-run --Werror "${files[@]}"
 report=$(mktemp)
 status=0
