--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -30,15 +30,15 @@
 
 Duration secondsBound(YamlReader &reader, const Option &option, double fallback)
 {
-    constexpr Range<double> Seconds{0, 600};
+    constexpr Range<double> seconds{0, 600};
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(reader.real(option, Seconds, fallback)));
+        std::chrono::duration<double>(reader.real(option, seconds, fallback)));
 }
 
 RouterBounds readBounds(YamlReader &reader)
 {
-    constexpr Range<double> Ratio{0, 1000};
-    constexpr Range<double> Count{0, 1'000'000};
+    constexpr Range<double> ratio{0, 1000};
+    constexpr Range<double> count{0, 1'000'000};
     RouterBounds bounds;
     bounds.drain = bound(
         reader, {"drain_ms", "Time in which a draining backend server stops getting work"}, 2000);
@@ -49,17 +49,17 @@
     bounds.retryWindow =
         secondsBound(reader, {"retry_window_s", "Window of the bound on repeated sends"}, 10);
     bounds.retryRatio =
-        reader.real({"retry_ratio", "Repeated sends for each request in the window"}, Ratio, 0.2);
+        reader.real({"retry_ratio", "Repeated sends for each request in the window"}, ratio, 0.2);
     bounds.retrySlack =
-        reader.real({"retry_slack", "Repeated sends beyond that, over all daemons"}, Count, 0);
+        reader.real({"retry_slack", "Repeated sends beyond that, over all daemons"}, count, 0);
     bounds.exposeShare =
-        reader.real({"expose_share", "Most of the traffic for an unproved version"}, Ratio, 0.1);
-    bounds.exposeSlack = reader.real({"expose_slack", "Requests beyond that share"}, Count, 0);
+        reader.real({"expose_share", "Most of the traffic for an unproved version"}, ratio, 0.1);
+    bounds.exposeSlack = reader.real({"expose_slack", "Requests beyond that share"}, count, 0);
     bounds.rollback =
         bound(reader, {"rollback_ms", "Time in which a bad version stops getting work"}, 5000);
     bounds.coldOvershoot =
-        reader.real({"cold_overshoot", "Factor on what a cold backend server bears"}, Ratio, 1);
-    bounds.coldSlack = reader.real({"cold_slack", "Requests a second beyond that"}, Count, 0);
+        reader.real({"cold_overshoot", "Factor on what a cold backend server bears"}, ratio, 1);
+    bounds.coldSlack = reader.real({"cold_slack", "Requests a second beyond that"}, count, 0);
     bounds.sessionGap =
         secondsBound(reader, {"session_gap_s", "Longest pause within a session"}, 5);
     return bounds;
--- a/Source/Daemon/RolloutDuty.cpp
+++ b/Source/Daemon/RolloutDuty.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "Base/Hash.h"
-
 namespace lycheearch {
 
 namespace {
@@ -190,10 +188,9 @@
 
 Duration RolloutDuty::precedence() const
 {
-    const auto rank = [](const InstanceId &id) { return stableHash("feed/" + id.value()); };
     const auto before =
         std::count_if(m_view.members().begin(), m_view.members().end(),
-                      [&](const auto &entry) { return rank(entry.first) < rank(m_self); });
+                      [&](const auto &entry) { return feedRank(entry.first) < feedRank(m_self); });
     return PrecedenceStep * std::min<std::int64_t>(before, MostPrecedenceSteps);
 }
 
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -13,7 +13,7 @@
 constexpr int StatusUnavailable = 503;
 
 constexpr FollowerTiming StoreTiming{1500ms, 500ms, 4s, 700ms, 200ms, 1000ms};
-constexpr BackendLink::Limits LinkLimits{400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
+constexpr BackendLink::Limits LinkLimits{400ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration RegisterPeriod = 30s;
 constexpr Duration RegisterRetry = 1s;
 /// Daemons that are assumed as long as fewer are known.
@@ -25,12 +25,13 @@
 constexpr Duration DrainCheckPeriod = 100ms;
 /// The balancer needs this long to see that the instance is not ready.
 constexpr Duration ListenPeriod = 3500ms;
-/// Assumed number of daemons among which shared slack is divided.
-constexpr double SlackDivisor = 12;
+/// Daemons that may have joined unknown to this one, as a part of the known ones.
+constexpr double UnknownDaemons = 0.25;
 
-RetryBounds retryBounds(const RouterBounds &bounds)
+RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
 {
-    return {bounds.retryRatio, bounds.retryWindow, bounds.retrySlack / SlackDivisor};
+    return {bounds.retryRatio, bounds.retryWindow,
+            bounds.retrySlack / (daemons * (1 + UnknownDaemons))};
 }
 
 } // namespace
@@ -46,13 +47,15 @@
     , m_follower(m_loop, *m_store, codec, m_view, *this, StoreTiming)
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_links(m_loop, LinkLimits)
-    , m_retries(retryBounds(m_settings.bounds))
+    , m_retries(retryBounds(m_settings.bounds, LeastDaemons))
     , m_context{m_loop,     m_view,   m_picker, m_links, dialect,  m_retries,
                 m_rollouts, m_models, m_stop,   m_log,   m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutDuty(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
                     m_rollouts, m_log)
+    , m_loadDuty(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower,
+                 m_feedClient, m_picker, m_clock)
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
 }
@@ -72,7 +75,9 @@
     }
     m_feedServer = std::make_unique<FeedServer>(
         m_loop, m_settings.feedListen, m_follower,
-        [this](const FeedEvidence &evidence) { m_rolloutDuty.collect(evidence); }, error);
+        [this](const FeedEvidence &evidence) { m_rolloutDuty.collect(evidence); },
+        [this](const FeedLoad &load, TimePoint now) { m_loadDuty.onOtherDataCentre(load, now); },
+        error);
     if (error) {
         return failed("feed_listen", m_settings.feedListen, error);
     }
@@ -106,6 +111,7 @@
     m_follower.start();
     m_feedClient.start();
     m_rolloutDuty.start();
+    m_loadDuty.start(*m_feedServer);
     registerMember(m_loop.now());
     sweep(m_loop.now());
     m_loop.run();
@@ -144,17 +150,18 @@
     m_feedServer->broadcast(topic, page, listing);
 }
 
-void RouterDaemon::updateColdLimits()
+void RouterDaemon::divideBounds()
 {
-    const auto table = m_view.table();
-    if (!table) {
-        return;
-    }
     const std::int64_t wall = wallMilliseconds();
     const auto daemons = static_cast<int>(
         std::count_if(m_view.members().begin(), m_view.members().end(),
                       [&](const auto &entry) { return memberIsCurrent(entry.second, wall); }));
     const RouterBounds &bounds = m_settings.bounds;
+    m_retries.setBounds(retryBounds(bounds, std::max(daemons, LeastDaemons)));
+    const auto table = m_view.table();
+    if (!table) {
+        return;
+    }
     for (const auto &[name, service] : table->config().services) {
         const double limit = service.coldPerSecond <= 0
             ? 0
@@ -186,7 +193,7 @@
         || fresh.metricsListen != m_settings.metricsListen || fresh.store != m_settings.store
         || fresh.instance != m_settings.instance || fresh.dataCentre != m_settings.dataCentre;
     m_settings.bounds = fresh.bounds;
-    m_retries = RetryAllowance(retryBounds(fresh.bounds));
+    divideBounds();
     m_log.write(LogWeight::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
                 now);
@@ -232,7 +239,7 @@
         return state != nullptr && !state->draining;
     });
     m_picker.prune(m_view);
-    updateColdLimits();
+    divideBounds();
     m_loop.at(now + SweepPeriod, [this](TimePoint present) { sweep(present); });
 }
 
@@ -263,7 +270,7 @@
 void RouterDaemon::applyConfig(TimePoint now)
 {
     const auto table = m_view.table();
-    updateColdLimits();
+    divideBounds();
     m_log.write(LogWeight::Notable,
                 LogLine("config.applied")
                     .add("version", table->version().value())
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -6,6 +6,7 @@
 
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
+#include "Daemon/LoadDuty.h"
 #include "Daemon/RolloutDuty.h"
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
@@ -51,7 +52,8 @@
 
     void onFeedChange(const InstanceId &source, const char *why);
     void registerMember(TimePoint now);
-    void updateColdLimits();
+    /// Divides the bounds for all daemons together among those that are known.
+    void divideBounds();
     std::int64_t wallMilliseconds() const;
     void onSignal(int signal, TimePoint now);
     void reloadSettings(TimePoint now);
@@ -81,6 +83,7 @@
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutDuty m_rolloutDuty;
+    LoadDuty m_loadDuty;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<FeedServer> m_feedServer;
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -17,29 +17,43 @@
 
 } // namespace
 
+std::uint64_t feedRank(const InstanceId &instance)
+{
+    return stableHash("feed/" + instance.value());
+}
+
 bool memberIsCurrent(const MemberRegistered &member, std::int64_t wallMilliseconds)
 {
     return member.registeredAt > wallMilliseconds - MemberLifetimeMs;
 }
 
-std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self, const DataCentreId &dataCentre,
-                                             std::int64_t wallMilliseconds)
+std::vector<MemberRegistered> feedOrder(const std::map<InstanceId, MemberRegistered> &members,
+                                        const DataCentreId &dataCentre,
+                                        std::int64_t wallMilliseconds)
 {
-    std::vector<MemberRegistered> candidates;
-    const auto rank = [](const InstanceId &id) { return stableHash("feed/" + id.value()); };
+    std::vector<MemberRegistered> order;
     for (const auto &[id, member] : members) {
-        const bool before = rank(id) < rank(self) || (rank(id) == rank(self) && id < self);
-        if (member.dataCentre == dataCentre && id != self && before
-            && memberIsCurrent(member, wallMilliseconds)) {
-            candidates.push_back(member);
+        if (member.dataCentre == dataCentre && memberIsCurrent(member, wallMilliseconds)) {
+            order.push_back(member);
         }
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [&](const MemberRegistered &left, const MemberRegistered &right) {
-                  return rank(left.instance) < rank(right.instance);
+    std::sort(order.begin(), order.end(),
+              [](const MemberRegistered &left, const MemberRegistered &right) {
+                  return feedRank(left.instance) < feedRank(right.instance);
               });
-    return candidates;
+    return order;
+}
+
+std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
+                                             const InstanceId &self,
+                                             const DataCentreId &dataCentre,
+                                             std::int64_t wallMilliseconds)
+{
+    std::vector<MemberRegistered> order = feedOrder(members, dataCentre, wallMilliseconds);
+    std::erase_if(order, [&](const MemberRegistered &member) {
+        return member.instance == self || feedRank(member.instance) >= feedRank(self);
+    });
+    return order;
 }
 
 FeedClient::FeedClient(EventLoop &loop, InstanceId self, DataCentreId dataCentre,
@@ -135,6 +149,10 @@
         m_follower.applyFed(page->topic, page->page, page->listing, now);
         return;
     }
+    if (const auto *load = std::get_if<FeedLoad>(&message)) {
+        m_onLoad(load->loads, now);
+        return;
+    }
     const auto *heartbeat = std::get_if<FeedHeartbeat>(&message);
     if (heartbeat == nullptr) {
         return;
@@ -148,6 +166,15 @@
     }
 }
 
+bool FeedClient::sendLoad(const BackendLoads &loads)
+{
+    if (!m_socket || !m_follower.fed()) {
+        return false;
+    }
+    m_socket->send(encodeFeedFrame(FeedLoad{DataCentreId(), loads}));
+    return true;
+}
+
 bool FeedClient::sendEvidence(const std::vector<RolloutEvidence> &evidence)
 {
     if (!m_socket || !m_follower.fed()) {
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -11,6 +11,14 @@
 
 namespace lycheearch {
 
+/// Place of a member in the order in which daemons are followed; the lowest is first.
+std::uint64_t feedRank(const InstanceId &instance);
+
+/// The current members of a data centre in the order in which they are followed.
+std::vector<MemberRegistered> feedOrder(const std::map<InstanceId, MemberRegistered> &members,
+                                        const DataCentreId &dataCentre,
+                                        std::int64_t wallMilliseconds);
+
 /// Chooses whom a daemon follows: the members of its data centre stand in one order that is the
 /// same for all, and each follows the first of them that it reaches. The first follows nobody.
 std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
@@ -33,6 +41,11 @@
     ~FeedClient() override;
 
     void start();
+    /// Receives the load of all daemons.
+    using LoadCallback = std::function<void(const BackendLoads &loads, TimePoint now)>;
+    void onLoad(LoadCallback callback) { m_onLoad = std::move(callback); }
+    /// Sends this daemon's load to the daemon that is followed. Returns false if there is none.
+    bool sendLoad(const BackendLoads &loads);
     /// Sends evidence to the daemon that is followed. Returns false if there is none.
     bool sendEvidence(const std::vector<RolloutEvidence> &evidence);
 
@@ -55,6 +68,7 @@
     FleetFollower &m_follower;
     const Clock &m_clock;
     ChangeCallback m_changed;
+    LoadCallback m_onLoad;
     std::unique_ptr<StreamSocket> m_socket;
     FeedFrameReader m_reader;
     InstanceId m_source;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -16,8 +16,8 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t HeaderBytes = LengthBytes + 1;
-constexpr std::size_t LargestFrame = 8 * 1024 * 1024;
-constexpr std::size_t LargestMessage = 64 * 1024 * 1024;
+constexpr std::size_t LargestFrame = 8UL * 1024 * 1024;
+constexpr std::size_t LargestMessage = 64UL * 1024 * 1024;
 /// Messages from this size on are compressed.
 constexpr std::size_t CompressFrom = 2048;
 constexpr char Plain = 0;
@@ -100,6 +100,39 @@
     return message;
 }
 
+void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
+{
+    builder.setDataCentre(message.dataCentre.value());
+    auto entries = builder.initEntries(static_cast<unsigned>(message.loads.size()));
+    unsigned i = 0;
+    for (const auto &[backend, load] : message.loads) {
+        entries[i].setBackend(backend.value());
+        auto tokens = entries[i].initTokens(UrgencyClasses);
+        for (unsigned j = 0; j < UrgencyClasses; ++j) {
+            tokens.set(j, load.tokens.at(j));
+        }
+        entries[i].setRequests(load.requests);
+        entries[i].setUnreachable(load.unreachable);
+        ++i;
+    }
+}
+
+FeedMessage readLoad(wire::FeedLoad::Reader reader)
+{
+    FeedLoad message;
+    message.dataCentre = DataCentreId(reader.getDataCentre().cStr());
+    for (const auto entry : reader.getEntries()) {
+        BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
+        load.requests = entry.getRequests();
+        load.unreachable = entry.getUnreachable();
+        const auto tokens = entry.getTokens();
+        for (unsigned j = 0; j < tokens.size() && j < UrgencyClasses; ++j) {
+            load.tokens.at(j) = tokens[j];
+        }
+    }
+    return message;
+}
+
 std::optional<FeedMessage> decodeMessage(const std::string &bytes)
 {
     // The reader needs words that are aligned.
@@ -120,6 +153,8 @@
         return FeedHeartbeat{Duration(root.getHeartbeat())};
     case wire::FeedMessage::EVIDENCE:
         return readEvidence(root.getEvidence());
+    case wire::FeedMessage::LOAD:
+        return readLoad(root.getLoad());
     }
     return std::nullopt;
 }
@@ -139,9 +174,9 @@
     std::istringstream input(bytes);
     Poco::InflatingInputStream inflater(input, Poco::InflatingStreamBuf::STREAM_ZLIB);
     std::string output;
-    constexpr std::size_t PieceBytes = 16 * 1024;
-    std::string piece(PieceBytes, '\0');
-    while (inflater.read(piece.data(), PieceBytes) || inflater.gcount() > 0) {
+    constexpr std::size_t pieceBytes = 16UL * 1024;
+    std::string piece(pieceBytes, '\0');
+    while (inflater.read(piece.data(), pieceBytes) || inflater.gcount() > 0) {
         output.append(piece.data(), static_cast<std::size_t>(inflater.gcount()));
         if (output.size() > LargestMessage) {
             return std::nullopt;
@@ -152,10 +187,10 @@
 
 std::string frameHeader(std::size_t length, char form)
 {
-    constexpr int BitsPerByte = 8;
+    constexpr int bitsPerByte = 8;
     std::string header;
     for (std::size_t i = 0; i < LengthBytes; ++i) {
-        header.push_back(static_cast<char>((length >> (BitsPerByte * i)) & 0xFF));
+        header.push_back(static_cast<char>((length >> (bitsPerByte * i)) & 0xFF));
     }
     header.push_back(form);
     return header;
@@ -163,11 +198,11 @@
 
 std::size_t frameLength(std::string_view header)
 {
-    constexpr int BitsPerByte = 8;
+    constexpr int bitsPerByte = 8;
     std::size_t length = 0;
     for (std::size_t i = 0; i < LengthBytes; ++i) {
         length |= static_cast<std::size_t>(static_cast<unsigned char>(header[i]))
-            << (BitsPerByte * i);
+            << (bitsPerByte * i);
     }
     return length;
 }
@@ -204,6 +239,8 @@
         writePage(root.initPage(), *page);
     } else if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
         root.setHeartbeat(heartbeat->storeAge ? heartbeat->storeAge->count() : -1);
+    } else if (const auto *load = std::get_if<FeedLoad>(&message)) {
+        writeLoad(root.initLoad(), *load);
     } else {
         writeEvidence(root, std::get<FeedEvidence>(message));
     }
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Fleet/FleetStore.h"
+#include "Routing/BackendLoads.h"
 
 namespace lycheearch {
 
@@ -36,7 +37,15 @@
     std::vector<RolloutEvidence> evidence;
 };
 
-using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence>;
+/// Load that daemons put on backend servers.
+struct FeedLoad
+{
+    DataCentreId dataCentre; ///< Whose daemons are added up; empty: the sender's own, or all.
+    BackendLoads loads;
+};
+
+using FeedMessage
+    = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
 
 /// The frame of a message: its length, a flag that tells whether it is compressed, the message.
 std::string encodeFeedFrame(const FeedMessage &message);
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t MostFollowers = 256;
 /// A follower that leaves this much unread is dropped.
-constexpr std::size_t MostQueuedBytes = 8 * 1024 * 1024;
+constexpr std::size_t MostQueuedBytes = 8UL * 1024 * 1024;
 
 } // namespace
 
@@ -33,6 +33,7 @@
     void send(std::string_view frame) { m_socket.send(frame); }
     bool overfull() const { return m_socket.queuedBytes() > MostQueuedBytes; }
     bool subscribed() const { return m_subscribed; }
+    const BackendLoads &loads() const { return m_loads; }
     void end()
     {
         m_socket.close();
@@ -40,7 +41,7 @@
     }
 
 private:
-    void onBytes(std::string_view bytes, TimePoint) override
+    void onBytes(std::string_view bytes, TimePoint now) override
     {
         std::vector<FeedMessage> messages;
         if (!m_reader.feed(bytes, messages)) {
@@ -53,23 +54,37 @@
                 m_server.welcome(*this);
             } else if (const auto *evidence = std::get_if<FeedEvidence>(&message)) {
                 m_server.m_onEvidence(*evidence);
+            } else if (const auto *load = std::get_if<FeedLoad>(&message)) {
+                onLoad(*load, now);
             }
         }
     }
     void onEnd(TimePoint) override { end(); }
     void onError(std::error_code, TimePoint) override { end(); }
 
+    void onLoad(const FeedLoad &load, TimePoint now)
+    {
+        if (m_subscribed) {
+            m_loads = load.loads;
+        } else if (!load.dataCentre.empty()) {
+            m_server.m_onLoad(load, now);
+        }
+    }
+
     FeedServer &m_server;
     StreamSocket m_socket;
     FeedFrameReader m_reader;
+    BackendLoads m_loads;
     bool m_subscribed = false;
 };
 
 FeedServer::FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
-                       EvidenceCallback onEvidence, std::error_code &error)
+                       EvidenceCallback onEvidence, LoadCallback onLoad,
+                       std::error_code &error)
     : m_loop(loop)
     , m_follower(follower)
     , m_onEvidence(std::move(onEvidence))
+    , m_onLoad(std::move(onLoad))
     , m_listener(listenTcp(listen, error))
 {
     if (m_listener >= 0) {
@@ -119,7 +134,27 @@
     if (m_links.empty()) {
         return;
     }
-    const std::string frame = encodeFeedFrame(FeedPage{topic, listing, page});
+    sendToFollowers(encodeFeedFrame(FeedPage{topic, listing, page}));
+}
+
+void FeedServer::broadcastLoad(const BackendLoads &loads)
+{
+    if (!m_links.empty()) {
+        sendToFollowers(encodeFeedFrame(FeedLoad{DataCentreId(), loads}));
+    }
+}
+
+BackendLoads FeedServer::followersLoads() const
+{
+    BackendLoads sum;
+    for (const auto &[key, link] : m_links) {
+        addLoads(sum, link->loads());
+    }
+    return sum;
+}
+
+void FeedServer::sendToFollowers(std::string_view frame)
+{
     std::vector<Link *> overfull;
     for (const auto &[key, link] : m_links) {
         if (link->subscribed()) {
@@ -140,12 +175,7 @@
     if (m_links.empty()) {
         return;
     }
-    const std::string frame = encodeFeedFrame(FeedHeartbeat{m_follower.storeAge(now)});
-    for (const auto &[key, link] : m_links) {
-        if (link->subscribed()) {
-            link->send(frame);
-        }
-    }
+    sendToFollowers(encodeFeedFrame(FeedHeartbeat{m_follower.storeAge(now)}));
     m_timer = m_loop.at(now + FeedHeartbeatPeriod, [this](TimePoint present) { beat(present); });
 }
 
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -19,19 +19,26 @@
 public:
     /// Receives the evidence of followers.
     using EvidenceCallback = std::function<void(const FeedEvidence &evidence)>;
+    /// Receives the load of the daemons of another data centre.
+    using LoadCallback = std::function<void(const FeedLoad &load, TimePoint now)>;
 
     FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
-               EvidenceCallback onEvidence, std::error_code &error);
+               EvidenceCallback onEvidence, LoadCallback onLoad, std::error_code &error);
     ~FeedServer() override;
 
     /// Passes a page that was read from the store to all followers.
     void broadcast(Topic topic, const RecordPage &page, bool listing);
+    /// Tells all followers the load of all daemons.
+    void broadcastLoad(const BackendLoads &loads);
+    /// Load of the followers.
+    BackendLoads followersLoads() const;
     std::size_t followers() const { return m_links.size(); }
 
 private:
     class Link;
 
     void onReady(std::uint32_t events, TimePoint now) override;
+    void sendToFollowers(std::string_view frame);
     void beat(TimePoint now);
     void welcome(Link &link);
     void remove(Link &link);
@@ -39,6 +46,7 @@
     EventLoop &m_loop;
     const FleetFollower &m_follower;
     EvidenceCallback m_onEvidence;
+    LoadCallback m_onLoad;
     int m_listener = -1;
     TimerId m_timer;
     std::unordered_map<Link *, std::shared_ptr<Link>> m_links;
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -36,6 +36,18 @@
   otherCounts @5 :FeedCounts;
 }
 
+struct FeedLoadEntry {
+  backend @0 :Text;
+  tokens @1 :List(Float64);    # Prompt tokens sent without an answer so far, by urgency.
+  requests @2 :Int32;          # Requests in flight.
+  unreachable @3 :Int32;       # Daemons that find it unreachable.
+}
+
+struct FeedLoad {
+  dataCentre @0 :Text;         # Whose daemons the entries add up; empty: one daemon, or all.
+  entries @1 :List(FeedLoadEntry);
+}
+
 struct FeedMessage {
   union {
     subscribe @0 :Text;          # The instance that wants to follow.
@@ -43,5 +55,6 @@
     heartbeat @2 :Int64;         # Age of what was read of the store, in microseconds; -1: not
                                  # reading.
     evidence @3 :List(FeedEvidence);
+    load @4 :FeedLoad;
   }
 }
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -20,6 +20,8 @@
 CAPNP_DECLARE_SCHEMA(c6cc1d2799846732);
 CAPNP_DECLARE_SCHEMA(b1027f1191cc36a1);
 CAPNP_DECLARE_SCHEMA(b2d7e464cd2eea93);
+CAPNP_DECLARE_SCHEMA(f9c59a0f29bd5ea7);
+CAPNP_DECLARE_SCHEMA(cdca46df75ae5cee);
 CAPNP_DECLARE_SCHEMA(a16fbdf97169f605);
 
 }  // namespace schemas
@@ -88,6 +90,36 @@
   };
 };
 
+struct FeedLoadEntry {
+  FeedLoadEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f9c59a0f29bd5ea7, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeedLoad {
+  FeedLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FeedMessage {
   FeedMessage() = delete;
 
@@ -99,6 +131,7 @@
     PAGE,
     HEARTBEAT,
     EVIDENCE,
+    LOAD,
   };
 
   struct _capnpPrivate {
@@ -527,6 +560,199 @@
 };
 #endif  // !CAPNP_LITE
 
+class FeedLoadEntry::Reader {
+public:
+  typedef FeedLoadEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline bool hasTokens() const;
+  inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Reader getTokens() const;
+
+  inline  ::int32_t getRequests() const;
+
+  inline  ::int32_t getUnreachable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedLoadEntry::Builder {
+public:
+  typedef FeedLoadEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline bool hasTokens();
+  inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Builder getTokens();
+  inline void setTokens( ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const double> value);
+  inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>> disownTokens();
+
+  inline  ::int32_t getRequests();
+  inline void setRequests( ::int32_t value);
+
+  inline  ::int32_t getUnreachable();
+  inline void setUnreachable( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedLoadEntry::Pipeline {
+public:
+  typedef FeedLoadEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FeedLoad::Reader {
+public:
+  typedef FeedLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedLoad::Builder {
+public:
+  typedef FeedLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedLoad::Pipeline {
+public:
+  typedef FeedLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedMessage::Reader {
 public:
   typedef FeedMessage Reads;
@@ -560,6 +786,10 @@
   inline bool hasEvidence() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
+  inline bool isLoad() const;
+  inline bool hasLoad() const;
+  inline  ::lycheearch::wire::FeedLoad::Reader getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -617,6 +847,14 @@
   inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedEvidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
 
+  inline bool isLoad();
+  inline bool hasLoad();
+  inline  ::lycheearch::wire::FeedLoad::Builder getLoad();
+  inline void setLoad( ::lycheearch::wire::FeedLoad::Reader value);
+  inline  ::lycheearch::wire::FeedLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::lycheearch::wire::FeedLoad>&& value);
+  inline ::capnp::Orphan< ::lycheearch::wire::FeedLoad> disownLoad();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1067,6 +1305,174 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoadEntry::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoadEntry::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedLoadEntry::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedLoadEntry::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedLoadEntry::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedLoadEntry::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoadEntry::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedLoadEntry::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FeedLoadEntry::Reader::hasTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoadEntry::Builder::hasTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Reader FeedLoadEntry::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Builder FeedLoadEntry::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedLoadEntry::Builder::setTokens( ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void FeedLoadEntry::Builder::setTokens(::kj::ArrayPtr<const double> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>::Builder FeedLoadEntry::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoadEntry::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>> FeedLoadEntry::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<double,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t FeedLoadEntry::Reader::getRequests() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FeedLoadEntry::Builder::getRequests() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedLoadEntry::Builder::setRequests( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t FeedLoadEntry::Reader::getUnreachable() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FeedLoadEntry::Builder::getUnreachable() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedLoadEntry::Builder::setUnreachable( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedLoad::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedLoad::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedLoad::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedLoad::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedLoad::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FeedLoad::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Reader FeedLoad::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setEntries( ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>> FeedLoad::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedLoadEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1264,6 +1670,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FeedMessage::Reader::isLoad() const {
+  return which() == FeedMessage::LOAD;
+}
+inline bool FeedMessage::Builder::isLoad() {
+  return which() == FeedMessage::LOAD;
+}
+inline bool FeedMessage::Reader::hasLoad() const {
+  if (which() != FeedMessage::LOAD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedMessage::Builder::hasLoad() {
+  if (which() != FeedMessage::LOAD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::lycheearch::wire::FeedLoad::Reader FeedMessage::Reader::getLoad() const {
+  KJ_IREQUIRE((which() == FeedMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::lycheearch::wire::FeedLoad::Builder FeedMessage::Builder::getLoad() {
+  KJ_IREQUIRE((which() == FeedMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedMessage::Builder::setLoad( ::lycheearch::wire::FeedLoad::Reader value) {
+  _builder.setDataField<FeedMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FeedMessage::LOAD);
+  ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::lycheearch::wire::FeedLoad::Builder FeedMessage::Builder::initLoad() {
+  _builder.setDataField<FeedMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FeedMessage::LOAD);
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedMessage::Builder::adoptLoad(
+    ::capnp::Orphan< ::lycheearch::wire::FeedLoad>&& value) {
+  _builder.setDataField<FeedMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FeedMessage::LOAD);
+  ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::lycheearch::wire::FeedLoad> FeedMessage::Builder::disownLoad() {
+  KJ_IREQUIRE((which() == FeedMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedLoad>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Fleet/RoutingConfig.h
+++ b/Source/Fleet/RoutingConfig.h
@@ -80,7 +80,7 @@
 struct CallerLimits
 {
     std::uint32_t headBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::uint64_t bodyBytes = 4UL * 1024UL * 1024;
     Duration headTimeout = 3s;
     Duration idleTimeout = 15s;
 };
--- a/Source/Fleet/RoutingTable.cpp
+++ b/Source/Fleet/RoutingTable.cpp
@@ -76,8 +76,8 @@
     if (route.services.empty() || total <= 0) {
         return nullptr;
     }
-    constexpr std::uint64_t Steps = 1'000'000;
-    double point = total * static_cast<double>(hash % Steps) / Steps;
+    constexpr std::uint64_t steps = 1'000'000;
+    double point = total * static_cast<double>(hash % steps) / steps;
     for (const ServiceShare &share : route.services) {
         if (share.weight <= 0) {
             continue;
--- a/Source/Forward/BackendLink.cpp
+++ b/Source/Forward/BackendLink.cpp
@@ -15,12 +15,12 @@
     if (value == nullptr) {
         return std::nullopt;
     }
-    constexpr std::string_view Prefix = "timeout=";
-    const std::size_t start = value->find(Prefix);
+    constexpr std::string_view prefix = "timeout=";
+    const std::size_t start = value->find(prefix);
     if (start == std::string::npos) {
         return std::nullopt;
     }
-    std::string_view digits = std::string_view(*value).substr(start + Prefix.size());
+    std::string_view digits = std::string_view(*value).substr(start + prefix.size());
     digits = trimmed(digits.substr(0, digits.find(',')));
     const auto seconds = parseNumber(digits);
     return seconds ? std::optional<Duration>(std::chrono::seconds(*seconds)) : std::nullopt;
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -10,7 +10,7 @@
 constexpr int HeadTooLarge = 431;
 
 /// Bytes of a following request that are kept while one is being served.
-constexpr std::size_t MostPipelinedBytes = 64 * 1024;
+constexpr std::size_t MostPipelinedBytes = 64UL * 1024;
 /// How long the caller may take to close after the last answer.
 constexpr Duration LingerTime = 1s;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
--- a/Source/Forward/EventSplitter.cpp
+++ b/Source/Forward/EventSplitter.cpp
@@ -6,19 +6,19 @@
 
 namespace {
 
-constexpr std::size_t LargestEvent = 1024 * 1024;
+constexpr std::size_t LargestEvent = 1024UL * 1024;
 
 std::optional<std::int64_t> eventId(std::string_view event)
 {
-    constexpr std::string_view Prefix = "id:";
+    constexpr std::string_view prefix = "id:";
     while (!event.empty()) {
         const std::size_t end = event.find('\n');
         std::string_view line = event.substr(0, end);
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        if (line.starts_with(Prefix)) {
-            return parseNumber(trimmed(line.substr(Prefix.size())));
+        if (line.starts_with(prefix)) {
+            return parseNumber(trimmed(line.substr(prefix.size())));
         }
         event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
     }
@@ -28,14 +28,15 @@
 /// The position behind the blank line that ends the first event, or npos.
 std::size_t endOfEvent(std::string_view text)
 {
-    constexpr std::string_view Plain = "\n\n";
-    constexpr std::string_view WithReturns = "\r\n\r\n";
-    const std::size_t plain = text.find(Plain);
-    const std::size_t withReturns = text.find(WithReturns);
+    constexpr std::string_view blankLine = "\n\n";
+    constexpr std::string_view blankLineWithReturns = "\r\n\r\n";
+    const std::size_t plain = text.find(blankLine);
+    const std::size_t withReturns = text.find(blankLineWithReturns);
     if (plain == std::string_view::npos && withReturns == std::string_view::npos) {
         return std::string_view::npos;
     }
-    return plain < withReturns ? plain + Plain.size() : withReturns + WithReturns.size();
+    return plain < withReturns ? plain + blankLine.size()
+                               : withReturns + blankLineWithReturns.size();
 }
 
 } // namespace
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -47,10 +47,10 @@
 
 std::string seconds(Duration duration)
 {
-    constexpr int Fraction = 1000;
+    constexpr int perSecond = 1000;
     const std::int64_t ms = toMilliseconds(duration);
-    std::string fraction = std::to_string(Fraction + ms % Fraction).substr(1);
-    return std::to_string(ms / Fraction) + "." + fraction;
+    const std::string fraction = std::to_string(perSecond + ms % perSecond).substr(1);
+    return std::to_string(ms / perSecond) + "." + fraction;
 }
 
 const char *outcomeName(SendOutcome outcome)
@@ -62,6 +62,8 @@
         return "server_failed";
     case SendOutcome::Broken:
         return "broken";
+    case SendOutcome::Reset:
+        return "reset";
     case SendOutcome::Unreachable:
         return "unreachable";
     case SendOutcome::Overloaded:
@@ -82,6 +84,7 @@
         return true;
     case SendOutcome::ServerFailed:
     case SendOutcome::Broken:
+    case SendOutcome::Reset:
         return false;
     case SendOutcome::Unreachable:
     case SendOutcome::Overloaded:
@@ -202,7 +205,8 @@
         return false;
     }
     m_account = account->name;
-    m_priority = account->priority.value_or(m_route->priority);
+    // The account's priority goes first; the route's tells its requests apart.
+    m_priority = account->priority.value_or(0) * UrgencyClasses + m_route->priority;
     return true;
 }
 
@@ -213,6 +217,8 @@
     pick.affinity = m_affinity;
     pick.promptTokens = m_request.promptTokens;
     pick.sharedTokens = m_sharedTokens;
+    pick.tokenWeight = tokenWeight();
+    pick.urgency = urgency();
     pick.engine = m_engine;
     pick.versions = rolloutRule(m_service, m_sessionHash, m_context.view);
     pick.avoid = m_tried;
@@ -220,9 +226,32 @@
     return pick;
 }
 
-std::int64_t Exchange::unansweredTokens() const
+double Exchange::unansweredTokens() const
 {
-    return m_attempt.answered ? 0 : m_request.promptTokens;
+    return m_attempt.answered
+        ? 0
+        : m_attempt.tokenWeight * static_cast<double>(m_request.promptTokens);
+}
+
+int Exchange::urgency() const
+{
+    return std::clamp(m_route->priority, 0, UrgencyClasses - 1);
+}
+
+double Exchange::tokenWeight() const
+{
+    const ServiceProfile *profile = m_table->service(m_service);
+    if (profile == nullptr || !profile->engine || m_model.empty()) {
+        return 1;
+    }
+    // A model's price follows the work that it makes.
+    double price = 0;
+    double highest = 0;
+    for (const ModelPrice &model : profile->engine->models) {
+        highest = std::max(highest, model.cost);
+        price = model.model == m_model ? model.cost : price;
+    }
+    return price > 0 ? price / highest : 1;
 }
 
 void Exchange::dispatch(TimePoint now)
@@ -271,6 +300,8 @@
     m_attempt = Attempt();
     m_attempt.backend = pick.backend;
     m_attempt.version = state->report.version;
+    m_attempt.tokenWeight = tokenWeight();
+    m_attempt.workTokens = pick.workTokens;
     m_attempt.freshLink = link->fresh();
     m_attempt.link = std::move(link);
     return true;
@@ -314,6 +345,8 @@
                         LogLine("dispatch")
                             .add("id", m_request.id.value())
                             .add("send", m_sends)
+                            .add("route", m_route->name)
+                            .add("priority", m_priority)
                             .add("backend", pick.backend.value())
                             .add("why", pick.reason)
                             .add("load", pick.load)
@@ -343,7 +376,7 @@
         m_context.picker.onLoadReported(m_attempt.backend, facts.load->running, facts.load->waiting,
                                         now);
     }
-    m_context.picker.onAnswering(m_attempt.backend, unansweredTokens(), now);
+    m_context.picker.onAnswering(m_attempt.backend, urgency(), unansweredTokens(), now);
     m_attempt.answered = true;
     m_attempt.lastByteAt = now;
     m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == StatusOk
@@ -351,33 +384,52 @@
     m_attempt.head = head;
     m_attempt.facts = std::move(facts);
     if (m_attempt.streaming && !m_streamBegun) {
-        m_context.models.onFirstEvent(m_model, now - m_attempt.sentAt);
+        m_context.models.onFirstEvent(m_attempt.workTokens, now - m_attempt.sentAt);
         m_attempt.dropped = escalate(now);
     }
     return Verdict::Accept;
 }
 
+double Exchange::expectedEvents() const
+{
+    const ServiceProfile *profile = m_table->service(m_service);
+    if (!m_request.expectedTokens || profile == nullptr || !profile->engine) {
+        return 0;
+    }
+    return static_cast<double>(*m_request.expectedTokens)
+        / std::max(1, profile->engine->tokensPerEvent);
+}
+
 bool Exchange::escalate(TimePoint now)
 {
     if (m_sends >= m_route->maxAttempts || !m_route->repeatable()) {
         return false;
     }
-    const auto larger =
-        m_context.models.escalate(*m_route,
-                                  {m_model, m_attempt.facts.confidence, m_request.outputTokens,
-                                   now - m_receivedAt, m_deadline - now});
-    if (!larger || !m_context.retries.withdraw(m_service, now)) {
+    const auto larger = m_context.models.next(*m_route, m_model);
+    if (!larger || !m_attempt.facts.confidence) {
+        return false;
+    }
+    const std::string smaller = m_model;
+    setModel(*larger);
+    PickFault fault = PickFault::None;
+    const auto pick = m_context.picker.pick(pickRequest(), m_context.view, now, fault);
+    const bool better = pick
+        && m_context.models.escalate(*m_route, *larger,
+                                     {*m_attempt.facts.confidence, pick->workTokens,
+                                      expectedEvents(), now - m_receivedAt, m_deadline - now});
+    if (!better || !m_context.retries.withdraw(m_service, now)) {
+        setModel(smaller);
         return false;
     }
     m_context.log.write(LogWeight::Routine,
                         LogLine("model.escalate")
                             .add("id", m_request.id.value())
-                            .add("from", m_model)
+                            .add("from", smaller)
                             .add("to", *larger)
-                            .add("confidence", m_attempt.facts.confidence.value_or(-1)),
+                            .add("confidence", *m_attempt.facts.confidence)
+                            .add("work", static_cast<std::int64_t>(pick->workTokens)),
                         now);
     m_mayHaveRun = true;
-    setModel(*larger);
     // The link must not be ended while it reports the head of the answer.
     m_context.loop.defer([this] {
         if (m_inAttempt && m_attempt.dropped && !m_finished) {
@@ -530,7 +582,9 @@
         return;
     }
     m_mayHaveRun = true;
-    releaseAttempt(SendOutcome::Broken, false, now);
+    // A kept connection may have been closed by a server that is well.
+    const bool reset = !m_attempt.answered && m_attempt.freshLink;
+    releaseAttempt(reset ? SendOutcome::Reset : SendOutcome::Broken, false, now);
     retryOrFail("the connection broke", now);
 }
 
@@ -538,7 +592,7 @@
 {
     m_inAttempt = false;
     m_context.loop.cancel(m_attempt.stallTimer);
-    m_context.picker.onEnded(m_attempt.backend, outcome, unansweredTokens(), now);
+    m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
     m_context.rollouts.onEnded(m_service, m_attempt.version, versionVerdict(outcome), pace(now));
     m_tried.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
--- a/Source/Forward/Exchange.h
+++ b/Source/Forward/Exchange.h
@@ -36,6 +36,8 @@
     {
         InstanceId backend;
         VersionId version;
+        double tokenWeight = 1;
+        double workTokens = 0;
         std::unique_ptr<BackendLink> link;
         HttpResponseHead head;
         AnswerFacts facts;
@@ -62,11 +64,14 @@
     void dispatch(TimePoint now);
     PickRequest pickRequest() const;
     std::optional<Duration> pace(TimePoint now) const;
-    std::int64_t unansweredTokens() const;
+    double unansweredTokens() const;
+    int urgency() const;
+    double tokenWeight() const;
     bool openLink(const Pick &pick, TimePoint now);
     void send(const Pick &pick, TimePoint now);
     void logDispatch(const Pick &pick, TimePoint now);
 
+    double expectedEvents() const;
     bool escalate(TimePoint now);
     void setModel(std::string model);
     void onWholeAnswer(TimePoint now);
--- a/Source/Forward/RequestDialect.h
+++ b/Source/Forward/RequestDialect.h
@@ -29,6 +29,7 @@
     SessionId session;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; ///< At most.
+    std::optional<std::int64_t> expectedTokens; ///< Output tokens as the caller guesses.
     std::vector<PromptPart> prompt;
     std::optional<std::int64_t> lastEvent; ///< The event stream goes on behind this one.
 };
--- a/Source/Log/DecisionLog.cpp
+++ b/Source/Log/DecisionLog.cpp
@@ -84,13 +84,13 @@
 {
     const auto wall = m_clock.wallTime().time_since_epoch();
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
-    constexpr std::int64_t PerSecond = 1000;
-    const std::time_t seconds = milliseconds / PerSecond;
+    constexpr std::int64_t perSecond = 1000;
+    const std::time_t seconds = milliseconds / perSecond;
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::array<char, 64> text{};
     const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    const std::string fraction = std::to_string(PerSecond + milliseconds % PerSecond).substr(1);
+    const std::string fraction = std::to_string(perSecond + milliseconds % perSecond).substr(1);
     return "time=" + std::string(text.data(), length) + "." + fraction + "Z instance=" + m_instance
         + " ";
 }
--- a/Source/Log/LogLine.cpp
+++ b/Source/Log/LogLine.cpp
@@ -61,10 +61,10 @@
 
 LogLine &LogLine::add(std::string_view key, double value)
 {
-    constexpr int Digits = 3;
+    constexpr int digits = 3;
     std::array<char, 64> buffer{};
     const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value,
-                                   std::chars_format::fixed, Digits);
+                                   std::chars_format::fixed, digits);
     m_text.append(" ").append(key).append("=").append(buffer.data(), end.ptr);
     return *this;
 }
--- a/Source/Net/HttpHead.cpp
+++ b/Source/Net/HttpHead.cpp
@@ -117,7 +117,7 @@
 
 void removeConnectionFields(HttpFields &fields)
 {
-    static constexpr std::array<std::string_view, 9> Standard = {
+    static constexpr std::array<std::string_view, 9> standard = {
         "connection",          "keep-alive", "proxy-connection",  "te",    "trailer",
         "proxy-authorization", "upgrade",    "transfer-encoding", "expect"};
     std::vector<std::string> nominated;
@@ -130,7 +130,7 @@
     for (const std::string &name : nominated) {
         fields.remove(name);
     }
-    for (const std::string_view name : Standard) {
+    for (const std::string_view name : standard) {
         fields.remove(name);
     }
 }
@@ -157,7 +157,7 @@
         int status;
         std::string_view text;
     };
-    static constexpr std::array<Phrase, 15> Phrases = {{
+    static constexpr std::array<Phrase, 15> phrases = {{
         {200, "OK"},
         {400, "Bad Request"},
         {401, "Unauthorized"},
@@ -174,7 +174,7 @@
         {503, "Service Unavailable"},
         {504, "Gateway Timeout"},
     }};
-    for (const Phrase &phrase : Phrases) {
+    for (const Phrase &phrase : phrases) {
         if (phrase.status == status) {
             return phrase.text;
         }
@@ -185,9 +185,9 @@
 std::string serializeChunk(std::string_view bytes)
 {
     std::array<char, 2 * sizeof(std::size_t)> digits{};
-    constexpr int Hexadecimal = 16;
+    constexpr int hexadecimal = 16;
     const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), Hexadecimal);
+        std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), hexadecimal);
     std::string text(digits.data(), end.ptr);
     text.append("\r\n").append(bytes).append("\r\n");
     return text;
--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -117,10 +117,10 @@
     void on_request_impl(http::verb, BoostView method, BoostView target, int version,
                          BoostError &) override
     {
-        constexpr int VersionOneZero = 10;
+        constexpr int versionOneZero = 10;
         m_head.method = toString(method);
         m_head.target = toString(target);
-        m_head.httpOneZero = version == VersionOneZero;
+        m_head.httpOneZero = version == versionOneZero;
     }
     void on_response_impl(int, BoostView, int, BoostError &) override { }
 
--- a/Source/Net/HttpResponder.cpp
+++ b/Source/Net/HttpResponder.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr HttpLimits PageLimits{8 * 1024, 64 * 1024};
+constexpr HttpLimits PageLimits{8UL * 1024, 64UL * 1024};
 constexpr Liveness PageLiveness{5s, 1s, 2, 5s};
 /// A connection without a whole request for this long is closed.
 constexpr Duration QuietLimit = 30s;
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr std::size_t ReceiveBytes = 32 * 1024;
+constexpr std::size_t ReceiveBytes = 32UL * 1024;
 /// Sent bytes are dropped from the front of the queue once there are this many.
-constexpr std::size_t CompactBytes = 64 * 1024;
+constexpr std::size_t CompactBytes = 64UL * 1024;
 
 bool wouldBlock(int error)
 {
--- /dev/null
+++ b/Source/Routing/BackendLoads.cpp
@@ -0,0 +1,35 @@
+#include "Routing/BackendLoads.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+void addLoads(BackendLoads &sum, const BackendLoads &more)
+{
+    for (const auto &[id, load] : more) {
+        BackendLoadShare &entry = sum[id];
+        for (int i = 0; i < UrgencyClasses; ++i) {
+            entry.tokens[i] += load.tokens[i];
+        }
+        entry.requests += load.requests;
+        entry.unreachable += load.unreachable;
+    }
+}
+
+void subtractLoads(BackendLoads &sum, const BackendLoads &part)
+{
+    for (const auto &[id, load] : part) {
+        const auto found = sum.find(id);
+        if (found != sum.end()) {
+            for (int i = 0; i < UrgencyClasses; ++i) {
+                double &tokens = found->second.tokens[i];
+                tokens = std::max(0.0, tokens - load.tokens[i]);
+            }
+            found->second.requests = std::max(0, found->second.requests - load.requests);
+            found->second.unreachable
+                = std::max(0, found->second.unreachable - load.unreachable);
+        }
+    }
+}
+
+} // namespace lycheearch
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -1,6 +1,7 @@
 #include "Routing/BackendPicker.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "Base/Hash.h"
 
@@ -16,14 +17,22 @@
 /// A server that fails this much more often than its peers is left out for a while.
 constexpr double FailureExcess = 0.3;
 constexpr int SamplesForExclusion = 6;
+/// A server that so many other daemons find unreachable is left out, unless this one heard from it.
+constexpr int DaemonsForExclusion = 2;
+constexpr Duration HeardLately = 1s;
 /// A reported load is believed for this long.
 constexpr Duration ReportLifetime = 2s;
+/// What other daemons told of their load is believed for this long.
+constexpr Duration OthersLifetime = 1500ms;
 /// Extra load, in slots, that a server in another data centre stands for.
 constexpr double RemotePenalty = 0.35;
 /// What a server in another data centre costs, in prompt tokens.
 constexpr double RemoteTokens = 500;
 /// What each running request costs those that come after it, in prompt tokens.
 constexpr double RunningTokens = 60;
+/// What reading a shared token again costs at least, however small the model: it takes the place
+/// of other parts in the cache.
+constexpr double LeastMissWeight = 0.4;
 /// A shared part stays cached at least this long after its last use.
 constexpr Duration CacheMemory = 15s;
 constexpr std::size_t MostRememberedVisits = 4096;
@@ -36,6 +45,9 @@
 /// Latest sends to a server that are remembered.
 constexpr std::size_t RememberedSends = 16;
 
+/// Work that is less urgent delays a request by this part only: what is being read already.
+constexpr double LessUrgentPart = 0.25;
+
 std::uint64_t mix(std::uint64_t value)
 {
     value ^= value >> 33;
@@ -47,6 +59,31 @@
 
 } // namespace
 
+namespace {
+
+/// Tokens that are read before those of a request of a class of urgency.
+double tokensAhead(const TokensByUrgency &tokens, int urgency)
+{
+    double ahead = 0;
+    for (int i = 0; i < UrgencyClasses; ++i) {
+        ahead += (i <= urgency ? 1 : LessUrgentPart) * tokens.at(static_cast<std::size_t>(i));
+    }
+    return ahead;
+}
+
+double sumOf(const TokensByUrgency &tokens)
+{
+    return std::accumulate(tokens.begin(), tokens.end(), 0.0);
+}
+
+void takeOut(TokensByUrgency &tokens, int urgency, double part)
+{
+    double &sum = tokens.at(static_cast<std::size_t>(urgency));
+    sum = std::max(0.0, sum - part);
+}
+
+} // namespace
+
 BackendPicker::BackendPicker(const InstanceId &self, DataCentreId home)
     : m_phase(stableHash("cold/" + self.value()))
     , m_home(std::move(home))
@@ -86,7 +123,7 @@
             continue;
         }
         candidates.push_back({&state, &health, loadOf(health, state, now),
-                              state.report.dataCentre == m_home, health.excludedUntil > now});
+                              state.report.dataCentre == m_home, isExcluded(id, health, now)});
     }
     return candidates;
 }
@@ -99,16 +136,17 @@
         candidate.weight = mix(request.affinity ^ stableHash(candidate.state->report.id.value()));
         topWeight = std::max(topWeight, candidate.weight);
     }
+    const double missWeight = LeastMissWeight + (1 - LeastMissWeight) * request.tokenWeight;
     const Candidate *best = nullptr;
     double bestCost = 0;
     double bestBacklog = 0;
     bool bestCached = false;
     for (const Candidate &candidate : candidates) {
-        const double backlog = backlogTokens(*candidate.health, request.service, now);
+        const double backlog = backlogTokens(candidate, request, now);
         const bool cached = request.affinity != 0
             && (candidate.weight == topWeight
                 || visitedLately(request.affinity, candidate.state->report.id, now));
-        const double cost = backlog + (cached ? 0 : static_cast<double>(request.sharedTokens))
+        const double cost = backlog + (cached ? 0 : missWeight * static_cast<double>(request.sharedTokens))
             + (candidate.local ? 0 : RemoteTokens);
         if (best == nullptr || cost < bestCost
             || (cost == bestCost && candidate.weight > best->weight)) {
@@ -118,29 +156,53 @@
             bestCached = cached;
         }
     }
-    return {best->state->report.id,
-            best->load,
-            bestBacklog,
-            best->local,
+    const std::int64_t toRead = request.promptTokens - (bestCached ? request.sharedTokens : 0);
+    return {best->state->report.id, best->load, bestBacklog,
+            bestBacklog + request.tokenWeight * static_cast<double>(toRead), best->local,
             static_cast<int>(candidates.size()),
             bestCached ? "cached" : (request.affinity != 0 ? "spill" : "least")};
 }
 
-double BackendPicker::backlogTokens(const Health &health, const ServiceId &service,
+const BackendLoadShare *BackendPicker::othersLoad(const InstanceId &id, TimePoint now) const
+{
+    static constexpr BackendLoadShare Nothing;
+    if (m_othersAt == TimePoint() || now - m_othersAt > OthersLifetime) {
+        return nullptr;
+    }
+    const auto found = m_others.find(id);
+    return found == m_others.end() ? &Nothing : &found->second;
+}
+
+double BackendPicker::backlogTokens(const Candidate &candidate, const PickRequest &request,
                                     TimePoint now) const
 {
-    const auto unanswered = static_cast<double>(health.unansweredTokens);
+    const Health &health = *candidate.health;
+    if (const BackendLoadShare *others = othersLoad(candidate.state->report.id, now)) {
+        return tokensAhead(health.unanswered, request.urgency)
+            + tokensAhead(others->tokens, request.urgency)
+            + RunningTokens * (health.inFlight + others->requests);
+    }
     if (health.reportedAt == TimePoint() || now - health.reportedAt > ReportLifetime) {
-        return unanswered + RunningTokens * health.inFlight;
+        return tokensAhead(health.unanswered, request.urgency) + RunningTokens * health.inFlight;
     }
-    const auto mean = m_meanPromptTokens.find(service);
+    const auto mean = m_meanPromptTokens.find(request.service);
     const double waiting = health.waiting * (mean == m_meanPromptTokens.end() ? 0 : mean->second);
-    const auto since = static_cast<double>(
-        std::max<std::int64_t>(0, health.unansweredTokens - health.unansweredAtReport));
+    const double unanswered = sumOf(health.unanswered);
+    const double since = std::max(0.0, unanswered - health.unansweredAtReport);
     const int running = std::max(health.inFlight, health.running);
     return std::max(unanswered, waiting + since) + RunningTokens * running;
 }
 
+bool BackendPicker::isExcluded(const InstanceId &id, const Health &health, TimePoint now) const
+{
+    if (health.excludedUntil > now) {
+        return true;
+    }
+    const BackendLoadShare *others = othersLoad(id, now);
+    const bool heardLately = health.heardAt != TimePoint() && now - health.heardAt < HeardLately;
+    return others != nullptr && others->unreachable >= DaemonsForExclusion && !heardLately;
+}
+
 bool BackendPicker::visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const
 {
     const auto found = m_visits.find(affinity);
@@ -165,10 +227,7 @@
             bestTie = tie;
         }
     }
-    return {best->state->report.id,
-            best->load,
-            0,
-            best->local,
+    return {best->state->report.id, best->load, 0, 0, best->local,
             static_cast<int>(candidates.size()),
             "least"};
 }
@@ -176,7 +235,9 @@
 double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
 {
     double requests = health.inFlight;
-    if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
+    if (const BackendLoadShare *others = othersLoad(state.report.id, now)) {
+        requests += others->requests;
+    } else if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
         requests = std::max<double>(
             requests, health.running + health.waiting + health.inFlight - health.inFlightAtReport);
     }
@@ -187,9 +248,9 @@
                              TimePoint now) const
 {
     // Turns spread out by chance only: a window of one second holds a few more of them than share.
-    constexpr double ChanceReserve = 1.6;
+    constexpr double chanceReserve = 1.6;
     const auto interval =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ChanceReserve / share));
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(chanceReserve / share));
     const Duration phase(
         static_cast<std::int64_t>(mix(m_phase) % static_cast<std::uint64_t>(interval.count())));
     const Duration sinceTurn = (now - state.coldUntil + phase) % interval;
@@ -218,13 +279,14 @@
 {
     Health &health = m_health[id];
     ++health.inFlight;
-    health.unansweredTokens += request.promptTokens;
+    const double tokens = request.tokenWeight * static_cast<double>(request.promptTokens);
+    health.unanswered.at(static_cast<std::size_t>(request.urgency)) += tokens;
     health.sends.push_back(now);
     if (health.sends.size() > RememberedSends) {
         health.sends.pop_front();
     }
     double &mean = m_meanPromptTokens[request.service];
-    mean += MeanWeight * (static_cast<double>(request.promptTokens) - mean);
+    mean += MeanWeight * (tokens - mean);
     if (request.affinity == 0 || request.sharedTokens == 0) {
         return;
     }
@@ -238,32 +300,33 @@
     visits.push_back({id, now});
 }
 
-void BackendPicker::onAnswering(const InstanceId &id, std::int64_t promptTokens, TimePoint now)
+void BackendPicker::onAnswering(const InstanceId &id, int urgency, double promptTokens,
+                                TimePoint now)
 {
     Health &health = m_health[id];
-    health.unansweredTokens = std::max<std::int64_t>(0, health.unansweredTokens - promptTokens);
+    takeOut(health.unanswered, urgency, promptTokens);
     health.heardAt = now;
 }
 
 void BackendPicker::exclude(Health &health, TimePoint now)
 {
-    constexpr int MostDoublings = 5;
-    const int doublings = std::min(health.failures, MostDoublings);
+    constexpr int mostDoublings = 5;
+    const int doublings = std::min(health.failures, mostDoublings);
     ++health.failures;
     health.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
 }
 
-void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome,
-                            std::int64_t unansweredTokens, TimePoint now)
+void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome, int urgency,
+                            double unansweredTokens, TimePoint now)
 {
     Health &health = m_health[id];
-    health.unansweredTokens = std::max<std::int64_t>(0, health.unansweredTokens - unansweredTokens);
+    takeOut(health.unanswered, urgency, unansweredTokens);
     health.inFlight = std::max(0, health.inFlight - 1);
     if (outcome == SendOutcome::Cancelled) {
         return;
     }
     const bool bad = outcome == SendOutcome::ServerFailed || outcome == SendOutcome::Broken
-        || outcome == SendOutcome::Unreachable;
+        || outcome == SendOutcome::Reset || outcome == SendOutcome::Unreachable;
     health.failureRate += FailureWeight * ((bad ? 1.0 : 0.0) - health.failureRate);
     ++health.samples;
     switch (outcome) {
@@ -273,6 +336,7 @@
         health.heardAt = now;
         break;
     case SendOutcome::Unreachable:
+    case SendOutcome::Reset:
     case SendOutcome::Misdirected:
         health.wasDown = true;
         exclude(health, now);
@@ -307,7 +371,7 @@
     health.running = running;
     health.waiting = waiting;
     health.inFlightAtReport = health.inFlight;
-    health.unansweredAtReport = health.unansweredTokens;
+    health.unansweredAtReport = sumOf(health.unanswered);
     health.reportedAt = now;
 }
 
@@ -317,6 +381,24 @@
     return found == m_health.end() ? TimePoint() : found->second.heardAt;
 }
 
+BackendLoads BackendPicker::ownLoads(TimePoint now) const
+{
+    BackendLoads loads;
+    for (const auto &[id, health] : m_health) {
+        const bool unreachable = health.wasDown && health.excludedUntil > now;
+        if (health.inFlight > 0 || unreachable) {
+            loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
+        }
+    }
+    return loads;
+}
+
+void BackendPicker::setOthersLoads(BackendLoads loads, TimePoint now)
+{
+    m_others = std::move(loads);
+    m_othersAt = now;
+}
+
 void BackendPicker::prune(const FleetView &view)
 {
     std::erase_if(m_health, [&](const auto &entry) {
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -12,6 +12,7 @@
 #include "Base/Ids.h"
 #include "Base/Time.h"
 #include "Fleet/FleetView.h"
+#include "Routing/BackendLoads.h"
 #include "Routing/RolloutRule.h"
 
 namespace lycheearch {
@@ -21,6 +22,7 @@
     Served, ///< A good answer.
     ServerFailed, ///< The server answered with a failure of its own.
     Broken, ///< The answer broke off, was spoilt or never came.
+    Reset, ///< The connection ended before any answer.
     Unreachable, ///< No connection could be made.
     Overloaded, ///< The server turned the request away because it was full.
     Misdirected, ///< Another server has the address now.
@@ -35,6 +37,8 @@
         0; ///< Requests with the same value share cached prompt parts; 0: none.
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0; ///< Of the prompt, in parts that other requests have too.
+    double tokenWeight = 1; ///< Work of a prompt token by the request's model, against the largest.
+    int urgency = 0; ///< Class in which the request waits at the engine; 0 is admitted first.
     bool engine = false; ///< The service runs models: work is counted in prompt tokens.
     VersionRule versions;
     std::set<InstanceId> avoid; ///< Servers that were tried before.
@@ -52,7 +56,8 @@
 {
     InstanceId backend;
     double load = 0; ///< Requests there for each slot.
-    double backlogTokens = 0; ///< Prompt tokens there that are still to be read.
+    double backlogTokens = 0; ///< Weighed prompt tokens there that are still to be read.
+    double workTokens = 0; ///< Those and what the request itself makes to read.
     bool local = false; ///< In the data centre of this daemon.
     int candidates = 0;
     const char *reason = ""; ///< "cached", "spill" or "least".
@@ -78,15 +83,19 @@
     /// A request was sent.
     void onSent(const InstanceId &id, const PickRequest &request, TimePoint now);
     /// The first byte of the answer to a request with this many prompt tokens came.
-    void onAnswering(const InstanceId &id, std::int64_t promptTokens, TimePoint now);
+    void onAnswering(const InstanceId &id, int urgency, double promptTokens, TimePoint now);
     /// A request left the server. \p unansweredTokens are its prompt tokens if no byte of its
     /// answer came.
-    void onEnded(const InstanceId &id, SendOutcome outcome, std::int64_t unansweredTokens,
+    void onEnded(const InstanceId &id, SendOutcome outcome, int urgency, double unansweredTokens,
                  TimePoint now);
     /// The server told its load with an answer.
     void onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now);
     /// When any answer of the server last made progress.
     TimePoint lastHeardAt(const InstanceId &id) const;
+    /// Load that this daemon has put on the servers.
+    BackendLoads ownLoads(TimePoint now) const;
+    /// Load that all other daemons have put on the servers.
+    void setOthersLoads(BackendLoads loads, TimePoint now);
     void setColdLimits(const ServiceId &service, ColdLimits limits) { m_cold[service] = limits; }
     /// Forgets servers that the view no longer holds.
     void prune(const FleetView &view);
@@ -98,11 +107,11 @@
     struct Health
     {
         int inFlight = 0;
-        std::int64_t unansweredTokens = 0; ///< Prompt tokens sent without an answer so far.
+        TokensByUrgency unanswered{}; ///< Weighed prompt tokens sent without an answer so far.
         int running = 0; ///< Requests there from all daemons, as last reported.
         int waiting = 0;
         int inFlightAtReport = 0;
-        std::int64_t unansweredAtReport = 0;
+        double unansweredAtReport = 0; ///< Over all classes.
         TimePoint heardAt;
         TimePoint reportedAt;
         int failures = 0; ///< In a row.
@@ -136,7 +145,9 @@
     Pick pickForPrompt(const PickRequest &request, std::vector<Candidate> &candidates,
                        TimePoint now) const;
     Pick pickLeastLoaded(const std::vector<Candidate> &candidates);
-    double backlogTokens(const Health &health, const ServiceId &service, TimePoint now) const;
+    double backlogTokens(const Candidate &candidate, const PickRequest &request, TimePoint now) const;
+    const BackendLoadShare *othersLoad(const InstanceId &id, TimePoint now) const;
+    bool isExcluded(const InstanceId &id, const Health &health, TimePoint now) const;
     bool visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
     /// Whether it is this daemon's turn at a server that bears less than a request a second
@@ -150,6 +161,8 @@
     DataCentreId m_home;
     std::map<InstanceId, Health> m_health;
     std::map<ServiceId, ColdLimits> m_cold;
+    BackendLoads m_others;
+    TimePoint m_othersAt;
     std::map<ServiceId, double> m_meanPromptTokens;
     std::unordered_map<std::uint64_t, std::vector<Visit>> m_visits;
     std::uint64_t m_tieBreak = 0;
--- a/Source/Routing/RetryAllowance.h
+++ b/Source/Routing/RetryAllowance.h
@@ -23,6 +23,7 @@
 public:
     explicit RetryAllowance(RetryBounds bounds);
 
+    void setBounds(RetryBounds bounds) { m_bounds = bounds; }
     /// A request for the service arrived.
     void onRequest(const ServiceId &service, TimePoint now);
     /// Takes one repeat. Returns false if the window has no room for it.
--- a/Source/Routing/RolloutRule.cpp
+++ b/Source/Routing/RolloutRule.cpp
@@ -29,10 +29,10 @@
     if (stage->second.complete) {
         return onlyTarget;
     }
-    constexpr std::uint64_t Steps = 10'000;
+    constexpr std::uint64_t steps = 10'000;
     // The low bits choose among services; these are independent of them.
-    constexpr unsigned IndependentBits = 32;
-    const double point = static_cast<double>((hash >> IndependentBits) % Steps) / Steps;
+    constexpr unsigned independentBits = 32;
+    const double point = static_cast<double>((hash >> independentBits) % steps) / steps;
     const int index = std::clamp(stage->second.stage, 0, LastRolloutStage);
     return point < RolloutShares[index] ? onlyTarget : withoutTarget;
 }
--- a/Tests/Routing/testRouterPolicies.cpp
+++ b/Tests/Routing/testRouterPolicies.cpp
@@ -24,7 +24,7 @@
 
 CascadeQuestion question(int confidence)
 {
-    return {"small", confidence, 100, 100ms, 10s};
+    return {"small", confidence, 0, 100ms, 10s};
 }
 
 } // namespace
