Loads go to the reader of each data centre; fewer calls to a lost store

Change: it goes to the first member that has not failed; a daemon that lost its feed waits 300 ms for the next before it reads; states of rollouts are listed only once a rollout is ordered.

--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -10,10 +10,12 @@
 namespace {
 
 constexpr Duration CheckPeriod = 200ms;
+/// How long this daemon waits for another source before it reads the store itself.
+constexpr Duration SwitchGrace = 300ms;
 /// A source that failed is not tried again for this long.
 constexpr Duration AvoidPeriod = 3s;
 /// A member that has not registered for this long is taken for gone.
-constexpr std::int64_t MemberLifetimeMs = 90'000;
+constexpr std::int64_t MemberLifetimeMs = 150'000;
 
 } // namespace
 
@@ -85,13 +87,16 @@
     if (m_socket && now - m_heardAt > FeedSilenceLimit) {
         giveUp("silent", now);
     }
+    checkGrace(now);
     if (!m_follower.synced()) {
         return;
     }
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_clock.wallTime().time_since_epoch());
-    for (const MemberRegistered &member :
-         feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count())) {
+    const std::vector<MemberRegistered> candidates
+        = feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count());
+    m_follower.setPatient(!candidates.empty());
+    for (const MemberRegistered &member : candidates) {
         const auto avoided = m_avoidUntil.find(member.instance);
         if (avoided != m_avoidUntil.end() && avoided->second > now) {
             continue;
@@ -162,6 +167,7 @@
     } else if (*heartbeat->storeAge > FeedStoreAgeLimit) {
         setFed(false, "its knowledge is old");
     } else {
+        m_lostAt = TimePoint();
         setFed(true, "fresh");
     }
 }
@@ -199,11 +205,24 @@
     if (!m_socket) {
         return;
     }
+    const bool silent = now - m_heardAt > FeedSilenceLimit;
     m_avoidUntil[m_source] = now + AvoidPeriod;
     m_source = InstanceId();
     m_socket->close();
-    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
-    setFed(false, why);
+    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
+    if (silent || !m_follower.fed()) {
+        setFed(false, why);
+    } else {
+        m_lostAt = now;
+    }
+}
+
+void FeedClient::checkGrace(TimePoint now)
+{
+    if (m_lostAt != TimePoint() && now - m_lostAt >= SwitchGrace) {
+        m_lostAt = TimePoint();
+        setFed(false, "no other source");
+    }
 }
 
 void FeedClient::setFed(bool fed, const char *why)
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -60,6 +60,7 @@
     void onMessage(const FeedMessage &message, TimePoint now);
     void giveUp(const char *why, TimePoint now);
     void setFed(bool fed, const char *why);
+    void checkGrace(TimePoint now);
 
     EventLoop &m_loop;
     InstanceId m_self;
@@ -73,6 +74,7 @@
     FeedFrameReader m_reader;
     InstanceId m_source;
     TimePoint m_heardAt;
+    TimePoint m_lostAt; ///< When the last source ended while its knowledge was fresh.
     std::map<InstanceId, TimePoint> m_avoidUntil;
     TimerId m_timer;
 };
--- a/Source/Feed/LoadSender.cpp
+++ b/Source/Feed/LoadSender.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Duration ReconnectDelay = 1s;
+/// A receiver that failed is not tried again for this long.
+constexpr Duration AvoidPeriod = 2s;
 /// A receiver that leaves this much unread is given up.
 constexpr std::size_t MostQueuedBytes = 256UL * 1024;
 
@@ -22,8 +23,15 @@
 void LoadSender::send(const BackendLoads &loads, const std::vector<MemberRegistered> &members,
                       TimePoint now)
 {
-    if (!m_socket && now >= m_retryAt) {
-        connect(members, now);
+    for (const MemberRegistered &member : members) {
+        const auto avoided = m_avoidUntil.find(member.instance);
+        if (avoided != m_avoidUntil.end() && avoided->second > now) {
+            continue;
+        }
+        if (m_receiver != member.instance) {
+            connect(member, now);
+        }
+        break;
     }
     if (!m_socket) {
         return;
@@ -34,31 +42,33 @@
     }
 }
 
-void LoadSender::connect(const std::vector<MemberRegistered> &members, TimePoint now)
+void LoadSender::connect(const MemberRegistered &member, TimePoint now)
 {
-    m_retryAt = now + ReconnectDelay;
-    if (members.empty()) {
-        return;
-    }
+    closeSocket();
     std::error_code error;
-    const int fd = connectTcp(members[m_nextMember % members.size()].feed, error);
+    const int fd = connectTcp(member.feed, error);
     if (fd < 0) {
-        ++m_nextMember;
+        m_avoidUntil[member.instance] = now + AvoidPeriod;
         return;
     }
     setLiveness(fd, FeedLiveness);
+    m_receiver = member.instance;
     m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
 }
 
 void LoadSender::drop(TimePoint now)
 {
-    if (!m_socket) {
-        return;
+    m_avoidUntil[m_receiver] = now + AvoidPeriod;
+    closeSocket();
+}
+
+void LoadSender::closeSocket()
+{
+    m_receiver = InstanceId();
+    if (m_socket) {
+        m_socket->close();
+        m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
     }
-    m_socket->close();
-    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
-    ++m_nextMember;
-    m_retryAt = now + ReconnectDelay;
 }
 
 } // namespace lycheearch
--- a/Source/Feed/LoadSender.h
+++ b/Source/Feed/LoadSender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 
 #include "Feed/FeedMessages.h"
@@ -9,14 +10,14 @@
 
 namespace lycheearch {
 
-/// Tells one other data centre what load the daemons of this one put on the backend servers. The
-/// first member that it reaches there passes it on.
+/// Tells one other data centre what load the daemons of this one put on the backend servers. It
+/// goes to the first member there that can be reached, which is the one that the others follow.
 class LoadSender : public StreamSocketListener
 {
 public:
     LoadSender(EventLoop &loop, DataCentreId home, DataCentreId target);
 
-    /// Sends \p loads, and connects to one of \p members first if need be.
+    /// Sends \p loads to the first of \p members that has not failed of late.
     void send(const BackendLoads &loads, const std::vector<MemberRegistered> &members,
               TimePoint now);
 
@@ -25,15 +26,16 @@
     void onEnd(TimePoint now) override { drop(now); }
     void onError(std::error_code, TimePoint now) override { drop(now); }
 
-    void connect(const std::vector<MemberRegistered> &members, TimePoint now);
+    void connect(const MemberRegistered &member, TimePoint now);
     void drop(TimePoint now);
+    void closeSocket();
 
     EventLoop &m_loop;
     DataCentreId m_home;
     DataCentreId m_target;
     std::unique_ptr<StreamSocket> m_socket;
-    std::size_t m_nextMember = 0;
-    TimePoint m_retryAt;
+    InstanceId m_receiver;
+    std::map<InstanceId, TimePoint> m_avoidUntil;
 };
 
 } // namespace lycheearch
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Longest pause between calls to a lost store while another daemon asks it too.
+constexpr Duration PatientRetryLimit = 4s;
+
 constexpr Topic AllTopics[] = {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own};
 
 } // namespace
@@ -72,7 +75,7 @@
         return found != m_cursors.end() && found->second.listed;
     };
     return m_view.table() && listed(Topic::Operator) && listed(Topic::Backends)
-        && listed(Topic::Own) && listed(Topic::Status);
+        && listed(Topic::Own) && (listed(Topic::Status) || m_view.rollouts().empty());
 }
 
 std::optional<Duration> FleetFollower::storeAge(TimePoint now) const
@@ -91,10 +94,16 @@
     return found == m_cursors.end() ? Offset() : found->second.next;
 }
 
+bool FleetFollower::isNeeded(Topic topic) const
+{
+    // States of rollouts matter only once a rollout is ordered.
+    return topic != Topic::Status || !m_view.rollouts().empty();
+}
+
 void FleetFollower::step(Topic topic)
 {
     Cursor &cursor = m_cursors[topic];
-    if (cursor.calling || (m_fed && cursor.listed && !cursor.listing)) {
+    if (cursor.calling || (m_fed && cursor.listed && !cursor.listing) || !isNeeded(topic)) {
         return;
     }
     if (!cursor.listed || cursor.listing) {
@@ -251,6 +260,9 @@
 {
     const StoredRecord stored{raw.offset, m_codec.decode(topic, raw)};
     m_observer.onRecord(m_view.apply(stored, now), stored, now);
+    if (std::holds_alternative<RolloutOrdered>(stored.record) && !m_cursors[Topic::Status].listed) {
+        hurry(Topic::Status);
+    }
 }
 
 bool FleetFollower::succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now)
@@ -271,7 +283,8 @@
         m_observer.onStoreLost(topic, outcome.fault, outcome.detail, now);
     }
     schedule(topic, cursor.retryDelay);
-    cursor.retryDelay = std::min(cursor.retryDelay * 2, m_timing.retryDelayLimit);
+    cursor.retryDelay = std::min(cursor.retryDelay * 2,
+                                 m_patient ? PatientRetryLimit : m_timing.retryDelayLimit);
     return false;
 }
 
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -51,6 +51,9 @@
     /// Stops to read the store, or goes on with it, beginning at once.
     void setFed(bool fed);
     bool fed() const { return m_fed; }
+    /// Another daemon stands before this one as a reader: while the store is away, this one asks
+    /// less often.
+    void setPatient(bool patient) { m_patient = patient; }
     /// A page that another daemon read.
     void applyFed(Topic topic, const RecordPage &page, bool listing, TimePoint now);
     /// Lists a topic again, now.
@@ -93,6 +96,7 @@
     void applyRecords(Topic topic, const RecordPage &page, TimePoint now);
     void applyOne(Topic topic, const RawRecord &raw, TimePoint now);
     void retainListed(Topic topic, const RecordPage &listing, TimePoint now);
+    bool isNeeded(Topic topic) const;
     bool succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now);
     /// Another daemon's feed shows that the store is back.
     void clearLosses(TimePoint now);
@@ -109,6 +113,7 @@
     std::map<Topic, Cursor> m_cursors;
     RecordMirror m_mirror;
     bool m_fed = false;
+    bool m_patient = false;
     TimerId m_lapseTimer;
 };
 
