--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -60,7 +60,6 @@
         config.end = Offset(1);
         store.answer(Topic::Operator, config, now);
         store.answer(Topic::Backends, {}, now);
-        store.answer(Topic::Status, {}, now);
         RecordPage own;
         for (const MemberRegistered &registered : members) {
             own.records.push_back(codec.encode(registered));
@@ -175,7 +174,8 @@
     const Endpoint listen{"127.0.0.1", 29471};
     std::error_code error;
     auto server = std::make_unique<FeedServer>(
-        loop, listen, reader.follower, [](const FeedEvidence &) {}, error);
+        loop, listen, reader.follower, [](const FeedEvidence &) {},
+        [](const FeedLoad &, TimePoint) {}, error);
     cr_assert_not(error);
     reader.observer.server = server.get();
     const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -57,7 +57,6 @@
         config.end = Offset(1);
         store.answer(Topic::Operator, config, clock.time);
         store.answer(Topic::Backends, backends, clock.time);
-        store.answer(Topic::Status, {}, clock.time);
         store.answer(Topic::Own, {}, clock.time);
     }
 
@@ -203,3 +202,22 @@
     fixture.follower.applyFed(Topic::Backends, page, false, fixture.clock.time);
     cr_expect_eq(fixture.observer.records, before);
 }
+
+Test(fleetFollower, states_of_rollouts_are_listed_once_one_is_ordered)
+{
+    Fixture fixture;
+    fixture.list(Fixture::page({}, 5));
+    cr_expect(fixture.store.calls[Topic::Status].empty());
+    fixture.runFor(20ms);
+    fixture.store.answer(
+        Topic::Operator,
+        Fixture::page({{Offset(1), "rollout/s", R"({"Service":"s","Target":"v2","FinishByS":9})"}},
+                      2),
+        fixture.clock.time);
+    fixture.runFor(20ms);
+    cr_assert_eq(fixture.store.calls[Topic::Status].size(), 1);
+    cr_expect(fixture.store.calls[Topic::Status][0].listing);
+    cr_expect_not(fixture.follower.synced());
+    fixture.store.answer(Topic::Status, {}, fixture.clock.time);
+    cr_expect(fixture.follower.synced());
+}
--- a/Tests/Routing/testBackendPicker.cpp
+++ b/Tests/Routing/testBackendPicker.cpp
@@ -98,8 +98,8 @@
         const auto chosen = pick(picker, request, view);
         cr_expect(chosen->backend == first);
         picker.onSent(chosen->backend, request, Start);
-        picker.onAnswering(chosen->backend, request.promptTokens, Start);
-        picker.onEnded(chosen->backend, SendOutcome::Served, 0, Start);
+        picker.onAnswering(chosen->backend, 0, 17'000, Start);
+        picker.onEnded(chosen->backend, SendOutcome::Served, 0, 0, Start);
     }
 }
 
@@ -132,7 +132,7 @@
     Duration last{};
     for (int i = 0; i < 4; ++i) {
         picker.onSent(InstanceId("near"), request, now);
-        picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, now);
+        picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, 0, now);
         const TimePoint since = now;
         while (pick(picker, request, view, now)->backend != InstanceId("near")) {
             now += 10ms;
@@ -150,7 +150,7 @@
     PickRequest request;
     request.service = Desk;
     picker.onSent(InstanceId("near"), request, Start);
-    picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, Start);
+    picker.onEnded(InstanceId("near"), SendOutcome::Unreachable, 0, 0, Start);
     cr_expect(pick(picker, request, view).has_value());
 }
 
@@ -166,7 +166,8 @@
         for (const char *id : {"near", "far"}) {
             picker.onSent(InstanceId(id), request, Start);
             picker.onEnded(InstanceId(id),
-                           i % 7 == 0 ? SendOutcome::ServerFailed : SendOutcome::Served, 0, Start);
+                           i % 7 == 0 ? SendOutcome::ServerFailed : SendOutcome::Served, 0, 0,
+                           Start);
         }
     }
     cr_expect(pick(picker, request, view)->backend == InstanceId("near"));
@@ -182,9 +183,9 @@
     request.service = Desk;
     for (int i = 0; i < 20; ++i) {
         picker.onSent(InstanceId("near"), request, Start);
-        picker.onEnded(InstanceId("near"), SendOutcome::Broken, 0, Start);
+        picker.onEnded(InstanceId("near"), SendOutcome::Broken, 0, 0, Start);
         picker.onSent(InstanceId("far"), request, Start);
-        picker.onEnded(InstanceId("far"), SendOutcome::Served, 0, Start);
+        picker.onEnded(InstanceId("far"), SendOutcome::Served, 0, 0, Start);
     }
     cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
 }
@@ -236,3 +237,63 @@
         cr_expect(all > 20, "%d daemons: %zu in ten seconds", daemons, all);
     }
 }
+
+Test(backendPicker, load_that_other_daemons_tell_moves_the_choice)
+{
+    const FleetView view = engineFleet(9);
+    BackendPicker picker(InstanceId("self"), Here);
+    const PickRequest request = promptRequest(7);
+    const InstanceId first = pick(picker, request, view)->backend;
+    BackendLoads others;
+    others[first].tokens = {60'000, 0, 0};
+    others[first].requests = 4;
+    picker.setOthersLoads(others, Start);
+    cr_expect(pick(picker, request, view)->backend != first);
+    // What was told long ago tells nothing.
+    cr_expect(pick(picker, request, view, Start + 5s)->backend == first);
+}
+
+Test(backendPicker, less_urgent_work_hardly_delays_a_request)
+{
+    const FleetView view = engineFleet(9);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request = promptRequest(7);
+    const InstanceId first = pick(picker, request, view)->backend;
+    BackendLoads others;
+    others[first].tokens = {0, 0, 30'000};
+    picker.setOthersLoads(others, Start);
+    cr_expect(pick(picker, request, view)->backend == first);
+    request.urgency = 2;
+    cr_expect(pick(picker, request, view)->backend != first);
+}
+
+Test(backendPicker, a_server_that_others_find_unreachable_draws_no_requests)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    BackendLoads others;
+    others[InstanceId("near")].unreachable = 3;
+    picker.setOthersLoads(others, Start);
+    cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
+    // This daemon's own experience goes before what others say.
+    picker.onAnswering(InstanceId("near"), 0, 0, Start);
+    cr_expect(pick(picker, request, view)->backend == InstanceId("near"));
+}
+
+Test(backendPicker, a_crashed_server_is_left_out_after_one_reset)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    add(view, "far", Desk, There);
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    picker.onSent(InstanceId("near"), request, Start);
+    picker.onEnded(InstanceId("near"), SendOutcome::Reset, 0, 0, Start);
+    cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
+    cr_expect_eq(picker.ownLoads(Start)[InstanceId("near")].unreachable, 1);
+}
--- a/Tests/Routing/testRouterPolicies.cpp
+++ b/Tests/Routing/testRouterPolicies.cpp
@@ -24,7 +24,7 @@
 
 CascadeQuestion question(int confidence)
 {
-    return {"small", confidence, 0, 100ms, 10s};
+    return {confidence, 1000, 0, 100ms, 10s};
 }
 
 } // namespace
@@ -38,35 +38,61 @@
 Test(modelCascade, a_doubtful_answer_is_dropped_for_the_largest_model)
 {
     const ModelCascade cascade;
-    cr_expect_str_eq(cascade.escalate(modelRoute(), question(10)).value_or("").c_str(), "large");
-    cr_expect_not(cascade.escalate(modelRoute(), question(90)).has_value());
+    cr_expect(cascade.escalate(modelRoute(), "large", question(10)));
+    cr_expect_not(cascade.escalate(modelRoute(), "large", question(90)));
 }
 
 Test(modelCascade, the_largest_models_answer_is_always_taken)
 {
-    CascadeQuestion asked = question(0);
-    asked.model = "large";
-    cr_expect_not(ModelCascade().escalate(modelRoute(), asked).has_value());
+    cr_expect_str_eq(ModelCascade().next(modelRoute(), "small").value_or("").c_str(), "large");
+    cr_expect_not(ModelCascade().next(modelRoute(), "large").has_value());
+    cr_expect_not(ModelCascade().next(Route(), "").has_value());
 }
 
-Test(modelCascade, an_answer_without_opinion_is_taken)
+Test(modelCascade, work_that_waits_at_the_engines_leaves_small_answers_in_place)
 {
-    CascadeQuestion asked = question(0);
-    asked.confidence.reset();
-    cr_expect_not(ModelCascade().escalate(modelRoute(), asked).has_value());
+    ModelCascade cascade;
+    for (int i = 0; i < 100; ++i) {
+        cascade.onFirstEvent(1000, 100ms);
+    }
+    CascadeQuestion asked = question(10);
+    cr_expect(cascade.escalate(modelRoute(), "large", asked));
+    asked.workTokens = 80'000;
+    cr_expect_not(cascade.escalate(modelRoute(), "large", asked));
+}
+
+Test(modelCascade, the_most_important_routes_give_way_last)
+{
+    ModelCascade cascade;
+    for (int i = 0; i < 100; ++i) {
+        cascade.onFirstEvent(1000, 100ms);
+    }
+    int lowest = 100;
+    for (int priority = 0; priority < 3; ++priority) {
+        Route route = modelRoute();
+        route.priority = priority;
+        CascadeQuestion asked = question(0);
+        int thousands = 0;
+        for (asked.workTokens = 0; cascade.escalate(route, "large", asked) && thousands < 100;
+             ++thousands) {
+            asked.workTokens += 1000;
+        }
+        cr_expect(thousands < lowest, "priority %d bears %d", priority, thousands);
+        lowest = thousands;
+    }
 }
 
-Test(modelCascade, a_larger_model_that_can_not_be_in_time_is_not_asked)
+Test(modelCascade, an_answer_too_long_for_the_largest_model_stays_with_the_small_one)
 {
     ModelCascade cascade;
-    for (int i = 0; i < 200; ++i) {
-        cascade.onFirstEvent("large", 8s);
+    for (int i = 0; i < 50; ++i) {
+        cascade.onGap("large", 100ms);
     }
     CascadeQuestion asked = question(10);
-    asked.timeLeft = 5s;
-    cr_expect_not(cascade.escalate(modelRoute(), asked).has_value());
-    asked.timeLeft = 11s;
-    cr_expect_not(cascade.escalate(modelRoute(), asked).has_value());
+    asked.expectedEvents = 50;
+    cr_expect(cascade.escalate(modelRoute(), "large", asked));
+    asked.expectedEvents = 150;
+    cr_expect_not(cascade.escalate(modelRoute(), "large", asked));
 }
 
 Test(retryAllowance, all_daemons_together_keep_the_bound_under_any_load)
