Silent data centres are left out as a whole; fault soak; folder names

Change: a data centre of which two servers fell silent gets a pause; what only such could serve is refused at once; connects end after 250 ms. Utilities/Soak runs real daemons under drawn faults.

--- a/Source/Daemon/BackendPoller.h
+++ b/Source/Daemon/BackendPoller.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "Base/DutyThread.h"
-#include "Platform/BackendConnection.h"
+#include "OwnFormats/BackendConnection.h"
 #include "Routing/BackendTable.h"
 
 namespace lycheearch {
--- a/Source/Daemon/CallerSink.h
+++ b/Source/Daemon/CallerSink.h
@@ -4,7 +4,7 @@
 
 #include <Poco/Net/HTTPServerResponse.h>
 
-#include "Platform/ModelEngine.h"
+#include "OwnFormats/ModelEngine.h"
 #include "Request/RequestContext.h"
 
 namespace lycheearch {
--- a/Source/Daemon/OrderDuty.h
+++ b/Source/Daemon/OrderDuty.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Base/Metrics.h"
-#include "Platform/LogService.h"
-#include "Platform/ModelEngine.h"
-#include "Platform/WeightStore.h"
+#include "OwnFormats/LogService.h"
+#include "OwnFormats/ModelEngine.h"
+#include "OwnFormats/WeightStore.h"
 #include "Routing/OrderLease.h"
 #include "Routing/Reconciler.h"
 #include "State/ConfigStore.h"
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -13,7 +13,8 @@
 constexpr int StatusUnavailable = 503;
 
 constexpr FollowerTiming StoreTiming{1500ms, 500ms, 4s, 700ms, 200ms, 1000ms};
-constexpr BackendLink::Limits LinkLimits{400ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
+constexpr BackendLink::Limits LinkLimits{
+    250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration RegisterPeriod = 45s;
 constexpr Duration RegisterRetry = 1s;
 /// Daemons that are assumed as long as fewer are known.
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -66,6 +66,8 @@
         return "reset";
     case SendOutcome::Unreachable:
         return "unreachable";
+    case SendOutcome::Silent:
+        return "silent";
     case SendOutcome::Overloaded:
         return "overloaded";
     case SendOutcome::Misdirected:
@@ -87,6 +89,7 @@
     case SendOutcome::Reset:
         return false;
     case SendOutcome::Unreachable:
+    case SendOutcome::Silent:
     case SendOutcome::Overloaded:
     case SendOutcome::Misdirected:
     case SendOutcome::Cancelled:
@@ -102,8 +105,8 @@
         return "no backend server";
     case PickFault::AllCold:
         return "all backend servers are cold";
-    case PickFault::AllFull:
-        return "all backend servers are full";
+    case PickFault::AllSilent:
+        return "no data centre with backend servers answers";
     case PickFault::None:
         break;
     }
@@ -228,9 +231,8 @@
 
 double Exchange::unansweredTokens() const
 {
-    return m_attempt.answered
-        ? 0
-        : m_attempt.tokenWeight * static_cast<double>(m_request.promptTokens);
+    return m_attempt.answered ? 0
+                              : m_attempt.tokenWeight * static_cast<double>(m_request.promptTokens);
 }
 
 int Exchange::urgency() const
@@ -570,10 +572,11 @@
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
                         now);
+    const bool silent = error == std::errc::timed_out;
     if (delivery == Delivery::NotSent) {
         --m_sends;
         m_unreachable.insert(m_attempt.backend);
-        releaseAttempt(SendOutcome::Unreachable, false, now);
+        releaseAttempt(silent ? SendOutcome::Silent : SendOutcome::Unreachable, false, now);
         if (++m_connectFailures >= MostConnectFailures) {
             fail("no connection to a backend server", now);
         } else {
@@ -584,7 +587,10 @@
     m_mayHaveRun = true;
     // A kept connection may have been closed by a server that is well.
     const bool reset = !m_attempt.answered && m_attempt.freshLink;
-    releaseAttempt(reset ? SendOutcome::Reset : SendOutcome::Broken, false, now);
+    releaseAttempt(silent      ? SendOutcome::Silent
+                       : reset ? SendOutcome::Reset
+                               : SendOutcome::Broken,
+                   false, now);
     retryOrFail("the connection broke", now);
 }
 
--- a/Source/Platform/BackendConnection.cpp
+++ b/Source/OwnFormats/BackendConnection.cpp
@@ -1,4 +1,4 @@
-#include "Platform/BackendConnection.h"
+#include "OwnFormats/BackendConnection.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/Source/Platform/BackendConnection.h
+++ b/Source/OwnFormats/BackendConnection.h
@@ -6,7 +6,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 
 #include "Base/Error.h"
-#include "Platform/Backend.h"
+#include "OwnFormats/Backend.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/ConnectionPool.cpp
+++ b/Source/OwnFormats/ConnectionPool.cpp
@@ -1,4 +1,4 @@
-#include "Platform/ConnectionPool.h"
+#include "OwnFormats/ConnectionPool.h"
 
 #include <Poco/Exception.h>
 
--- a/Source/Platform/ConnectionPool.h
+++ b/Source/OwnFormats/ConnectionPool.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <vector>
 
-#include "Platform/BackendConnection.h"
+#include "OwnFormats/BackendConnection.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpClient.cpp
+++ b/Source/OwnFormats/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 
 #include <istream>
 
--- a/Source/Platform/HttpInstanceList.cpp
+++ b/Source/OwnFormats/HttpInstanceList.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpInstanceList.h"
+#include "OwnFormats/HttpInstanceList.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Platform/HttpInstanceList.h
+++ b/Source/OwnFormats/HttpInstanceList.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/InstanceList.h"
+#include "OwnFormats/HttpClient.h"
+#include "OwnFormats/InstanceList.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpLogService.cpp
+++ b/Source/OwnFormats/HttpLogService.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpLogService.h"
+#include "OwnFormats/HttpLogService.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Platform/HttpLogService.h
+++ b/Source/OwnFormats/HttpLogService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/LogService.h"
+#include "OwnFormats/HttpClient.h"
+#include "OwnFormats/LogService.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpModelEngine.cpp
+++ b/Source/OwnFormats/HttpModelEngine.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpModelEngine.h"
+#include "OwnFormats/HttpModelEngine.h"
 
 #include <istream>
 
@@ -7,7 +7,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <nlohmann/json.hpp>
 
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpModelEngine.h
+++ b/Source/OwnFormats/HttpModelEngine.h
@@ -2,9 +2,9 @@
 
 #include <memory>
 
-#include "Platform/BackendTimeouts.h"
-#include "Platform/ConnectionPool.h"
-#include "Platform/ModelEngine.h"
+#include "OwnFormats/BackendTimeouts.h"
+#include "OwnFormats/ConnectionPool.h"
+#include "OwnFormats/ModelEngine.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpPlainService.cpp
+++ b/Source/OwnFormats/HttpPlainService.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpPlainService.h"
+#include "OwnFormats/HttpPlainService.h"
 
 #include <istream>
 
--- a/Source/Platform/HttpPlainService.h
+++ b/Source/OwnFormats/HttpPlainService.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Platform/BackendTimeouts.h"
-#include "Platform/ConnectionPool.h"
-#include "Platform/PlainService.h"
+#include "OwnFormats/BackendTimeouts.h"
+#include "OwnFormats/ConnectionPool.h"
+#include "OwnFormats/PlainService.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpRatingService.cpp
+++ b/Source/OwnFormats/HttpRatingService.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpRatingService.h"
+#include "OwnFormats/HttpRatingService.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Platform/HttpRatingService.h
+++ b/Source/OwnFormats/HttpRatingService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/RatingService.h"
+#include "OwnFormats/HttpClient.h"
+#include "OwnFormats/RatingService.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/HttpWeightStore.cpp
+++ b/Source/OwnFormats/HttpWeightStore.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpWeightStore.h"
+#include "OwnFormats/HttpWeightStore.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Platform/HttpWeightStore.h
+++ b/Source/OwnFormats/HttpWeightStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HttpClient.h"
-#include "Platform/WeightStore.h"
+#include "OwnFormats/HttpClient.h"
+#include "OwnFormats/WeightStore.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/ModelEngine.h
+++ b/Source/OwnFormats/ModelEngine.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "Config/Manifest.h"
-#include "Platform/Backend.h"
+#include "OwnFormats/Backend.h"
 
 namespace lycheearch {
 
--- a/Source/Platform/PlainService.h
+++ b/Source/OwnFormats/PlainService.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "Platform/Backend.h"
+#include "OwnFormats/Backend.h"
 
 namespace lycheearch {
 
--- a/Source/Request/GenerationRunner.h
+++ b/Source/Request/GenerationRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Base/Metrics.h"
-#include "Platform/ModelEngine.h"
+#include "OwnFormats/ModelEngine.h"
 #include "Request/RequestContext.h"
 #include "Routing/BackendGate.h"
 #include "Routing/RetryBudget.h"
--- a/Source/Request/Rater.h
+++ b/Source/Request/Rater.h
@@ -7,7 +7,7 @@
 #include "Base/BoundedRing.h"
 #include "Base/DutyThread.h"
 #include "Base/Metrics.h"
-#include "Platform/RatingService.h"
+#include "OwnFormats/RatingService.h"
 #include "Routing/VersionStats.h"
 
 namespace lycheearch {
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "Config/ConfigState.h"
-#include "Platform/ModelEngine.h"
+#include "OwnFormats/ModelEngine.h"
 #include "Routing/Planner.h"
 #include "State/ClaimTable.h"
 #include "State/SessionDirectory.h"
--- a/Source/Request/ServiceRunner.h
+++ b/Source/Request/ServiceRunner.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "Base/Metrics.h"
-#include "Platform/PlainService.h"
+#include "OwnFormats/PlainService.h"
 #include "Request/RequestContext.h"
 #include "Routing/BackendGate.h"
 #include "Routing/RetryBudget.h"
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -20,6 +20,9 @@
 /// A server that so many other daemons find unreachable is left out, unless this one heard from it.
 constexpr int DaemonsForExclusion = 2;
 constexpr Duration HeardLately = 1s;
+/// A data centre is left out for a while once so many of its servers fell silent and none answered.
+constexpr std::size_t ServersForSilentPlace = 2;
+constexpr int MostDoublings = 5;
 /// A reported load is believed for this long.
 constexpr Duration ReportLifetime = 2s;
 /// What other daemons told of their load is believed for this long.
@@ -118,6 +121,11 @@
             continue;
         }
         Health &health = m_health[id];
+        m_placeOf[id] = state.report.dataCentre;
+        if (placeIsSilent(state.report.dataCentre, now)) {
+            fault = PickFault::AllSilent;
+            continue;
+        }
         if (!coldAllows(state, health, now)) {
             fault = PickFault::AllCold;
             continue;
@@ -146,7 +154,8 @@
         const bool cached = request.affinity != 0
             && (candidate.weight == topWeight
                 || visitedLately(request.affinity, candidate.state->report.id, now));
-        const double cost = backlog + (cached ? 0 : missWeight * static_cast<double>(request.sharedTokens))
+        const double cost = backlog
+            + (cached ? 0 : missWeight * static_cast<double>(request.sharedTokens))
             + (candidate.local ? 0 : RemoteTokens);
         if (best == nullptr || cost < bestCost
             || (cost == bestCost && candidate.weight > best->weight)) {
@@ -157,8 +166,11 @@
         }
     }
     const std::int64_t toRead = request.promptTokens - (bestCached ? request.sharedTokens : 0);
-    return {best->state->report.id, best->load, bestBacklog,
-            bestBacklog + request.tokenWeight * static_cast<double>(toRead), best->local,
+    return {best->state->report.id,
+            best->load,
+            bestBacklog,
+            bestBacklog + request.tokenWeight * static_cast<double>(toRead),
+            best->local,
             static_cast<int>(candidates.size()),
             bestCached ? "cached" : (request.affinity != 0 ? "spill" : "least")};
 }
@@ -193,6 +205,12 @@
     return std::max(unanswered, waiting + since) + RunningTokens * running;
 }
 
+bool BackendPicker::placeIsSilent(const DataCentreId &dataCentre, TimePoint now) const
+{
+    const auto found = m_places.find(dataCentre);
+    return found != m_places.end() && found->second.excludedUntil > now;
+}
+
 bool BackendPicker::isExcluded(const InstanceId &id, const Health &health, TimePoint now) const
 {
     if (health.excludedUntil > now) {
@@ -227,7 +245,11 @@
             bestTie = tie;
         }
     }
-    return {best->state->report.id, best->load, 0, 0, best->local,
+    return {best->state->report.id,
+            best->load,
+            0,
+            0,
+            best->local,
             static_cast<int>(candidates.size()),
             "least"};
 }
@@ -306,16 +328,30 @@
     Health &health = m_health[id];
     takeOut(health.unanswered, urgency, promptTokens);
     health.heardAt = now;
+    m_places[m_placeOf[id]] = Place();
 }
 
 void BackendPicker::exclude(Health &health, TimePoint now)
 {
-    constexpr int mostDoublings = 5;
-    const int doublings = std::min(health.failures, mostDoublings);
+    const int doublings = std::min(health.failures, MostDoublings);
     ++health.failures;
     health.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
 }
 
+void BackendPicker::noteSilence(const InstanceId &id, TimePoint now)
+{
+    const auto found = m_placeOf.find(id);
+    if (found == m_placeOf.end()) {
+        return;
+    }
+    Place &place = m_places[found->second];
+    place.silent.insert(id);
+    if (place.silent.size() >= ServersForSilentPlace) {
+        const int doublings = std::min(place.failures++, MostDoublings);
+        place.excludedUntil = now + std::min(FirstExclusion * (1 << doublings), LongestExclusion);
+    }
+}
+
 void BackendPicker::onEnded(const InstanceId &id, SendOutcome outcome, int urgency,
                             double unansweredTokens, TimePoint now)
 {
@@ -326,7 +362,8 @@
         return;
     }
     const bool bad = outcome == SendOutcome::ServerFailed || outcome == SendOutcome::Broken
-        || outcome == SendOutcome::Reset || outcome == SendOutcome::Unreachable;
+        || outcome == SendOutcome::Reset || outcome == SendOutcome::Unreachable
+        || outcome == SendOutcome::Silent;
     health.failureRate += FailureWeight * ((bad ? 1.0 : 0.0) - health.failureRate);
     ++health.samples;
     switch (outcome) {
@@ -334,7 +371,11 @@
         health.failures = 0;
         health.wasDown = false;
         health.heardAt = now;
+        m_places[m_placeOf[id]] = Place();
         break;
+    case SendOutcome::Silent:
+        noteSilence(id, now);
+        [[fallthrough]];
     case SendOutcome::Unreachable:
     case SendOutcome::Reset:
     case SendOutcome::Misdirected:
@@ -404,6 +445,8 @@
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
+    std::erase_if(m_placeOf,
+                  [&](const auto &entry) { return view.backend(entry.first) == nullptr; });
 }
 
 int BackendPicker::inFlight(const InstanceId &id) const
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -23,7 +23,8 @@
     ServerFailed, ///< The server answered with a failure of its own.
     Broken, ///< The answer broke off, was spoilt or never came.
     Reset, ///< The connection ended before any answer.
-    Unreachable, ///< No connection could be made.
+    Unreachable, ///< A connection was refused.
+    Silent, ///< The server's machine did not answer: no connection in time, or none any more.
     Overloaded, ///< The server turned the request away because it was full.
     Misdirected, ///< Another server has the address now.
     Cancelled, ///< The caller left; tells nothing.
@@ -64,7 +65,12 @@
 };
 
 /// Why no backend server was chosen.
-enum class PickFault { None, NoBackend, AllCold, AllFull };
+enum class PickFault {
+    None,
+    NoBackend,
+    AllCold,
+    AllSilent, ///< Those that are left are in data centres that do not answer.
+};
 
 /// Chooses the backend server for each request of one daemon, and keeps what the daemon knows of
 /// the servers' load and health. Answers to: steady load with shared prompts (each shared part has
@@ -123,6 +129,14 @@
         std::deque<TimePoint> sends; ///< The latest, oldest first.
     };
 
+    /// What this daemon knows of a data centre.
+    struct Place
+    {
+        std::set<InstanceId> silent; ///< Servers that fell silent since the last answer from there.
+        int failures = 0; ///< Exclusions in a row.
+        TimePoint excludedUntil;
+    };
+
     struct Candidate
     {
         const BackendState *state = nullptr;
@@ -145,8 +159,10 @@
     Pick pickForPrompt(const PickRequest &request, std::vector<Candidate> &candidates,
                        TimePoint now) const;
     Pick pickLeastLoaded(const std::vector<Candidate> &candidates);
-    double backlogTokens(const Candidate &candidate, const PickRequest &request, TimePoint now) const;
+    double backlogTokens(const Candidate &candidate, const PickRequest &request,
+                         TimePoint now) const;
     const BackendLoadShare *othersLoad(const InstanceId &id, TimePoint now) const;
+    bool placeIsSilent(const DataCentreId &dataCentre, TimePoint now) const;
     bool isExcluded(const InstanceId &id, const Health &health, TimePoint now) const;
     bool visitedLately(std::uint64_t affinity, const InstanceId &id, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
@@ -156,10 +172,13 @@
                   TimePoint now) const;
     bool coldAllows(const BackendState &state, const Health &health, TimePoint now) const;
     void exclude(Health &health, TimePoint now);
+    void noteSilence(const InstanceId &id, TimePoint now);
 
     std::uint64_t m_phase; ///< Sets this daemon's turns at cold servers apart from others'.
     DataCentreId m_home;
     std::map<InstanceId, Health> m_health;
+    std::map<InstanceId, DataCentreId> m_placeOf;
+    std::map<DataCentreId, Place> m_places;
     std::map<ServiceId, ColdLimits> m_cold;
     BackendLoads m_others;
     TimePoint m_othersAt;
--- a/Source/Routing/BackendTable.h
+++ b/Source/Routing/BackendTable.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "Config/ConfigState.h"
+#include "OwnFormats/Backend.h"
+#include "OwnFormats/InstanceList.h"
 #include "Peer/PeerMessages.h"
-#include "Platform/Backend.h"
-#include "Platform/InstanceList.h"
 
 namespace lycheearch {
 
--- a/Source/Routing/Reconciler.h
+++ b/Source/Routing/Reconciler.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <vector>
 
-#include "Platform/ModelEngine.h"
+#include "OwnFormats/ModelEngine.h"
 #include "Routing/BackendTable.h"
 
 namespace lycheearch {
--- a/Source/State/Billing.h
+++ b/Source/State/Billing.h
@@ -5,8 +5,8 @@
 #include <mutex>
 #include <vector>
 
+#include "OwnFormats/LogService.h"
 #include "Peer/PeerNetwork.h"
-#include "Platform/LogService.h"
 #include "State/BillRecord.h"
 #include "State/KeptStore.h"
 #include "State/Roster.h"
--- a/Source/State/ClaimKeeper.h
+++ b/Source/State/ClaimKeeper.h
@@ -4,7 +4,7 @@
 #include <mutex>
 #include <set>
 
-#include "Platform/LogService.h"
+#include "OwnFormats/LogService.h"
 #include "State/ClaimTable.h"
 
 namespace lycheearch {
--- a/Source/State/ConfigStore.h
+++ b/Source/State/ConfigStore.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "Config/ConfigFold.h"
+#include "OwnFormats/LogService.h"
 #include "Peer/PeerMessages.h"
-#include "Platform/LogService.h"
 
 namespace lycheearch {
 
--- a/Source/State/ConfigTail.h
+++ b/Source/State/ConfigTail.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Platform/LogService.h"
+#include "OwnFormats/LogService.h"
 #include "State/ConfigStore.h"
 
 namespace lycheearch {
--- a/Source/State/Roster.h
+++ b/Source/State/Roster.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "Base/Time.h"
+#include "OwnFormats/InstanceList.h"
 #include "Peer/PeerMessages.h"
-#include "Platform/InstanceList.h"
 
 namespace lycheearch {
 
--- a/Source/State/StreamAppender.h
+++ b/Source/State/StreamAppender.h
@@ -5,7 +5,7 @@
 
 #include "Base/BoundedRing.h"
 #include "Base/DutyThread.h"
-#include "Platform/LogService.h"
+#include "OwnFormats/LogService.h"
 
 namespace lycheearch {
 
--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Base/Hash.h"
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 #include "State/Ledger.h"
 #include "Timeline/Timeline.h"
 #include "Tool/TimelineReport.h"
--- a/Source/Tool/ConfigClient.h
+++ b/Source/Tool/ConfigClient.h
@@ -3,7 +3,7 @@
 #include <functional>
 
 #include "Config/ConfigFold.h"
-#include "Platform/LogService.h"
+#include "OwnFormats/LogService.h"
 
 namespace lycheearch {
 
--- a/Source/Tool/main.cpp
+++ b/Source/Tool/main.cpp
@@ -3,7 +3,7 @@
 #include <CLI/CLI.hpp>
 
 #include "Base/Logger.h"
-#include "Platform/HttpLogService.h"
+#include "OwnFormats/HttpLogService.h"
 #include "Tool/Commands.h"
 
 using namespace lycheearch;
--- a/Tests/Daemon/testHostileInput.cpp
+++ b/Tests/Daemon/testHostileInput.cpp
@@ -6,7 +6,7 @@
 
 #include "Config/ConfigFold.h"
 #include "Config/YamlReader.h"
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 #include "Request/RequestContext.h"
 #include "State/BillRecord.h"
 #include "State/ClaimTable.h"
--- a/Tests/Mocks.h
+++ b/Tests/Mocks.h
@@ -2,8 +2,8 @@
 
 #include <trompeloeil.hpp>
 
+#include "OwnFormats/LogService.h"
 #include "Peer/PeerNetwork.h"
-#include "Platform/LogService.h"
 
 namespace lycheearch {
 
--- a/Tests/Platform/testSilentServer.cpp
+++ b/Tests/OwnFormats/testSilentServer.cpp
@@ -2,8 +2,8 @@
 
 #include <Poco/Net/ServerSocket.h>
 
-#include "Platform/BackendConnection.h"
-#include "Platform/HttpClient.h"
+#include "OwnFormats/BackendConnection.h"
+#include "OwnFormats/HttpClient.h"
 
 using namespace lycheearch;
 
--- a/Tests/Routing/testBackendPicker.cpp
+++ b/Tests/Routing/testBackendPicker.cpp
@@ -297,3 +297,36 @@
     cr_expect(pick(picker, request, view)->backend == InstanceId("far"));
     cr_expect_eq(picker.ownLoads(Start)[InstanceId("near")].unreachable, 1);
 }
+
+Test(backendPicker, a_data_centre_that_falls_silent_is_left_out_as_a_whole)
+{
+    FleetView view;
+    add(view, "near", Desk, Here);
+    for (const char *id : {"far1", "far2", "far3"}) {
+        add(view, id, Desk, There);
+    }
+    BackendPicker picker(InstanceId("self"), Here);
+    PickRequest request;
+    request.service = Desk;
+    for (const char *id : {"far1", "far2"}) {
+        pick(picker, request, view);
+        picker.onSent(InstanceId(id), request, Start);
+        picker.onEnded(InstanceId(id), SendOutcome::Silent, 0, 0, Start);
+    }
+    // Even a busy server at home goes before the third one there.
+    for (int i = 0; i < 20; ++i) {
+        const auto chosen = pick(picker, request, view);
+        cr_expect(chosen->backend == InstanceId("near"));
+        picker.onSent(chosen->backend, request, Start);
+    }
+    // With nothing but that data centre left, a request is refused at once, until the pause ends.
+    request.avoid = {InstanceId("near")};
+    PickFault fault = PickFault::None;
+    cr_expect_not(picker.pick(request, view, Start, fault).has_value());
+    cr_expect_eq(fault, PickFault::AllSilent);
+    cr_expect(pick(picker, request, view, Start + 5s).has_value());
+    request.avoid.clear();
+    // One answer from there brings all back.
+    picker.onAnswering(InstanceId("far3"), 0, 0, Start);
+    cr_expect(pick(picker, request, view)->backend == InstanceId("far3"));
+}
--- /dev/null
+++ b/Tests/Soak/testSoak.cpp
@@ -0,0 +1,22 @@
+#include <criterion/criterion.h>
+
+#include "Soak.h"
+
+using namespace lycheearch;
+using namespace lycheearch::soak;
+
+Test(soak, real_daemons_keep_their_promises_under_drawn_faults, .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 7;
+    options.length = 10s;
+    options.daemons = 3;
+    options.firstPort = 23000;
+    options.buildFolder = LYCHEEARCH_BUILD_DIR;
+    options.workFolder = options.buildFolder + "/test-soak";
+    Soak soak(options);
+    for (const std::string &finding : soak.run()) {
+        cr_expect(false, "%s", finding.c_str());
+    }
+    cr_expect(soak.requests() > 300, "%zu requests", soak.requests());
+}
--- /dev/null
+++ b/Utilities/Soak/CallerStandIn.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include "Base/Endpoint.h"
+#include "Ledger.h"
+#include "Net/HttpParser.h"
+#include "Net/StreamSocket.h"
+
+namespace lycheearch::soak {
+
+/// Plays one caller: sends requests to one daemon on a kept connection, one after the other, for
+/// as long as the daemon lets it, and checks each answer.
+class CallerStandIn : public StreamSocketListener, public HttpResponseSink
+{
+public:
+    CallerStandIn(EventLoop &loop, Endpoint daemon, std::string name, Ledger &ledger,
+                  std::mt19937_64 &random);
+    ~CallerStandIn() override;
+
+    void start();
+    void stop();
+
+private:
+    void onConnected(TimePoint) override { }
+    void onBytes(std::string_view bytes, TimePoint now) override;
+    void onEnd(TimePoint now) override;
+    void onError(std::error_code, TimePoint now) override { drop(now); }
+    void onResponseHead(HttpResponseHead head) override { m_head = std::move(head); }
+    void onResponseBody(std::string_view bytes) override { m_body.append(bytes); }
+
+    void next(Duration pause);
+    void sendRequest(TimePoint now);
+    void onAnswer(TimePoint now);
+    void checkBody();
+    void drop(TimePoint now);
+    void closeSocket();
+
+    EventLoop &m_loop;
+    Endpoint m_daemon;
+    std::string m_name;
+    Ledger &m_ledger;
+    std::mt19937_64 &m_random;
+    std::unique_ptr<StreamSocket> m_socket;
+    std::unique_ptr<HttpResponseParser> m_parser;
+    std::string m_input;
+    HttpResponseHead m_head;
+    std::string m_body;
+    std::string m_id;
+    Kind m_kind = Kind::Idempotent;
+    int m_number = 0;
+    bool m_waiting = false;
+    bool m_stopped = true;
+    TimerId m_timer;
+    TimerId m_patience;
+};
+
+} // namespace lycheearch::soak
--- /dev/null
+++ b/Utilities/Soak/Ledger.cpp
@@ -0,0 +1,91 @@
+#include "Ledger.h"
+
+#include <algorithm>
+
+namespace lycheearch::soak {
+
+namespace {
+
+/// How long after the caller left a request may still begin to run.
+constexpr Duration LeaveSlack = 700ms;
+
+bool saysNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+} // namespace
+
+void Ledger::onSent(const std::string &id, Kind kind, const std::string &account, TimePoint now)
+{
+    RequestFate fate;
+    fate.kind = kind;
+    fate.account = account;
+    fate.sentAt = now;
+    m_fates[id] = fate;
+}
+
+void Ledger::onRun(const std::string &id, const std::string &account, const std::string &server,
+                   TimePoint now)
+{
+    const auto found = m_fates.find(id);
+    if (found == m_fates.end()) {
+        report("a request that nobody sent runs: " + id);
+        return;
+    }
+    RequestFate &fate = found->second;
+    ++fate.runs;
+    if (fate.kind == Kind::Once && fate.runs > 1) {
+        report("a request that may run once ran again: " + id);
+    }
+    if (fate.refused && fate.kind == Kind::Once) {
+        report("a request runs that was refused as not run: " + id);
+    }
+    if (account != fate.account) {
+        report("a request runs for account '" + account + "': " + id);
+    }
+    if (fate.left && now - fate.leftAt > LeaveSlack && now > m_excusedUntil) {
+        report("a request runs whose caller left: " + id);
+    }
+    const auto forbidden = m_forbidden.find(server);
+    if (forbidden != m_forbidden.end() && now > forbidden->second && now > m_excusedUntil) {
+        report("a server that leaves got a request: " + server + " " + id);
+    }
+}
+
+void Ledger::onAnswer(const std::string &id, int status, TimePoint)
+{
+    RequestFate &fate = m_fates.at(id);
+    fate.answered = true;
+    fate.status = status;
+    if (saysNotRun(status)) {
+        fate.refused = true;
+        if (fate.kind == Kind::Once && fate.runs > 0) {
+            report("a request was refused as not run, and had run: " + id);
+        }
+    }
+}
+
+void Ledger::onLeft(const std::string &id, TimePoint now)
+{
+    RequestFate &fate = m_fates.at(id);
+    if (!fate.answered) {
+        fate.left = true;
+        fate.leftAt = now;
+    }
+}
+
+double Ledger::served(TimePoint from, TimePoint until) const
+{
+    int all = 0;
+    int good = 0;
+    for (const auto &[id, fate] : m_fates) {
+        if (fate.sentAt >= from && fate.sentAt < until && !fate.left) {
+            ++all;
+            good += fate.status == 200 ? 1 : 0;
+        }
+    }
+    return all == 0 ? 0 : static_cast<double>(good) / all;
+}
+
+} // namespace lycheearch::soak
--- /dev/null
+++ b/Utilities/Soak/RunnerStandIn.cpp
@@ -0,0 +1,148 @@
+#include "RunnerStandIn.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lycheearch::soak {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Misdirected = 421;
+constexpr Duration EventPause = 15ms;
+constexpr int LongestWorkMs = 30;
+
+std::string field(const HttpRequestHead &head, const char *name)
+{
+    const std::string *value = head.fields.find(name);
+    return value == nullptr ? "" : *value;
+}
+
+HttpFields answerFields(const std::string &id)
+{
+    HttpFields fields;
+    fields.add("Attempt-Id", id);
+    fields.add("Response-Seal", "seal-" + id);
+    return fields;
+}
+
+} // namespace
+
+std::string answerBody(const std::string &id)
+{
+    return "answer to " + id;
+}
+
+std::string streamEvent(const std::string &id, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+}
+
+RunnerStandIn::RunnerStandIn(EventLoop &loop, const Endpoint &listen, StoreStandIn &store,
+                             Ledger &ledger, std::mt19937_64 &random)
+    : m_loop(loop)
+    , m_address(listen)
+    , m_store(store)
+    , m_ledger(ledger)
+    , m_random(random)
+    , m_server(loop, listen,
+               [this](const Connection &connection, const HttpRequestHead &head,
+                      const std::string &) { onRequest(connection, head); })
+{
+    start();
+}
+
+void RunnerStandIn::start()
+{
+    m_server.open();
+    m_id = "i-" + std::to_string(m_address.port) + "-" + std::to_string(++m_start);
+    m_sequence = 0;
+    registerEntry("ready");
+}
+
+void RunnerStandIn::crash()
+{
+    m_server.closeAll();
+    m_store.put("keyed.servers", m_id, "");
+}
+
+void RunnerStandIn::drain(Duration bound)
+{
+    registerEntry("draining");
+    m_ledger.forbid(m_id, m_loop.now() + bound);
+}
+
+void RunnerStandIn::registerEntry(const char *state)
+{
+    const nlohmann::json entry = {{"Service", "s"}, {"Address", m_address.text()},
+                                  {"Zone", "here"}, {"Version", "v1"},
+                                  {"Slots", 16},    {"State", state},
+                                  {"ColdMs", 0},    {"Sequence", ++m_sequence},
+                                  {"born", m_start}};
+    m_store.put("keyed.servers", m_id, entry.dump());
+}
+
+void RunnerStandIn::onRequest(const Connection &connection, const HttpRequestHead &head)
+{
+    const std::string id = field(head, "Attempt-Id");
+    if (field(head, "Target-Instance") != m_id) {
+        connection->reply(Misdirected, {}, "");
+        return;
+    }
+    m_ledger.onRun(id, field(head, "Tenant"), m_id, m_loop.now());
+    if (head.fields.find("Api-Key") != nullptr) {
+        m_ledger.report("a key was passed on: " + id);
+    }
+    const std::string last = field(head, "Last-Event-Id");
+    if (head.target.starts_with("/stream/")) {
+        runStream(connection, id, last.empty() ? 1 : std::stoi(last) + 1);
+    } else {
+        runPlain(connection, id);
+    }
+}
+
+void RunnerStandIn::runPlain(const Connection &connection, const std::string &id)
+{
+    const bool broken = std::uniform_real_distribution<double>(0, 1)(m_random) < m_breakShare;
+    const auto work = std::chrono::milliseconds(m_random() % LongestWorkMs);
+    m_loop.at(m_loop.now() + work, [=](TimePoint) {
+        if (connection->closed()) {
+            return;
+        }
+        if (broken) {
+            connection->close();
+        } else {
+            connection->reply(Ok, answerFields(id), answerBody(id));
+        }
+    });
+}
+
+void RunnerStandIn::runStream(const Connection &connection, const std::string &id, int from)
+{
+    HttpFields fields = answerFields(id);
+    fields.add("Transfer-Encoding", "chunked");
+    connection->send(serializeResponseHead(Ok, "OK", fields));
+    for (int number = from; number <= StreamEvents; ++number) {
+        m_loop.at(m_loop.now() + EventPause * (number - from + 1), [=, this](TimePoint) {
+            if (connection->closed()) {
+                return;
+            }
+            const std::string event = streamEvent(id, number);
+            if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_breakShare / 4) {
+                connection->send(serializeChunk(event.substr(0, event.size() / 2)));
+                connection->close();
+                return;
+            }
+            connection->send(serializeChunk(event));
+            if (number == StreamEvents) {
+                connection->send(LastChunk);
+                connection->finish();
+            }
+        });
+    }
+    if (from > StreamEvents) {
+        connection->send(LastChunk);
+        connection->finish();
+    }
+}
+
+} // namespace lycheearch::soak
--- /dev/null
+++ b/Utilities/Soak/Soak.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "CallerStandIn.h"
+#include "ChildProcess.h"
+#include "FaultProxy.h"
+#include "Ledger.h"
+#include "RunnerStandIn.h"
+#include "StoreStandIn.h"
+
+namespace lycheearch::soak {
+
+/// What a soak is made of.
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    Duration length = 15s; ///< With faults; a calm part follows.
+    int daemons = 4;
+    int runners = 4;
+    int callersPerDaemon = 3;
+    std::uint16_t firstPort = 24000;
+    std::string buildFolder;
+    std::string workFolder;
+};
+
+/// Runs real daemons as separate processes against stand-ins of store, backend servers and
+/// callers, injects faults by a plan that the seed draws, and checks the promises.
+class Soak
+{
+public:
+    explicit Soak(SoakOptions options);
+
+    /// Returns the broken promises; none if all were kept.
+    std::vector<std::string> run();
+    std::size_t requests() const { return m_ledger.fates().size(); }
+    double servedCalm() const { return m_servedCalm; }
+
+private:
+    /// A daemon with the proxy through which it reaches the store.
+    struct Daemon
+    {
+        std::string settings;
+        std::string output;
+        std::unique_ptr<trial::FaultProxy> storeLink;
+        std::unique_ptr<trial::ChildProcess> process;
+        bool stopped = false; ///< By SIGSTOP.
+    };
+
+    void publish();
+    void writeSettings(int number);
+    void startDaemon(Daemon &daemon);
+    void planFaults(TimePoint from);
+    void injectOne(TimePoint now);
+    void faultDaemon(TimePoint now);
+    void faultStore(TimePoint now);
+    void faultRunner(TimePoint now);
+    void later(Duration delay, std::function<void()> action);
+    void heal();
+    void note(const std::string &what);
+
+    SoakOptions m_options;
+    std::mt19937_64 m_random;
+    SystemClock m_clock;
+    EventLoop m_loop;
+    Ledger m_ledger;
+    std::unique_ptr<StoreStandIn> m_store;
+    std::vector<std::unique_ptr<RunnerStandIn>> m_runners;
+    std::vector<std::unique_ptr<CallerStandIn>> m_callers;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    TimePoint m_start;
+    int m_version = 0;
+    double m_servedCalm = 0;
+};
+
+} // namespace lycheearch::soak
--- /dev/null
+++ b/Utilities/Soak/StoreStandIn.cpp
@@ -0,0 +1,174 @@
+#include "StoreStandIn.h"
+
+#include <sstream>
+
+#include <Poco/Base64Encoder.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheearch::soak {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Gone = 410;
+constexpr int PreconditionFailed = 412;
+constexpr int Unavailable = 503;
+constexpr Duration PollPeriod = 20ms;
+constexpr std::size_t LengthBytes = 4;
+
+std::string query(const std::string &target, const std::string &name)
+{
+    const std::string marked = name + "=";
+    for (std::size_t at = target.find(marked); at != std::string::npos;
+         at = target.find(marked, at + 1)) {
+        const char before = target[at - 1];
+        if (before == '?' || before == '&') {
+            const std::size_t start = at + marked.size();
+            return target.substr(start, target.find('&', start) - start);
+        }
+    }
+    return {};
+}
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    constexpr int BitsPerByte = 8;
+    std::string text;
+    for (int i = bytes - 1; i >= 0; --i) {
+        text.push_back(static_cast<char>((value >> (BitsPerByte * i)) & 0xFF));
+    }
+    return text;
+}
+
+std::string encodeBase64(const std::string &text)
+{
+    std::ostringstream output;
+    Poco::Base64Encoder encoder(output, Poco::BASE64_URL_ENCODING);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    std::string encoded = output.str();
+    for (char &c : encoded) {
+        c = c == '-' ? '+' : (c == '_' ? '/' : c);
+    }
+    return encoded;
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(EventLoop &loop, const Endpoint &listen)
+    : m_loop(loop)
+    , m_server(loop, listen,
+               [this](const Connection &connection, const HttpRequestHead &head,
+                      const std::string &body) { onRequest(connection, head, body); })
+{
+}
+
+void StoreStandIn::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    add(m_streams[topic], {key, value});
+}
+
+void StoreStandIn::add(Stream &stream, Record record)
+{
+    stream.newest[record.key] = stream.end();
+    stream.values[record.key] = record.value;
+    stream.records.push_back(std::move(record));
+}
+
+void StoreStandIn::compact()
+{
+    for (auto &[topic, stream] : m_streams) {
+        stream.first = stream.end();
+        stream.records.clear();
+    }
+}
+
+void StoreStandIn::onRequest(const Connection &connection, const HttpRequestHead &head,
+                             const std::string &body)
+{
+    ++m_calls;
+    const std::string &target = head.target;
+    const std::string topic = query(target, "Topic");
+    if (m_mood == StoreMood::Silent) {
+        return;
+    }
+    if (m_mood == StoreMood::Refusing) {
+        connection->reply(Unavailable, {}, "");
+    } else if (target.starts_with("/-/log-read")) {
+        const std::string wait = query(target, "WaitMs");
+        read(connection, topic, std::stoll(query(target, "From")),
+             wait.empty() ? Duration::zero()
+                          : Duration(std::chrono::milliseconds(std::stoll(wait))));
+    } else if (target.starts_with("/-/log-newest")) {
+        list(connection, topic);
+    } else {
+        append(connection, topic, target, body);
+    }
+}
+
+void StoreStandIn::read(const Connection &connection, const std::string &topic, std::int64_t from,
+                        Duration wait)
+{
+    if (connection->closed()) {
+        return;
+    }
+    Stream &stream = m_streams[topic];
+    if (from < stream.first) {
+        connection->reply(Gone, {}, nlohmann::json({{"First", stream.first}}).dump());
+    } else if (from < stream.end() || wait <= Duration::zero()) {
+        replyRaw(connection, stream, from);
+    } else {
+        m_loop.at(m_loop.now() + PollPeriod,
+                  [=, this](TimePoint) { read(connection, topic, from, wait - PollPeriod); });
+    }
+}
+
+void StoreStandIn::replyRaw(const Connection &connection, const Stream &stream, std::int64_t from)
+{
+    constexpr int OffsetBytes = 8;
+    std::string body = bigEndian(static_cast<std::uint64_t>(stream.end()), OffsetBytes)
+        + bigEndian(static_cast<std::uint64_t>(stream.first), OffsetBytes);
+    for (std::int64_t i = from; i < stream.end(); ++i) {
+        const Record &record = stream.records[static_cast<std::size_t>(i - stream.first)];
+        const std::string content =
+            static_cast<char>(record.key.size()) + record.key + record.value;
+        body += bigEndian(content.size(), LengthBytes) + content;
+    }
+    connection->reply(Ok, {}, body);
+}
+
+void StoreStandIn::list(const Connection &connection, const std::string &topic)
+{
+    const Stream &stream = m_streams[topic];
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto &[key, value] : stream.values) {
+        if (!value.empty()) {
+            items.push_back(
+                {{"Key", key}, {"Value", encodeBase64(value)}, {"Offset", stream.newest.at(key)}});
+        }
+    }
+    const nlohmann::json answer = {{"Items", items}, {"HasMore", false}, {"End", stream.end()}};
+    connection->reply(Ok, {}, answer.dump());
+}
+
+void StoreStandIn::append(const Connection &connection, const std::string &topic,
+                          const std::string &target, const std::string &body)
+{
+    Stream &stream = m_streams[topic];
+    const std::string at = query(target, "At");
+    if (!at.empty() && std::stoll(at) != stream.end()) {
+        connection->reply(PreconditionFailed, {}, nlohmann::json({{"End", stream.end()}}).dump());
+        return;
+    }
+    const auto keyLength = static_cast<unsigned char>(body.at(LengthBytes));
+    const std::int64_t offset = stream.end();
+    add(stream,
+        {body.substr(LengthBytes + 1, keyLength), body.substr(LengthBytes + 1 + keyLength)});
+    if (m_mood == StoreMood::Forgetful) {
+        return;
+    }
+    connection->reply(Ok, {}, nlohmann::json({{"Offset", offset}, {"End", stream.end()}}).dump());
+}
+
+} // namespace lycheearch::soak
--- /dev/null
+++ b/Utilities/Soak/main.cpp
@@ -0,0 +1,48 @@
+#include <csignal>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "ChildProcess.h"
+#include "Soak.h"
+
+using namespace lycheearch;
+
+int main(int argc, char **argv)
+{
+    soak::SoakOptions options;
+    std::uint64_t firstSeed = 1;
+    int seeds = 1;
+    int seconds = 15;
+    CLI::App app("Runs real daemons under random faults and checks the promises of the pages.");
+    app.add_option("--build", options.buildFolder, "Build folder")->required();
+    app.add_option("--work", options.workFolder, "Folder for settings and logs")->required();
+    app.add_option("--seed", firstSeed, "First seed");
+    app.add_option("--seeds", seeds, "Number of seeds, one after the other");
+    app.add_option("--seconds", seconds, "Length of the part with faults");
+    app.add_option("--daemons", options.daemons, "Daemons")->check(CLI::Range(1, 60));
+    app.add_option("--runners", options.runners, "Backend servers")->check(CLI::Range(1, 60));
+    app.add_option("--port", options.firstPort, "First of the loopback ports that are used");
+    app.footer("Exit codes: 0 all promises were kept, 1 one was broken.");
+    CLI11_PARSE(app, argc, argv);
+    trial::ChildProcess::killAllOnSignal();
+    std::signal(SIGPIPE, SIG_IGN);
+    options.length = std::chrono::seconds(seconds);
+    const std::string work = options.workFolder;
+    int broken = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + static_cast<std::uint64_t>(seeds);
+         ++seed) {
+        options.seed = seed;
+        options.workFolder = work + "/seed-" + std::to_string(seed);
+        soak::Soak run(options);
+        const auto findings = run.run();
+        std::cout << "seed " << seed << ": " << run.requests() << " requests, " << run.servedCalm()
+                  << " served after the faults, " << findings.size() << " promises broken\n";
+        for (std::size_t i = 0; i < findings.size() && i < 5; ++i) {
+            std::cout << "  " << findings[i] << "\n";
+        }
+        broken += findings.empty() ? 0 : 1;
+    }
+    std::cout << seeds - broken << " passed, " << broken << " failed\n";
+    return broken == 0 ? 0 : 1;
+}
--- a/Utilities/Trial/Caller.cpp
+++ b/Utilities/Trial/Caller.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Base/Hash.h"
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 
 namespace lycheearch::trial {
 
--- a/Utilities/Trial/Fleet.cpp
+++ b/Utilities/Trial/Fleet.cpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <thread>
 
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 
 namespace lycheearch::trial {
 
--- a/Utilities/Trial/Overhead.cpp
+++ b/Utilities/Trial/Overhead.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/HTTPResponse.h>
 
 #include "Base/Hash.h"
-#include "Platform/HttpClient.h"
+#include "OwnFormats/HttpClient.h"
 
 namespace lycheearch::trial {
 
--- a/Utilities/Trial/Trial.cpp
+++ b/Utilities/Trial/Trial.cpp
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <stdexcept>
 
-#include "Platform/HttpLogService.h"
+#include "OwnFormats/HttpLogService.h"
 
 namespace lycheearch::trial {
 
