--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -54,14 +54,9 @@
         reader.real({"retry_slack", "Repeated sends beyond that, over all daemons"}, count, 0);
     bounds.exposeShare =
         reader.real({"expose_share", "Most of the traffic for an unproved version"}, ratio, 0.1);
-    bounds.exposeSlack = reader.real({"expose_slack", "Requests beyond that share"}, count, 0);
-    bounds.rollback =
-        bound(reader, {"rollback_ms", "Time in which a bad version stops getting work"}, 5000);
     bounds.coldOvershoot =
         reader.real({"cold_overshoot", "Factor on what a cold backend server bears"}, ratio, 1);
     bounds.coldSlack = reader.real({"cold_slack", "Requests a second beyond that"}, count, 0);
-    bounds.sessionGap =
-        secondsBound(reader, {"session_gap_s", "Longest pause within a session"}, 5);
     return bounds;
 }
 
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -19,11 +19,8 @@
     double retryRatio = 0; ///< Repeated sends for each request in the window.
     double retrySlack = 0; ///< Repeated sends beyond the ratio.
     double exposeShare = 0; ///< Most of the traffic that a bad version may get.
-    double exposeSlack = 0; ///< Requests beyond that share.
-    Duration rollback{}; ///< From the proof that a version is bad until it gets no work.
-    double coldOvershoot = 1;
-    double coldSlack = 0;
-    Duration sessionGap{}; ///< Requests of a session that follow within this belong together.
+    double coldOvershoot = 1; ///< Factor on what a cold backend server bears.
+    double coldSlack = 0; ///< Requests a second beyond what a cold server bears.
 };
 
 /// Settings of a daemon that keeps its state in a log store.
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -29,6 +29,24 @@
 /// Daemons that may have joined unknown to this one, as a part of the known ones.
 constexpr double UnknownDaemons = 0.25;
 
+/// Part of the memory that request bodies may take.
+std::size_t bodyBytes(std::int64_t memoryMegabytes)
+{
+    constexpr std::size_t bytesEach = 1024UL * 1024;
+    constexpr std::size_t part = 3;
+    return static_cast<std::size_t>(memoryMegabytes) * bytesEach / part;
+}
+
+/// How often the store is asked, well within the bounds.
+FollowerTiming storeTiming(const RouterBounds &bounds)
+{
+    constexpr int readsInBound = 4;
+    FollowerTiming timing = StoreTiming;
+    timing.backendsPeriod = std::min(timing.backendsPeriod, bounds.drain / readsInBound);
+    timing.operatorWait = std::min(timing.operatorWait, bounds.configApply);
+    return timing;
+}
+
 RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
 {
     return {bounds.retryRatio, bounds.retryWindow,
@@ -45,12 +63,13 @@
     , m_log(m_settings.instance.value(), STDOUT_FILENO, m_settings.routineLogLines, m_clock)
     , m_store(makeStore(m_loop, m_settings))
     , m_codec(codec)
-    , m_follower(m_loop, *m_store, codec, m_view, *this, StoreTiming)
+    , m_follower(m_loop, *m_store, codec, m_view, *this, storeTiming(m_settings.bounds))
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_links(m_loop, LinkLimits)
     , m_retries(retryBounds(m_settings.bounds, LeastDaemons))
-    , m_context{m_loop,     m_view,   m_picker, m_links, dialect,  m_retries,
-                m_rollouts, m_models, m_stop,   m_log,   m_metrics}
+    , m_bodies(bodyBytes(m_settings.memoryMegabytes))
+    , m_context{m_loop,   m_view, m_picker,          m_links,  dialect, m_retries, m_rollouts,
+                m_models, m_stop, m_settings.bounds, m_bodies, m_log,   m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutDuty(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -80,6 +80,7 @@
     RolloutCounts m_rollouts;
     ModelCascade m_models;
     StopPolicy m_stop;
+    BodyBudget m_bodies;
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutDuty m_rolloutDuty;
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -8,6 +8,7 @@
 constexpr int RequestTimeout = 408;
 constexpr int PayloadTooLarge = 413;
 constexpr int HeadTooLarge = 431;
+constexpr int ServiceUnavailable = 503;
 
 /// Bytes of a following request that are kept while one is being served.
 constexpr std::size_t MostPipelinedBytes = 64UL * 1024;
@@ -30,6 +31,7 @@
 
 CallerConnection::~CallerConnection()
 {
+    giveBackBody();
     m_context.loop.cancel(m_timer);
 }
 
@@ -46,6 +48,7 @@
     m_parser =
         std::make_unique<HttpRequestParser>(HttpLimits{bounds.headBytes, bounds.bodyBytes}, *this);
     m_body.clear();
+    giveBackBody();
     arm(bounds.idleTimeout, now);
 }
 
@@ -107,7 +110,9 @@
         refuse(BadRequest, "malformed request", now);
         return;
     }
-    if (m_parser->complete()) {
+    if (m_bodyRefused) {
+        refuse(ServiceUnavailable, "no memory for the request body", now);
+    } else if (m_parser->complete()) {
         serve(now);
     } else if (m_parser->headComplete()) {
         if (!headWasComplete && m_head.fields.hasToken("Expect", "100-continue")) {
@@ -124,9 +129,20 @@
 
 void CallerConnection::onRequestBody(std::string_view bytes)
 {
+    if (m_bodyRefused || !m_context.bodies.take(bytes.size())) {
+        m_bodyRefused = true;
+        return;
+    }
+    m_heldBytes += bytes.size();
     m_body.append(bytes);
 }
 
+void CallerConnection::giveBackBody()
+{
+    m_context.bodies.giveBack(m_heldBytes);
+    m_heldBytes = 0;
+}
+
 void CallerConnection::serve(TimePoint now)
 {
     m_state = State::Serving;
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -63,6 +63,7 @@
     void arm(Duration limit, TimePoint now);
     void onTimer(TimePoint now);
     CallerLimits limits() const;
+    void giveBackBody();
 
     ForwardContext &m_context;
     EndedCallback m_ended;
@@ -72,6 +73,8 @@
     std::unique_ptr<HttpRequestParser> m_parser;
     HttpRequestHead m_head;
     std::string m_body;
+    std::size_t m_heldBytes = 0; ///< Taken of the budget for bodies.
+    bool m_bodyRefused = false;
     std::unique_ptr<Exchange> m_exchange;
     TimerId m_timer;
     TimePoint m_now;
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Base/Hash.h"
+#include "Forward/SendNames.h"
 
 namespace lycheearch {
 
@@ -53,66 +54,6 @@
     return std::to_string(ms / perSecond) + "." + fraction;
 }
 
-const char *outcomeName(SendOutcome outcome)
-{
-    switch (outcome) {
-    case SendOutcome::Served:
-        return "served";
-    case SendOutcome::ServerFailed:
-        return "server_failed";
-    case SendOutcome::Broken:
-        return "broken";
-    case SendOutcome::Reset:
-        return "reset";
-    case SendOutcome::Unreachable:
-        return "unreachable";
-    case SendOutcome::Silent:
-        return "silent";
-    case SendOutcome::Overloaded:
-        return "overloaded";
-    case SendOutcome::Misdirected:
-        return "misdirected";
-    case SendOutcome::Cancelled:
-        break;
-    }
-    return "cancelled";
-}
-
-/// What the end of a send tells about the version of the backend server.
-std::optional<bool> versionVerdict(SendOutcome outcome)
-{
-    switch (outcome) {
-    case SendOutcome::Served:
-        return true;
-    case SendOutcome::ServerFailed:
-    case SendOutcome::Broken:
-    case SendOutcome::Reset:
-        return false;
-    case SendOutcome::Unreachable:
-    case SendOutcome::Silent:
-    case SendOutcome::Overloaded:
-    case SendOutcome::Misdirected:
-    case SendOutcome::Cancelled:
-        break;
-    }
-    return std::nullopt;
-}
-
-const char *pickFaultName(PickFault fault)
-{
-    switch (fault) {
-    case PickFault::NoBackend:
-        return "no backend server";
-    case PickFault::AllCold:
-        return "all backend servers are cold";
-    case PickFault::AllSilent:
-        return "no data centre with backend servers answers";
-    case PickFault::None:
-        break;
-    }
-    return "none";
-}
-
 } // namespace
 
 Exchange::Exchange(ForwardContext &context, AnswerSink &sink, RoutedRequest request,
@@ -188,15 +129,6 @@
     return true;
 }
 
-void Exchange::setModel(std::string model)
-{
-    m_model = std::move(model);
-    if (m_sharedTokens > 0) {
-        const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
-        m_affinity = stableHash(shared.id + "/" + m_model) | 1;
-    }
-}
-
 bool Exchange::authenticate(TimePoint now)
 {
     if (m_route->isPublic || !m_table->needsKeys()) {
@@ -223,7 +155,8 @@
     pick.tokenWeight = tokenWeight();
     pick.urgency = urgency();
     pick.engine = m_engine;
-    pick.versions = rolloutRule(m_service, m_sessionHash, m_context.view);
+    pick.versions =
+        rolloutRule(m_service, m_sessionHash, m_context.view, m_context.bounds.exposeShare);
     pick.avoid = m_tried;
     pick.avoid.insert(m_unreachable.begin(), m_unreachable.end());
     return pick;
@@ -235,27 +168,6 @@
                               : m_attempt.tokenWeight * static_cast<double>(m_request.promptTokens);
 }
 
-int Exchange::urgency() const
-{
-    return std::clamp(m_route->priority, 0, UrgencyClasses - 1);
-}
-
-double Exchange::tokenWeight() const
-{
-    const ServiceProfile *profile = m_table->service(m_service);
-    if (profile == nullptr || !profile->engine || m_model.empty()) {
-        return 1;
-    }
-    // A model's price follows the work that it makes.
-    double price = 0;
-    double highest = 0;
-    for (const ModelPrice &model : profile->engine->models) {
-        highest = std::max(highest, model.cost);
-        price = model.model == m_model ? model.cost : price;
-    }
-    return price > 0 ? price / highest : 1;
-}
-
 void Exchange::dispatch(TimePoint now)
 {
     while (!m_finished) {
@@ -392,58 +304,6 @@
     return Verdict::Accept;
 }
 
-double Exchange::expectedEvents() const
-{
-    const ServiceProfile *profile = m_table->service(m_service);
-    if (!m_request.expectedTokens || profile == nullptr || !profile->engine) {
-        return 0;
-    }
-    return static_cast<double>(*m_request.expectedTokens)
-        / std::max(1, profile->engine->tokensPerEvent);
-}
-
-bool Exchange::escalate(TimePoint now)
-{
-    if (m_sends >= m_route->maxAttempts || !m_route->repeatable()) {
-        return false;
-    }
-    const auto larger = m_context.models.next(*m_route, m_model);
-    if (!larger || !m_attempt.facts.confidence) {
-        return false;
-    }
-    const std::string smaller = m_model;
-    setModel(*larger);
-    PickFault fault = PickFault::None;
-    const auto pick = m_context.picker.pick(pickRequest(), m_context.view, now, fault);
-    const bool better = pick
-        && m_context.models.escalate(*m_route, *larger,
-                                     {*m_attempt.facts.confidence, pick->workTokens,
-                                      expectedEvents(), now - m_receivedAt, m_deadline - now});
-    if (!better || !m_context.retries.withdraw(m_service, now)) {
-        setModel(smaller);
-        return false;
-    }
-    m_context.log.write(LogWeight::Routine,
-                        LogLine("model.escalate")
-                            .add("id", m_request.id.value())
-                            .add("from", smaller)
-                            .add("to", *larger)
-                            .add("confidence", *m_attempt.facts.confidence)
-                            .add("work", static_cast<std::int64_t>(pick->workTokens)),
-                        now);
-    m_mayHaveRun = true;
-    // The link must not be ended while it reports the head of the answer.
-    m_context.loop.defer([this] {
-        if (m_inAttempt && m_attempt.dropped && !m_finished) {
-            const TimePoint present = m_context.loop.now();
-            releaseAttempt(SendOutcome::Cancelled, false, present);
-            m_tried.clear();
-            dispatch(present);
-        }
-    });
-    return true;
-}
-
 void Exchange::onAnswerBody(std::string_view bytes, TimePoint now)
 {
     m_attempt.lastByteAt = now;
--- /dev/null
+++ b/Source/Forward/ExchangeModel.cpp
@@ -0,0 +1,93 @@
+#include <algorithm>
+
+#include "Base/Hash.h"
+#include "Forward/Exchange.h"
+
+// The part of an exchange that has to do with models: which one, what its work is, and whether its
+// answer is dropped for a larger one's.
+
+namespace lycheearch {
+
+void Exchange::setModel(std::string model)
+{
+    m_model = std::move(model);
+    if (m_sharedTokens > 0) {
+        const PromptPart &shared = m_request.prompt[m_request.prompt.size() - 2];
+        m_affinity = stableHash(shared.id + "/" + m_model) | 1;
+    }
+}
+
+int Exchange::urgency() const
+{
+    return std::clamp(m_route->priority, 0, UrgencyClasses - 1);
+}
+
+double Exchange::tokenWeight() const
+{
+    const ServiceProfile *profile = m_table->service(m_service);
+    if (profile == nullptr || !profile->engine || m_model.empty()) {
+        return 1;
+    }
+    // A model's price follows the work that it makes.
+    double price = 0;
+    double highest = 0;
+    for (const ModelPrice &model : profile->engine->models) {
+        highest = std::max(highest, model.cost);
+        price = model.model == m_model ? model.cost : price;
+    }
+    return price > 0 ? price / highest : 1;
+}
+
+double Exchange::expectedEvents() const
+{
+    const ServiceProfile *profile = m_table->service(m_service);
+    if (!m_request.expectedTokens || profile == nullptr || !profile->engine) {
+        return 0;
+    }
+    return static_cast<double>(*m_request.expectedTokens)
+        / std::max(1, profile->engine->tokensPerEvent);
+}
+
+bool Exchange::escalate(TimePoint now)
+{
+    if (m_sends >= m_route->maxAttempts || !m_route->repeatable()) {
+        return false;
+    }
+    const auto larger = m_context.models.next(*m_route, m_model);
+    if (!larger || !m_attempt.facts.confidence) {
+        return false;
+    }
+    const std::string smaller = m_model;
+    setModel(*larger);
+    PickFault fault = PickFault::None;
+    const auto pick = m_context.picker.pick(pickRequest(), m_context.view, now, fault);
+    const bool better = pick
+        && m_context.models.escalate(*m_route, *larger,
+                                     {*m_attempt.facts.confidence, pick->workTokens,
+                                      expectedEvents(), now - m_receivedAt, m_deadline - now});
+    if (!better || !m_context.retries.withdraw(m_service, now)) {
+        setModel(smaller);
+        return false;
+    }
+    m_context.log.write(LogWeight::Routine,
+                        LogLine("model.escalate")
+                            .add("id", m_request.id.value())
+                            .add("from", smaller)
+                            .add("to", *larger)
+                            .add("confidence", *m_attempt.facts.confidence)
+                            .add("work", static_cast<std::int64_t>(pick->workTokens)),
+                        now);
+    m_mayHaveRun = true;
+    // The link must not be ended while it reports the head of the answer.
+    m_context.loop.defer([this] {
+        if (m_inAttempt && m_attempt.dropped && !m_finished) {
+            const TimePoint present = m_context.loop.now();
+            releaseAttempt(SendOutcome::Cancelled, false, present);
+            m_tried.clear();
+            dispatch(present);
+        }
+    });
+    return true;
+}
+
+} // namespace lycheearch
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Base/Metrics.h"
+#include "Config/RouterSettings.h"
 #include "Fleet/FleetView.h"
 #include "Forward/BackendLinkPool.h"
+#include "Forward/BodyBudget.h"
 #include "Forward/RequestDialect.h"
 #include "Log/DecisionLog.h"
 #include "Net/EventLoop.h"
@@ -26,6 +28,8 @@
     RolloutCounts &rollouts;
     ModelCascade &models;
     const StopPolicy &stop;
+    const RouterBounds &bounds;
+    BodyBudget &bodies;
     DecisionLog &log;
     Metrics &metrics;
 };
--- /dev/null
+++ b/Source/Forward/SendNames.cpp
@@ -0,0 +1,64 @@
+#include "Forward/SendNames.h"
+
+namespace lycheearch {
+
+const char *outcomeName(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Served:
+        return "served";
+    case SendOutcome::ServerFailed:
+        return "server_failed";
+    case SendOutcome::Broken:
+        return "broken";
+    case SendOutcome::Reset:
+        return "reset";
+    case SendOutcome::Unreachable:
+        return "unreachable";
+    case SendOutcome::Silent:
+        return "silent";
+    case SendOutcome::Overloaded:
+        return "overloaded";
+    case SendOutcome::Misdirected:
+        return "misdirected";
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+std::optional<bool> versionVerdict(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Served:
+        return true;
+    case SendOutcome::ServerFailed:
+    case SendOutcome::Broken:
+    case SendOutcome::Reset:
+        return false;
+    case SendOutcome::Unreachable:
+    case SendOutcome::Silent:
+    case SendOutcome::Overloaded:
+    case SendOutcome::Misdirected:
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return std::nullopt;
+}
+
+const char *pickFaultName(PickFault fault)
+{
+    switch (fault) {
+    case PickFault::NoBackend:
+        return "no backend server";
+    case PickFault::AllCold:
+        return "all backend servers are cold";
+    case PickFault::AllSilent:
+        return "no data centre with backend servers answers";
+    case PickFault::None:
+        break;
+    }
+    return "none";
+}
+
+} // namespace lycheearch
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -177,12 +177,12 @@
 
 const BackendLoadShare *BackendPicker::othersLoad(const InstanceId &id, TimePoint now) const
 {
-    static constexpr BackendLoadShare Nothing;
+    static constexpr BackendLoadShare nothing;
     if (m_othersAt == TimePoint() || now - m_othersAt > OthersLifetime) {
         return nullptr;
     }
     const auto found = m_others.find(id);
-    return found == m_others.end() ? &Nothing : &found->second;
+    return found == m_others.end() ? &nothing : &found->second;
 }
 
 double BackendPicker::backlogTokens(const Candidate &candidate, const PickRequest &request,
--- a/Source/Routing/RolloutRule.cpp
+++ b/Source/Routing/RolloutRule.cpp
@@ -4,7 +4,17 @@
 
 namespace lycheearch {
 
-VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view)
+double rolloutShare(int stage, double exposeShare)
+{
+    static constexpr double shares[] = {0.0, 0.05, 0.25, 0.5, 1.0};
+    constexpr int firstPart = 3;
+    const int index = std::clamp(stage, 0, LastRolloutStage);
+    return index == FirstRolloutStage ? std::min(shares[index], exposeShare / firstPart)
+                                      : shares[index];
+}
+
+VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view,
+                        double exposeShare)
 {
     const auto order = view.rollouts().find(service);
     if (order == view.rollouts().end()) {
@@ -33,8 +43,7 @@
     // The low bits choose among services; these are independent of them.
     constexpr unsigned independentBits = 32;
     const double point = static_cast<double>((hash >> independentBits) % steps) / steps;
-    const int index = std::clamp(stage->second.stage, 0, LastRolloutStage);
-    return point < RolloutShares[index] ? onlyTarget : withoutTarget;
+    return point < rolloutShare(stage->second.stage, exposeShare) ? onlyTarget : withoutTarget;
 }
 
 } // namespace lycheearch
--- a/Source/Routing/RolloutRule.h
+++ b/Source/Routing/RolloutRule.h
@@ -20,14 +20,16 @@
     }
 };
 
-/// Shares of the traffic that a rollout's target gets, stage by stage.
-constexpr double RolloutShares[] = {0.0, 0.05, 0.25, 0.5, 1.0};
+/// Share of the traffic that a rollout's target gets in a stage. \p exposeShare is the most that an
+/// unproved version may get; the first stage keeps to a third of it.
+double rolloutShare(int stage, double exposeShare);
 constexpr int FirstRolloutStage = 1;
 constexpr int LastRolloutStage = 4;
 
 /// The versions that may serve a request while a rollout is ordered. \p hash is the same for all
 /// requests of a session, so that a session keeps its version but for the step forward that its
 /// share takes.
-VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view);
+VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view,
+                        double exposeShare);
 
 } // namespace lycheearch
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -125,7 +125,8 @@
         , links(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , retries({0.9, 10s, 10})
         , log("test", STDERR_FILENO, 0, clock)
-        , context{loop, view, picker, links, headers, retries, rollouts, models, stop, log, metrics}
+        , context{loop,   view, picker, links,  headers, retries, rollouts,
+                  models, stop, bounds, bodies, log,     metrics}
     {
     }
 
@@ -259,6 +260,8 @@
     RolloutCounts rollouts;
     ModelCascade models;
     StopPolicy stop;
+    RouterBounds bounds;
+    BodyBudget bodies{1024UL * 1024};
     DecisionLog log;
     Metrics metrics;
     ForwardContext context;
--- a/Tests/Forward/testExchange.cpp
+++ b/Tests/Forward/testExchange.cpp
@@ -374,3 +374,16 @@
     cr_expect_eq(statusOf(answer), 503);
     cr_expect(contains(answer, "Retry-After"));
 }
+
+Test(exchange, bodies_beyond_the_memory_are_refused_and_their_room_comes_back, .timeout = 20)
+{
+    ForwardHarness harness;
+    harness.publish(route(RouteKind::Idempotent));
+    harness.addBackend(serve);
+    const std::string large(2'000'000, 'x');
+    const std::string answer = harness.call(ForwardHarness::request("POST", "", large));
+    cr_expect_eq(statusOf(answer), 503);
+    harness.settle();
+    cr_expect_eq(harness.bodies.held(), 0);
+    cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST", "", "small"))), 200);
+}
--- a/Tests/Routing/testRolloutDirector.cpp
+++ b/Tests/Routing/testRolloutDirector.cpp
@@ -13,6 +13,7 @@
 const ServiceId Service("s");
 const VersionId Old("v1");
 const VersionId New("v2");
+constexpr double ExposeShare = 0.15;
 const RolloutOrdered Order{Service, New, 24s};
 
 RolloutTotals totals(std::int64_t good, std::int64_t bad, std::int64_t otherGood,
@@ -49,10 +50,11 @@
             if (stage) {
                 view.apply({Offset(1), *stage}, now);
             }
-            const VersionRule rule = rolloutRule(Service, random() << 32 | random(), view);
+            const VersionRule rule =
+                rolloutRule(Service, random() << 32 | random(), view, ExposeShare);
             ++requests;
             const double part = std::chrono::duration<double>(now - Start).count() / 24;
-            const double share = stage ? RolloutShares[stage->stage] : 0;
+            const double share = stage ? rolloutShare(stage->stage, ExposeShare) : 0;
             if (rule.allows(New)) {
                 ++exposed;
                 const bool bad = unit(random) < failureRate(part, share);
@@ -203,7 +205,7 @@
         view.apply({Offset(1), RolloutStage{Service, New, stage, false, false}}, Start);
         for (std::size_t i = 0; i < moved.size(); ++i) {
             const std::uint64_t hash = (i * 0x9e3779b97f4a7c15ULL);
-            const bool now = rolloutRule(Service, hash, view).allows(New);
+            const bool now = rolloutRule(Service, hash, view, ExposeShare).allows(New);
             cr_expect(now || !moved[i]);
             moved[i] = now;
         }
@@ -215,8 +217,15 @@
 {
     FleetView view;
     view.apply({Offset(0), Order}, Start);
-    cr_expect_not(rolloutRule(Service, 0, view).allows(New));
+    cr_expect_not(rolloutRule(Service, 0, view, ExposeShare).allows(New));
     view.apply({Offset(0), RolloutReported{Service, New, RolloutState::Complete}}, Start);
-    cr_expect(rolloutRule(Service, ~0ULL, view).allows(New));
-    cr_expect_not(rolloutRule(Service, ~0ULL, view).allows(Old));
+    cr_expect(rolloutRule(Service, ~0ULL, view, ExposeShare).allows(New));
+    cr_expect_not(rolloutRule(Service, ~0ULL, view, ExposeShare).allows(Old));
+}
+
+Test(rolloutRule, the_first_stage_keeps_to_a_narrow_bound)
+{
+    cr_expect_float_eq(rolloutShare(FirstRolloutStage, 0.15), 0.05, 1e-9);
+    cr_expect_float_eq(rolloutShare(FirstRolloutStage, 0.03), 0.01, 1e-9);
+    cr_expect_float_eq(rolloutShare(LastRolloutStage, 0.03), 1.0, 1e-9);
 }
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -136,10 +136,10 @@
 
 void Soak::planFaults(TimePoint from)
 {
-    constexpr int LongestPauseMs = 1500;
+    constexpr int longestPauseMs = 1500;
     TimePoint at = from;
     while (at < from + m_options.length - Duration(2s)) {
-        at += std::chrono::milliseconds(m_random() % LongestPauseMs);
+        at += std::chrono::milliseconds(m_random() % longestPauseMs);
         m_loop.at(at, [this](TimePoint now) { injectOne(now); });
     }
 }
--- a/Utilities/Soak/StoreStandIn.cpp
+++ b/Utilities/Soak/StoreStandIn.cpp
@@ -32,10 +32,10 @@
 
 std::string bigEndian(std::uint64_t value, int bytes)
 {
-    constexpr int BitsPerByte = 8;
+    constexpr int bitsPerByte = 8;
     std::string text;
     for (int i = bytes - 1; i >= 0; --i) {
-        text.push_back(static_cast<char>((value >> (BitsPerByte * i)) & 0xFF));
+        text.push_back(static_cast<char>((value >> (bitsPerByte * i)) & 0xFF));
     }
     return text;
 }
@@ -126,9 +126,9 @@
 
 void StoreStandIn::replyRaw(const Connection &connection, const Stream &stream, std::int64_t from)
 {
-    constexpr int OffsetBytes = 8;
-    std::string body = bigEndian(static_cast<std::uint64_t>(stream.end()), OffsetBytes)
-        + bigEndian(static_cast<std::uint64_t>(stream.first), OffsetBytes);
+    constexpr int offsetBytes = 8;
+    std::string body = bigEndian(static_cast<std::uint64_t>(stream.end()), offsetBytes)
+        + bigEndian(static_cast<std::uint64_t>(stream.first), offsetBytes);
     for (std::int64_t i = from; i < stream.end(); ++i) {
         const Record &record = stream.records[static_cast<std::size_t>(i - stream.first)];
         const std::string content =
