--- a/Source/Daemon/LoadDuty.cpp
+++ b/Source/Daemon/LoadDuty.cpp
@@ -78,9 +78,9 @@
 
 void LoadDuty::tellOthers(const BackendLoads &loads, TimePoint now)
 {
-    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          m_clock.wallTime().time_since_epoch())
-                          .count();
+    const auto wall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallTime().time_since_epoch())
+            .count();
     std::set<DataCentreId> places;
     for (const auto &[id, member] : m_view.members()) {
         places.insert(member.dataCentre);
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -47,8 +47,7 @@
 }
 
 std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self,
-                                             const DataCentreId &dataCentre,
+                                             const InstanceId &self, const DataCentreId &dataCentre,
                                              std::int64_t wallMilliseconds)
 {
     std::vector<MemberRegistered> order = feedOrder(members, dataCentre, wallMilliseconds);
@@ -93,8 +92,8 @@
     }
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_clock.wallTime().time_since_epoch());
-    const std::vector<MemberRegistered> candidates
-        = feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count());
+    const std::vector<MemberRegistered> candidates =
+        feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count());
     m_follower.setPatient(!candidates.empty());
     for (const MemberRegistered &member : candidates) {
         const auto avoided = m_avoidUntil.find(member.instance);
@@ -209,7 +208,7 @@
     m_avoidUntil[m_source] = now + AvoidPeriod;
     m_source = InstanceId();
     m_socket->close();
-    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
+    m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
     if (silent || !m_follower.fed()) {
         setFed(false, why);
     } else {
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -44,8 +44,7 @@
     BackendLoads loads;
 };
 
-using FeedMessage
-    = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
+using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
 
 /// The frame of a message: its length, a flag that tells whether it is compressed, the message.
 std::string encodeFeedFrame(const FeedMessage &message);
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -79,8 +79,7 @@
 };
 
 FeedServer::FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
-                       EvidenceCallback onEvidence, LoadCallback onLoad,
-                       std::error_code &error)
+                       EvidenceCallback onEvidence, LoadCallback onLoad, std::error_code &error)
     : m_loop(loop)
     , m_follower(follower)
     , m_onEvidence(std::move(onEvidence))
--- a/Source/Feed/LoadSender.cpp
+++ b/Source/Feed/LoadSender.cpp
@@ -67,7 +67,7 @@
     m_receiver = InstanceId();
     if (m_socket) {
         m_socket->close();
-        m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] { });
+        m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
     }
 }
 
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -283,8 +283,8 @@
         m_observer.onStoreLost(topic, outcome.fault, outcome.detail, now);
     }
     schedule(topic, cursor.retryDelay);
-    cursor.retryDelay = std::min(cursor.retryDelay * 2,
-                                 m_patient ? PatientRetryLimit : m_timing.retryDelayLimit);
+    cursor.retryDelay =
+        std::min(cursor.retryDelay * 2, m_patient ? PatientRetryLimit : m_timing.retryDelayLimit);
     return false;
 }
 
--- a/Source/Routing/BackendLoads.cpp
+++ b/Source/Routing/BackendLoads.cpp
@@ -26,8 +26,7 @@
                 tokens = std::max(0.0, tokens - load.tokens[i]);
             }
             found->second.requests = std::max(0, found->second.requests - load.requests);
-            found->second.unreachable
-                = std::max(0, found->second.unreachable - load.unreachable);
+            found->second.unreachable = std::max(0, found->second.unreachable - load.unreachable);
         }
     }
 }
--- a/Source/Routing/ModelCascade.cpp
+++ b/Source/Routing/ModelCascade.cpp
@@ -60,9 +60,8 @@
 {
     const double firstEvent = m_secondsPerToken * question.workTokens;
     const auto gap = m_gapSeconds.find(largest);
-    const double rest = gap == m_gapSeconds.end()
-        ? 0
-        : gap->second * std::max(0.0, question.expectedEvents - 1);
+    const double rest =
+        gap == m_gapSeconds.end() ? 0 : gap->second * std::max(0.0, question.expectedEvents - 1);
     if (firstEvent + rest >= seconds(question.timeLeft)) {
         return 0;
     }
