--- a/Source/Net/HttpResponder.cpp
+++ b/Source/Net/HttpResponder.cpp
@@ -1,5 +1,7 @@
 #include "Net/HttpResponder.h"
 
+#include <algorithm>
+
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -48,7 +50,14 @@
             }
             restart();
         }
+    } /// When its last request was answered, or it began.
+    TimePoint quietSince() const { return m_quietSince; }
+    void end()
+    {
+        m_socket.close();
+        m_server.remove(*this);
     }
+
     void onEnd(TimePoint) override { end(); }
     void onError(std::error_code, TimePoint) override { end(); }
     void onRequestHead(HttpRequestHead head) override { m_head = std::move(head); }
@@ -59,7 +68,8 @@
     {
         m_parser = std::make_unique<HttpRequestParser>(PageLimits, *this);
         m_server.m_loop.cancel(m_timer);
-        m_timer = m_server.m_loop.at(m_server.m_loop.now() + QuietLimit, [this](TimePoint) {
+        m_quietSince = m_server.m_loop.now();
+        m_timer = m_server.m_loop.at(m_quietSince + QuietLimit, [this](TimePoint) {
             m_timer = TimerId();
             end();
         });
@@ -72,18 +82,12 @@
         m_socket.send(serializeResponseHead(reply.status, reasonPhrase(reply.status), reply.fields)
                       + reply.body);
     }
-
-    void end()
-    {
-        m_socket.close();
-        m_server.remove(*this);
-    }
-
     HttpResponder &m_server;
     StreamSocket m_socket;
     std::unique_ptr<HttpRequestParser> m_parser;
     std::string m_input;
     HttpRequestHead m_head;
+    TimePoint m_quietSince;
     TimerId m_timer;
 };
 
@@ -114,13 +118,21 @@
         return;
     }
     if (m_connections.size() >= MostConnections) {
-        close(fd);
-        return;
+        endOldest();
     }
     auto connection = std::make_shared<Connection>(*this, fd);
     m_connections.emplace(connection.get(), std::move(connection));
 }
 
+void HttpResponder::endOldest()
+{
+    const auto oldest = std::min_element(
+        m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+            return left.second->quietSince() < right.second->quietSince();
+        });
+    oldest->second->end();
+}
+
 void HttpResponder::remove(Connection &connection)
 {
     const auto found = m_connections.find(&connection);
--- a/Source/Net/HttpResponder.h
+++ b/Source/Net/HttpResponder.h
@@ -26,6 +26,9 @@
 
     void onReady(std::uint32_t events, TimePoint now) override;
     void remove(Connection &connection);
+    /// Makes room for a new connection: callers that hold connections without asking anything
+    /// must not keep others away.
+    void endOldest();
 
     EventLoop &m_loop;
     Handler m_handler;
--- /dev/null
+++ b/Tests/Net/testHttpResponder.cpp
@@ -0,0 +1,51 @@
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include <unistd.h>
+
+#include "Mocks.h"
+#include "Net/HttpResponder.h"
+#include "Net/Socket.h"
+
+using namespace lycheearch;
+
+Test(httpResponder, callers_that_only_hold_connections_keep_no_other_away, .timeout = 20)
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    const Endpoint listen{"127.0.0.1", static_cast<std::uint16_t>(10'000 + getpid() % 20'000)};
+    std::error_code error;
+    HttpResponder responder(
+        loop, listen,
+        [](const HttpRequestHead &, TimePoint) {
+            return HttpReply{200, {}, "ready"};
+        },
+        error);
+    cr_assert_not(error);
+    std::vector<int> held;
+    for (int i = 0; i < 300; ++i) {
+        held.push_back(connectTcp(listen, error));
+        loop.at(loop.now() + 1ms, [&](TimePoint) { loop.stop(); });
+        loop.run();
+        loop.resume();
+        // A byte now and then, never a whole request.
+        (void)!write(held.back(), "G", 1);
+    }
+    HttpCallChannel channel(loop, listen, {1s, 1s, 2, 2s}, {1024, 1024});
+    HttpCall call;
+    call.head.method = "GET";
+    call.head.target = "/";
+    call.timeout = 1s;
+    int status = 0;
+    call.callback = [&](std::error_code, const HttpReply &reply, TimePoint) {
+        status = reply.status;
+        loop.stop();
+    };
+    channel.call(std::move(call));
+    loop.run();
+    cr_expect_eq(status, 200);
+    for (const int fd : held) {
+        close(fd);
+    }
+}
