--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -9,6 +9,9 @@
 /// Longest pause between calls to a lost store while another daemon asks it too.
 constexpr Duration PatientRetryLimit = 4s;
 
+/// In a shorter outage no entry of a backend server lapses.
+constexpr Duration ShortestLapsingOutage = 1500ms;
+
 constexpr Topic AllTopics[] = {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own};
 
 } // namespace
@@ -272,8 +275,7 @@
         cursor.retryDelay = m_timing.retryDelay;
         if (cursor.lost) {
             cursor.lost = false;
-            regained(now);
-            m_observer.onStoreRegained(topic, now - cursor.lostAt, now);
+            regained(topic, now - cursor.lostAt, now);
         }
         return true;
     }
@@ -294,14 +296,18 @@
         if (cursor.lost) {
             cursor.lost = false;
             cursor.retryDelay = m_timing.retryDelay;
-            regained(now);
-            m_observer.onStoreRegained(topic, now - cursor.lostAt, now);
+            regained(topic, now - cursor.lostAt, now);
         }
     }
 }
 
-void FleetFollower::regained(TimePoint now)
+void FleetFollower::regained(Topic topic, Duration lostFor, TimePoint now)
 {
+    m_observer.onStoreRegained(topic, lostFor, now);
+    // Only entries of backend servers lapse, and only while they can't report for a while.
+    if (topic != Topic::Backends || lostFor < ShortestLapsingOutage) {
+        return;
+    }
     m_view.contactRegained(now);
     m_loop.cancel(m_lapseTimer);
     m_lapseTimer = m_loop.at(now + FleetView::LapseGrace, [this](TimePoint present) {
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -100,7 +100,7 @@
     bool succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now);
     /// Another daemon's feed shows that the store is back.
     void clearLosses(TimePoint now);
-    void regained(TimePoint now);
+    void regained(Topic topic, Duration lostFor, TimePoint now);
     void schedule(Topic topic, Duration delay);
     Duration pause(Topic topic) const;
 
