A lost store is probed by one topic, and all are read once it answers

Each of 76 daemons asked for each of its four topics with a pause of its own; refused calls are priced like others.

Change: of the topics that are lost, one is asked for often, the others every four seconds; the first answer makes all due. Two tests of the follower, the first failing before (30 calls in ten seconds against 16).

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -9,6 +9,9 @@
 /// Longest pause between calls to a lost store while another daemon asks it too.
 constexpr Duration PatientRetryLimit = 4s;
 
+/// Pause before a call about a topic that is lost while another one probes the store.
+constexpr Duration NoProbeDelay = 4s;
+
 /// In a shorter outage no entry of a backend server lapses.
 constexpr Duration ShortestLapsingOutage = 1500ms;
 
@@ -276,6 +279,7 @@
         if (cursor.lost) {
             cursor.lost = false;
             regained(topic, now - cursor.lostAt, now);
+            hurryLost();
         }
         return true;
     }
@@ -284,12 +288,28 @@
         cursor.lostAt = now;
         m_observer.onStoreLost(topic, outcome.fault, outcome.detail, now);
     }
-    schedule(topic, cursor.retryDelay);
+    schedule(topic, isProbe(topic) ? cursor.retryDelay : std::max(cursor.retryDelay, NoProbeDelay));
     cursor.retryDelay =
         std::min(cursor.retryDelay * 2, m_patient ? PatientRetryLimit : m_timing.retryDelayLimit);
     return false;
 }
 
+bool FleetFollower::isProbe(Topic topic) const
+{
+    const auto firstLost = std::find_if(m_cursors.begin(), m_cursors.end(),
+                                        [](const auto &entry) { return entry.second.lost; });
+    return firstLost == m_cursors.end() || firstLost->first == topic;
+}
+
+void FleetFollower::hurryLost()
+{
+    for (const auto &[topic, cursor] : m_cursors) {
+        if (cursor.lost) {
+            hurry(topic);
+        }
+    }
+}
+
 void FleetFollower::clearLosses(TimePoint now)
 {
     for (auto &[topic, cursor] : m_cursors) {
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -98,6 +98,10 @@
     void retainListed(Topic topic, const RecordPage &listing, TimePoint now);
     bool isNeeded(Topic topic) const;
     bool succeeded(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now);
+    /// Of the topics that are lost, one is asked for often, to find that the store is back.
+    bool isProbe(Topic topic) const;
+    /// Asks for all lost topics at once.
+    void hurryLost();
     /// Another daemon's feed shows that the store is back.
     void clearLosses(TimePoint now);
     void regained(Topic topic, Duration lostFor, TimePoint now);
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -262,3 +262,58 @@
     fixture.store.answer(Topic::Status, {}, fixture.clock.time);
     cr_expect(fixture.follower.synced());
 }
+
+Test(fleetFollower, a_lost_store_is_probed_by_one_topic_and_read_at_once_when_it_is_back)
+{
+    Fixture test;
+    test.list({});
+    int refused = 0;
+    // Refuses whatever is asked, as a store does that is down for all.
+    const auto refuseFor = [&](Duration span) {
+        for (const TimePoint end = test.clock.time + span; test.clock.time < end;) {
+            for (auto &[topic, open] : test.store.calls) {
+                while (!open.empty()) {
+                    test.store.fail(topic, StoreFault::Refused, test.clock.time);
+                    ++refused;
+                }
+            }
+            test.runFor(10ms);
+        }
+    };
+    refuseFor(5s);
+    cr_expect_eq(test.observer.lost, 3);
+    refused = 0;
+    refuseFor(10s);
+    // One a second by the probe, and now and then one by each other topic.
+    cr_expect(refused <= 16, "%d calls in ten seconds", refused);
+    while (test.store.calls[Topic::Operator].empty()) {
+        test.runFor(10ms);
+    }
+    test.store.answer(Topic::Operator, {}, test.clock.time);
+    test.runFor(20ms);
+    cr_expect_eq(test.store.calls[Topic::Backends].size(), 1);
+    cr_expect_eq(test.store.calls[Topic::Own].size(), 1);
+}
+
+Test(fleetFollower, a_topic_that_stays_lost_does_not_keep_the_others_from_being_read)
+{
+    Fixture test;
+    test.list({});
+    // The part of the store that holds the operator's records is down, the rest was for a while.
+    int answered = 0;
+    const TimePoint back = test.clock.time + 2s;
+    for (const TimePoint end = test.clock.time + 12s; test.clock.time < end;) {
+        for (auto &[topic, open] : test.store.calls) {
+            while (!open.empty()) {
+                if (topic == Topic::Backends && test.clock.time >= back) {
+                    test.store.answer(topic, {}, test.clock.time);
+                    ++answered;
+                } else {
+                    test.store.fail(topic, StoreFault::Refused, test.clock.time);
+                }
+            }
+        }
+        test.runFor(10ms);
+    }
+    cr_expect(answered >= 10, "%d", answered);
+}
