--- a/Source/Daemon/RolloutDuty.cpp
+++ b/Source/Daemon/RolloutDuty.cpp
@@ -8,9 +8,6 @@
 
 constexpr Duration StepPeriod = 400ms;
 constexpr Duration EvidenceWritePeriod = 700ms;
-/// How much longer each further reader in the members' order waits before it acts.
-constexpr Duration PrecedenceStep = 1500ms;
-constexpr int MostPrecedenceSteps = 3;
 
 } // namespace
 
@@ -88,6 +85,10 @@
     if (bundle.evidence == m_lastWritten) {
         return;
     }
+    for (const auto &[service, order] : m_view.rollouts()) {
+        const TimePoint orderedAt = m_view.orderedAt(service, order.target).value_or(now);
+        bundle.orderAges.push_back({service, order.target, now - orderedAt});
+    }
     m_lastWritten = bundle.evidence;
     m_lastWriteAt = now;
     m_store.append(Topic::Own, m_codec.encode(bundle), std::nullopt,
@@ -112,7 +113,8 @@
 {
     const auto current = storedStage(order.service);
     const RolloutTotals totals = rolloutTotals(order.service, order.target, m_view.evidence());
-    auto next = m_director.decide(order, current, totals, readyTargets(order, now), now);
+    const TimePoint orderedAt = m_view.orderedAt(order.service, order.target).value_or(now);
+    auto next = m_director.decide(order, orderedAt, current, totals, readyTargets(order, now), now);
     const bool final =
         current && current->target == order.target && (current->condemned || current->complete);
     const RolloutState wanted = final && current->complete ? RolloutState::Complete
@@ -138,6 +140,7 @@
                     LogLine("rollout.evidence")
                         .add("service", order.service.value())
                         .add("target", order.target.value())
+                        .add("ordered_ms", now - orderedAt)
                         .add("daemons", totals.daemons)
                         .add("target_good", totals.target.good)
                         .add("target_bad", totals.target.bad)
@@ -188,10 +191,10 @@
 
 Duration RolloutDuty::precedence() const
 {
-    const auto before =
-        std::count_if(m_view.members().begin(), m_view.members().end(),
-                      [&](const auto &entry) { return feedRank(entry.first) < feedRank(m_self); });
-    return PrecedenceStep * std::min<std::int64_t>(before, MostPrecedenceSteps);
+    const bool first =
+        std::none_of(m_view.members().begin(), m_view.members().end(),
+                     [&](const auto &entry) { return feedRank(entry.first) < feedRank(m_self); });
+    return first ? Duration::zero() : RolloutDirector::SecondDelay;
 }
 
 int RolloutDuty::readyTargets(const RolloutOrdered &order, TimePoint now) const
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -110,11 +110,22 @@
     bool operator==(const RolloutEvidence &) const = default;
 };
 
+/// How long ago a daemon first knew of a rollout's order, which bears no time of its own.
+struct RolloutOrderAge
+{
+    ServiceId service;
+    VersionId target;
+    Duration age{};
+
+    bool operator==(const RolloutOrderAge &) const = default;
+};
+
 /// Evidence that one daemon collected from others in its data centre.
 struct EvidenceCollected
 {
     InstanceId collector;
     std::vector<RolloutEvidence> evidence;
+    std::vector<RolloutOrderAge> orderAges; ///< When the record was written.
 };
 
 /// How far a rollout has come, as its director decided.
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -8,6 +8,8 @@
 
 /// Removed backend servers whose late reports are still recognized.
 constexpr std::size_t RememberedRemovals = 2000;
+/// What is told of an order's age is believed up to this.
+constexpr Duration LongestOrderAge = 600s;
 
 /// Calls the overload for the kind of a record.
 template <typename... Handlers>
@@ -31,14 +33,21 @@
             RolloutOrdered &known = m_rollouts[record.service];
             const bool changed = known != record;
             known = record;
+            if (!orderedAt(record.service, record.target)) {
+                m_orderedAt[record.service] = {record.target, now};
+            }
             return changed ? ViewChange::Rollout : ViewChange::None;
         },
         [&](const RolloutWithdrawn &record) {
+            m_orderedAt.erase(record.service);
             return m_rollouts.erase(record.service) > 0 ? ViewChange::Rollout : ViewChange::None;
         },
         [&](const RolloutReported &record) { return applyRolloutState(record); },
         [&](const RolloutStage &record) { return applyStage(record); },
         [&](const EvidenceCollected &record) {
+            for (const RolloutOrderAge &order : record.orderAges) {
+                noteOrderAge(order, now);
+            }
             m_evidence[record.collector] = record;
             return ViewChange::None;
         },
@@ -114,6 +123,24 @@
     return ViewChange::BackendGone;
 }
 
+void FleetView::noteOrderAge(const RolloutOrderAge &order, TimePoint now)
+{
+    const auto found = m_orderedAt.find(order.service);
+    if (found != m_orderedAt.end() && found->second.target == order.target) {
+        const TimePoint at = now - std::min(order.age, LongestOrderAge);
+        found->second.at = std::min(found->second.at, at);
+    }
+}
+
+std::optional<TimePoint> FleetView::orderedAt(const ServiceId &service,
+                                              const VersionId &target) const
+{
+    const auto found = m_orderedAt.find(service);
+    return found == m_orderedAt.end() || found->second.target != target
+        ? std::nullopt
+        : std::optional(found->second.at);
+}
+
 ViewChange FleetView::applyStage(const RolloutStage &record)
 {
     RolloutStage &known = m_stages[record.service];
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
     const BackendState *backend(const InstanceId &id) const;
     bool evacuated(const DataCentreId &dataCentre) const;
     const std::map<ServiceId, RolloutOrdered> &rollouts() const { return m_rollouts; }
+    /// When the order to move a service to \p target was first known, here or to any daemon that
+    /// told of it.
+    std::optional<TimePoint> orderedAt(const ServiceId &service, const VersionId &target) const;
     const std::map<ServiceId, RolloutReported> &rolloutStates() const { return m_rolloutStates; }
     const std::map<ServiceId, RolloutStage> &stages() const { return m_stages; }
     /// Evidence by the daemon that collected it.
@@ -72,6 +76,14 @@
         std::int64_t sequence = 0;
     };
 
+    /// When an order was known to somebody.
+    struct OrderSeen
+    {
+        VersionId target;
+        TimePoint at;
+    };
+
+    void noteOrderAge(const RolloutOrderAge &order, TimePoint now);
     ViewChange applyConfig(const ConfigPublished &record, TimePoint now);
     ViewChange applyReport(const BackendEntry &report, TimePoint now);
     ViewChange applyRemoval(const InstanceId &id, TimePoint now);
@@ -88,6 +100,7 @@
     std::map<InstanceId, Incarnation> m_removed; ///< Last report of those that were removed.
     std::set<DataCentreId> m_evacuated;
     std::map<ServiceId, RolloutOrdered> m_rollouts;
+    std::map<ServiceId, OrderSeen> m_orderedAt;
     std::map<ServiceId, RolloutReported> m_rolloutStates;
     std::map<ServiceId, RolloutStage> m_stages;
     std::map<InstanceId, EvidenceCollected> m_evidence;
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -47,7 +47,13 @@
 {
     EvidenceCollected collected;
     collected.collector = InstanceId(record.key.substr(EvidencePrefix.size()));
-    for (const Json &entry : value) {
+    for (const Json &entry : value.at("orders")) {
+        collected.orderAges.push_back(
+            {ServiceId(entry.at("service").get<std::string>()),
+             VersionId(entry.at("target").get<std::string>()),
+             std::chrono::milliseconds(entry.at("age_ms").get<std::int64_t>())});
+    }
+    for (const Json &entry : value.at("evidence")) {
         RolloutEvidence evidence;
         evidence.daemon = InstanceId(entry.at("daemon").get<std::string>());
         evidence.service = ServiceId(entry.at("service").get<std::string>());
@@ -105,15 +111,22 @@
         return {Offset(), keyOf(MemberPrefix, member->instance.value()), value.dump()};
     }
     if (const auto *collected = std::get_if<EvidenceCollected>(&record)) {
-        Json value = Json::array();
+        Json entries = Json::array();
         for (const RolloutEvidence &evidence : collected->evidence) {
-            value.push_back({{"daemon", evidence.daemon.value()},
-                             {"service", evidence.service.value()},
-                             {"target", evidence.target.value()},
-                             {"stage", evidence.stage},
-                             {"new", toJson(evidence.targetCounts)},
-                             {"old", toJson(evidence.otherCounts)}});
+            entries.push_back({{"daemon", evidence.daemon.value()},
+                               {"service", evidence.service.value()},
+                               {"target", evidence.target.value()},
+                               {"stage", evidence.stage},
+                               {"new", toJson(evidence.targetCounts)},
+                               {"old", toJson(evidence.otherCounts)}});
+        }
+        Json orders = Json::array();
+        for (const RolloutOrderAge &order : collected->orderAges) {
+            orders.push_back({{"service", order.service.value()},
+                              {"target", order.target.value()},
+                              {"age_ms", toMilliseconds(order.age)}});
         }
+        const Json value = {{"evidence", std::move(entries)}, {"orders", std::move(orders)}};
         return {Offset(), keyOf(EvidencePrefix, collected->collector.value()), value.dump()};
     }
     if (const auto *stage = std::get_if<RolloutStage>(&record)) {
--- a/Source/Routing/RolloutDirector.cpp
+++ b/Source/Routing/RolloutDirector.cpp
@@ -89,6 +89,7 @@
 }
 
 std::optional<RolloutStage> RolloutDirector::decide(const RolloutOrdered &order,
+                                                    TimePoint orderedAt,
                                                     const std::optional<RolloutStage> &current,
                                                     const RolloutTotals &totals, int readyTargets,
                                                     TimePoint now)
@@ -98,7 +99,7 @@
         : RolloutStage{order.service, order.target, 0, false, false};
     Seen &seen = m_seen[order.service];
     if (seen.target != order.target) {
-        seen = {order.target, now, stage.stage, now};
+        seen = {order.target, stage.stage, now};
     }
     if (seen.stage != stage.stage) {
         seen.stage = stage.stage;
@@ -111,7 +112,7 @@
         stage.condemned = true;
         return stage;
     }
-    const double elapsed = std::chrono::duration<double>(now - seen.at).count();
+    const double elapsed = std::chrono::duration<double>(now - orderedAt).count();
     const double whole = std::chrono::duration<double>(order.finishWithin).count();
     const double part = whole > 0 ? elapsed / whole : 1;
     if (now - seen.stageAt < ShortestStage && stage.stage > 0) {
--- a/Source/Routing/RolloutDirector.h
+++ b/Source/Routing/RolloutDirector.h
@@ -33,19 +33,23 @@
 class RolloutDirector
 {
 public:
-    /// The next stage of a rollout, or nothing if it is to stay as it is. \p readyTargets is the
-    /// number of backend servers of the target that may be sent work.
-    std::optional<RolloutStage> decide(const RolloutOrdered &order,
+    /// How much longer others than the first wait before they act on a decision. Who is first may
+    /// be gone, so that every step may take this long.
+    static constexpr Duration SecondDelay = 1s;
+
+    /// The next stage of a rollout that was ordered at \p orderedAt, or nothing if it is to stay
+    /// as it is. \p readyTargets is the number of backend servers of the target that may be sent
+    /// work.
+    std::optional<RolloutStage> decide(const RolloutOrdered &order, TimePoint orderedAt,
                                        const std::optional<RolloutStage> &current,
                                        const RolloutTotals &totals, int readyTargets,
                                        TimePoint now);
 
 private:
-    /// When this daemon first saw an order.
+    /// When this daemon first saw the present stage of a rollout.
     struct Seen
     {
         VersionId target;
-        TimePoint at;
         int stage = -1;
         TimePoint stageAt;
     };
--- a/Tests/Fleet/testFleetView.cpp
+++ b/Tests/Fleet/testFleetView.cpp
@@ -149,3 +149,22 @@
     apply(view, BackendReported{cold});
     cr_expect_eq((view.backend(One)->coldUntil - Start).count(), Duration(3s).count());
 }
+
+Test(fleetView, a_daemon_that_learns_late_of_an_order_counts_from_when_others_knew_it)
+{
+    FleetView view;
+    const ServiceId service("s");
+    const VersionId target("v2");
+    cr_expect_not(view.orderedAt(service, target).has_value());
+    view.apply({Offset(0), RolloutOrdered{service, target, 24s}}, Start + 9s);
+    cr_expect(view.orderedAt(service, target) == Start + 9s);
+    EvidenceCollected told{InstanceId("other"), {}, {{service, target, 8s}}};
+    view.apply({Offset(1), told}, Start + 10s);
+    cr_expect(view.orderedAt(service, target) == Start + 2s);
+    // One that learnt of it later still changes nothing, nor does another target.
+    told.orderAges = {{service, target, 1s}, {service, VersionId("v1"), 99s}};
+    view.apply({Offset(2), told}, Start + 11s);
+    view.apply({Offset(3), RolloutOrdered{service, VersionId("v3"), 24s}}, Start + 30s);
+    cr_expect(view.orderedAt(service, VersionId("v3")) == Start + 30s);
+    cr_expect_not(view.orderedAt(service, target).has_value());
+}
--- a/Tests/Fleet/testRecordCodec.cpp
+++ b/Tests/Fleet/testRecordCodec.cpp
@@ -124,8 +124,10 @@
                            2,
                            {1, 2, 3, 4.5, 5},
                            {6, 7, 8, 9.5, 10}}};
+    collected.orderAges = {{ServiceId("s"), VersionId("v2"), 4500ms}};
     const FleetRecord back = codec.decode(Topic::Own, codec.encode(collected));
     cr_expect(std::get<EvidenceCollected>(back).evidence == collected.evidence);
+    cr_expect(std::get<EvidenceCollected>(back).orderAges == collected.orderAges);
     const MemberRegistered member{InstanceId("i"), DataCentreId("d"), {"10.0.0.1", 7}, 99};
     const auto memberBack =
         std::get<MemberRegistered>(codec.decode(Topic::Own, codec.encode(member)));
--- a/Tests/Routing/testRolloutDirector.cpp
+++ b/Tests/Routing/testRolloutDirector.cpp
@@ -68,7 +68,10 @@
             if ((now - Start) / 20ms % 100 == 0) {
                 seen = counts;
             }
-            if (auto next = director.decide(Order, stage, seen, 3, now)) {
+            const auto next = director.decide(Order, Start, stage, seen, 3, now);
+            dueAt = !next ? TimePoint() : dueAt == TimePoint() ? now : dueAt;
+            if (next && now - dueAt >= stepDelay) {
+                dueAt = TimePoint();
                 stage = next;
                 if ((stage->complete || stage->condemned) && endedAt == TimePoint()) {
                     endedAt = now;
@@ -82,6 +85,8 @@
     std::optional<RolloutStage> stage;
     RolloutTotals counts;
     RolloutTotals seen;
+    Duration stepDelay{}; ///< From a decision until it is in force.
+    TimePoint dueAt;
     int requests = 0;
     int exposed = 0;
     TimePoint endedAt;
@@ -100,6 +105,18 @@
     }
 }
 
+Test(rolloutDirector, a_good_version_is_complete_in_time_though_the_first_director_is_gone)
+{
+    constexpr Duration readLag = 700ms;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        Play play([](double, double) { return 0.02; }, seed);
+        play.stepDelay = RolloutDirector::SecondDelay + readLag;
+        RolloutDirector director;
+        play.run(Start, Start + 24s, director);
+        cr_assert(play.stage && play.stage->complete, "seed %u", seed);
+    }
+}
+
 Test(rolloutDirector, a_bad_version_is_stopped_within_its_exposure)
 {
     const std::vector<std::pair<const char *, Play::FailureRate>> kinds = {
@@ -128,9 +145,10 @@
     play.run(Start, Start + 15s, first);
     cr_assert(play.stage && play.stage->stage >= 2);
     RolloutDirector second;
-    const auto next = second.decide(Order, play.stage, play.seen, 3, Start + 15s);
+    const auto next = second.decide(Order, Start, play.stage, play.seen, 3, Start + 15s);
     cr_expect(!next || (next->stage >= play.stage->stage && !next->complete));
-    play.run(Start + 15s, Start + 45s, second);
+    // It began later, but keeps the time of the order.
+    play.run(Start + 15s, Start + 24s, second);
     cr_expect(play.stage->complete);
 }
 
@@ -138,7 +156,7 @@
 {
     RolloutDirector director;
     for (TimePoint now = Start; now < Start + 30s; now += 100ms) {
-        cr_expect_not(director.decide(Order, std::nullopt, {}, 0, now).has_value());
+        cr_expect_not(director.decide(Order, Start, std::nullopt, {}, 0, now).has_value());
     }
 }
 
@@ -147,8 +165,8 @@
     RolloutDirector director;
     const RolloutStage condemned{Service, New, 3, true, false};
     const RolloutStage complete{Service, New, 4, false, true};
-    cr_expect_not(director.decide(Order, condemned, totals(100, 0, 100, 0), 3, Start + 20s));
-    cr_expect_not(director.decide(Order, complete, totals(0, 100, 100, 0), 3, Start + 20s));
+    cr_expect_not(director.decide(Order, Start, condemned, totals(100, 0, 100, 0), 3, Start + 20s));
+    cr_expect_not(director.decide(Order, Start, complete, totals(0, 100, 100, 0), 3, Start + 20s));
 }
 
 Test(rolloutDirector, it_waits_for_what_runs_on_the_old_version)
@@ -157,10 +175,10 @@
     const RolloutStage moved{Service, New, LastRolloutStage, false, false};
     RolloutTotals busy = totals(100, 0, 100, 0);
     busy.other.inFlight = 3;
-    director.decide(Order, moved, busy, 3, Start);
-    cr_expect_not(director.decide(Order, moved, busy, 3, Start + 20s).has_value());
+    director.decide(Order, Start, moved, busy, 3, Start);
+    cr_expect_not(director.decide(Order, Start, moved, busy, 3, Start + 20s).has_value());
     busy.other.inFlight = 0;
-    cr_expect(director.decide(Order, moved, busy, 3, Start + 20s)->complete);
+    cr_expect(director.decide(Order, Start, moved, busy, 3, Start + 20s)->complete);
 }
 
 Test(rolloutDirector, failures_that_hit_both_versions_condemn_none)
@@ -187,8 +205,8 @@
     RolloutEvidence early{InstanceId("d"), Service, New, 1, {5, 0, 0, 0, 1}, {10, 0, 0, 0, 2}};
     RolloutEvidence late{InstanceId("d"), Service, New, 4, {9, 1, 0, 0, 0}, {12, 0, 0, 0, 0}};
     std::map<InstanceId, EvidenceCollected> collected;
-    collected[InstanceId("x")] = {InstanceId("x"), {early}};
-    collected[InstanceId("y")] = {InstanceId("y"), {late}};
+    collected[InstanceId("x")] = {InstanceId("x"), {early}, {}};
+    collected[InstanceId("y")] = {InstanceId("y"), {late}, {}};
     const RolloutTotals sum = rolloutTotals(Service, New, collected);
     cr_expect_eq(sum.daemons, 1);
     cr_expect_eq(sum.target.good, 9);
