A source whose reads are lost is left within the bounds; `lycheearch trace`

A follower believed a source for the wait of its read (1.5 s), an age of 1.0 s and a heartbeat of 0.3 s after the last good read, 2.8 s before it read for itself, against bounds of 2 and 3 s.

Tests fail on the figures before.

`lycheearch trace ID LOG…` finds in the logs of all daemons the lines of a request, what the daemon that took it believed, and what any daemon learnt of its servers.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -12,7 +12,6 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-constexpr FollowerTiming StoreTiming{1500ms, 750ms, 4s, 700ms, 200ms, 1000ms};
 constexpr BackendLink::Limits LinkLimits{
     250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration RegisterPeriod = 45s;
@@ -39,16 +38,6 @@
     return static_cast<std::size_t>(memoryMegabytes) * bytesEach / part;
 }
 
-/// How often the store is asked, well within the bounds.
-FollowerTiming storeTiming(const RouterBounds &bounds)
-{
-    constexpr int readsInBound = 4;
-    FollowerTiming timing = StoreTiming;
-    timing.backendsPeriod = std::min(timing.backendsPeriod, bounds.drain / readsInBound);
-    timing.operatorWait = std::min(timing.operatorWait, bounds.configApply);
-    return timing;
-}
-
 RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
 {
     return {bounds.retryRatio, bounds.retryWindow,
@@ -65,7 +54,7 @@
     , m_log(m_settings.instance.value(), STDOUT_FILENO, m_settings.routineLogLines, m_clock)
     , m_store(makeStore(m_loop, m_settings))
     , m_codec(codec)
-    , m_follower(m_loop, *m_store, codec, m_view, *this, storeTiming(m_settings.bounds))
+    , m_follower(m_loop, *m_store, codec, m_view, *this, followerTiming(m_settings.bounds))
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_links(m_loop, LinkLimits)
     , m_retries(retryBounds(m_settings.bounds, LeastDaemons))
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -89,7 +89,7 @@
     if (m_fed || !synced()) {
         return std::nullopt;
     }
-    const Duration backends = now - m_cursors.at(Topic::Backends).readAt;
+    const Duration backends = now - m_cursors.at(Topic::Backends).readAt - m_timing.backendsPeriod;
     const Duration operators = now - m_cursors.at(Topic::Operator).readAt - m_timing.operatorWait;
     return std::max({backends, operators, Duration::zero()});
 }
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -6,22 +6,12 @@
 
 #include "Fleet/FleetStore.h"
 #include "Fleet/FleetView.h"
+#include "Fleet/FollowerTiming.h"
 #include "Fleet/RecordMirror.h"
 #include "Net/EventLoop.h"
 
 namespace lycheearch {
 
-/// How often the store is asked.
-struct FollowerTiming
-{
-    Duration operatorWait{}; ///< How long the store holds a read of the operator's records.
-    Duration backendsPeriod{}; ///< Between two reads of the backend servers' reports.
-    Duration ownPeriod{}; ///< Between two reads of our own records.
-    Duration rolloutPeriod{}; ///< The same while a rollout is under way.
-    Duration retryDelay{}; ///< After the first failed call; doubles up to the limit below.
-    Duration retryDelayLimit{};
-};
-
 /// Is told what the follower learns.
 class FleetObserver
 {
@@ -63,8 +53,8 @@
 
     /// Whether configuration and backend servers have been listed once.
     bool synced() const;
-    /// How long ago the store itself was last known to answer this daemon about configuration and
-    /// backend servers; nothing while it is fed.
+    /// How long an answer of the store itself about configuration or backend servers is overdue;
+    /// nothing while this daemon is fed.
     std::optional<Duration> storeAge(TimePoint now) const;
     const RecordMirror &mirror() const { return m_mirror; }
     /// Offset at which a topic ends as far as it was read.
--- a/Source/Tool/main.cpp
+++ b/Source/Tool/main.cpp
@@ -1,10 +1,12 @@
 #include <iostream>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 
 #include "Base/Logger.h"
 #include "OwnFormats/HttpLogService.h"
 #include "Tool/Commands.h"
+#include "Tool/TraceCommand.h"
 
 using namespace lycheearch;
 
@@ -26,6 +28,7 @@
     std::string request;
     std::string html;
     bool bills = false;
+    std::vector<std::string> logs;
 };
 
 /// The subcommands, so that the chosen one can be found after parsing.
@@ -42,6 +45,7 @@
     CLI::App *timeline;
     CLI::App *explain;
     CLI::App *ledger;
+    CLI::App *trace;
 };
 
 CLI::App *addOutCommand(CLI::App &app, const std::string &name, const std::string &what,
@@ -77,6 +81,10 @@
     commands.timeline->add_option("--html", arguments.html, "Write a page to this file");
     commands.explain = app.add_subcommand("explain", "Show why a request went as it did");
     commands.explain->add_option("request", arguments.request, "Request id")->required();
+    commands.trace =
+        app.add_subcommand("trace", "Find in the logs of daemons why a request ended as it did");
+    commands.trace->add_option("request", arguments.request, "Request id")->required();
+    commands.trace->add_option("logs", arguments.logs, "Log files; none or -: standard input");
     commands.ledger = app.add_subcommand("ledger", "Fold the billing stream");
     commands.ledger->add_flag("--bills", arguments.bills, "With every bill");
     return commands;
@@ -128,6 +136,10 @@
         return static_cast<int>(
             Commands::validate(arguments.file, arguments.json, std::cout, std::cerr));
     }
+    if (*chosen.trace) {
+        return static_cast<int>(traceRequest({arguments.request, arguments.logs, arguments.json},
+                                             std::cin, std::cout, std::cerr));
+    }
     if (*chosen.describe) {
         std::cout << manifestReference();
         return static_cast<int>(ExitCode::Success);
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -317,3 +317,25 @@
     }
     cr_expect(answered >= 10, "%d", answered);
 }
+
+Test(fleetFollower, a_lost_read_of_either_topic_shows_in_the_age)
+{
+    for (const Topic lost : {Topic::Operator, Topic::Backends}) {
+        Fixture test;
+        test.list({});
+        for (const TimePoint end = test.clock.time + 4s; test.clock.time < end;) {
+            for (const Topic topic : {Topic::Operator, Topic::Backends}) {
+                if (topic != lost && !test.store.calls[topic].empty()) {
+                    test.store.answer(topic, {}, test.clock.time);
+                }
+            }
+            test.runFor(10ms);
+            const Duration wait =
+                lost == Topic::Operator ? Timing.operatorWait : Timing.backendsPeriod;
+            const Duration overdue = test.clock.time - (end - Duration(4s)) - wait;
+            cr_assert(test.follower.storeAge(test.clock.time).value_or(Duration(-1s))
+                      >= overdue - Duration(50ms));
+        }
+        cr_expect(test.follower.storeAge(test.clock.time) > Duration(2s));
+    }
+}
--- /dev/null
+++ b/Tests/Fleet/testFollowerTiming.cpp
@@ -0,0 +1,22 @@
+#include <criterion/criterion.h>
+
+#include "Feed/FeedTiming.h"
+#include "Fleet/FollowerTiming.h"
+
+using namespace lycheearch;
+
+Test(followerTiming, a_follower_notices_within_the_bounds_that_its_sources_reads_are_lost)
+{
+    // From the last good read of the source until its follower reads for itself, with what a slow
+    // store and the loop need.
+    constexpr Duration reserve = 300ms;
+    constexpr Duration untilNoticed = FeedStoreAgeLimit + FeedHeartbeatPeriod + reserve;
+    for (const Duration bound : {2000ms, 2500ms, 3000ms, 7000ms, 20000ms}) {
+        RouterBounds bounds;
+        bounds.drain = bound;
+        bounds.configApply = bound;
+        const FollowerTiming timing = followerTiming(bounds);
+        cr_expect(timing.operatorWait + untilNoticed <= bound);
+        cr_expect(timing.backendsPeriod + untilNoticed <= bound);
+    }
+}
--- /dev/null
+++ b/Tests/Tool/testRequestTrace.cpp
@@ -0,0 +1,102 @@
+#include <criterion/criterion.h>
+
+#include <sstream>
+
+#include "Log/LogLine.h"
+#include "Log/LogReader.h"
+#include "Tool/TraceCommand.h"
+
+using namespace lycheearch;
+
+namespace {
+
+std::string at(int second, const std::string &instance, LogLine line)
+{
+    const std::string digits = std::to_string(100 + second).substr(1);
+    return "time=2026-12-04T10:00:" + digits + ".000Z instance=" + instance + " " + line.take()
+        + "\n";
+}
+
+/// Two daemons' logs: a booking whose server crashed, and what happened beside it.
+std::string logs()
+{
+    return at(1, "a", LogLine("feed.followed").add("source", "b")) + "no line of ours\n"
+        + "   12.3 a " // As a collector may prefix it.
+        + at(20, "a", LogLine("dispatch").add("id", "q1").add("backend", "s1"))
+        + at(21, "a",
+             LogLine("request.done")
+                 .add("id", "q1")
+                 .add("status", 502)
+                 .add("cause", "the connection \"broke\"")
+                 .add("sends", 1)
+                 .add("total_ms", 900))
+        + at(21, "b", LogLine("link.lost").add("id", "q2").add("backend", "s1"))
+        + at(22, "b", LogLine("link.lost").add("id", "q3").add("backend", "s2"))
+        + at(19, "b", LogLine("store.lost").add("topic", "own"))
+        + at(23, "b", LogLine("backend.gone").add("backend", "s1"))
+        + at(40, "a", LogLine("process.draining"));
+}
+
+struct Output
+{
+    explicit Output(const TraceOrder &order)
+    {
+        std::istringstream input(logs());
+        std::ostringstream text;
+        std::ostringstream errors;
+        code = traceRequest(order, input, text, errors);
+        out = text.str();
+        err = errors.str();
+    }
+
+    bool has(const std::string &part) const { return out.find(part) != std::string::npos; }
+
+    ExitCode code = ExitCode::Failed;
+    std::string out;
+    std::string err;
+};
+
+} // namespace
+
+Test(requestTrace, a_failed_request_is_shown_with_what_explains_it)
+{
+    const Output output({"q1", {}, false});
+    cr_expect_eq(output.code, ExitCode::Success);
+    cr_expect(output.has("a ended it with status 502 (the connection \"broke\")"));
+    cr_expect(output.has("event=dispatch id=q1"));
+    // Another daemon lost the same server, and it was gone soon after.
+    cr_expect(output.has("id=q2") && output.has("backend.gone"));
+    cr_expect(output.has("feed.followed"), "a belief of its own daemon");
+    cr_expect_not(output.has("id=q3"), "another server");
+    cr_expect_not(output.has("store.lost"), "another daemon's store");
+    cr_expect_not(output.has("process.draining"), "long after");
+}
+
+Test(requestTrace, an_unknown_request_and_an_unreadable_file_are_told_apart)
+{
+    const Output unknown({"q9", {}, false});
+    cr_expect_eq(unknown.code, ExitCode::Failed);
+    cr_expect(unknown.err.find("q9") != std::string::npos);
+    const Output unreadable({"q1", {"/nowhere/a.log"}, false});
+    cr_expect_eq(unreadable.code, ExitCode::BadInput);
+    cr_expect(unreadable.err.find("/nowhere/a.log") != std::string::npos);
+}
+
+Test(requestTrace, json_holds_the_same)
+{
+    const Output output({"q1", {"-"}, true});
+    cr_expect(output.has("\"cause\":\"the connection \\\"broke\\\"\""));
+    cr_expect(output.has("\"context\":["));
+}
+
+Test(requestTrace, lines_are_read_as_they_were_written)
+{
+    const auto line = readLogLine(at(3, "i", LogLine("e").add("k", "a \"b\" \\c=d").add("n", 7)));
+    cr_assert(line);
+    cr_expect_str_eq(line->field("k").c_str(), "a \"b\" \\c=d");
+    cr_expect_str_eq(line->field("n").c_str(), "7");
+    cr_expect_str_eq(line->instance.c_str(), "i");
+    for (const char *spoilt : {"", "time=", "time=x instance", "time=x instance=i event=\"open"}) {
+        cr_expect_not(readLogLine(spoilt).has_value(), "%s", spoilt);
+    }
+}
