The first step of a rollout takes about one request a second

A session moves by its hash, also one that is under way when the step begins, and its requests reach other daemons (352 of 357 consecutive ones in a log), so that none could know.

Change: the director waits three seconds for the counts, takes a share that makes about one request a second (halved from 5 %, so that directors agree), and stores it with the stage. Our own topic is read at once when an order comes: it was read every four seconds, so that three daemons wrote the first step again.

--- a/Source/Daemon/RolloutDuty.cpp
+++ b/Source/Daemon/RolloutDuty.cpp
@@ -160,6 +160,7 @@
                     .add("service", stage.service.value())
                     .add("target", stage.target.value())
                     .add("stage", stage.stage)
+                    .add("first_share", stage.firstShare)
                     .add("condemned", stage.condemned ? "yes" : "no")
                     .add("complete", stage.complete ? "yes" : "no"),
                 now);
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -266,8 +266,12 @@
 {
     const StoredRecord stored{raw.offset, m_codec.decode(topic, raw)};
     m_observer.onRecord(m_view.apply(stored, now), stored, now);
-    if (std::holds_alternative<RolloutOrdered>(stored.record) && !m_cursors[Topic::Status].listed) {
-        hurry(Topic::Status);
+    if (std::holds_alternative<RolloutOrdered>(stored.record) && !m_fed) {
+        // From now on the daemons tell each other how the rollout goes.
+        hurry(Topic::Own);
+        if (!m_cursors[Topic::Status].listed) {
+            hurry(Topic::Status);
+        }
     }
 }
 
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -134,6 +134,7 @@
     ServiceId service;
     VersionId target;
     int stage = 0; ///< Index into the steps of traffic; grows only.
+    double firstShare = 0; ///< Of the sessions, in the first step.
     bool condemned = false; ///< The target is bad: no new work for it, for good.
     bool complete = false; ///< The other versions get no new work, for good.
 
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -72,6 +72,7 @@
     stage.service = ServiceId(record.key.substr(StagePrefix.size()));
     stage.target = VersionId(value.at("target").get<std::string>());
     stage.stage = value.at("stage").get<int>();
+    stage.firstShare = value.at("first_share").get<double>();
     stage.condemned = value.at("condemned").get<bool>();
     stage.complete = value.at("complete").get<bool>();
     return stage;
@@ -132,6 +133,7 @@
     if (const auto *stage = std::get_if<RolloutStage>(&record)) {
         const Json value = {{"target", stage->target.value()},
                             {"stage", stage->stage},
+                            {"first_share", stage->firstShare},
                             {"condemned", stage->condemned},
                             {"complete", stage->complete}};
         return {Offset(), keyOf(StagePrefix, stage->service.value()), value.dump()};
--- a/Source/Routing/RolloutDirector.cpp
+++ b/Source/Routing/RolloutDirector.cpp
@@ -17,6 +17,9 @@
 /// Each stage lasts this long at least, so that its outcomes are seen.
 constexpr Duration ShortestStage = 1200ms;
 
+/// The first stage waits until the daemons have told how many requests there are.
+constexpr Duration FirstStageDelay = 3s;
+
 constexpr int LeastBadAnswers = 4;
 /// Excess of the share of failures over that of the other versions.
 constexpr double LeastExcess = 0.05;
@@ -96,7 +99,7 @@
 {
     RolloutStage stage = current && current->target == order.target
         ? *current
-        : RolloutStage{order.service, order.target, 0, false, false};
+        : RolloutStage{order.service, order.target};
     Seen &seen = m_seen[order.service];
     if (seen.target != order.target) {
         seen = {order.target, stage.stage, now};
@@ -123,6 +126,13 @@
         if (readyTargets == 0 || part < StageStarts[next]) {
             return std::nullopt;
         }
+        if (next == FirstRolloutStage) {
+            if (now - orderedAt < FirstStageDelay) {
+                return std::nullopt;
+            }
+            const auto answers = static_cast<double>(totals.other.good + totals.other.bad);
+            stage.firstShare = firstRolloutShare(answers / elapsed);
+        }
         stage.stage = next;
         return stage;
     }
--- a/Source/Routing/RolloutRule.cpp
+++ b/Source/Routing/RolloutRule.cpp
@@ -4,15 +4,36 @@
 
 namespace lycheearch {
 
-double rolloutShare(int stage, double exposeShare)
+namespace {
+
+/// Share of the sessions in the first stage where there are few requests, and at least.
+constexpr double LargestFirstShare = 0.05;
+constexpr double SmallestFirstShare = 0.0001;
+/// Requests a second for the target in the first stage. A session that is under way when the stage
+/// begins may change its version, so that the fewer the better; some are needed as evidence.
+constexpr double FirstStageRequests = 1.0;
+
+} // namespace
+
+double rolloutShare(const RolloutStage &stage, double exposeShare)
 {
-    static constexpr double shares[] = {0.0, 0.05, 0.25, 0.5, 1.0};
+    static constexpr double shares[] = {0.0, 0.0, 0.25, 0.5, 1.0};
     constexpr int firstPart = 3;
-    const int index = std::clamp(stage, 0, LastRolloutStage);
-    return index == FirstRolloutStage ? std::min(shares[index], exposeShare / firstPart)
+    const int index = std::clamp(stage.stage, 0, LastRolloutStage);
+    return index == FirstRolloutStage ? std::min(stage.firstShare, exposeShare / firstPart)
                                       : shares[index];
 }
 
+double firstRolloutShare(double requestsPerSecond)
+{
+    // Half after half, so that directors who count a little differently agree.
+    double share = LargestFirstShare;
+    while (share * requestsPerSecond > FirstStageRequests && share > SmallestFirstShare) {
+        share /= 2;
+    }
+    return share;
+}
+
 VersionRule rolloutRule(const ServiceId &service, std::uint64_t hash, const FleetView &view,
                         double exposeShare)
 {
@@ -43,7 +64,7 @@
     // The low bits choose among services; these are independent of them.
     constexpr unsigned independentBits = 32;
     const double point = static_cast<double>((hash >> independentBits) % steps) / steps;
-    return point < rolloutShare(stage->second.stage, exposeShare) ? onlyTarget : withoutTarget;
+    return point < rolloutShare(stage->second, exposeShare) ? onlyTarget : withoutTarget;
 }
 
 } // namespace lycheearch
--- a/Source/Routing/RolloutRule.h
+++ b/Source/Routing/RolloutRule.h
@@ -22,7 +22,10 @@
 
 /// Share of the traffic that a rollout's target gets in a stage. \p exposeShare is the most that an
 /// unproved version may get; the first stage keeps to a third of it.
-double rolloutShare(int stage, double exposeShare);
+double rolloutShare(const RolloutStage &stage, double exposeShare);
+/// Share of the sessions that begin on the target in the first stage, for a service with so many
+/// requests.
+double firstRolloutShare(double requestsPerSecond);
 constexpr int FirstRolloutStage = 1;
 constexpr int LastRolloutStage = 4;
 
--- a/Tests/Fleet/testFleetView.cpp
+++ b/Tests/Fleet/testFleetView.cpp
@@ -123,8 +123,8 @@
 {
     FleetView view;
     const ServiceId service("s");
-    apply(view, RolloutStage{service, VersionId("v2"), 3, true, false});
-    cr_expect_eq(apply(view, RolloutStage{service, VersionId("v2"), 1, false, false}),
+    apply(view, RolloutStage{service, VersionId("v2"), 3, 0.05, true, false});
+    cr_expect_eq(apply(view, RolloutStage{service, VersionId("v2"), 1, 0.05, false, false}),
                  ViewChange::None);
     cr_expect(view.stages().at(service).condemned);
     cr_expect_eq(view.stages().at(service).stage, 3);
--- a/Tests/Fleet/testRecordCodec.cpp
+++ b/Tests/Fleet/testRecordCodec.cpp
@@ -114,7 +114,7 @@
 Test(recordCodec, own_records_come_back_as_they_were)
 {
     const platform::PlatformRecordCodec codec;
-    const RolloutStage stage{ServiceId("s"), VersionId("v2"), 3, true, false};
+    const RolloutStage stage{ServiceId("s"), VersionId("v2"), 3, 0.0125, true, false};
     cr_expect(std::get<RolloutStage>(codec.decode(Topic::Own, codec.encode(stage))) == stage);
     EvidenceCollected collected;
     collected.collector = InstanceId("c");
--- a/Tests/Routing/testRolloutDirector.cpp
+++ b/Tests/Routing/testRolloutDirector.cpp
@@ -54,7 +54,7 @@
                 rolloutRule(Service, random() << 32 | random(), view, ExposeShare);
             ++requests;
             const double part = std::chrono::duration<double>(now - Start).count() / 24;
-            const double share = stage ? rolloutShare(stage->stage, ExposeShare) : 0;
+            const double share = stage ? rolloutShare(*stage, ExposeShare) : 0;
             if (rule.allows(New)) {
                 ++exposed;
                 const bool bad = unit(random) < failureRate(part, share);
@@ -163,8 +163,8 @@
 Test(rolloutDirector, an_ended_rollout_stays_as_it_is)
 {
     RolloutDirector director;
-    const RolloutStage condemned{Service, New, 3, true, false};
-    const RolloutStage complete{Service, New, 4, false, true};
+    const RolloutStage condemned{Service, New, 3, 0.05, true, false};
+    const RolloutStage complete{Service, New, 4, 0.05, false, true};
     cr_expect_not(director.decide(Order, Start, condemned, totals(100, 0, 100, 0), 3, Start + 20s));
     cr_expect_not(director.decide(Order, Start, complete, totals(0, 100, 100, 0), 3, Start + 20s));
 }
@@ -172,7 +172,7 @@
 Test(rolloutDirector, it_waits_for_what_runs_on_the_old_version)
 {
     RolloutDirector director;
-    const RolloutStage moved{Service, New, LastRolloutStage, false, false};
+    const RolloutStage moved{Service, New, LastRolloutStage, 0.05, false, false};
     RolloutTotals busy = totals(100, 0, 100, 0);
     busy.other.inFlight = 3;
     director.decide(Order, Start, moved, busy, 3, Start);
@@ -220,7 +220,7 @@
     view.apply({Offset(0), Order}, Start);
     std::vector<bool> moved(500, false);
     for (int stage = 0; stage <= LastRolloutStage; ++stage) {
-        view.apply({Offset(1), RolloutStage{Service, New, stage, false, false}}, Start);
+        view.apply({Offset(1), RolloutStage{Service, New, stage, 0.05, false, false}}, Start);
         for (std::size_t i = 0; i < moved.size(); ++i) {
             const std::uint64_t hash = (i * 0x9e3779b97f4a7c15ULL);
             const bool now = rolloutRule(Service, hash, view, ExposeShare).allows(New);
@@ -243,7 +243,31 @@
 
 Test(rolloutRule, the_first_stage_keeps_to_a_narrow_bound)
 {
-    cr_expect_float_eq(rolloutShare(FirstRolloutStage, 0.15), 0.05, 1e-9);
-    cr_expect_float_eq(rolloutShare(FirstRolloutStage, 0.03), 0.01, 1e-9);
-    cr_expect_float_eq(rolloutShare(LastRolloutStage, 0.03), 1.0, 1e-9);
+    cr_expect_float_eq(rolloutShare({Service, New, FirstRolloutStage, 0.05}, 0.15), 0.05, 1e-9);
+    cr_expect_float_eq(rolloutShare({Service, New, FirstRolloutStage, 0.05}, 0.03), 0.01, 1e-9);
+    cr_expect_float_eq(rolloutShare({Service, New, LastRolloutStage, 0.05}, 0.03), 1.0, 1e-9);
+}
+
+Test(rolloutRule, few_sessions_under_way_change_their_version_when_a_rollout_begins)
+{
+    // A tenth of the requests are followed by another of their session, three seconds later.
+    constexpr double Followed = 0.1;
+    constexpr double GapSeconds = 3;
+    for (const double requestsPerSecond : {10.0, 50.0, 190.0, 480.0, 7100.0}) {
+        const double share = firstRolloutShare(requestsPerSecond);
+        const double underWay = requestsPerSecond * Followed * GapSeconds;
+        cr_expect(share * underWay < 0.8, "%g a second: %g", requestsPerSecond, share * underWay);
+        // Still there is evidence in ten seconds, but where there is hardly any traffic.
+        cr_expect(share * requestsPerSecond * 10 >= 4, "%g a second", requestsPerSecond);
+    }
+}
+
+Test(rolloutDirector, the_first_share_follows_from_the_traffic)
+{
+    RolloutDirector director;
+    RolloutTotals busy = totals(0, 0, 1440, 0);
+    cr_expect_not(director.decide(Order, Start, std::nullopt, busy, 3, Start + 1s).has_value());
+    const auto first = director.decide(Order, Start, std::nullopt, busy, 3, Start + 3s);
+    cr_assert(first && first->stage == FirstRolloutStage);
+    cr_expect(first->firstShare < 0.003 && first->firstShare > 0.001, "%g", first->firstShare);
 }
