--- a/Source/Base/Time.h
+++ b/Source/Base/Time.h
@@ -43,4 +43,10 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Milliseconds since the epoch by the time of day, which may jump.
+inline std::int64_t wallMilliseconds(const Clock &clock)
+{
+    return toMilliseconds(clock.wallTime().time_since_epoch());
+}
+
 } // namespace lycheearch
--- a/Source/Daemon/LoadDuty.cpp
+++ b/Source/Daemon/LoadDuty.cpp
@@ -88,9 +88,7 @@
 
 void LoadDuty::tellOthers(const FeedLoad &load, TimePoint now)
 {
-    const auto wall =
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallTime().time_since_epoch())
-            .count();
+    const std::int64_t wall = wallMilliseconds(m_clock);
     std::set<DataCentreId> places;
     for (const auto &[id, member] : m_view.members()) {
         places.insert(member.dataCentre);
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -1,4 +1,5 @@
 #include "Daemon/RouterDaemon.h"
+#include "Net/HttpStatus.h"
 
 #include <algorithm>
 #include <csignal>
@@ -9,9 +10,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusUnavailable = 503;
-
 constexpr BackendLink::Limits LinkLimits{
     250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 constexpr Duration RegisterPeriod = 45s;
@@ -128,17 +126,10 @@
     m_log.write(LogWeight::Notable, LogLine("process.stop"), m_loop.now());
 }
 
-std::int64_t RouterDaemon::wallMilliseconds() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               m_clock.wallTime().time_since_epoch())
-        .count();
-}
-
 void RouterDaemon::registerMember(TimePoint now)
 {
     const MemberRegistered member{m_settings.instance, m_settings.dataCentre, m_settings.feedListen,
-                                  wallMilliseconds()};
+                                  wallMilliseconds(m_clock)};
     m_store->append(Topic::Own, m_codec.encode(member), std::nullopt,
                     [this](const StoreOutcome<Offset> &outcome, TimePoint present) {
                         lookForMembers(present);
@@ -172,7 +163,7 @@
 
 void RouterDaemon::divideBounds()
 {
-    const std::int64_t wall = wallMilliseconds();
+    const std::int64_t wall = wallMilliseconds(m_clock);
     const auto daemons = static_cast<int>(
         std::count_if(m_view.members().begin(), m_view.members().end(),
                       [&](const auto &entry) { return memberIsCurrent(entry.second, wall); }));
@@ -272,12 +263,13 @@
         m_log.write(LogWeight::Notable, LogLine("process.ready").add("ready", ready ? "yes" : "no"),
                     now);
     }
-    return {ready ? StatusOk : StatusUnavailable, {}, ready ? "ready\n" : "not ready\n"};
+    return {
+        ready ? HttpStatus::Ok : HttpStatus::Unavailable, {}, ready ? "ready\n" : "not ready\n"};
 }
 
 HttpReply RouterDaemon::metricsPage(TimePoint)
 {
-    HttpReply reply{StatusOk, {}, m_metrics.text()};
+    HttpReply reply{HttpStatus::Ok, {}, m_metrics.text()};
     reply.fields.add("Content-Type", "text/plain; version=0.0.4");
     reply.body += "# TYPE lycheearch_backend_connections_opened_total counter\n"
                   "lycheearch_backend_connections_opened_total "
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -56,7 +56,6 @@
     void lookForMembers(TimePoint now);
     /// Divides the bounds for all daemons together among those that are known.
     void divideBounds();
-    std::int64_t wallMilliseconds() const;
     void onSignal(int signal, TimePoint now);
     void reloadSettings(TimePoint now);
     void beginDrain(TimePoint now);
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -90,10 +90,8 @@
     if (!m_follower.synced()) {
         return;
     }
-    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_clock.wallTime().time_since_epoch());
     const std::vector<MemberRegistered> candidates =
-        feedCandidates(m_view.members(), m_self, m_dataCentre, wall.count());
+        feedCandidates(m_view.members(), m_self, m_dataCentre, wallMilliseconds(m_clock));
     m_follower.setPatient(!candidates.empty());
     for (const MemberRegistered &member : candidates) {
         const auto avoided = m_avoidUntil.find(member.instance);
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -1,15 +1,10 @@
 #include "Forward/CallerConnection.h"
+#include "Net/HttpStatus.h"
 
 namespace lycheearch {
 
 namespace {
 
-constexpr int BadRequest = 400;
-constexpr int RequestTimeout = 408;
-constexpr int PayloadTooLarge = 413;
-constexpr int HeadTooLarge = 431;
-constexpr int ServiceUnavailable = 503;
-
 /// Bytes of a following request that are kept while one is being served.
 constexpr std::size_t MostPipelinedBytes = 64UL * 1024;
 /// How long the caller may take to close after the last answer.
@@ -100,18 +95,18 @@
     case HttpFault::None:
         break;
     case HttpFault::HeadTooLarge:
-        refuse(HeadTooLarge, "request header fields too large", now);
+        refuse(HttpStatus::HeadTooLarge, "request header fields too large", now);
         return;
     case HttpFault::BodyTooLarge:
-        refuse(PayloadTooLarge, "request body too large", now);
+        refuse(HttpStatus::PayloadTooLarge, "request body too large", now);
         return;
     case HttpFault::Malformed:
     case HttpFault::Truncated:
-        refuse(BadRequest, "malformed request", now);
+        refuse(HttpStatus::BadRequest, "malformed request", now);
         return;
     }
     if (m_bodyRefused) {
-        refuse(ServiceUnavailable, "no memory for the request body", now);
+        refuse(HttpStatus::Unavailable, "no memory for the request body", now);
     } else if (m_parser->complete()) {
         serve(now);
     } else if (m_parser->headComplete()) {
@@ -151,7 +146,7 @@
     m_chunkedAnswer = !m_head.httpOneZero;
     m_bodyless = m_head.method == "HEAD";
     if (m_head.method == "CONNECT" || m_head.fields.count("Host") != 1) {
-        refuse(BadRequest, "a request needs one Host field", now);
+        refuse(HttpStatus::BadRequest, "a request needs one Host field", now);
         return;
     }
     RoutedRequest request = m_context.dialect.decodeRequest(std::move(m_head));
@@ -296,7 +291,7 @@
         linger(now);
         break;
     case State::Reading:
-        refuse(RequestTimeout, "the request did not arrive in time", now);
+        refuse(HttpStatus::RequestTimeout, "the request did not arrive in time", now);
         break;
     case State::Lingering:
         close(now);
--- a/Source/Forward/Exchange.cpp
+++ b/Source/Forward/Exchange.cpp
@@ -4,23 +4,12 @@
 
 #include "Base/Hash.h"
 #include "Forward/SendNames.h"
+#include "Net/HttpStatus.h"
 
 namespace lycheearch {
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int FirstFailure = 300;
-constexpr int FirstServerFailure = 500;
-constexpr int Unauthorized = 401;
-constexpr int NotFound = 404;
-constexpr int RequestTimeout = 408;
-constexpr int Misdirected = 421;
-constexpr int TooManyRequests = 429;
-constexpr int BadGateway = 502;
-constexpr int Unavailable = 503;
-constexpr int GatewayTimeout = 504;
-
 constexpr int LowestEnginePriority = 9;
 /// Connections that are tried for one request before it fails.
 constexpr int MostConnectFailures = 4;
@@ -33,17 +22,11 @@
 constexpr Duration NotReadyRetryAfter = 500ms;
 /// Time that a repeat needs to be of use.
 constexpr Duration LeastTimeForRepeat = 30ms;
-/// A plain request is sent again after this many times its latency objective without an answer.
-constexpr int PlainStallObjectives = 3;
-/// A stream without a first event is sent again after this many times its latency objective.
-constexpr int FirstEventStallObjectives = 2;
-constexpr Duration ShortestStreamStall = 1500ms;
-constexpr int StallGapObjectives = 2;
 
 bool promisesNotRun(int status)
 {
-    return status == RequestTimeout || status == Misdirected || status == TooManyRequests
-        || status == Unavailable;
+    return status == HttpStatus::RequestTimeout || status == HttpStatus::Misdirected
+        || status == HttpStatus::TooManyRequests || status == HttpStatus::Unavailable;
 }
 
 std::string seconds(Duration duration)
@@ -84,12 +67,12 @@
 bool Exchange::admit(TimePoint now)
 {
     if (!m_table) {
-        answerOwn(Unavailable, "no configuration yet", now, NotReadyRetryAfter);
+        answerOwn(HttpStatus::Unavailable, "no configuration yet", now, NotReadyRetryAfter);
         return false;
     }
     m_route = m_table->route(m_request.host, m_request.head.target);
     if (m_route == nullptr) {
-        answerOwn(NotFound, "no route", now);
+        answerOwn(HttpStatus::NotFound, "no route", now);
         return false;
     }
     m_priority = m_route->priority;
@@ -98,14 +81,14 @@
     }
     if (!m_context.stop.admits(
             std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout), now)) {
-        answerOwn(Unavailable, "the process is stopping", now, StoppingRetryAfter);
+        answerOwn(HttpStatus::Unavailable, "the process is stopping", now, StoppingRetryAfter);
         return false;
     }
     m_sessionHash =
         stableHash(m_request.session.empty() ? m_request.id.value() : m_request.session.value());
     const ServiceId *service = chooseService(*m_route, m_sessionHash);
     if (service == nullptr) {
-        answerOwn(Unavailable, "the route names no service", now, NotReadyRetryAfter);
+        answerOwn(HttpStatus::Unavailable, "the route names no service", now, NotReadyRetryAfter);
         return false;
     }
     m_service = *service;
@@ -136,7 +119,7 @@
     }
     const AccountProfile *account = m_table->account(m_request.key);
     if (account == nullptr) {
-        answerOwn(Unauthorized, "unknown key", now);
+        answerOwn(HttpStatus::Unauthorized, "unknown key", now);
         return false;
     }
     m_account = account->name;
@@ -292,7 +275,7 @@
     }
     m_context.picker.onAnswering(m_attempt.backend, urgency(), unansweredTokens(), now);
     m_attempt.answered = true;
-    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == StatusOk
+    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
         && facts.sealed && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
     m_attempt.facts = std::move(facts);
@@ -321,43 +304,6 @@
     relayEvents(events, now);
 }
 
-void Exchange::relayEvents(const std::vector<StreamEvent> &events, TimePoint now)
-{
-    std::string bytes;
-    for (const StreamEvent &event : events) {
-        if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
-            continue; // Sent before by an earlier backend server.
-        }
-        if (event.id) {
-            m_lastEvent = event.id;
-        }
-        bytes.append(event.bytes);
-        ++m_events;
-        if (m_attempt.relayed++ == 0) {
-            m_attempt.firstEventAt = now;
-        }
-    }
-    if (bytes.empty()) {
-        return;
-    }
-    if (!m_streamBegun) {
-        m_streamBegun = true;
-        m_firstByteAt = now;
-        HttpFields fields = m_attempt.head.fields;
-        removeConnectionFields(fields);
-        fields.remove("Content-Length");
-        m_sink.beginStream(m_attempt.head.status, m_attempt.head.reason, std::move(fields));
-    } else {
-        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-        m_context.models.onGap(m_model, now - m_lastEventAt, now);
-    }
-    m_lastEventAt = now;
-    m_sink.streamBytes(bytes);
-    if (!m_finished) {
-        armStall(now);
-    }
-}
-
 void Exchange::onAnswerEnd(TimePoint now)
 {
     if (m_attempt.dropped) {
@@ -373,29 +319,20 @@
     }
 }
 
-void Exchange::onStreamEnd(TimePoint now)
-{
-    if (!m_attempt.splitter.atBoundary() || !m_streamBegun) {
-        releaseAttempt(SendOutcome::Broken, false, now);
-        retryOrFail("the stream ended within an event", now);
-        return;
-    }
-    releaseAttempt(SendOutcome::Served, true, now);
-    finish(m_attempt.head.status, "served", now);
-    m_sink.endStream(now);
-}
-
 void Exchange::onWholeAnswer(TimePoint now)
 {
     const int status = m_attempt.head.status;
     if (m_attempt.facts.notExecuted) {
-        releaseAttempt(status == Misdirected ? SendOutcome::Misdirected : SendOutcome::Overloaded,
+        releaseAttempt(status == HttpStatus::Misdirected ? SendOutcome::Misdirected
+                                                         : SendOutcome::Overloaded,
                        true, now);
-        retryOrFail(status == Misdirected ? "another server has the address" : "server full", now);
+        retryOrFail(status == HttpStatus::Misdirected ? "another server has the address"
+                                                      : "server full",
+                    now);
         return;
     }
     m_mayHaveRun = true;
-    if (status < FirstFailure) {
+    if (status < HttpStatus::FirstRedirect) {
         const bool whole =
             m_attempt.facts.sealed && m_attempt.head.fields.find("Content-Encoding") == nullptr;
         releaseAttempt(whole ? SendOutcome::Served : SendOutcome::Broken, whole, now);
@@ -406,13 +343,14 @@
         }
         return;
     }
-    releaseAttempt(status >= FirstServerFailure ? SendOutcome::ServerFailed : SendOutcome::Served,
+    releaseAttempt(status >= HttpStatus::FirstServerError ? SendOutcome::ServerFailed
+                                                          : SendOutcome::Served,
                    true, now);
     if (!promisesNotRun(status)) {
         m_failedHead = m_attempt.head;
         m_failedBody = m_attempt.body;
     }
-    if (status >= FirstServerFailure || promisesNotRun(status)) {
+    if (status >= HttpStatus::FirstServerError || promisesNotRun(status)) {
         retryOrFail("the server failed", now);
     } else {
         deliverAttempt(now);
@@ -476,17 +414,6 @@
     }
 }
 
-std::optional<Duration> Exchange::pace(TimePoint now) const
-{
-    if (!m_attempt.streaming) {
-        return now - m_attempt.sentAt;
-    }
-    if (m_attempt.relayed < 2) {
-        return std::nullopt;
-    }
-    return (m_lastEventAt - m_attempt.firstEventAt) / (m_attempt.relayed - 1);
-}
-
 bool Exchange::mayRepeat(TimePoint now) const
 {
     const bool safe = m_route->repeatable() || !m_mayHaveRun;
@@ -507,40 +434,6 @@
     dispatch(now);
 }
 
-Duration Exchange::stallLimit() const
-{
-    if (m_route->kind != RouteKind::EventStream) {
-        return m_route->latencyObjective * PlainStallObjectives;
-    }
-    if (!m_streamBegun) {
-        return m_route->latencyObjective * FirstEventStallObjectives;
-    }
-    return std::max(ShortestStreamStall, m_route->gapObjective * StallGapObjectives);
-}
-
-void Exchange::armStall(TimePoint now)
-{
-    m_context.loop.cancel(m_attempt.stallTimer);
-    const bool useful = m_route->repeatable() && m_sends < m_route->maxAttempts;
-    if (!useful) {
-        return;
-    }
-    m_attempt.stallTimer = m_context.loop.at(now + stallLimit(), [this](TimePoint present) {
-        m_attempt.stallTimer = TimerId();
-        onStall(present);
-    });
-}
-
-void Exchange::onStall(TimePoint now)
-{
-    if (!mayRepeat(now) || !m_context.retries.withdraw(m_service, now)) {
-        return;
-    }
-    m_mayHaveRun = true;
-    releaseAttempt(SendOutcome::Broken, false, now);
-    dispatch(now);
-}
-
 void Exchange::onDeadline(TimePoint now)
 {
     if (m_inAttempt) {
@@ -581,10 +474,10 @@
         return;
     }
     if (!m_mayHaveRun) {
-        answerOwn(Unavailable, cause, now, ShortRetryAfter);
+        answerOwn(HttpStatus::Unavailable, cause, now, ShortRetryAfter);
         return;
     }
-    answerOwn(now >= m_deadline ? GatewayTimeout : BadGateway, cause, now);
+    answerOwn(now >= m_deadline ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway, cause, now);
 }
 
 void Exchange::answerOwn(int status, const char *cause, TimePoint now,
@@ -617,7 +510,7 @@
     m_context.loop.cancel(m_deadlineTimer);
     m_context.metrics.count("lycheearch_requests_total",
                             "status=\"" + std::to_string(status) + "\"");
-    const bool good = status >= StatusOk && status < FirstFailure;
+    const bool good = status >= HttpStatus::Ok && status < HttpStatus::FirstRedirect;
     if (good && !m_context.log.routineAllowed(now)) {
         return;
     }
--- a/Source/Log/DecisionLog.cpp
+++ b/Source/Log/DecisionLog.cpp
@@ -82,8 +82,7 @@
 
 std::string DecisionLog::prefix()
 {
-    const auto wall = m_clock.wallTime().time_since_epoch();
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+    const std::int64_t milliseconds = wallMilliseconds(m_clock);
     constexpr std::int64_t perSecond = 1000;
     const std::time_t seconds = milliseconds / perSecond;
     std::tm parts{};
--- a/Source/Net/HttpHead.cpp
+++ b/Source/Net/HttpHead.cpp
@@ -1,4 +1,5 @@
 #include "Net/HttpHead.h"
+#include "Net/HttpStatus.h"
 
 #include <algorithm>
 #include <array>
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr int NoContent = 204;
-constexpr int NotModified = 304;
-
 char lowered(char c)
 {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -112,7 +110,8 @@
 
 bool HttpResponseHead::endsWithConnection() const
 {
-    return !chunked && !contentLength && status != NoContent && status != NotModified;
+    return !chunked && !contentLength && status != HttpStatus::NoContent
+        && status != HttpStatus::NotModified;
 }
 
 void removeConnectionFields(HttpFields &fields)
--- a/Tests/Daemon/testHostileInput.cpp
+++ b/Tests/Daemon/testHostileInput.cpp
@@ -7,6 +7,7 @@
 #include "Config/ConfigFold.h"
 #include "Config/YamlReader.h"
 #include "OwnFormats/HttpClient.h"
+#include "PortLock.h"
 #include "Request/RequestContext.h"
 #include "State/BillRecord.h"
 #include "State/ClaimTable.h"
@@ -86,6 +87,7 @@
     plan.dataCentres = {{"lahore-a", 1}};
     FleetOptions options;
     options.firstPort = 25000;
+    const PortLock ports(options.firstPort);
     options.proxied = false;
     const std::string build = LYCHEEARCH_BUILD_DIR;
     Trial trial({build, std::string(LYCHEEARCH_SOURCE_DIR) + "/Utilities/Deployments/sitara",
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "PortLock.h"
 #include "Soak.h"
 
 using namespace lycheearch;
@@ -14,6 +15,7 @@
     options.firstPort = 23000;
     options.buildFolder = LYCHEEARCH_BUILD_DIR;
     options.workFolder = options.buildFolder + "/test-soak";
+    const PortLock ports(options.firstPort);
     Soak soak(options);
     for (const std::string &finding : soak.run()) {
         cr_expect(false, "%s", finding.c_str());
--- a/Tests/Trial/testFleet.cpp
+++ b/Tests/Trial/testFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "PortLock.h"
 #include "Scenario.h"
 
 using namespace lycheearch;
@@ -15,6 +16,7 @@
 
 void expectGreen(const std::string &name, std::uint16_t firstPort)
 {
+    const PortLock ports(firstPort);
     const std::string build = LYCHEEARCH_BUILD_DIR;
     const TrialPaths paths{build,
                            std::string(LYCHEEARCH_SOURCE_DIR) + "/Utilities/Deployments/sitara",
