--- a/Source/Base/Hash.cpp
+++ b/Source/Base/Hash.cpp
@@ -31,6 +31,16 @@
 
 } // namespace
 
+std::uint64_t mixBits(std::uint64_t value)
+{
+    constexpr unsigned half = 33;
+    value ^= value >> half;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> half;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> half);
+}
+
 std::uint64_t stableHash(const std::string &text)
 {
     return XXH64(text.data(), text.size(), 0);
--- a/Source/Base/Hash.h
+++ b/Source/Base/Hash.h
@@ -11,6 +11,9 @@
 /// A 64-bit hash that is the same in every process and build.
 std::uint64_t stableHash(const std::string &text);
 
+/// Spreads each bit of \p value over all bits of the result.
+std::uint64_t mixBits(std::uint64_t value);
+
 /// SHA-256 of \p text in lower-case hexadecimal.
 std::string sha256Hex(const std::string &text);
 
--- a/Source/Daemon/LoadDuty.cpp
+++ b/Source/Daemon/LoadDuty.cpp
@@ -9,6 +9,8 @@
 constexpr Duration TellPeriod = 200ms;
 /// What another data centre told is used for this long.
 constexpr Duration ToldLifetime = 1500ms;
+/// Places of prompts that wait to be passed on; what is left out is told again later.
+constexpr std::size_t MostPlacesToPass = 16384;
 
 } // namespace
 
@@ -41,7 +43,8 @@
 {
     m_told[load.dataCentre] = {load.loads, now};
     m_picker.promptPlaces().noteTold(load.places, now);
-    if (!m_follower.fed()) {
+    const std::size_t size = m_placesToPass.size() + load.places.size();
+    if (!m_follower.fed() && size <= MostPlacesToPass) {
         m_placesToPass.insert(m_placesToPass.end(), load.places.begin(), load.places.end());
     }
 }
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -49,15 +49,6 @@
 /// Work that is less urgent delays a request by this part only: what is being read already.
 constexpr double LessUrgentPart = 0.25;
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33);
-}
-
 /// Tokens that are read before those of a request of a class of urgency.
 double tokensAhead(const TokensByUrgency &tokens, int urgency)
 {
@@ -243,7 +234,8 @@
     ++m_tieBreak;
     for (const Candidate &candidate : candidates) {
         const double cost = candidate.load + (candidate.local ? 0 : RemotePenalty);
-        const std::uint64_t tie = mix(m_tieBreak ^ stableHash(candidate.state->report.id.value()));
+        const std::uint64_t tie =
+            mixBits(m_tieBreak ^ stableHash(candidate.state->report.id.value()));
         if (best == nullptr || cost < bestCost || (cost == bestCost && tie > bestTie)) {
             best = &candidate;
             bestCost = cost;
@@ -281,7 +273,7 @@
     const auto interval =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(chanceReserve / share));
     const Duration phase(
-        static_cast<std::int64_t>(mix(m_phase) % static_cast<std::uint64_t>(interval.count())));
+        static_cast<std::int64_t>(mixBits(m_phase) % static_cast<std::uint64_t>(interval.count())));
     const Duration sinceTurn = (now - state.coldUntil + phase) % interval;
     const Duration positive = sinceTurn < Duration::zero() ? sinceTurn + interval : sinceTurn;
     const bool used = !health.sends.empty() && now - health.sends.back() < interval / 2;
--- a/Source/Routing/PromptPlacement.cpp
+++ b/Source/Routing/PromptPlacement.cpp
@@ -25,18 +25,10 @@
 constexpr double CopyTimeTokens = 0.06;
 /// Servers that don't hold the part and are compared at least.
 constexpr double FewestDrawn = 3;
-/// Servers that are drawn, as a part of all, by one of so many daemons.
+/// Up to so many daemons compare all servers each; more of them a part that falls with their
+/// number.
 constexpr double DaemonsForAllServers = 6;
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33);
-}
-
 } // namespace
 
 double readingWork(double tokens, double cached, double tokenWeight)
@@ -53,7 +45,7 @@
 {
     constexpr std::uint64_t step = 0x9e3779b97f4a7c15ULL;
     m_random += step;
-    return mix(m_random);
+    return mixBits(m_random);
 }
 
 std::vector<bool> PromptPlacement::draw(std::size_t candidates)
@@ -117,7 +109,7 @@
     const std::vector<InstanceId> known =
         shares ? places.holders(work.affinity, now) : std::vector<InstanceId>();
     for (std::size_t i = 0; shares && i < candidates.size(); ++i) {
-        const std::uint64_t weight = mix(work.affinity ^ stableHash(candidates[i].id.value()));
+        const std::uint64_t weight = mixBits(work.affinity ^ stableHash(candidates[i].id.value()));
         if (first == candidates.size() || weight > topWeight) {
             first = i;
             topWeight = weight;
