The soak's store refuses what is no append; ports of the tests end below its own

By reading: the tests' ForwardHarness used ports up to 27,600, which holds the soak's (from 24,000); no trace shows the stray request.

Change: ports of the harness end at 18,000; the stand-in answers 400.

Conclusion: a finding of the test bed, not of the product.

--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -117,7 +117,7 @@
 {
 public:
     /// Tests run side by side, each in a process of its own: each has its own ports.
-    const std::uint16_t firstPort = static_cast<std::uint16_t>(10'000 + getpid() % 1100 * 16);
+    const std::uint16_t firstPort = static_cast<std::uint16_t>(10'000 + getpid() % 500 * 16);
 
     ForwardHarness()
         : loop(clock)
--- a/Utilities/Soak/StoreStandIn.cpp
+++ b/Utilities/Soak/StoreStandIn.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int Ok = 200;
+constexpr int BadRequest = 400;
 constexpr int Gone = 410;
 constexpr int PreconditionFailed = 412;
 constexpr int Unavailable = 503;
@@ -155,6 +156,10 @@
 void StoreStandIn::append(const Connection &connection, const std::string &topic,
                           const std::string &target, const std::string &body)
 {
+    if (!target.starts_with("/-/log-append") || body.size() <= LengthBytes) {
+        connection->reply(BadRequest, {}, "expected a record to append\n");
+        return;
+    }
     Stream &stream = m_streams[topic];
     const std::string at = query(target, "At");
     if (!at.empty() && std::stoll(at) != stream.end()) {
