--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -22,7 +22,7 @@
     int daemons = 4;
     int runners = 4;
     int callersPerDaemon = 3;
-    std::uint16_t firstPort = 24000;
+    std::uint16_t firstPort = 29000; ///< Apart from those that the tests use.
     std::string buildFolder;
     std::string workFolder;
 };
