Servers that leave or ask for a pause; bytes without end

Neither Server-Leaving nor a server's Retry-After was read. A chunk extension, a trailer, or interim responses without end were accepted for ever: the parser limits the head only.

ServerNotices keeps what servers announce, for one run of a server only; a leaving server is never chosen again by this daemon and last by the daemons that hear of it with the loads; a server that asked for a pause is not chosen until it ends (at most 300 s). If all are paused, the caller is refused at once with a Retry-After that is spread over half of the pause. Interim and error responses count, responses to other requests don't. The parser cuts what it can't consume, and trailers, at the head limit; more than 16 interim responses are a protocol error.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -258,7 +258,7 @@
         const BackendState *state = m_view.backend(id);
         return state != nullptr && !state->draining;
     });
-    m_picker.prune(m_view);
+    m_picker.prune(m_view, now);
     divideFleetLimits();
     m_loop.at(now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); });
 }
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -120,6 +120,7 @@
         }
         entries[i].setRequests(load.requests);
         entries[i].setUnreachable(load.unreachable);
+        entries[i].setLeaving(load.leaving);
         ++i;
     }
     auto promptCacheEntries =
@@ -138,6 +139,7 @@
         BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
         load.requests = entry.getRequests();
         load.unreachable = entry.getUnreachable();
+        load.leaving = entry.getLeaving();
         const auto tokens = entry.getTokens();
         for (unsigned j = 0; j < tokens.size() && j < UrgencyClassCount; ++j) {
             load.tokens.at(j) = tokens[j];
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -45,6 +45,7 @@
   tokens @1 :List(Float64);    # Weighted prefill tokens until the answer begins, by urgency class.
   requests @2 :Int32;          # Requests in flight.
   unreachable @3 :Int32;       # Daemons that cannot reach the server.
+  leaving @4 :Int32;           # Daemons that the server told that it is about to stop.
 }
 
 struct FeedPromptPlace {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -99,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9c59a0f29bd5ea7, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f9c59a0f29bd5ea7, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -623,6 +623,8 @@
 
   inline  ::int32_t getUnreachable() const;
 
+  inline  ::int32_t getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -672,6 +674,9 @@
   inline  ::int32_t getUnreachable();
   inline void setUnreachable( ::int32_t value);
 
+  inline  ::int32_t getLeaving();
+  inline void setLeaving( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1593,6 +1598,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int32_t FeedLoadEntry::Reader::getLeaving() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FeedLoadEntry::Builder::getLeaving() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedLoadEntry::Builder::setLeaving( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FeedPromptPlace::Reader::getAffinity() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -7,6 +7,8 @@
 /// Assumed if the server does not declare how long it keeps idle connections.
 constexpr Duration DefaultIdleTimeout = 5s;
 constexpr int FirstFinalStatus = 200;
+/// More interim responses (1xx) than this to one request are a protocol error.
+constexpr int MaxInterimResponses = 16;
 
 /// Reads the timeout parameter, in seconds, of a Keep-Alive field such as "timeout=5, max=100".
 std::optional<Duration> keepAliveTimeout(const HttpFields &fields)
@@ -66,6 +68,7 @@
     m_bodyless = bodyless;
     m_now = now;
     m_input.clear();
+    m_interimCount = 0;
     restartParser();
     m_socket.send(bytes);
 }
@@ -117,6 +120,11 @@
             completeResponse(now);
             return;
         }
+        if (m_interimCount > MaxInterimResponses) {
+            m_socket.close();
+            reportConnectionLoss(std::make_error_code(std::errc::protocol_error), now);
+            return;
+        }
         restartParser();
         if (m_input.empty()) {
             return;
@@ -134,7 +142,12 @@
 void BackendHttpConnection::onResponseHead(HttpResponseHead head)
 {
     m_interim = head.status < FirstFinalStatus;
-    if (m_interim || m_listener == nullptr) {
+    if (m_listener == nullptr) {
+        return;
+    }
+    if (m_interim) {
+        ++m_interimCount;
+        m_listener->onInterimResponse(head, m_now);
         return;
     }
     m_keepAlive = head.keepAlive && !head.isCloseDelimited();
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -25,6 +25,8 @@
     /// Returns Skip if the response belongs to another request. It is then discarded, and the right
     /// one may follow.
     virtual Verdict onResponseStarted(const HttpResponseHead &head, TimePoint now) = 0;
+    /// An interim response (1xx), which the final response follows.
+    virtual void onInterimResponse(const HttpResponseHead &head, TimePoint now) = 0;
     virtual void onResponseData(std::string_view bytes, TimePoint now) = 0;
     virtual void onResponseComplete(TimePoint now) = 0;
     virtual void onConnectionLost(Delivery delivery, std::error_code error, TimePoint now) = 0;
@@ -91,6 +93,7 @@
     bool m_hasSkippedResponse = false;
     bool m_keepAlive = true;
     bool m_interim = false; ///< The response being received has a 1xx status.
+    int m_interimCount = 0; ///< Interim responses to the present request.
     int m_responseCount = 0;
 };
 
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -51,6 +51,7 @@
     , m_body(std::move(body))
     , m_table(context.view.table())
     , m_receivedAt(receivedAt)
+    , m_retryAfter(DefaultRetryAfter)
     , m_lastEventId(m_request.lastEventId)
 {
 }
@@ -166,6 +167,7 @@
             pick = m_context.picker.pick(requirements, m_context.view, now, fault);
         }
         if (!pick) {
+            m_retryAfter = retryAfter(requirements, now);
             fail(pickFaultMessage(fault), now);
             return;
         }
@@ -180,6 +182,19 @@
     }
 }
 
+Duration RequestForwarder::retryAfter(const PickRequest &requirements, TimePoint now) const
+{
+    const Duration pause = m_context.picker.shortestPause(requirements, m_context.view, now);
+    if (pause <= Duration::zero()) {
+        return DefaultRetryAfter;
+    }
+    // Spread, so that the refused callers do not all come back in the moment the pause ends.
+    constexpr double spreadPart = 0.5;
+    constexpr std::uint64_t spreadSteps = 1000;
+    const auto step = static_cast<double>(stableHash(m_request.id.value()) % spreadSteps);
+    return pause + std::chrono::duration_cast<Duration>(pause * spreadPart * step / spreadSteps);
+}
+
 bool RequestForwarder::openConnection(const Pick &pick, TimePoint now)
 {
     const BackendState *state = m_context.view.backend(pick.backend);
@@ -278,6 +293,7 @@
                             now);
         return Verdict::Skip;
     }
+    applyNotices(metadata, now);
     if (metadata.load) {
         m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
                                         metadata.load->waiting, now);
@@ -295,6 +311,36 @@
     return Verdict::Accept;
 }
 
+void RequestForwarder::onInterimResponse(const HttpResponseHead &head, TimePoint now)
+{
+    const ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
+    if (metadata.requestId.empty() || metadata.requestId == m_request.id.value()) {
+        applyNotices(metadata, now);
+    }
+}
+
+void RequestForwarder::applyNotices(const ResponseMetadata &metadata, TimePoint now)
+{
+    if (metadata.leaving && m_context.picker.onLeaving(m_attempt.backend, now)) {
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.leaving")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value()),
+                            now);
+    }
+    if (metadata.retryAfter) {
+        m_context.picker.onPauseRequested(m_attempt.backend, *metadata.retryAfter, now);
+        const bool cut = *metadata.retryAfter > ServerNotices::LongestPause;
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.pause")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("pause_ms", *metadata.retryAfter)
+                                .add("cut", cut ? "yes" : "no"),
+                            now);
+    }
+}
+
 void RequestForwarder::onResponseData(std::string_view bytes, TimePoint now)
 {
     if (m_attempt.discarded) {
@@ -484,7 +530,7 @@
         return;
     }
     if (!m_mayHaveRun) {
-        sendLocalResponse(HttpStatus::Unavailable, cause, now, DefaultRetryAfter);
+        sendLocalResponse(HttpStatus::Unavailable, cause, now, m_retryAfter);
         return;
     }
     sendLocalResponse(now >= m_deadline ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway,
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -59,6 +59,7 @@
     };
 
     Verdict onResponseStarted(const HttpResponseHead &head, TimePoint now) override;
+    void onInterimResponse(const HttpResponseHead &head, TimePoint now) override;
     void onResponseData(std::string_view bytes, TimePoint now) override;
     void onResponseComplete(TimePoint now) override;
     void onConnectionLost(Delivery delivery, std::error_code error, TimePoint now) override;
@@ -67,6 +68,10 @@
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
     PickRequest pickRequest(TimePoint now) const;
+    /// Applies what the backend server announced about itself in a response.
+    void applyNotices(const ResponseMetadata &metadata, TimePoint now);
+    /// Time after which the caller may repeat the refused request.
+    Duration retryAfter(const PickRequest &requirements, TimePoint now) const;
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
     int urgency() const;
@@ -123,6 +128,7 @@
     std::set<InstanceId> m_unreachableBackends;
     int m_attemptCount = 0; ///< Attempts that may have reached a backend server.
     int m_connectFailures = 0;
+    Duration m_retryAfter; ///< Retry-After of a refusal.
     bool m_mayHaveRun = false;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
     /// status implies that the request was not executed is not kept.
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -65,6 +65,9 @@
     bool notExecuted = false; ///< The backend server did not execute the request and never will.
     std::optional<ReportedLoad> load;
     std::optional<int> confidence; ///< The model's confidence in its response, 0 to 100.
+    bool leaving = false; ///< The backend server is about to stop and wants no new requests.
+    /// With status 503: how long the backend server wants no requests from this daemon.
+    std::optional<Duration> retryAfter;
 };
 
 /// Decodes and encodes the header fields of requests and responses. Makes no routing decisions.
--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -52,6 +52,7 @@
 
     explicit MessageParser(HttpLimits limits)
     {
+        m_headBytes = limits.headBytes;
         this->header_limit(limits.headBytes);
         this->body_limit(limits.bodyBytes);
         this->eager(true);
@@ -74,6 +75,9 @@
             }
         }
         input.erase(0, consumed);
+        if (!m_error && !this->is_done() && input.size() > m_headBytes) {
+            m_error = http::error::header_limit; // For example, a chunk extension without end.
+        }
     }
 
     void finish()
@@ -93,8 +97,14 @@
 protected:
     HttpFields m_fields;
 
-    void on_field_impl(http::field, BoostView name, BoostView value, BoostError &) override
+    void on_field_impl(http::field, BoostView name, BoostView value, BoostError &error) override
     {
+        // The limit of the base class applies to the head, not to the trailer after a chunked body.
+        m_fieldBytes += name.size() + value.size();
+        if (m_fieldBytes > m_headBytes) {
+            error = http::error::header_limit;
+            return;
+        }
         m_fields.add(toString(name), toString(value));
     }
     void on_body_init_impl(boost::optional<std::uint64_t> const &, BoostError &) override { }
@@ -102,6 +112,8 @@
     void on_finish_impl(BoostError &) override { }
 
 private:
+    std::size_t m_headBytes = 0;
+    std::size_t m_fieldBytes = 0;
     BoostError m_error;
 };
 
--- a/Source/Routing/BackendLoads.cpp
+++ b/Source/Routing/BackendLoads.cpp
@@ -13,6 +13,7 @@
         }
         entry.requests += load.requests;
         entry.unreachable += load.unreachable;
+        entry.leaving += load.leaving;
     }
 }
 
@@ -27,6 +28,7 @@
             }
             found->second.requests = std::max(0, found->second.requests - load.requests);
             found->second.unreachable = std::max(0, found->second.unreachable - load.unreachable);
+            found->second.leaving = std::max(0, found->second.leaving - load.leaving);
         }
     }
 }
--- a/Source/Routing/BackendLoads.h
+++ b/Source/Routing/BackendLoads.h
@@ -18,6 +18,7 @@
     TokensByUrgency tokens{}; ///< Weighted prefill tokens of requests whose answer has not begun.
     int requests = 0; ///< Requests in flight.
     int unreachable = 0; ///< Daemons that cannot reach the server.
+    int leaving = 0; ///< Daemons that the server told that it is about to stop.
 
     bool operator==(const BackendLoadShare &) const = default;
 };
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -113,6 +113,16 @@
     return request.engine ? pickForPrompt(request, candidates, now) : pickLeastLoaded(candidates);
 }
 
+bool BackendPicker::matches(const BackendState &state, const PickRequest &request,
+                            const FleetView &view) const
+{
+    const BackendEntry &report = state.report;
+    return report.service == request.service && !state.draining
+        && !m_notices.leaving({report.id, report.startedAt}) && !view.evacuated(report.dataCentre)
+        && !request.disallowedBackends.contains(report.id)
+        && request.versions.allows(report.version);
+}
+
 void BackendPicker::keepRotatedServers(const VersionRule &versions,
                                        std::vector<Candidate> &candidates)
 {
@@ -140,9 +150,7 @@
     std::vector<Candidate> candidates;
     fault = PickFault::NoBackend;
     for (const auto &[id, state] : view.backends()) {
-        if (state.report.service != request.service || state.draining
-            || view.evacuated(state.report.dataCentre) || request.disallowedBackends.contains(id)
-            || !request.versions.allows(state.report.version)) {
+        if (!matches(state, request, view)) {
             continue;
         }
         Health &health = m_health[id];
@@ -152,6 +160,10 @@
             fault = PickFault::AllSilent;
             continue;
         }
+        if (m_notices.pauseLeft({id, state.report.startedAt}, now) > Duration::zero()) {
+            fault = PickFault::AllPaused;
+            continue;
+        }
         if (!coldRateAllows(state, health, now)) {
             fault = PickFault::AllCold;
             continue;
@@ -251,6 +263,9 @@
         return true;
     }
     const BackendLoadShare *others = otherDaemonsLoad(id, now);
+    if (others != nullptr && others->leaving > 0) {
+        return true;
+    }
     const bool answeredRecently =
         health.lastAnswerAt != TimePoint() && now - health.lastAnswerAt < RecentAnswerAge;
     return others != nullptr && others->unreachable >= UnreachableReportsForExclusion
@@ -444,6 +459,32 @@
     health.reportedAt = now;
 }
 
+bool BackendPicker::onLeaving(const InstanceId &id, TimePoint now)
+{
+    return m_notices.onLeaving({id, m_health[id].startedAt}, now);
+}
+
+void BackendPicker::onPauseRequested(const InstanceId &id, Duration pause, TimePoint now)
+{
+    m_notices.onPauseRequested({id, m_health[id].startedAt}, pause, now);
+}
+
+Duration BackendPicker::shortestPause(const PickRequest &request, const FleetView &view,
+                                      TimePoint now) const
+{
+    Duration shortest = Duration::zero();
+    for (const auto &[id, state] : view.backends()) {
+        if (!matches(state, request, view)) {
+            continue;
+        }
+        const Duration pause = m_notices.pauseLeft({id, state.report.startedAt}, now);
+        if (pause > Duration::zero() && (shortest == Duration::zero() || pause < shortest)) {
+            shortest = pause;
+        }
+    }
+    return shortest;
+}
+
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
 {
     BackendLoads loads;
@@ -453,6 +494,9 @@
             loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
         }
     }
+    for (const InstanceId &id : m_notices.leavingServers()) {
+        loads[id].leaving = 1;
+    }
     return loads;
 }
 
@@ -462,8 +506,9 @@
     m_otherDaemonsLoadsAt = now;
 }
 
-void BackendPicker::prune(const FleetView &view)
+void BackendPicker::prune(const FleetView &view, TimePoint now)
 {
+    m_notices.prune(now);
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -15,6 +15,7 @@
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptPlacement.h"
 #include "Routing/RolloutRule.h"
+#include "Routing/ServerNotices.h"
 
 namespace lycheearch {
 
@@ -72,14 +73,16 @@
     None,
     NoBackend,
     AllCold, ///< Servers remain, but they are cold and at their rate limit.
+    AllPaused, ///< Servers remain, but they asked for a pause.
     AllSilent, ///< Servers remain, but in data centres that are excluded as unresponsive.
 };
 
 /// Chooses the backend server for each request of one daemon, and tracks the load and health of the
 /// servers. Uses PromptPlacement for engines and the least loaded server otherwise. Handles failing
 /// and unreachable servers (exclusion with exponential backoff, ignored if it would leave no
-/// server), unresponsive data centres (excluded as a whole) and cold servers (a share of their rate
-/// limit for each daemon).
+/// server), unresponsive data centres (excluded as a whole), cold servers (a share of their rate
+/// limit for each daemon) and servers that announced in their answers that they stop or want a
+/// pause (never chosen meanwhile).
 class BackendPicker
 {
 public:
@@ -99,6 +102,13 @@
                  TimePoint now);
     /// Records the running and waiting requests that a server reported with an answer.
     void onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now);
+    /// Records that a server announced that it is about to stop. Returns false if this was known.
+    bool onLeaving(const InstanceId &id, TimePoint now);
+    /// Records that a server asked for no requests for a time.
+    void onPauseRequested(const InstanceId &id, Duration pause, TimePoint now);
+    /// Time until the first of the servers that match the request and asked for a pause may be
+    /// chosen again; zero if no matching server asked for one.
+    Duration shortestPause(const PickRequest &request, const FleetView &view, TimePoint now) const;
     /// Load that this daemon puts on the servers.
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
@@ -112,7 +122,7 @@
     /// Index of cached prompt prefixes.
     PromptCacheIndex &promptCacheIndex() { return m_promptCacheIndex; }
     /// Drops the state of servers that are not in the view and have no request in flight.
-    void prune(const FleetView &view);
+    void prune(const FleetView &view, TimePoint now);
 
 private:
     /// State of one server.
@@ -152,6 +162,9 @@
         bool excluded = false;
     };
 
+    /// Whether a server in the view may get the request, apart from its health and load.
+    bool matches(const BackendState &state, const PickRequest &request,
+                 const FleetView &view) const;
     /// Servers that match the request, except cold ones at their rate limit and those of excluded
     /// data centres. Servers that are excluded themselves are included, but marked.
     std::vector<Candidate> collectCandidates(const PickRequest &request, const FleetView &view,
@@ -184,6 +197,7 @@
     std::uint64_t m_coldWindowSeed; ///< Seed of the phase of this daemon's send windows.
     DataCentreId m_ownDataCentre;
     std::map<InstanceId, Health> m_health;
+    ServerNotices m_notices;
     std::map<InstanceId, DataCentreId> m_dataCentreOf;
     std::map<DataCentreId, DataCentreHealth> m_dataCentreHealth;
     std::map<ServiceId, ColdLimits> m_coldLimits;
--- /dev/null
+++ b/Source/Routing/ServerNotices.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "Base/Ids.h"
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// One run of a backend server, from its start to its stop. A server may start again under its id;
+/// nothing that it said before holds then.
+struct ServerRun
+{
+    InstanceId id;
+    std::int64_t startedAt = 0; ///< Unix milliseconds; 0 if not reported.
+};
+
+/// What backend servers announced in their responses to this daemon: that they are about to stop,
+/// or that they want no requests for some time. Both hold for one run of a server only.
+class ServerNotices
+{
+public:
+    /// Longest pause that a server can ask for. Longer ones are cut, so that a wrong value doesn't
+    /// take a server out of use for good.
+    static constexpr Duration LongestPause = 300s;
+
+    /// Records that the server is about to stop. Returns false if this was known.
+    bool onLeaving(const ServerRun &server, TimePoint now);
+    /// Records that the server wants no requests for \p pause.
+    void onPauseRequested(const ServerRun &server, Duration pause, TimePoint now);
+
+    /// Whether the server is about to stop, so that it must get no new requests.
+    bool leaving(const ServerRun &server) const;
+    /// How long the server must not get requests; zero if it may.
+    Duration pauseLeft(const ServerRun &server, TimePoint now) const;
+    /// Ids of the servers that are about to stop.
+    std::vector<InstanceId> leavingServers() const;
+    /// Drops notices that are too old to matter. A server has stopped long before.
+    void prune(TimePoint now);
+
+private:
+    struct Notice
+    {
+        std::int64_t startedAt = 0;
+        TimePoint leavingSince; ///< Unset if the server did not announce that it stops.
+        TimePoint pausedUntil;
+        TimePoint changedAt;
+    };
+
+    Notice &noticeOf(const ServerRun &server, TimePoint now);
+    const Notice *find(const ServerRun &server) const;
+
+    std::map<InstanceId, Notice> m_notices;
+};
+
+} // namespace lycheearch
--- a/Tests/Net/testHttpParser.cpp
+++ b/Tests/Net/testHttpParser.cpp
@@ -192,3 +192,46 @@
         cr_expect_not(parseNumber(text).has_value(), "accepted: '%s'", text);
     }
 }
+
+namespace {
+
+/// Feeds the parser pieces without end and returns the most bytes that it left unconsumed. Fails if
+/// the parser accepts more than \p accepted bytes.
+std::size_t feedEndlessly(const std::string &start, const std::string &piece, std::size_t accepted)
+{
+    ResponseSink sink;
+    HttpResponseParser parser(Limits, false, sink);
+    std::string input = start;
+    std::size_t total = 0;
+    std::size_t held = 0;
+    parser.feed(input);
+    while (parser.parseError() == HttpParseError::None && !parser.complete() && total < accepted) {
+        input.append(piece);
+        total += piece.size();
+        parser.feed(input);
+        held = std::max(held, input.size());
+    }
+    cr_expect(parser.parseError() != HttpParseError::None, "accepted %zu bytes", total);
+    cr_expect_leq(sink.body.size(), Limits.bodyBytes);
+    return held;
+}
+
+} // namespace
+
+Test(httpParser, bytes_without_end_are_an_error_wherever_they_come)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::size_t accepted = 4 * (Limits.headBytes + Limits.bodyBytes);
+    const std::size_t most = 2 * Limits.headBytes;
+    cr_expect_leq(feedEndlessly("", "x", accepted), most);
+    cr_expect_leq(feedEndlessly("HTTP/1.1 200 ", "reason ", accepted), most);
+    cr_expect_leq(feedEndlessly(head + "Name: ", "value ", accepted), most);
+    cr_expect_leq(feedEndlessly(head, "Name: value\r\n", accepted), most);
+    cr_expect_leq(feedEndlessly(head + "\r\n", "body", accepted), most);
+    cr_expect_leq(feedEndlessly(chunked, "4\r\nbody\r\n", accepted), most);
+    cr_expect_leq(feedEndlessly(chunked + "4;", "extension", accepted), most);
+    cr_expect_leq(feedEndlessly(chunked, "1;extension=value\r\nx\r\n", 400 * accepted), most);
+    cr_expect_leq(feedEndlessly(chunked + "0\r\n", "Trailer: value\r\n", accepted), most);
+    cr_expect_leq(feedEndlessly(chunked + "0\r\nTrailer: ", "value ", accepted), most);
+}
