A store that comes back older; a follower reaches any source that came back

Followers merge by offset and never go back: after a drill they would skip the new records silently.

Answers, pages and feed messages carry the era of the store. In a newer era all topics are listed again; for 4 s nothing is removed and orders of the older copy are ignored, then the view follows the listing. Stages and final states of rollouts that the store lost are written again, registrations too. Weighed: resetting the follower (servers vanish, versions go back), the era in every offset (each comparison is within one topic of one follower, so one era per follower serves). A daemon with neither store nor source tries the source whose failure is oldest every 600 ms, and is a backup reader only while connected to a source.

The tests failed first (feed: the configuration was not there 1.2 s after the source came back).

--- a/Source/Base/Ids.h
+++ b/Source/Base/Ids.h
@@ -22,6 +22,9 @@
 using StreamName = StringId<struct StreamTag>; ///< A stream of the log service.
 
 using Offset = Quantity<struct OffsetTag>; ///< Position of a record in a log stream.
+/// Counts how often the log store came back from an older copy. Offsets are comparable within one
+/// era only.
+using StoreEra = Quantity<struct StoreEraTag>;
 using Revision = Quantity<struct RevisionTag>; ///< Log offset of the last applied record, plus one.
 using MicroCost = Quantity<struct MicroCostTag>; ///< Millionths of the deployment's currency.
 using Tokens = Quantity<struct TokensTag>; ///< Generated tokens.
--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -120,16 +120,22 @@
         m_controller.decide(order, orderedAt, current, totals, readyTargets(order, now), now);
     const bool ofTarget = current && current->target == order.target;
     const bool complete = (ofTarget && current->complete) || (next && next->complete);
-    const RolloutState newState = complete ? RolloutState::Complete
-        : ofTarget && current->condemned   ? RolloutState::RolledBack
-                                           : RolloutState::Running;
-    const bool finalStateStored = m_view.rolloutStates().contains(order.service)
-        && m_view.rolloutStates().at(order.service).target == order.target
-        && m_view.rolloutStates().at(order.service).state != RolloutState::Running;
-    const bool stateDue =
-        !finalStateStored && !storedStateIs(order.service, order.target, newState);
-    // A stored final state ends the rollout.
-    if (!stateDue && (!next || finalStateStored)) {
+    RolloutState newState = complete     ? RolloutState::Complete
+        : ofTarget && current->condemned ? RolloutState::RolledBack
+                                         : RolloutState::Running;
+    const auto known = m_view.rolloutStates().find(order.service);
+    const bool finalStateStored = known != m_view.rolloutStates().end()
+        && known->second.target == order.target && known->second.state != RolloutState::Running;
+    if (finalStateStored) {
+        newState = known->second.state;
+        next.reset();
+    }
+    if (!next && ofTarget && stageLost(*current)) {
+        next = current;
+    }
+    const bool stateDue = !storedStateIs(order.service, order.target, newState)
+        || stateLost({order.service, order.target, newState});
+    if (!next && !stateDue) {
         m_dueChanges.erase(order.service);
         return;
     }
@@ -246,6 +252,35 @@
                                           : std::optional<RolloutStage>(found->second);
 }
 
+bool RolloutAgent::stageLost(const RolloutStage &stage) const
+{
+    if (stage.stage == 0 || !m_follower.listedInEra(Topic::Own)) {
+        return false;
+    }
+    const RawRecord *raw = m_follower.mirror().find(Topic::Own, m_codec.encode(stage).key);
+    if (raw == nullptr) {
+        return true;
+    }
+    const FleetRecord record = m_codec.decode(Topic::Own, *raw);
+    const auto *stored = std::get_if<RolloutStage>(&record);
+    return stored == nullptr || stored->target != stage.target || stored->stage < stage.stage
+        || (stage.condemned && !stored->condemned);
+}
+
+bool RolloutAgent::stateLost(const RolloutReported &state) const
+{
+    if (!m_follower.listedInEra(Topic::Status)) {
+        return false;
+    }
+    const RawRecord *raw = m_follower.mirror().find(Topic::Status, m_codec.encode(state).key);
+    if (raw == nullptr) {
+        return true;
+    }
+    const FleetRecord record = m_codec.decode(Topic::Status, *raw);
+    const auto *stored = std::get_if<RolloutReported>(&record);
+    return stored == nullptr || *stored != state;
+}
+
 bool RolloutAgent::storedStateIs(const ServiceId &service, const VersionId &target,
                                  RolloutState state) const
 {
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -20,7 +20,8 @@
 /// the member with the lowest feed rank acts at once, the others after
 /// RolloutController::StandbyDelay, so that usually only one writes. The state of a rollout is
 /// appended only if the topic has no newer records, so that no daemon overwrites the state of
-/// another.
+/// another. If the store came back from an older copy that lacks a stage or a final state, it is
+/// written again.
 class RolloutAgent
 {
 public:
@@ -60,6 +61,10 @@
     /// Number of backend servers with the target version that are neither draining nor cold.
     int readyTargets(const RolloutOrdered &order, TimePoint now) const;
     std::optional<RolloutStage> storedStage(const ServiceId &service) const;
+    /// Whether the store lost a stage, or a later one of the rollout, that this daemon has read.
+    bool stageLost(const RolloutStage &stage) const;
+    /// Whether the store lost the state of a rollout that this daemon has read.
+    bool stateLost(const RolloutReported &state) const;
     bool storedStateIs(const ServiceId &service, const VersionId &target, RolloutState state) const;
 
     EventLoop &m_loop;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -1,4 +1,5 @@
 #include "Daemon/RouterDaemon.h"
+#include "Base/Hash.h"
 #include "Net/HttpStatus.h"
 
 #include <algorithm>
@@ -139,12 +140,17 @@
     m_store->append(Topic::Own, m_codec.encode(member), std::nullopt,
                     [this](const StoreOutcome<Offset> &outcome, TimePoint currentTime) {
                         scheduleMemberRead(currentTime);
-                        m_loop.at(currentTime
-                                      + (outcome.ok() ? RegisterPeriod : RegisterRetryDelay),
-                                  [this](TimePoint due) { registerMember(due); });
+                        scheduleRegistration(currentTime,
+                                             outcome.ok() ? RegisterPeriod : RegisterRetryDelay);
                     });
 }
 
+void RouterDaemon::scheduleRegistration(TimePoint now, Duration delay)
+{
+    m_loop.cancel(m_registrationTimer);
+    m_registrationTimer = m_loop.at(now + delay, [this](TimePoint due) { registerMember(due); });
+}
+
 void RouterDaemon::scheduleMemberRead(TimePoint now)
 {
     if (m_memberReadScheduled) {
@@ -377,6 +383,16 @@
                 now);
 }
 
+void RouterDaemon::onStoreEra(StoreEra previous, StoreEra era, TimePoint now)
+{
+    m_log.write(LogPriority::Notable,
+                LogLine("store.era").add("previous", previous.value()).add("era", era.value()),
+                now);
+    // The registration may be missing from the older copy.
+    const auto spread = static_cast<std::int64_t>(stableHash(m_settings.instance.value()) % 1000);
+    scheduleRegistration(now, std::chrono::milliseconds(spread));
+}
+
 void RouterDaemon::onStoreRegained(Topic topic, Duration lostFor, TimePoint now)
 {
     m_log.write(LogPriority::Notable,
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -51,6 +51,7 @@
     void onBackendRemoved(const InstanceId &id, const char *reason, TimePoint now) override;
     void onStoreLost(Topic topic, StoreFault fault, const std::string &detail,
                      TimePoint now) override;
+    void onStoreEra(StoreEra previous, StoreEra era, TimePoint now) override;
     void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) override;
 
     void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) override;
@@ -58,6 +59,7 @@
     void onFeedChange(const InstanceId &source, const char *why);
     /// Writes this daemon's member record, now and periodically before it expires.
     void registerMember(TimePoint now);
+    void scheduleRegistration(TimePoint now, Duration delay);
     /// Schedules one early read of the member records, so that this daemon soon finds the daemons
     /// that started at about the same time and can follow one of them.
     void scheduleMemberRead(TimePoint now);
@@ -103,6 +105,7 @@
     std::unique_ptr<HttpResponder> m_readinessServer;
     std::unique_ptr<HttpResponder> m_metricsServer;
     bool m_wasReady = false;
+    TimerId m_registrationTimer;
     bool m_memberReadScheduled = false;
 };
 
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -14,6 +14,8 @@
 constexpr Duration SwitchGrace = 300ms;
 /// A failed source is not retried for this long.
 constexpr Duration RetryBackoff = 3s;
+/// The same while this daemon has neither a source nor the store.
+constexpr Duration LostStoreBackoff = 600ms;
 /// Members whose last registration is older are ignored.
 constexpr std::int64_t MemberLifetimeMs = 150'000;
 
@@ -92,7 +94,6 @@
     }
     const std::vector<MemberRegistered> candidates =
         feedCandidates(m_view.members(), m_self, m_dataCentre, wallMilliseconds(m_clock));
-    m_follower.setBackupReader(!candidates.empty());
     for (const MemberRegistered &member : candidates) {
         const auto backoff = m_backoffUntil.find(member.instance);
         if (backoff != m_backoffUntil.end() && backoff->second > now) {
@@ -101,7 +102,26 @@
         if (m_source != member.instance) {
             connectTo(member, now);
         }
-        return;
+        break;
+    }
+    if (!m_socket && m_follower.storeLost()) {
+        retryAnySource(candidates, now);
+    }
+    // While no source can be reached, this daemon is not a backup: nobody else reads for it.
+    m_follower.setBackupReader(m_socket != nullptr);
+}
+
+void FeedClient::retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now)
+{
+    const auto backoffEnd = [&](const MemberRegistered &member) {
+        const auto found = m_backoffUntil.find(member.instance);
+        return found == m_backoffUntil.end() ? TimePoint() : found->second;
+    };
+    const auto next = std::min_element(
+        candidates.begin(), candidates.end(),
+        [&](const auto &left, const auto &right) { return backoffEnd(left) < backoffEnd(right); });
+    if (next != candidates.end() && backoffEnd(*next) - now <= RetryBackoff - LostStoreBackoff) {
+        connectTo(*next, now);
     }
 }
 
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -60,6 +60,8 @@
     void onError(std::error_code error, TimePoint now) override;
 
     void updateSource(TimePoint now);
+    /// Connects to the source whose last failure is longest ago, if that is long enough.
+    void retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now);
     void connectTo(const MemberRegistered &member, TimePoint now);
     void onMessage(const FeedMessage &message, TimePoint now);
     void dropSource(const char *reason, TimePoint now);
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -50,6 +50,7 @@
     builder.setTopic(static_cast<int>(page.topic));
     builder.setListing(page.listing);
     builder.setEnd(page.page.end.value());
+    builder.setEraPlusOne(page.page.era.value() + 1);
     auto records = builder.initRecords(static_cast<unsigned>(page.page.records.size()));
     for (unsigned i = 0; i < records.size(); ++i) {
         const RawRecord &record = page.page.records[i];
@@ -69,6 +70,7 @@
     page.topic = static_cast<Topic>(reader.getTopic());
     page.listing = reader.getListing();
     page.page.end = Offset(reader.getEnd());
+    page.page.era = StoreEra(reader.getEraPlusOne() - 1);
     for (const auto record : reader.getRecords()) {
         const auto value = record.getValue().asChars();
         page.page.records.push_back({Offset(record.getOffset()), record.getKey().cStr(),
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -125,6 +125,7 @@
     for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own}) {
         RecordPage listing = m_follower.mirror().listing(topic);
         listing.end = m_follower.nextOffset(topic);
+        listing.era = m_follower.era();
         connection.send(encodeFeedFrame(FeedPage{topic, true, std::move(listing)}));
     }
     connection.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(m_loop.now())}));
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -17,6 +17,8 @@
   listing @1 :Bool;   # All keys of the topic, not only new records.
   end @2 :Int64;
   records @3 :List(FeedRecord);
+  eraPlusOne @4 :Int64; # Era of the store in which the offsets hold, plus one; 0 from daemons that
+                        # don't know it.
 }
 
 struct FeedCounts {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -54,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c6cc1d2799846732, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c6cc1d2799846732, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -282,6 +282,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::int64_t getEraPlusOne() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -326,6 +328,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::int64_t getEraPlusOne();
+  inline void setEraPlusOne( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1178,6 +1183,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FeedPage::Reader::getEraPlusOne() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedPage::Builder::getEraPlusOne() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedPage::Builder::setEraPlusOne( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t FeedCounts::Reader::getGood() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -33,6 +33,7 @@
 FleetFollower::~FleetFollower()
 {
     m_loop.cancel(m_lapseTimer);
+    m_loop.cancel(m_settleTimer);
     for (auto &[topic, cursor] : m_cursors) {
         m_loop.cancel(cursor.timer);
     }
@@ -94,6 +95,13 @@
     return std::max({backends, operators, Duration::zero()});
 }
 
+bool FleetFollower::storeLost() const
+{
+    return !m_followingFeed
+        && std::any_of(m_cursors.begin(), m_cursors.end(),
+                       [](const auto &entry) { return entry.second.lost; });
+}
+
 Offset FleetFollower::nextOffset(Topic topic) const
 {
     const auto found = m_cursors.find(topic);
@@ -147,14 +155,16 @@
 
 void FleetFollower::onListingPage(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now)
 {
-    if (!checkOutcome(topic, outcome, now)) {
+    if (!checkOutcome(topic, outcome, now) || !admitEra(topic, outcome.era, now)) {
         return;
     }
     Cursor &cursor = m_cursors[topic];
     RecordPage &page = *outcome.value;
+    cursor.era = m_era;
     if (cursor.afterKey.empty()) {
         cursor.partialListing = RecordPage();
         cursor.partialListing.end = page.end;
+        cursor.partialListing.era = m_era;
     }
     std::move(page.records.begin(), page.records.end(),
               std::back_inserter(cursor.partialListing.records));
@@ -185,11 +195,11 @@
     m_mirror.replace(topic, listing);
     for (const RawRecord &raw : listing.records) {
         // A record below the read position was applied already, or is older than one that was.
-        if (!cursor.listed || raw.offset >= cursor.next) {
+        if (!cursor.listed || (raw.offset >= cursor.next && !mayBeOlder(topic, raw, now))) {
             applyRecord(topic, raw, now);
         }
     }
-    if (cursor.listed) {
+    if (cursor.listed && !settling(now)) {
         retainListed(topic, listing, now);
     }
     cursor.listed = true;
@@ -226,14 +236,18 @@
 {
     Cursor &cursor = m_cursors[topic];
     if (!outcome.ok() && outcome.fault == StoreFault::Truncated) {
-        cursor.listing = true;
-        schedule(topic, Duration::zero());
+        // The records were deleted, or the store came back older and never had them.
+        if (admitEra(topic, outcome.era, now)) {
+            cursor.listing = true;
+            schedule(topic, Duration::zero());
+        }
         return;
     }
-    if (!checkOutcome(topic, outcome, now)) {
+    if (!checkOutcome(topic, outcome, now) || !admitEra(topic, outcome.era, now)) {
         return;
     }
     cursor.readAt = now;
+    outcome.value->era = m_era;
     applyRecords(topic, *outcome.value, now);
     if (!outcome.value->records.empty()) {
         m_observer.onPageRead(topic, *outcome.value, false, now);
@@ -241,9 +255,83 @@
     schedule(topic, pollInterval(topic));
 }
 
+bool FleetFollower::listedInEra(Topic topic) const
+{
+    const auto found = m_cursors.find(topic);
+    return found != m_cursors.end() && found->second.listed && !found->second.listing
+        && found->second.era == m_era;
+}
+
+bool FleetFollower::admitEra(Topic topic, StoreEra era, TimePoint now)
+{
+    if (era > m_era) {
+        const bool firstAnswer =
+            std::none_of(m_cursors.begin(), m_cursors.end(),
+                         [](const auto &entry) { return entry.second.listed; });
+        if (firstAnswer) {
+            m_era = era;
+            return true;
+        }
+        enterEra(era, now);
+        return false;
+    }
+    if (era == m_era) {
+        return true;
+    }
+    // The answer was under way while the era changed.
+    schedule(topic, m_timing.retryDelay);
+    return false;
+}
+
+void FleetFollower::enterEra(StoreEra era, TimePoint now)
+{
+    m_observer.onStoreEra(m_era, era, now);
+    m_era = era;
+    m_settledAt = now + EraSettleTime;
+    for (const Topic topic : AllTopics) {
+        Cursor &cursor = m_cursors[topic];
+        cursor.next = Offset();
+        cursor.era = era;
+        cursor.listing = true;
+        cursor.afterKey.clear();
+        cursor.partialListing = RecordPage();
+        m_mirror.clear(topic);
+        if (!m_followingFeed) {
+            pollNow(topic);
+        }
+    }
+    m_loop.cancel(m_settleTimer);
+    m_settleTimer = m_loop.at(m_settledAt, [this](TimePoint) {
+        m_settleTimer = TimerId();
+        relist(Topic::Operator);
+        relist(Topic::Backends);
+    });
+}
+
+bool FleetFollower::mayBeOlder(Topic topic, const RawRecord &raw, TimePoint now) const
+{
+    if (topic != Topic::Operator || !settling(now)) {
+        return false;
+    }
+    // The view itself keeps the newest configuration, by its version. Orders have none.
+    return !std::holds_alternative<ConfigPublished>(m_codec.decode(topic, raw));
+}
+
 void FleetFollower::applyFeedPage(Topic topic, const RecordPage &page, bool listing, TimePoint now)
 {
+    const StoreEra era = page.era == UnknownEra ? m_era : page.era;
+    if (era > m_era && !listing) {
+        return; // The listing of the new era is on its way.
+    }
+    if (era > m_era && m_cursors[topic].listed) {
+        enterEra(era, now);
+    }
+    if (era < m_era) {
+        return; // The sender has not read the new era yet.
+    }
+    m_era = era;
     if (listing) {
+        m_cursors[topic].era = m_era;
         applyListing(topic, page, now);
     } else {
         applyRecords(topic, page, now);
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -26,6 +26,8 @@
                              TimePoint now) = 0;
     /// The first successful call for a topic after failed ones, or the switch to a feed.
     virtual void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) = 0;
+    /// The store came back from an older copy.
+    virtual void onStoreEra(StoreEra previous, StoreEra era, TimePoint now) = 0;
     /// Records were read from the store, not from a feed. With \p listing, \p page is a full
     /// listing of the topic; otherwise it holds only new records.
     virtual void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) = 0;
@@ -35,9 +37,19 @@
 /// records are read by long polling; those of the backend servers, which arrive many times a
 /// second, are read periodically in batches. While another daemon's feed is fresh, its pages
 /// replace reads of the store. While the store is unavailable, the last view remains in use.
+///
+/// If the store comes back from an older copy, its era rises and offsets start again from the copy.
+/// The follower then lists all topics again. What the copy lacks is written again by its writers,
+/// so for EraSettleTime nothing is removed from the view, and the operator's orders in the copy,
+/// which may be older than the view, are ignored. After that time, the topics are listed once more
+/// and the view follows the listing.
 class FleetFollower
 {
 public:
+    /// Time for the operator and the backend servers to write their records again after the store
+    /// came back from an older copy.
+    static constexpr Duration EraSettleTime = 4s;
+
     FleetFollower(EventLoop &loop, FleetStore &store, const RecordCodec &codec, FleetView &view,
                   FleetObserver &observer, FollowerTiming timing);
     ~FleetFollower();
@@ -66,9 +78,15 @@
     /// overdue, whichever is longer; zero if neither is. std::nullopt while this daemon follows a
     /// feed or is not synced.
     std::optional<Duration> storeStaleness(TimePoint now) const;
+    /// Whether the last call for any topic failed. False while this daemon follows a feed.
+    bool storeLost() const;
     const RecordMirror &mirror() const { return m_mirror; }
     /// Offset that follows the last record read of a topic.
     Offset nextOffset(Topic topic) const;
+    /// Newest era that was read of the store or received from a feed.
+    StoreEra era() const { return m_era; }
+    /// Whether a topic was listed in the present era.
+    bool listedInEra(Topic topic) const;
 
 private:
     /// Read position and call state of one topic.
@@ -79,6 +97,7 @@
         bool callInFlight = false;
         std::string afterKey; ///< Last key of the previous listing page; empty for the first.
         RecordPage partialListing; ///< Records of the listing in progress.
+        StoreEra era; ///< Era of \c next.
         Offset next; ///< Offset of the next record to read.
         bool lost = false; ///< Calls for this topic fail.
         TimePoint lostAt;
@@ -92,6 +111,13 @@
     void readNewRecords(Topic topic);
     void onListingPage(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now);
     void onNewRecords(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now);
+    /// Compares the era of an answer or a page with the present one, and enters a newer one.
+    /// Returns whether the answer is of the present era and can be applied.
+    bool admitEra(Topic topic, StoreEra era, TimePoint now);
+    void enterEra(StoreEra era, TimePoint now);
+    bool settling(TimePoint now) const { return now < m_settledAt; }
+    /// Whether a listed record may be older than what the view holds, so that it is not applied.
+    bool mayBeOlder(Topic topic, const RawRecord &raw, TimePoint now) const;
     bool applyListing(Topic topic, const RecordPage &listing, TimePoint now);
     void applyRecords(Topic topic, const RecordPage &page, TimePoint now);
     void applyRecord(Topic topic, const RawRecord &raw, TimePoint now);
@@ -119,6 +145,9 @@
     FollowerTiming m_timing;
     std::map<Topic, Cursor> m_cursors;
     RecordMirror m_mirror;
+    StoreEra m_era;
+    TimePoint m_settledAt; ///< End of EraSettleTime after the last change of the era.
+    TimerId m_settleTimer;
     bool m_followingFeed = false;
     bool m_backupReader = false;
     TimerId m_lapseTimer;
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -31,6 +31,9 @@
 
 const char *storeFaultName(StoreFault fault);
 
+/// Era of pages from daemons of a version that doesn't know eras.
+constexpr StoreEra UnknownEra{-1};
+
 /// Records read from a topic.
 struct RecordPage
 {
@@ -38,6 +41,7 @@
     Offset end; ///< Offset that the next record of the topic will have.
     std::string lastKey; ///< Key of the last record; the afterKey of the next listing page.
     bool hasMore = false; ///< Further pages of the listing follow.
+    StoreEra era; ///< Era in which the offsets hold.
 };
 
 /// The outcome of a call: a value, or a fault with details.
@@ -47,6 +51,7 @@
     std::optional<T> value;
     StoreFault fault = StoreFault::Unreachable;
     std::string detail;
+    StoreEra era; ///< Era of the store when it answered; 0 if it did not answer or did not say.
 
     bool ok() const { return value.has_value(); }
 };
--- a/Source/Fleet/RecordMirror.cpp
+++ b/Source/Fleet/RecordMirror.cpp
@@ -6,11 +6,15 @@
 
 void RecordMirror::replace(Topic topic, const RecordPage &listing)
 {
-    MirroredTopic &mirrored = m_topics.at(static_cast<std::size_t>(topic));
-    mirrored.records.clear();
+    clear(topic);
     apply(topic, listing);
 }
 
+void RecordMirror::clear(Topic topic)
+{
+    m_topics.at(static_cast<std::size_t>(topic)) = MirroredTopic();
+}
+
 void RecordMirror::apply(Topic topic, const RecordPage &page)
 {
     MirroredTopic &mirrored = m_topics.at(static_cast<std::size_t>(topic));
@@ -24,6 +28,13 @@
     mirrored.end = std::max(mirrored.end, page.end);
 }
 
+const RawRecord *RecordMirror::find(Topic topic, const std::string &key) const
+{
+    const MirroredTopic &mirrored = m_topics.at(static_cast<std::size_t>(topic));
+    const auto found = mirrored.records.find(key);
+    return found == mirrored.records.end() ? nullptr : &found->second;
+}
+
 RecordPage RecordMirror::listing(Topic topic) const
 {
     const MirroredTopic &mirrored = m_topics.at(static_cast<std::size_t>(topic));
--- a/Source/Fleet/RecordMirror.h
+++ b/Source/Fleet/RecordMirror.h
@@ -17,6 +17,10 @@
     void replace(Topic topic, const RecordPage &listing);
     /// Applies newer records; an empty value removes the key.
     void apply(Topic topic, const RecordPage &page);
+    /// Forgets the records of a topic, because the store came back older.
+    void clear(Topic topic);
+    /// The newest record of a key, or null if the topic has none.
+    const RawRecord *find(Topic topic, const std::string &key) const;
     /// Returns the newest records of all keys of a topic.
     RecordPage listing(Topic topic) const;
 
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -34,6 +34,7 @@
     void onRecord(ViewChange, const StoredRecord &, TimePoint) override { }
     void onBackendRemoved(const InstanceId &, const char *, TimePoint) override { }
     void onStoreLost(Topic, StoreFault, const std::string &, TimePoint) override { }
+    void onStoreEra(StoreEra, StoreEra, TimePoint) override { }
     void onStoreRegained(Topic, Duration, TimePoint) override { }
     void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint) override
     {
@@ -213,3 +214,58 @@
     });
     loop.run();
 }
+
+Test(feed, a_follower_that_lost_the_store_gets_the_configuration_from_a_source_that_came_back,
+     .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::int64_t wall = wallMilliseconds(clock);
+    std::map<InstanceId, MemberRegistered> both;
+    both[InstanceId("a")] = member("a", "here", wall);
+    both[InstanceId("b")] = member("b", "here", wall);
+    const bool aFirst = feedCandidates(both, InstanceId("a"), DataCentreId("here"), wall).empty();
+    const InstanceId source(aFirst ? "a" : "b");
+    const InstanceId self(aFirst ? "b" : "a");
+    const Endpoint listen{"127.0.0.1", freePort()};
+    const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
+                                                   member(self.value(), "here", wall)};
+    TestDaemon follower(loop);
+    follower.startAndList(clock.now(), members);
+    FeedClient client(loop, self, DataCentreId("here"), follower.view, follower.follower, clock,
+                      [](const InstanceId &, const char *) {});
+    client.start();
+    // The store fails each call of this daemon, and the source is down.
+    const TimePoint begin = clock.now();
+    std::function<void(TimePoint)> failCalls = [&](TimePoint now) {
+        for (auto &[topic, calls] : follower.store.calls) {
+            if (!calls.empty()) {
+                follower.store.fail(topic, StoreFault::Unreachable, now);
+            }
+        }
+        if (now - begin < 8s) {
+            loop.at(now + 100ms, failCalls);
+        }
+    };
+    failCalls(begin);
+    TestDaemon reader(loop);
+    std::unique_ptr<FeedServer> server;
+    loop.at(begin + 4500ms, [&](TimePoint now) {
+        std::error_code error;
+        server = std::make_unique<FeedServer>(
+            loop, listen, reader.follower, [](const FeedEvidence &) {},
+            [](const FeedLoad &, TimePoint) {}, error);
+        cr_assert_not(error);
+        reader.startAndList(now, members);
+        RecordPage page;
+        page.records = {{Offset(1), "config", R"({"Version":2,"Routes":[],"Services":[]})"}};
+        page.end = Offset(2);
+        reader.follower.applyFeedPage(Topic::Operator, page, false, now);
+    });
+    // The bound for a new configuration is 2 s.
+    loop.at(begin + 4500ms + 1200ms, [&](TimePoint) {
+        cr_expect_eq(follower.view.table()->version(), ConfigVersion(2));
+        loop.stop();
+    });
+    loop.run();
+}
--- a/Tests/Fleet/FakeStore.h
+++ b/Tests/Fleet/FakeStore.h
@@ -44,14 +44,16 @@
     void answer(Topic topic, RecordPage page, TimePoint now)
     {
         Call call = take(topic);
-        call.callback({std::move(page), StoreFault::Unexpected, ""}, now);
+        call.callback({std::move(page), StoreFault::Unexpected, "", era}, now);
     }
     void fail(Topic topic, StoreFault fault, TimePoint now)
     {
         Call call = take(topic);
-        call.callback({std::nullopt, fault, "test"}, now);
+        call.callback({std::nullopt, fault, "test", era}, now);
     }
 
+    StoreEra era; ///< Era that the answers state.
+
     std::map<Topic, std::vector<Call>> calls;
     std::vector<Write> writes;
 
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -19,12 +19,14 @@
         dropped.push_back(id);
     }
     void onStoreLost(Topic, StoreFault, const std::string &, TimePoint) override { ++lost; }
+    void onStoreEra(StoreEra, StoreEra, TimePoint) override { ++eras; }
     void onStoreRegained(Topic, Duration, TimePoint) override { ++regained; }
     void onPageRead(Topic, const RecordPage &, bool, TimePoint) override { ++pages; }
 
     int records = 0;
     int lost = 0;
     int regained = 0;
+    int eras = 0;
     int pages = 0;
     std::vector<InstanceId> dropped;
 };
