Followers hold behind three stale sources; registrations back off

If the store does not answer the first reader of a data centre, the next two read it too, and the others look for one of them that is fresh. If none is, they keep following and keep their view. Registrations are renewed every 70 s (members are valid for 150 s) and back off to 16 s.

Ruled out: longer retry delays for all (the bounds of configuration and drain need the first retries).

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -13,8 +13,10 @@
 
 constexpr BackendHttpConnection::Limits ConnectionLimits{
     250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
-constexpr Duration RegisterPeriod = 45s;
+constexpr Duration RegisterPeriod = 70s;
+/// Delay after a failed registration; doubles with each consecutive failure.
 constexpr Duration RegisterRetryDelay = 1s;
+constexpr Duration MaxRegisterRetryDelay = 16s;
 /// Daemons of a new deployment register within this time of each other.
 constexpr Duration MemberReadDelay = 500ms;
 /// Fleet-wide limits are divided by at least this number of daemons, also if fewer are registered.
@@ -72,6 +74,7 @@
     , m_loadExchange(m_loop, m_settings.dataCentre, m_view, m_follower, m_feedClient, m_picker,
                      m_clock)
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
+    , m_registerRetryDelay(RegisterRetryDelay)
 {
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -106,6 +106,7 @@
     std::unique_ptr<HttpResponder> m_metricsServer;
     bool m_wasReady = false;
     TimerId m_registrationTimer;
+    Duration m_registerRetryDelay; ///< Delay after the next failed registration.
     bool m_memberReadScheduled = false;
 };
 
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -269,3 +269,70 @@
     });
     loop.run();
 }
+
+Test(feed, a_daemon_behind_three_sources_without_the_store_does_not_call_it, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::int64_t wall = wallMilliseconds(clock);
+    constexpr int sources = 3;
+    std::vector<MemberRegistered> members;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        members.push_back(
+            {InstanceId(name), DataCentreId("here"), {"127.0.0.1", freePort()}, wall});
+    }
+    std::sort(members.begin(), members.end(), [](const auto &left, const auto &right) {
+        return feedRank(left.instance) < feedRank(right.instance);
+    });
+    std::vector<std::unique_ptr<TestDaemon>> readers;
+    std::vector<std::unique_ptr<FeedServer>> servers;
+    for (int i = 0; i < sources; ++i) {
+        readers.push_back(std::make_unique<TestDaemon>(loop));
+        std::error_code error;
+        servers.push_back(std::make_unique<FeedServer>(
+            loop, members[static_cast<std::size_t>(i)].feed, readers.back()->follower,
+            [](const FeedEvidence &) {}, [](const FeedLoad &, TimePoint) {}, error));
+        cr_assert_not(error);
+        readers.back()->observer.server = servers.back().get();
+        readers.back()->startAndList(clock.now(), members);
+    }
+    TestDaemon follower(loop);
+    follower.startAndList(clock.now(), members);
+    FeedClient client(loop, members.back().instance, DataCentreId("here"), follower.view,
+                      follower.follower, clock, [](const InstanceId &, const char *) {});
+    client.start();
+    // The store answers nobody from now on; the sources become stale after a second.
+    const TimePoint begin = clock.now();
+    int failedCalls = 0;
+    std::function<void(TimePoint)> failCalls = [&](TimePoint now) {
+        for (auto &[topic, calls] : follower.store.calls) {
+            if (!calls.empty()) {
+                failedCalls += now - begin > 2500ms ? 1 : 0;
+                follower.store.fail(topic, StoreFault::Unreachable, now);
+            }
+        }
+        loop.at(now + 50ms, failCalls);
+    };
+    failCalls(begin);
+    loop.at(begin + 5s, [&](TimePoint now) {
+        cr_expect_eq(failedCalls, 0);
+        // The store answers the second source again.
+        RecordPage page;
+        page.records = {{Offset(0), "i-1",
+                         R"({"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1",
+                            "Slots":4,"State":"ready","ColdMs":0,"Sequence":1})"}};
+        page.end = Offset(1);
+        for (const auto &reader : readers) {
+            reader->store.answer(Topic::Backends, page, now);
+            RecordPage none;
+            none.end = Offset(1);
+            reader->store.answer(Topic::Operator, none, now);
+        }
+    });
+    loop.at(begin + 6s, [&](TimePoint) {
+        cr_expect(follower.follower.followingFeed());
+        cr_expect_not_null(follower.view.backend(InstanceId("i-1")));
+        loop.stop();
+    });
+    loop.run();
+}
