--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -33,12 +33,15 @@
 /// registered ones.
 constexpr double UnknownDaemonShare = 0.25;
 
-/// Limit on the memory for request bodies, in bytes: a third of the process's memory limit.
-std::size_t bodyMemoryLimit(std::int64_t memoryMegabytes)
+/// Parts of the process's memory limit that buffered bodies may use.
+constexpr std::size_t RequestMemoryDivisor = 3;
+constexpr std::size_t ResponseMemoryDivisor = 4;
+
+/// A part of the process's memory limit, in bytes.
+std::size_t memoryPart(std::int64_t memoryMegabytes, std::size_t divisor)
 {
     constexpr std::size_t bytesPerMegabyte = 1024UL * 1024;
-    constexpr std::size_t memoryDivisor = 3;
-    return static_cast<std::size_t>(memoryMegabytes) * bytesPerMegabyte / memoryDivisor;
+    return static_cast<std::size_t>(memoryMegabytes) * bytesPerMegabyte / divisor;
 }
 
 RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
@@ -62,10 +65,11 @@
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_connections(m_loop, ConnectionLimits)
     , m_retries(retryBounds(m_settings.bounds, MinAssumedDaemons))
-    , m_bodyBudget(bodyMemoryLimit(m_settings.memoryMegabytes))
-    , m_context{m_loop,       m_view,          m_picker,       m_connections,    headerCodec,
-                m_retries,    m_rolloutCounts, m_modelCascade, m_shutdownPolicy, m_settings.bounds,
-                m_bodyBudget, m_log,           m_metrics}
+    , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
+    , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
+    , m_context{m_loop,       m_view,           m_picker,       m_connections,    headerCodec,
+                m_retries,    m_rolloutCounts,  m_modelCascade, m_shutdownPolicy, m_settings.bounds,
+                m_bodyBudget, m_responseBudget, m_log,          m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -94,7 +94,8 @@
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
     ShutdownPolicy m_shutdownPolicy;
-    RequestBodyBudget m_bodyBudget;
+    BodyBudget m_bodyBudget; ///< Of requests.
+    BodyBudget m_responseBudget;
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Forward/RequestBodyBudget.h
+++ b/Source/Forward/BodyBudget.h
@@ -4,12 +4,12 @@
 
 namespace lycheearch {
 
-/// Limits the total memory of buffered request bodies in this process, so that callers that send
-/// large bodies slowly can't exhaust the memory of an instance.
-class RequestBodyBudget
+/// Limits the total memory of buffered bodies in this process, so that callers that send large
+/// bodies slowly, or servers that send bodies without end, can't exhaust the memory of an instance.
+class BodyBudget
 {
 public:
-    explicit RequestBodyBudget(std::size_t limitBytes)
+    explicit BodyBudget(std::size_t limitBytes)
         : m_limit(limitBytes)
     {
     }
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -4,7 +4,7 @@
 #include "Config/RouterSettings.h"
 #include "Fleet/FleetView.h"
 #include "Forward/BackendHttpConnectionPool.h"
-#include "Forward/RequestBodyBudget.h"
+#include "Forward/BodyBudget.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
 #include "Net/EventLoop.h"
@@ -29,7 +29,8 @@
     ModelCascade &models;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
-    RequestBodyBudget &bodyBudget;
+    BodyBudget &bodyBudget; ///< Of requests.
+    BodyBudget &responseBudget;
     StructuredLog &log;
     Metrics &metrics;
 };
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -347,7 +347,7 @@
         return;
     }
     if (!m_attempt.streaming) {
-        m_attempt.body.append(bytes);
+        collectBody(bytes, now);
         return;
     }
     std::vector<StreamEvent> events;
@@ -359,6 +359,18 @@
     relayEvents(events, now);
 }
 
+void RequestForwarder::collectBody(std::string_view bytes, TimePoint now)
+{
+    if (!m_context.responseBudget.tryReserve(bytes.size())) {
+        m_mayHaveRun = true;
+        endAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("memory limit for response bodies reached", now);
+        return;
+    }
+    m_attempt.reservedBytes += bytes.size();
+    m_attempt.body.append(bytes);
+}
+
 void RequestForwarder::onResponseComplete(TimePoint now)
 {
     if (m_attempt.discarded) {
@@ -448,6 +460,8 @@
 void RequestForwarder::endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now)
 {
     m_inAttempt = false;
+    m_context.responseBudget.release(m_attempt.reservedBytes);
+    m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
     m_context.rolloutCounts.onEnded(m_service, m_attempt.version, versionSuccess(outcome),
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -47,6 +47,7 @@
         HttpResponseHead head;
         ResponseMetadata metadata;
         std::string body;
+        std::size_t reservedBytes = 0; ///< Of the response budget, for the body.
         EventSplitter splitter;
         bool headReceived = false;
         bool streaming = false;
@@ -68,6 +69,8 @@
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
     PickRequest pickRequest(TimePoint now) const;
+    /// Adds to the body of a response that is not streamed.
+    void collectBody(std::string_view bytes, TimePoint now);
     /// Applies what the backend server announced about itself in a response.
     void applyNotices(const ResponseMetadata &metadata, TimePoint now);
     /// Time after which the caller may repeat the refused request.
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -125,8 +125,8 @@
         , connections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , retries({0.9, 10s, 10})
         , log("test", STDERR_FILENO, 0, clock)
-        , context{loop,   view, picker, connections, headerCodec, retries, rollouts,
-                  models, stop, bounds, bodyBudget,  log,         metrics}
+        , context{loop,   view, picker, connections, headerCodec,    retries, rollouts,
+                  models, stop, bounds, bodyBudget,  responseBudget, log,     metrics}
     {
     }
 
@@ -261,7 +261,8 @@
     ModelCascade models;
     ShutdownPolicy stop;
     RouterBounds bounds;
-    RequestBodyBudget bodyBudget{1024UL * 1024};
+    BodyBudget bodyBudget{1024UL * 1024};
+    BodyBudget responseBudget{256UL * 1024};
     StructuredLog log;
     Metrics metrics;
     ForwardContext context;
--- a/Tests/Forward/testRequestForwarder.cpp
+++ b/Tests/Forward/testRequestForwarder.cpp
@@ -501,3 +501,28 @@
     cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST"))), 502);
     cr_expect_lt(harness.loop.now() - before, Duration(500ms));
 }
+
+Test(requestForwarder, bodies_without_end_are_cut_and_their_memory_is_released, .timeout = 20)
+{
+    ForwardHarness harness;
+    harness.publishRoute(route(RouteKind::NonIdempotent, 1));
+    const std::vector<std::string> heads = {"Transfer-Encoding: chunked\r\n\r\n",
+                                            "Connection: close\r\n\r\n"};
+    ScriptedBackend &backend = harness.addBackend(serve);
+    for (const std::string &head : heads) {
+        backend.onRequest = [&](Connection &connection, const std::string &) {
+            connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nResponse-Seal: seal\r\n" + head);
+            for (int i = 0; i < 64; ++i) {
+                connection.send("4000\r\n" + std::string(0x4000, 'x') + "\r\n");
+            }
+        };
+        const TimePoint before = harness.loop.now();
+        cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST"))), 502);
+        cr_expect_lt(harness.loop.now() - before, Duration(600ms));
+        cr_expect_eq(harness.responseBudget.reservedBytes(), 0);
+    }
+    backend.onRequest = serve;
+    harness.runLoop(900ms);
+    cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST"))), 200);
+    cr_expect_eq(harness.responseBudget.reservedBytes(), 0);
+}
