A daemon that starts takes its view from a source

A daemon lists the members first. The first of its data centre lists the rest at once; the others subscribe and get the listings when the source has them; who gets none within 2 s, or finds no other member within 0.9 s, reads the store. A source sends no heartbeat and no empty listing before it is synced.

--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -54,8 +54,11 @@
                   FleetObserver &observer, FollowerTiming timing);
     ~FleetFollower();
 
-    /// Lists all topics.
+    /// Lists the daemons' own records, which name the members of the fleet. The other topics come
+    /// from the feed of a member or, after listAll(), from the store.
     void start();
+    /// Lists the topics that are not listed yet.
+    void listAll();
     /// Switches to the feed of another daemon and pauses reads of the store, or resumes these reads
     /// immediately.
     void setFollowingFeed(bool followingFeed);
--- a/Tests/Daemon/testRolloutAgent.cpp
+++ b/Tests/Daemon/testRolloutAgent.cpp
@@ -56,6 +56,7 @@
     void start()
     {
         follower.start();
+        follower.listAll();
         agent.start();
         runFor(2s);
     }
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -57,6 +57,7 @@
     void startAndList(TimePoint now, const std::vector<MemberRegistered> &members)
     {
         follower.start();
+        follower.listAll();
         RecordPage config;
         config.records = {{Offset(0), "config", R"({"Version":1,"Routes":[],"Services":[]})"}};
         config.end = Offset(1);
@@ -336,3 +337,115 @@
     });
     loop.run();
 }
+
+namespace {
+
+/// Lists the members only, as a daemon that starts.
+void startWithMembers(TestDaemon &daemon, TimePoint now,
+                      const std::vector<MemberRegistered> &members)
+{
+    daemon.follower.start();
+    RecordPage own;
+    for (const MemberRegistered &registered : members) {
+        own.records.push_back(daemon.codec.encode(registered));
+        own.records.back().offset = own.end;
+        own.end = own.end.next();
+    }
+    daemon.store.answer(Topic::Own, own, now);
+}
+
+std::size_t openCalls(TestDaemon &daemon)
+{
+    return daemon.store.calls[Topic::Operator].size() + daemon.store.calls[Topic::Backends].size();
+}
+
+/// Two members of a data centre in feed order.
+std::vector<MemberRegistered> twoMembers(std::int64_t wall)
+{
+    std::vector<MemberRegistered> members;
+    for (const char *name : {"a", "b"}) {
+        members.push_back(
+            {InstanceId(name), DataCentreId("here"), {"127.0.0.1", freePort()}, wall});
+    }
+    std::sort(members.begin(), members.end(), [](const auto &left, const auto &right) {
+        return feedRank(left.instance) < feedRank(right.instance);
+    });
+    return members;
+}
+
+} // namespace
+
+Test(feed, a_daemon_that_starts_gets_its_view_from_another_one, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::vector<MemberRegistered> members = twoMembers(wallMilliseconds(clock));
+    TestDaemon reader(loop);
+    std::error_code error;
+    FeedServer server(
+        loop, members[0].feed, reader.follower, [](const FeedEvidence &) {},
+        [](const FeedLoad &, TimePoint) {}, error);
+    cr_assert_not(error);
+    reader.observer.server = &server;
+    // The other daemon starts too, and reads the store a little later.
+    TestDaemon follower(loop);
+    startWithMembers(follower, clock.now(), members);
+    FeedClient client(loop, members[1].instance, DataCentreId("here"), follower.view,
+                      follower.follower, clock, [](const InstanceId &, const char *) {});
+    client.start();
+    loop.at(clock.now() + 500ms, [&](TimePoint now) { reader.startAndList(now, members); });
+    loop.at(clock.now() + 1000ms, [&](TimePoint) {
+        cr_expect(follower.follower.synced());
+        cr_expect(follower.follower.followingFeed());
+        cr_expect_eq(openCalls(follower), 0);
+        loop.stop();
+    });
+    loop.run();
+}
+
+Test(feed, a_daemon_whose_source_does_not_answer_reads_the_store, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::vector<MemberRegistered> members = twoMembers(wallMilliseconds(clock));
+    TestDaemon follower(loop);
+    startWithMembers(follower, clock.now(), members);
+    FeedClient client(loop, members[1].instance, DataCentreId("here"), follower.view,
+                      follower.follower, clock, [](const InstanceId &, const char *) {});
+    client.start();
+    loop.at(clock.now() + 2500ms, [&](TimePoint) {
+        cr_expect_eq(openCalls(follower), 2);
+        loop.stop();
+    });
+    loop.run();
+}
+
+Test(feed, the_first_daemon_of_a_data_centre_reads_the_store_at_once, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::vector<MemberRegistered> members = twoMembers(wallMilliseconds(clock));
+    TestDaemon first(loop);
+    startWithMembers(first, clock.now(), members);
+    FeedClient client(loop, members[0].instance, DataCentreId("here"), first.view, first.follower,
+                      clock, [](const InstanceId &, const char *) {});
+    client.start();
+    cr_expect_eq(openCalls(first), 2);
+}
+
+Test(feed, a_daemon_without_other_members_reads_the_store_after_a_moment, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    TestDaemon only(loop);
+    startWithMembers(only, clock.now(), {});
+    FeedClient client(loop, InstanceId("only"), DataCentreId("here"), only.view, only.follower,
+                      clock, [](const InstanceId &, const char *) {});
+    client.start();
+    cr_expect_eq(openCalls(only), 0);
+    loop.at(clock.now() + 1200ms, [&](TimePoint) {
+        cr_expect_eq(openCalls(only), 2);
+        loop.stop();
+    });
+    loop.run();
+}
