--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -6,15 +6,14 @@
 using namespace lycheearch;
 using namespace lycheearch::soak;
 
-Test(soak, guarantees_hold_under_random_faults, .timeout = 90)
+namespace {
+
+void expectNoViolation(SoakOptions options)
 {
-    SoakOptions options;
-    options.seed = 7;
     options.faultDuration = 10s;
     options.daemons = 3;
-    options.firstPort = 23000;
     options.buildFolder = LYCHEEARCH_BUILD_DIR;
-    options.workFolder = options.buildFolder + "/test-soak";
+    options.workFolder = options.buildFolder + "/test-soak-" + std::to_string(options.firstPort);
     const PortLock ports(options.firstPort);
     Soak soak(options);
     for (const std::string &finding : soak.run()) {
@@ -22,3 +21,22 @@
     }
     cr_expect(soak.requests() > 300, "%zu requests", soak.requests());
 }
+
+} // namespace
+
+Test(soak, guarantees_hold_under_random_faults, .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 7;
+    options.firstPort = 23000;
+    expectNoViolation(options);
+}
+
+Test(soak, guarantees_hold_while_the_store_comes_back_older, .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 11;
+    options.storeDrills = true;
+    options.firstPort = 23400;
+    expectNoViolation(options);
+}
--- a/Utilities/Soak/SimulatedBackend.cpp
+++ b/Utilities/Soak/SimulatedBackend.cpp
@@ -71,8 +71,14 @@
     m_checker.forbidRequests(m_id, m_loop.now() + bound);
 }
 
+void SimulatedBackend::renewRegistration()
+{
+    registerEntry(m_registeredState);
+}
+
 void SimulatedBackend::registerEntry(const char *state)
 {
+    m_registeredState = state;
     const nlohmann::json entry = {{"Service", "s"},      {"Address", m_address.text()},
                                   {"Zone", "here"},      {"Version", "v1"},
                                   {"Slots", 16},         {"State", state},
--- a/Utilities/Soak/SimulatedBackend.h
+++ b/Utilities/Soak/SimulatedBackend.h
@@ -24,6 +24,8 @@
     void crash();
     /// Registers as draining. A request that arrives more than \p bound later is a violation.
     void drain(Duration bound);
+    /// Writes the registration again, as after the store came back from an older copy.
+    void renewRegistration();
     bool isRunning() const { return m_server.isOpen(); }
     /// Sets the share of answers, from 0 to 1, whose connection closes before the answer is
     /// complete. For a stream, a quarter of it applies to each event.
@@ -44,6 +46,7 @@
     std::mt19937_64 &m_random;
     AsyncServer m_server;
     std::string m_id;
+    const char *m_registeredState = "ready";
     int m_startCount = 0;
     int m_sequence = 0;
     double m_brokenAnswerShare = 0;
--- a/Utilities/Soak/SimulatedStore.cpp
+++ b/Utilities/Soak/SimulatedStore.cpp
@@ -68,13 +68,12 @@
 void SimulatedStore::appendRecord(const std::string &topic, const std::string &key,
                                   const std::string &value)
 {
-    add(m_topicLogs[topic], {key, value});
+    add(m_topicLogs[topic], {key, value, m_loop.now()});
 }
 
 void SimulatedStore::add(TopicLog &topicLog, Record record)
 {
-    topicLog.newestOffsets[record.key] = topicLog.end();
-    topicLog.newestValues[record.key] = record.value;
+    topicLog.newest[record.key] = {topicLog.end(), record.value};
     topicLog.records.push_back(std::move(record));
 }
 
@@ -83,9 +82,32 @@
     for (auto &[topic, topicLog] : m_topicLogs) {
         topicLog.first = topicLog.end();
         topicLog.records.clear();
+        topicLog.newestAtFirst = topicLog.newest;
     }
 }
 
+void SimulatedStore::comeBackOlder(Duration age)
+{
+    ++m_era;
+    const TimePoint copiedAt = m_loop.now() - age;
+    for (auto &[topic, topicLog] : m_topicLogs) {
+        std::vector<Record> records = std::move(topicLog.records);
+        std::erase_if(records, [&](const Record &record) { return record.appendedAt > copiedAt; });
+        topicLog.records.clear();
+        topicLog.newest = topicLog.newestAtFirst;
+        for (Record &record : records) {
+            add(topicLog, std::move(record));
+        }
+    }
+}
+
+void SimulatedStore::reply(const Connection &connection, int status, const std::string &body) const
+{
+    HttpFields fields;
+    fields.add("Store-Era", std::to_string(m_era));
+    connection->reply(status, std::move(fields), body);
+}
+
 void SimulatedStore::onRequest(const Connection &connection, const HttpRequestHead &head,
                                const std::string &body)
 {
@@ -96,7 +118,7 @@
         return;
     }
     if (m_mode == StoreMode::Refusing) {
-        connection->reply(Unavailable, {}, "");
+        reply(connection, Unavailable, "");
     } else if (target.starts_with("/-/log-read")) {
         const std::string wait = queryParameter(target, "WaitMs");
         read(connection, topic, std::stoll(queryParameter(target, "From")),
@@ -116,8 +138,8 @@
         return;
     }
     TopicLog &topicLog = m_topicLogs[topic];
-    if (from < topicLog.first) {
-        connection->reply(Gone, {}, nlohmann::json({{"First", topicLog.first}}).dump());
+    if (from < topicLog.first || from > topicLog.end()) {
+        reply(connection, Gone, nlohmann::json({{"First", topicLog.first}}).dump());
     } else if (from < topicLog.end() || wait <= Duration::zero()) {
         replyRecords(connection, topicLog, from);
     } else {
@@ -127,7 +149,7 @@
 }
 
 void SimulatedStore::replyRecords(const Connection &connection, const TopicLog &topicLog,
-                                  std::int64_t from)
+                                  std::int64_t from) const
 {
     constexpr int offsetBytes = 8;
     std::string body = bigEndian(static_cast<std::uint64_t>(topicLog.end()), offsetBytes)
@@ -138,46 +160,45 @@
             static_cast<char>(record.key.size()) + record.key + record.value;
         body += bigEndian(content.size(), RecordLengthBytes) + content;
     }
-    connection->reply(Ok, {}, body);
+    reply(connection, Ok, body);
 }
 
 void SimulatedStore::listNewest(const Connection &connection, const std::string &topic)
 {
     const TopicLog &topicLog = m_topicLogs[topic];
     nlohmann::json items = nlohmann::json::array();
-    for (const auto &[key, value] : topicLog.newestValues) {
-        if (!value.empty()) {
-            items.push_back({{"Key", key},
-                             {"Value", encodeBase64(value)},
-                             {"Offset", topicLog.newestOffsets.at(key)}});
+    for (const auto &[key, newest] : topicLog.newest) {
+        if (!newest.value.empty()) {
+            items.push_back(
+                {{"Key", key}, {"Value", encodeBase64(newest.value)}, {"Offset", newest.offset}});
         }
     }
     const nlohmann::json answer = {{"Items", items}, {"HasMore", false}, {"End", topicLog.end()}};
-    connection->reply(Ok, {}, answer.dump());
+    reply(connection, Ok, answer.dump());
 }
 
 void SimulatedStore::append(const Connection &connection, const std::string &topic,
                             const std::string &target, const std::string &body)
 {
     if (!target.starts_with("/-/log-append") || body.size() <= RecordLengthBytes) {
-        connection->reply(BadRequest, {}, "expected an append request with a record\n");
+        reply(connection, BadRequest, "expected an append request with a record\n");
         return;
     }
     TopicLog &topicLog = m_topicLogs[topic];
     const std::string at = queryParameter(target, "At");
     if (!at.empty() && std::stoll(at) != topicLog.end()) {
-        connection->reply(PreconditionFailed, {}, nlohmann::json({{"End", topicLog.end()}}).dump());
+        reply(connection, PreconditionFailed, nlohmann::json({{"End", topicLog.end()}}).dump());
         return;
     }
     const auto keyLength = static_cast<unsigned char>(body.at(RecordLengthBytes));
     const std::int64_t offset = topicLog.end();
     add(topicLog,
         {body.substr(RecordLengthBytes + 1, keyLength),
-         body.substr(RecordLengthBytes + 1 + keyLength)});
+         body.substr(RecordLengthBytes + 1 + keyLength), m_loop.now()});
     if (m_mode == StoreMode::LosingAnswers) {
         return;
     }
-    connection->reply(Ok, {}, nlohmann::json({{"Offset", offset}, {"End", topicLog.end()}}).dump());
+    reply(connection, Ok, nlohmann::json({{"Offset", offset}, {"End", topicLog.end()}}).dump());
 }
 
 } // namespace lycheearch::soak
--- a/Utilities/Soak/SimulatedStore.h
+++ b/Utilities/Soak/SimulatedStore.h
@@ -30,6 +30,9 @@
     /// Deletes the history of all topics: reads of earlier offsets fail with 410. The newest value
     /// of each key can still be listed.
     void compact();
+    /// Comes back from a copy of the state \p age ago: later records are gone, their offsets are
+    /// given out again, and the era that each answer states rises by one.
+    void comeBackOlder(Duration age);
     /// Number of requests received so far.
     std::int64_t requestCount() const { return m_requestCount; }
 
@@ -38,13 +41,20 @@
     {
         std::string key;
         std::string value;
+        TimePoint appendedAt;
+    };
+    /// The newest record of a key.
+    struct Newest
+    {
+        std::int64_t offset = 0;
+        std::string value;
     };
     struct TopicLog
     {
         std::int64_t first = 0;
         std::vector<Record> records;
-        std::map<std::string, std::int64_t> newestOffsets; ///< By key.
-        std::map<std::string, std::string> newestValues; ///< By key.
+        std::map<std::string, Newest> newestAtFirst; ///< By key, when the history was deleted.
+        std::map<std::string, Newest> newest; ///< By key.
 
         std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
     };
@@ -57,14 +67,16 @@
     void listNewest(const Connection &connection, const std::string &topic);
     void append(const Connection &connection, const std::string &topic, const std::string &target,
                 const std::string &body);
-    static void replyRecords(const Connection &connection, const TopicLog &topicLog,
-                             std::int64_t from);
+    void reply(const Connection &connection, int status, const std::string &body) const;
+    void replyRecords(const Connection &connection, const TopicLog &topicLog,
+                      std::int64_t from) const;
     void add(TopicLog &topicLog, Record record);
 
     EventLoop &m_loop;
     AsyncServer m_server;
     StoreMode m_mode = StoreMode::Normal;
     std::map<std::string, TopicLog> m_topicLogs;
+    std::int64_t m_era = 1;
     std::int64_t m_requestCount = 0;
 };
 
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -214,7 +214,8 @@
         runAfter(time, [&proxy] { proxy.setState(trial::LinkState::Open); });
         m_checker.suspendTimeLimits(m_loop.now() + time + FaultRecoveryTime);
     };
-    switch (m_random() % 7) {
+    const std::uint64_t drills = m_options.storeDrills ? 3 : 0;
+    switch (m_random() % (7 + drills)) {
     case 0:
         logFault("store refuses requests");
         setModeFor(StoreMode::Refusing, 2s);
@@ -239,10 +240,36 @@
         logFault("open connections of one daemon to the store stall");
         proxy.stallOpenConnections();
         break;
-    default:
+    case 6:
         logFault("operator publishes a new configuration");
         publishConfig();
         break;
+    default:
+        runStoreDrill();
+        break;
+    }
+}
+
+void Soak::runStoreDrill()
+{
+    logFault("store comes back from an older copy");
+    constexpr Duration absence = 300ms;
+    m_store->setMode(StoreMode::Refusing);
+    m_checker.suspendTimeLimits(m_loop.now() + absence + FaultRecoveryTime);
+    runAfter(absence, [this] {
+        const auto age = std::chrono::milliseconds(500 + m_random() % 4000);
+        m_store->comeBackOlder(age);
+        m_store->setMode(StoreMode::Normal);
+    });
+    runAfter(absence + 200ms + std::chrono::milliseconds(m_random() % 1000),
+             [this] { publishConfig(); });
+    for (const auto &backend : m_backends) {
+        const auto delay = std::chrono::milliseconds(m_random() % 1200);
+        runAfter(absence + delay, [&backend = *backend] {
+            if (backend.isRunning()) {
+                backend.renewRegistration();
+            }
+        });
     }
 }
 
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -22,6 +22,7 @@
     int daemons = 4;
     int backends = 4;
     int callersPerDaemon = 3;
+    bool storeDrills = false; ///< The store also comes back from older copies.
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
     std::string workFolder;
@@ -63,6 +64,9 @@
     void injectFault(TimePoint now);
     void injectDaemonFault(TimePoint now);
     void injectStoreFault(TimePoint now);
+    /// The store is away for a moment and comes back from an older copy. The operator and the
+    /// backend servers then write their records again.
+    void runStoreDrill();
     void injectBackendFault(TimePoint now);
     void runAfter(Duration delay, std::function<void()> action);
     void endAllFaults();
