--- a/Tests/Daemon/testRolloutAgent.cpp
+++ b/Tests/Daemon/testRolloutAgent.cpp
@@ -4,7 +4,7 @@
 
 #include "Daemon/RolloutAgent.h"
 #include "Fleet/ContentStore.h"
-#include "Mocks.h"
+#include "ManualLoop.h"
 #include "platform/PlatformRecordCodec.h"
 
 using namespace lycheearch;
@@ -42,16 +42,7 @@
                   {Offset(), "rollout/s", R"({"Service":"s","Target":"v2","FinishByS":24})"});
     }
 
-    void runFor(Duration span)
-    {
-        const TimePoint end = clock.time + span;
-        while (clock.time < end) {
-            clock.time += 10ms;
-            loop.at(clock.time, [this](TimePoint) { loop.stop(); });
-            loop.run();
-            loop.resume();
-        }
-    }
+    void runFor(Duration span) { runLoopFor(clock, loop, span); }
 
     void start()
     {
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -2,7 +2,7 @@
 
 #include "Fleet/FakeStore.h"
 #include "Fleet/FleetFollower.h"
-#include "Mocks.h"
+#include "ManualLoop.h"
 #include "platform/PlatformRecordCodec.h"
 
 using namespace lycheearch;
@@ -40,16 +40,7 @@
     {
     }
 
-    void runFor(Duration span)
-    {
-        const TimePoint end = clock.time + span;
-        while (clock.time < end) {
-            clock.time += 10ms;
-            loop.at(clock.time, [this](TimePoint) { loop.stop(); });
-            loop.run();
-            loop.resume();
-        }
-    }
+    void runFor(Duration span) { runLoopFor(clock, loop, span); }
 
     void startAndList(const RecordPage &backends)
     {
--- a/Tests/Fleet/testStoreEra.cpp
+++ b/Tests/Fleet/testStoreEra.cpp
@@ -2,7 +2,7 @@
 
 #include "Fleet/FakeStore.h"
 #include "Fleet/FleetFollower.h"
-#include "Mocks.h"
+#include "ManualLoop.h"
 #include "platform/PlatformRecordCodec.h"
 
 using namespace lycheearch;
@@ -77,14 +77,7 @@
     /// Advances the clock. Reads of offsets that the store lacks fail, as in an older copy.
     void runFor(Duration span)
     {
-        const TimePoint end = clock.time + span;
-        while (clock.time < end) {
-            clock.time += 10ms;
-            loop.at(clock.time, [this](TimePoint) { loop.stop(); });
-            loop.run();
-            loop.resume();
-            answerAll();
-        }
+        runLoopFor(clock, loop, span, [this] { answerAll(); });
     }
 
     void answerAll()
