--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -118,7 +118,7 @@
     if (!m_socket && m_follower.storeLost()) {
         retryAnySource(candidates, now);
     }
-    // While no source can be reached, this daemon is not a backup: nobody else reads for it.
+    // While no source can be reached, this daemon is not a backup: no other daemon reads for it.
     m_follower.setBackupReader(m_socket != nullptr);
 }
 
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -36,6 +36,9 @@
     bool finished() const { return m_finished; }
 
 private:
+    /// Failed connections after which the request fails.
+    static constexpr int MaxConnectFailures = 4;
+
     /// State of the latest attempt at a backend server.
     struct Attempt
     {
--- /dev/null
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -0,0 +1,209 @@
+#include "Forward/RequestForwarder.h"
+#include "Forward/SendOutcomes.h"
+#include "Net/HttpStatus.h"
+
+// The part of RequestForwarder that receives responses: their heads and bodies, what a server
+// announces about itself, and lost connections.
+
+namespace lycheearch {
+
+namespace {
+
+/// Whether callers take the status to mean that the request was not executed.
+bool impliesNotExecuted(int status)
+{
+    return status == HttpStatus::RequestTimeout || status == HttpStatus::Misdirected
+        || status == HttpStatus::TooManyRequests || status == HttpStatus::Unavailable;
+}
+
+} // namespace
+
+BackendResponseListener::Verdict RequestForwarder::onResponseStarted(const HttpResponseHead &head,
+                                                                     TimePoint now)
+{
+    ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
+    if (!metadata.requestId.empty() && metadata.requestId != m_request.id.value()) {
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("answer.foreign")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("answer_id", metadata.requestId),
+                            now);
+        return Verdict::Skip;
+    }
+    applyNotices(metadata, now);
+    if (metadata.load) {
+        m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
+                                        metadata.load->waiting, now);
+    }
+    m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
+    m_attempt.headReceived = true;
+    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
+        && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
+    m_attempt.head = head;
+    m_attempt.metadata = std::move(metadata);
+    if (m_attempt.streaming && !m_streamBegun) {
+        m_context.models.onFirstEvent(m_model, m_attempt.workTokens, now - m_attempt.sentAt, now);
+        m_attempt.discarded = escalate(now);
+    }
+    return Verdict::Accept;
+}
+
+void RequestForwarder::onInterimResponse(const HttpResponseHead &head, TimePoint now)
+{
+    const ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
+    if (metadata.requestId.empty() || metadata.requestId == m_request.id.value()) {
+        applyNotices(metadata, now);
+    }
+}
+
+void RequestForwarder::applyNotices(const ResponseMetadata &metadata, TimePoint now)
+{
+    if (metadata.leaving && m_context.picker.onLeaving(m_attempt.backend, now)) {
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.leaving")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value()),
+                            now);
+    }
+    if (metadata.retryAfter) {
+        m_context.picker.onPauseRequested(m_attempt.backend, *metadata.retryAfter, now);
+        const bool cut = *metadata.retryAfter > ServerNotices::LongestPause;
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.pause")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("pause_ms", *metadata.retryAfter)
+                                .add("cut", cut ? "yes" : "no"),
+                            now);
+    }
+}
+
+void RequestForwarder::onResponseData(std::string_view bytes, TimePoint now)
+{
+    if (m_attempt.discarded) {
+        return;
+    }
+    if (!m_attempt.streaming) {
+        collectBody(bytes, now);
+        return;
+    }
+    std::vector<StreamEvent> events;
+    if (!m_attempt.splitter.feed(bytes, events)) {
+        endAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("an event exceeds the size limit", now);
+        return;
+    }
+    relayEvents(events, now);
+}
+
+void RequestForwarder::collectBody(std::string_view bytes, TimePoint now)
+{
+    if (!m_context.responseBudget.tryReserve(bytes.size())) {
+        m_mayHaveRun = true;
+        endAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("memory limit for response bodies reached", now);
+        return;
+    }
+    m_attempt.reservedBytes += bytes.size();
+    m_attempt.body.append(bytes);
+}
+
+void RequestForwarder::onResponseComplete(TimePoint now)
+{
+    if (m_attempt.discarded) {
+        endAttempt(SendOutcome::Served, true, now);
+        m_triedBackends.clear();
+        dispatch(now);
+        return;
+    }
+    if (m_attempt.streaming) {
+        handleStreamEnd(now);
+    } else {
+        handlePlainResponse(now);
+    }
+}
+
+void RequestForwarder::handlePlainResponse(TimePoint now)
+{
+    const int status = m_attempt.head.status;
+    if (m_attempt.metadata.notExecuted) {
+        endAttempt(status == HttpStatus::Misdirected ? SendOutcome::Misdirected
+                                                     : SendOutcome::Overloaded,
+                   true, now);
+        retryOrFail(status == HttpStatus::Misdirected ? "another instance has the address"
+                                                      : "the backend server refused the request",
+                    now);
+        return;
+    }
+    m_mayHaveRun = true;
+    if (status < HttpStatus::FirstRedirect) {
+        const bool complete =
+            m_attempt.metadata.hasSeal && m_attempt.head.fields.find("Content-Encoding") == nullptr;
+        endAttempt(complete ? SendOutcome::Served : SendOutcome::Broken, complete, now);
+        if (complete) {
+            sendBackendResponse(now);
+        } else {
+            retryOrFail("the response has no seal or has a content encoding", now);
+        }
+        return;
+    }
+    endAttempt(status >= HttpStatus::FirstServerError ? SendOutcome::ServerFailed
+                                                      : SendOutcome::Served,
+               true, now);
+    if (!impliesNotExecuted(status)) {
+        m_errorHead = m_attempt.head;
+        m_errorBody = m_attempt.body;
+    }
+    if (status >= HttpStatus::FirstServerError || impliesNotExecuted(status)) {
+        retryOrFail("error response of the backend server", now);
+    } else {
+        sendBackendResponse(now);
+    }
+}
+
+void RequestForwarder::onConnectionLost(Delivery delivery, std::error_code error, TimePoint now)
+{
+    m_context.log.write(LogPriority::Notable,
+                        LogLine("link.lost")
+                            .add("id", m_request.id.value())
+                            .add("backend", m_attempt.backend.value())
+                            .add("sent", delivery == Delivery::NotSent ? "no" : "maybe")
+                            .add("fresh", m_attempt.newConnection ? "yes" : "no")
+                            .add("error", error.message())
+                            .add("after_ms", now - m_attempt.sentAt),
+                        now);
+    const bool silent = error == std::errc::timed_out;
+    if (delivery == Delivery::NotSent) {
+        --m_attemptCount;
+        m_unreachableBackends.insert(m_attempt.backend);
+        endAttempt(silent ? SendOutcome::Silent : SendOutcome::Unreachable, false, now);
+        if (++m_connectFailures >= MaxConnectFailures) {
+            fail("no connection to a backend server", now);
+        } else {
+            dispatch(now);
+        }
+        return;
+    }
+    m_mayHaveRun = true;
+    // A healthy server may have closed a reused idle connection.
+    const bool reset = !m_attempt.headReceived && m_attempt.newConnection;
+    endAttempt(silent      ? SendOutcome::Silent
+                   : reset ? SendOutcome::Reset
+                           : SendOutcome::Broken,
+               false, now);
+    retryOrFail("connection to the backend server lost", now);
+}
+
+void RequestForwarder::sendBackendResponse(TimePoint now)
+{
+    HttpFields fields = m_attempt.head.fields;
+    removeConnectionFields(fields);
+    fields.remove("Content-Length");
+    m_firstByteAt = now;
+    finish(m_attempt.head.status, "served", now);
+    m_writer.sendResponse(m_attempt.head.status, m_attempt.head.reason, std::move(fields),
+                          m_attempt.body, now);
+}
+
+} // namespace lycheearch
--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -41,6 +41,13 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Fraction of a rollout's time that has elapsed; 1 if it has no time.
+double elapsedFraction(const RolloutOrdered &order, Duration elapsed)
+{
+    return order.finishWithin > Duration::zero() ? seconds(elapsed) / seconds(order.finishWithin)
+                                                 : 1;
+}
+
 Duration fromSeconds(double value)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
@@ -142,37 +149,19 @@
         return stage;
     }
     const Duration elapsed = now - orderedAt;
-    const double elapsedFraction =
-        order.finishWithin > Duration::zero() ? seconds(elapsed) / seconds(order.finishWithin) : 1;
     if (stage.stage == LastRolloutStage) {
-        const bool late =
-            order.finishWithin - elapsed <= observation.changeDelay + CompletionReserve;
-        const bool idle = totals.other.inFlight <= 0 && totals.lowestStage >= LastRolloutStage;
-        if (!late && (elapsedFraction < EarliestEndFraction || !idle)) {
-            return std::nullopt;
-        }
-        stage.complete = true;
-        return stage;
-    }
-    if (stage.stage > 0 && now - observation.stageSince < MinStageDuration) {
-        return std::nullopt;
+        stage.complete = completionDue(order, totals, elapsed, observation);
+        return stage.complete ? std::optional(stage) : std::nullopt;
     }
+    const bool evaluated = stage.stage == 0 || now - observation.stageSince >= MinStageDuration;
     const int next = stage.stage + 1;
-    if (readyTargets == 0) {
-        return std::nullopt;
-    }
-    if (next == LastRolloutStage) {
-        if (verdict == VersionVerdict::Suspicious
-            || !lastStageDue(order, totals, elapsed, observation)) {
-            return std::nullopt;
-        }
-    } else if (elapsedFraction < StageStartFractions[next]) {
+    const bool due = next == LastRolloutStage
+        ? verdict != VersionVerdict::Suspicious && lastStageDue(order, totals, elapsed, observation)
+        : earlyStageDue(next, order, elapsed);
+    if (!evaluated || readyTargets == 0 || !due) {
         return std::nullopt;
     }
     if (next == FirstRolloutStage) {
-        if (elapsed < FirstStageDelay) {
-            return std::nullopt;
-        }
         const double rate = static_cast<double>(totals.other.answers()) / seconds(elapsed);
         stage.firstShare = firstRolloutShare(rate);
         stage.canaryShare = canaryShare(rate, order.finishWithin, m_limit.share);
@@ -181,6 +170,22 @@
     return stage;
 }
 
+bool RolloutController::earlyStageDue(int stage, const RolloutOrdered &order, Duration elapsed)
+{
+    const bool reported = stage > FirstRolloutStage || elapsed >= FirstStageDelay;
+    return reported && elapsedFraction(order, elapsed) >= StageStartFractions[stage];
+}
+
+bool RolloutController::completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
+                                      Duration elapsed, const Observation &observation)
+{
+    if (order.finishWithin - elapsed <= observation.changeDelay + CompletionReserve) {
+        return true;
+    }
+    const bool idle = totals.other.inFlight <= 0 && totals.lowestStage >= LastRolloutStage;
+    return idle && elapsedFraction(order, elapsed) >= EarliestEndFraction;
+}
+
 bool RolloutController::lastStageDue(const RolloutOrdered &order, const RolloutTotals &totals,
                                      Duration elapsed, const Observation &observation) const
 {
--- a/Source/Routing/RolloutController.h
+++ b/Source/Routing/RolloutController.h
@@ -89,6 +89,10 @@
                                           RolloutStage stage, const RolloutTotals &totals,
                                           int readyTargets, const Observation &observation,
                                           TimePoint now) const;
+    /// Whether a stage before the last one is due.
+    static bool earlyStageDue(int stage, const RolloutOrdered &order, Duration elapsed);
+    static bool completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
+                              Duration elapsed, const Observation &observation);
     bool lastStageDue(const RolloutOrdered &order, const RolloutTotals &totals, Duration elapsed,
                       const Observation &observation) const;
     /// Time before the deadline from which the target can serve all requests without exceeding its
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -302,7 +302,7 @@
     FeedClient client(loop, members.back().instance, DataCentreId("here"), follower.view,
                       follower.follower, clock, [](const InstanceId &, const char *) {});
     client.start();
-    // The store answers nobody from now on; the sources become stale after a second.
+    // The store answers no daemon from now on; the sources become stale after a second.
     const TimePoint begin = clock.now();
     int failedCalls = 0;
     std::function<void(TimePoint)> failCalls = [&](TimePoint now) {
