--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -16,10 +16,6 @@
 constexpr Duration RetryBackoff = 3s;
 /// The same while this daemon has neither a source nor the store.
 constexpr Duration LostStoreBackoff = 600ms;
-/// A daemon that starts waits this long for a view from another daemon.
-constexpr Duration SourceStartTimeout = 2s;
-/// A daemon that starts and finds no other member waits this long for registrations.
-constexpr Duration FirstRegistrationDelay = 900ms;
 /// Daemons of a data centre that read the store themselves if it does not answer their source. The
 /// others follow one of them, so that a store that is down is not called by all daemons.
 constexpr std::size_t MaxStoreReaders = 3;
@@ -86,8 +82,7 @@
 
 void FeedClient::start()
 {
-    m_startedAt = m_loop.now();
-    updateSource(m_startedAt);
+    updateSource(m_loop.now());
 }
 
 void FeedClient::updateSource(TimePoint now)
@@ -97,14 +92,13 @@
         dropSource("silent", now);
     }
     checkSwitchGrace(now);
-    const bool membersKnown = m_follower.listedInEra(Topic::Own) || m_follower.synced();
-    if (!membersKnown || (m_holdingStale && m_socket)) {
+    if (!m_follower.synced()) {
         return;
     }
-    const std::vector<MemberRegistered> candidates = sourceCandidates();
-    if (!m_follower.synced() && mustReadStore(candidates, now)) {
-        m_follower.listAll();
+    if (m_holdingStale && m_socket) {
+        return;
     }
+    const std::vector<MemberRegistered> candidates = sourceCandidates();
     for (const MemberRegistered &member : candidates) {
         const auto backoff = m_backoffUntil.find(member.instance);
         if (backoff != m_backoffUntil.end() && backoff->second > now) {
@@ -122,20 +116,6 @@
     m_follower.setBackupReader(m_socket != nullptr);
 }
 
-bool FeedClient::mustReadStore(const std::vector<MemberRegistered> &candidates, TimePoint now) const
-{
-    const Duration age = now - m_startedAt;
-    if (!candidates.empty()) {
-        return age > SourceStartTimeout;
-    }
-    // In a new deployment, the other daemons may be about to register.
-    const auto &members = m_view.members();
-    const bool othersKnown = std::any_of(members.begin(), members.end(), [&](const auto &entry) {
-        return entry.first != m_self && entry.second.dataCentre == m_dataCentre;
-    });
-    return othersKnown || age > FirstRegistrationDelay;
-}
-
 void FeedClient::retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now)
 {
     const auto backoffEnd = [&](const MemberRegistered &member) {
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -60,9 +60,6 @@
     void onError(std::error_code error, TimePoint now) override;
 
     void updateSource(TimePoint now);
-    /// Whether a daemon that starts lists the store, because no other daemon is expected to send it
-    /// a view.
-    bool mustReadStore(const std::vector<MemberRegistered> &candidates, TimePoint now) const;
     /// Connects to the source whose last failure is longest ago, if that is long enough.
     void retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now);
     void connectTo(const MemberRegistered &member, TimePoint now);
@@ -86,7 +83,6 @@
     std::unique_ptr<StreamSocket> m_socket;
     FeedFrameReader m_reader;
     InstanceId m_source; ///< Empty without a connection.
-    TimePoint m_startedAt;
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
     bool m_holdingStale = false; ///< Follows a stale source, because all sources are stale.
     TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -123,17 +123,12 @@
 void FeedServer::sendInitialState(FeedConnection &connection)
 {
     for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own}) {
-        if (!m_follower.listedInEra(topic)) {
-            continue; // Broadcast as soon as it is listed.
-        }
         RecordPage listing = m_follower.mirror().listing(topic);
         listing.end = m_follower.nextOffset(topic);
         listing.era = m_follower.era();
         connection.send(encodeFeedFrame(FeedPage{topic, true, std::move(listing)}));
     }
-    if (m_follower.synced()) {
-        connection.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(m_loop.now())}));
-    }
+    connection.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(m_loop.now())}));
     if (!m_timer.active()) {
         sendHeartbeats(m_loop.now());
     }
@@ -193,9 +188,7 @@
     if (m_connections.empty()) {
         return;
     }
-    if (m_follower.synced()) {
-        sendToFollowers(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(now)}));
-    }
+    sendToFollowers(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(now)}));
     m_timer = m_loop.at(now + FeedHeartbeatPeriod,
                         [this](TimePoint present) { sendHeartbeats(present); });
 }
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -43,17 +43,7 @@
 {
     for (const Topic topic : AllTopics) {
         m_cursors[topic].retryDelay = m_timing.retryDelay;
-    }
-    pollTopic(Topic::Own);
-}
-
-void FleetFollower::listAll()
-{
-    for (const Topic topic : AllTopics) {
-        const Cursor &cursor = m_cursors[topic];
-        if (!cursor.listed && !cursor.timer.active()) {
-            pollTopic(topic);
-        }
+        pollTopic(topic);
     }
 }
 
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -54,11 +54,8 @@
                   FleetObserver &observer, FollowerTiming timing);
     ~FleetFollower();
 
-    /// Lists the daemons' own records, which name the members of the fleet. The other topics come
-    /// from the feed of a member or, after listAll(), from the store.
+    /// Lists all topics.
     void start();
-    /// Lists the topics that are not listed yet.
-    void listAll();
     /// Switches to the feed of another daemon and pauses reads of the store, or resumes these reads
     /// immediately.
     void setFollowingFeed(bool followingFeed);
--- a/Tests/Daemon/testRolloutAgent.cpp
+++ b/Tests/Daemon/testRolloutAgent.cpp
@@ -47,7 +47,6 @@
     void start()
     {
         follower.start();
-        follower.listAll();
         agent.start();
         runFor(2s);
     }
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -45,7 +45,6 @@
     void startAndList(const RecordPage &backends)
     {
         follower.start();
-        follower.listAll();
         RecordPage config;
         config.records = {configRecord(0, 1)};
         config.end = Offset(1);
--- a/Tests/Fleet/testStoreEra.cpp
+++ b/Tests/Fleet/testStoreEra.cpp
@@ -70,7 +70,6 @@
         content[Topic::Backends] = page(
             {server(7, "kept", 4), server(8, "late", 2), server(9, "leaves", 6, "draining")}, 10);
         follower.start();
-        follower.listAll();
         runFor(100ms);
     }
 
