--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -16,9 +16,6 @@
 constexpr Duration RetryBackoff = 3s;
 /// The same while this daemon has neither a source nor the store.
 constexpr Duration LostStoreBackoff = 600ms;
-/// Daemons of a data centre that read the store themselves if it does not answer their source. The
-/// others follow one of them, so that a store that is down is not called by all daemons.
-constexpr std::size_t MaxStoreReaders = 3;
 /// Members whose last registration is older are ignored.
 constexpr std::int64_t MemberLifetimeMs = 150'000;
 
@@ -95,10 +92,8 @@
     if (!m_follower.synced()) {
         return;
     }
-    if (m_holdingStale && m_socket) {
-        return;
-    }
-    const std::vector<MemberRegistered> candidates = sourceCandidates();
+    const std::vector<MemberRegistered> candidates =
+        feedCandidates(m_view.members(), m_self, m_dataCentre, wallMilliseconds(m_clock));
     for (const MemberRegistered &member : candidates) {
         const auto backoff = m_backoffUntil.find(member.instance);
         if (backoff != m_backoffUntil.end() && backoff->second > now) {
@@ -187,41 +182,13 @@
     if (!heartbeat->storeStaleness) {
         dropSource("the source does not read the store", now);
     } else if (*heartbeat->storeStaleness > FeedStalenessLimit) {
-        onStaleSource(now);
+        setFollowingFeed(false, "the source is stale");
     } else {
-        m_holdingStale = false;
         m_sourceLostAt = TimePoint();
         setFollowingFeed(true, "fresh");
     }
 }
 
-void FeedClient::onStaleSource(TimePoint now)
-{
-    const std::vector<MemberRegistered> candidates = sourceCandidates();
-    if (candidates.size() < MaxStoreReaders || !m_follower.followingFeed()) {
-        setFollowingFeed(false, "the source is stale");
-        return;
-    }
-    const auto isUntried = [&](const MemberRegistered &member) {
-        const auto backoff = m_backoffUntil.find(member.instance);
-        return member.instance != m_source
-            && (backoff == m_backoffUntil.end() || backoff->second <= now);
-    };
-    const auto readersEnd = candidates.begin() + static_cast<std::ptrdiff_t>(MaxStoreReaders);
-    if (!m_holdingStale && std::any_of(candidates.begin(), readersEnd, isUntried)) {
-        dropSource("the source is stale", now);
-        return;
-    }
-    // None of the readers reaches the store, so this daemon would hardly reach it either.
-    m_holdingStale = true;
-    m_sourceLostAt = TimePoint();
-}
-
-std::vector<MemberRegistered> FeedClient::sourceCandidates() const
-{
-    return feedCandidates(m_view.members(), m_self, m_dataCentre, wallMilliseconds(m_clock));
-}
-
 bool FeedClient::sendLoad(const FeedLoad &load)
 {
     if (!m_socket || !m_follower.followingFeed()) {
@@ -256,7 +223,6 @@
         return;
     }
     const bool silent = now - m_lastReceivedAt > FeedReceiveTimeout;
-    m_holdingStale = false;
     m_backoffUntil[m_source] = now + RetryBackoff;
     m_source = InstanceId();
     m_socket->close();
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -63,10 +63,6 @@
     /// Connects to the source whose last failure is longest ago, if that is long enough.
     void retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now);
     void connectTo(const MemberRegistered &member, TimePoint now);
-    /// Looks for another source if the present one does not reach the store. This daemon reads the
-    /// store itself if it is one of the first in the feed order.
-    void onStaleSource(TimePoint now);
-    std::vector<MemberRegistered> sourceCandidates() const;
     void onMessage(const FeedMessage &message, TimePoint now);
     void dropSource(const char *reason, TimePoint now);
     void setFollowingFeed(bool followingFeed, const char *reason);
@@ -84,7 +80,6 @@
     FeedFrameReader m_reader;
     InstanceId m_source; ///< Empty without a connection.
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
-    bool m_holdingStale = false; ///< Follows a stale source, because all sources are stale.
     TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
     std::map<InstanceId, TimePoint> m_backoffUntil;
     TimerId m_timer;
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -270,7 +270,7 @@
     loop.run();
 }
 
-Test(feed, a_daemon_behind_three_sources_without_the_store_does_not_call_it, .timeout = 20)
+Test(feed, a_daemon_that_the_store_serves_reads_it_while_its_sources_are_turned_away, .timeout = 20)
 {
     SystemClock clock;
     EventLoop loop(clock);
@@ -301,37 +301,27 @@
     FeedClient client(loop, members.back().instance, DataCentreId("here"), follower.view,
                       follower.follower, clock, [](const InstanceId &, const char *) {});
     client.start();
-    // The store answers no daemon from now on; the sources become stale after a second.
+    // The store answers none of the sources from now on, so they become stale after a second. It
+    // serves the follower.
     const TimePoint begin = clock.now();
-    int failedCalls = 0;
-    std::function<void(TimePoint)> failCalls = [&](TimePoint now) {
-        for (auto &[topic, calls] : follower.store.calls) {
-            if (!calls.empty()) {
-                failedCalls += now - begin > 2500ms ? 1 : 0;
-                follower.store.fail(topic, StoreFault::Unreachable, now);
+    RecordPage config;
+    config.records = {{Offset(1), "config", R"({"Version":2,"Routes":[],"Services":[]})"}};
+    config.end = Offset(2);
+    std::function<void(TimePoint)> answerCalls = [&](TimePoint now) {
+        const bool published = now - begin > 2500ms;
+        for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Own}) {
+            while (published && !follower.store.calls[topic].empty()) {
+                RecordPage none;
+                none.end = follower.follower.nextOffset(topic);
+                follower.store.answer(topic, topic == Topic::Operator ? config : none, now);
             }
         }
-        loop.at(now + 50ms, failCalls);
+        loop.at(now + 50ms, answerCalls);
     };
-    failCalls(begin);
-    loop.at(begin + 5s, [&](TimePoint now) {
-        cr_expect_eq(failedCalls, 0);
-        // The store answers the second source again.
-        RecordPage page;
-        page.records = {{Offset(0), "i-1",
-                         R"({"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1",
-                            "Slots":4,"State":"ready","ColdMs":0,"Sequence":1})"}};
-        page.end = Offset(1);
-        for (const auto &reader : readers) {
-            reader->store.answer(Topic::Backends, page, now);
-            RecordPage none;
-            none.end = Offset(1);
-            reader->store.answer(Topic::Operator, none, now);
-        }
-    });
-    loop.at(begin + 6s, [&](TimePoint) {
-        cr_expect(follower.follower.followingFeed());
-        cr_expect_not_null(follower.view.backend(InstanceId("i-1")));
+    answerCalls(begin);
+    // The bound for a new configuration is 2 s.
+    loop.at(begin + 2500ms + 1500ms, [&](TimePoint) {
+        cr_expect_eq(follower.view.table()->version(), ConfigVersion(2));
         loop.stop();
     });
     loop.run();
