Play two feed tests on a clock of their own

The bounds are unchanged; the tests now advance the clock themselves, and check that the check was reached.

--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -6,7 +6,7 @@
 #include "Feed/FeedServer.h"
 #include "Fleet/FakeStore.h"
 #include "FreePort.h"
-#include "Mocks.h"
+#include "ManualLoop.h"
 #include "platform/PlatformRecordCodec.h"
 
 using namespace lycheearch;
@@ -218,8 +218,9 @@
 Test(feed, a_follower_that_lost_the_store_gets_the_configuration_from_a_source_that_came_back,
      .timeout = 20)
 {
-    SystemClock clock;
+    ManualClock clock;
     EventLoop loop(clock);
+    bool checked = false;
     const std::int64_t wall = wallMilliseconds(clock);
     std::map<InstanceId, MemberRegistered> both;
     both[InstanceId("a")] = member("a", "here", wall);
@@ -265,15 +266,17 @@
     // The bound for a new configuration is 2 s.
     loop.at(begin + 4500ms + 1200ms, [&](TimePoint) {
         cr_expect_eq(follower.view.table()->version(), ConfigVersion(2));
-        loop.stop();
+        checked = true;
     });
-    loop.run();
+    runLoopFor(clock, loop, 6s);
+    cr_expect(checked);
 }
 
 Test(feed, a_daemon_that_the_store_serves_reads_it_while_its_sources_are_turned_away, .timeout = 20)
 {
-    SystemClock clock;
+    ManualClock clock;
     EventLoop loop(clock);
+    bool checked = false;
     const std::int64_t wall = wallMilliseconds(clock);
     constexpr int sources = 3;
     std::vector<MemberRegistered> members;
@@ -322,7 +325,8 @@
     // The bound for a new configuration is 2 s.
     loop.at(begin + 2500ms + 1500ms, [&](TimePoint) {
         cr_expect_eq(follower.view.table()->version(), ConfigVersion(2));
-        loop.stop();
+        checked = true;
     });
-    loop.run();
+    runLoopFor(clock, loop, 4500ms);
+    cr_expect(checked);
 }
