--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -301,13 +301,16 @@
     return response;
 }
 
-void RouterDaemon::applyConfig(TimePoint now)
+void RouterDaemon::applyConfig(Offset offset, TimePoint now)
 {
     const auto table = m_view.table();
     divideFleetLimits();
     m_log.write(LogPriority::Notable,
                 LogLine("config.applied")
                     .add("version", table->version().value())
+                    .add("offset", offset.value())
+                    .add("newer_records", m_follower.recordsAfter(Topic::Operator, offset))
+                    .add("source", m_feedClient.source().value())
                     .add("routes", static_cast<std::int64_t>(table->config().routes.size()))
                     .add("accounts", static_cast<std::int64_t>(table->config().accounts.size())),
                 now);
@@ -317,7 +320,7 @@
 {
     switch (change) {
     case ViewChange::Config:
-        applyConfig(now);
+        applyConfig(stored.offset, now);
         break;
     case ViewChange::Backend: {
         const BackendEntry &report = std::get<BackendReported>(stored.record).report;
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -74,7 +74,7 @@
     /// Periodic cleanup of idle backend connections and of state of removed backend servers. Also
     /// divides the fleet-wide limits again, since registrations of daemons expire.
     void sweep(TimePoint now);
-    void applyConfig(TimePoint now);
+    void applyConfig(Offset offset, TimePoint now);
     CompleteHttpResponse readiness(TimePoint now);
     CompleteHttpResponse metricsPage(TimePoint now);
 
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -108,6 +108,15 @@
     return found == m_cursors.end() ? Offset() : found->second.next;
 }
 
+std::int64_t FleetFollower::recordsAfter(Topic topic, Offset offset) const
+{
+    const auto found = m_cursors.find(topic);
+    if (found == m_cursors.end()) {
+        return 0;
+    }
+    return std::max<std::int64_t>(found->second.end.value() - offset.next().value(), 0);
+}
+
 bool FleetFollower::isNeeded(Topic topic) const
 {
     // Rollout states are needed only once a rollout is ordered.
@@ -192,6 +201,7 @@
     if (cursor.listed && listing.end < cursor.next) {
         return false;
     }
+    cursor.end = listing.end;
     m_mirror.replace(topic, listing);
     for (const RawRecord &raw : listing.records) {
         // A record below the read position was applied already, or is older than one that was.
@@ -291,6 +301,7 @@
     for (const Topic topic : AllTopics) {
         Cursor &cursor = m_cursors[topic];
         cursor.next = Offset();
+        cursor.end = Offset();
         cursor.era = era;
         cursor.listing = true;
         cursor.afterKey.clear();
@@ -344,6 +355,7 @@
     if (!page.records.empty() && page.records.front().offset > cursor.next) {
         return; // Records in between are missing; the next read from the store returns them.
     }
+    cursor.end = page.end;
     m_mirror.apply(topic, page);
     for (const RawRecord &raw : page.records) {
         if (raw.offset >= cursor.next) {
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -83,6 +83,9 @@
     const RecordMirror &mirror() const { return m_mirror; }
     /// Offset that follows the last record read of a topic.
     Offset nextOffset(Topic topic) const;
+    /// Number of records that the topic is known to hold after \p offset. Greater than zero if a page
+    /// ended before the topic did.
+    std::int64_t recordsAfter(Topic topic, Offset offset) const;
     /// Newest era that was read of the store or received from a feed.
     StoreEra era() const { return m_era; }
     /// Whether a topic was listed in the present era.
@@ -99,6 +102,7 @@
         RecordPage partialListing; ///< Records of the listing in progress.
         StoreEra era; ///< Era of \c next.
         Offset next; ///< Offset of the next record to read.
+        Offset end; ///< Where the topic ended according to the last page.
         bool lost = false; ///< Calls for this topic fail.
         TimePoint lostAt;
         TimePoint readAt; ///< Last successful read of the store.
