--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -45,7 +45,8 @@
     ~FeedClient() override;
 
     void start();
-    /// The daemon that this one is connected to, whether its feed is followed or not; empty if none.
+    /// The daemon that this one is connected to, whether its feed is followed or not; empty if
+    /// none.
     const InstanceId &source() const { return m_source; }
     /// Called with the total load of all daemons as sent by the source.
     using LoadCallback = std::function<void(const FeedLoad &load, TimePoint now)>;
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -83,8 +83,8 @@
     const RecordMirror &mirror() const { return m_mirror; }
     /// Offset that follows the last record read of a topic.
     Offset nextOffset(Topic topic) const;
-    /// Number of records that the topic is known to hold after \p offset. Greater than zero if a page
-    /// ended before the topic did.
+    /// Number of records that the topic is known to hold after \p offset. Greater than zero if a
+    /// page ended before the topic did.
     std::int64_t recordsAfter(Topic topic, Offset offset) const;
     /// Newest era that was read of the store or received from a feed.
     StoreEra era() const { return m_era; }
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -2,12 +2,9 @@
 
 #include <random>
 
-#include "Feed/FeedClient.h"
-#include "Feed/FeedServer.h"
-#include "Fleet/FakeStore.h"
+#include "Feed/FeedHarness.h"
 #include "FreePort.h"
 #include "ManualLoop.h"
-#include "platform/PlatformRecordCodec.h"
 
 using namespace lycheearch;
 
@@ -29,55 +26,6 @@
     return {InstanceId(name), DataCentreId(dataCentreName), {"127.0.0.1", 1}, at};
 }
 
-struct BroadcastingObserver : FleetObserver
-{
-    void onRecord(ViewChange, const StoredRecord &, TimePoint) override { }
-    void onBackendRemoved(const InstanceId &, const char *, TimePoint) override { }
-    void onStoreLost(Topic, StoreFault, const std::string &, TimePoint) override { }
-    void onStoreEra(StoreEra, StoreEra, TimePoint) override { }
-    void onStoreRegained(Topic, Duration, TimePoint) override { }
-    void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint) override
-    {
-        if (server != nullptr) {
-            server->broadcast(topic, page, listing);
-        }
-    }
-
-    FeedServer *server = nullptr;
-};
-
-/// A FleetFollower of one daemon, with a store that the test answers.
-struct TestDaemon
-{
-    explicit TestDaemon(EventLoop &loop)
-        : follower(loop, store, codec, view, observer, {1500ms, 200ms, 4s, 700ms, 200ms, 1000ms})
-    {
-    }
-
-    void startAndList(TimePoint now, const std::vector<MemberRegistered> &members)
-    {
-        follower.start();
-        RecordPage config;
-        config.records = {{Offset(0), "config", R"({"Version":1,"Routes":[],"Services":[]})"}};
-        config.end = Offset(1);
-        store.answer(Topic::Operator, config, now);
-        store.answer(Topic::Backends, {}, now);
-        RecordPage own;
-        for (const MemberRegistered &registered : members) {
-            own.records.push_back(codec.encode(registered));
-            own.records.back().offset = own.end;
-            own.end = own.end.next();
-        }
-        store.answer(Topic::Own, own, now);
-    }
-
-    FakeStore store;
-    platform::PlatformRecordCodec codec;
-    FleetView view;
-    BroadcastingObserver observer;
-    FleetFollower follower;
-};
-
 } // namespace
 
 Test(feed, messages_are_decoded_from_chunks_of_any_size)
--- a/Tests/Fleet/FakeStore.h
+++ b/Tests/Fleet/FakeStore.h
@@ -15,6 +15,7 @@
     {
         bool listing = false;
         Offset from;
+        Duration wait{};
         std::string afterKey;
         PageCallback callback;
     };
@@ -26,13 +27,13 @@
         WriteCallback callback;
     };
 
-    void read(Topic topic, Offset from, Duration, PageCallback callback) override
+    void read(Topic topic, Offset from, Duration wait, PageCallback callback) override
     {
-        calls[topic].push_back({false, from, "", std::move(callback)});
+        calls[topic].push_back({false, from, wait, "", std::move(callback)});
     }
     void readNewest(Topic topic, const std::string &afterKey, PageCallback callback) override
     {
-        calls[topic].push_back({true, Offset(), afterKey, std::move(callback)});
+        calls[topic].push_back({true, Offset(), Duration::zero(), afterKey, std::move(callback)});
     }
     void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
                 WriteCallback callback) override
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -332,3 +332,61 @@
         cr_expect(test.follower.storeStaleness(test.clock.time) > Duration(2s));
     }
 }
+
+Test(fleetFollower, a_reader_with_a_backlog_skips_superseded_configurations)
+{
+    Fixture test;
+    test.startAndList({});
+    test.runFor(20ms);
+    test.store.answer(Topic::Operator, Fixture::page({Fixture::configRecord(1, 2)}, 8),
+                      test.clock.time);
+    test.runFor(20ms);
+    cr_assert_eq(test.store.calls[Topic::Operator].size(), 1);
+    cr_assert(test.store.calls[Topic::Operator][0].listing);
+    test.store.answer(Topic::Operator, Fixture::page({Fixture::configRecord(7, 8)}, 8),
+                      test.clock.time);
+    cr_expect_eq(test.view.table()->version(), ConfigVersion(8));
+    test.runFor(20ms);
+    cr_assert_not(test.store.calls[Topic::Operator][0].listing);
+    cr_expect_eq(test.store.calls[Topic::Operator][0].from, Offset(8));
+}
+
+Test(fleetFollower, a_reader_with_unread_records_is_stale)
+{
+    Fixture test;
+    test.startAndList({});
+    for (const TimePoint end = test.clock.time + 4s; test.clock.time < end;) {
+        for (const Topic topic : {Topic::Operator, Topic::Backends}) {
+            if (!test.store.calls[topic].empty()) {
+                const std::int64_t unread = topic == Topic::Backends ? 9 : 0;
+                const Offset next = test.follower.nextOffset(topic);
+                test.store.answer(topic, Fixture::page({}, next.value() + unread), test.clock.time);
+            }
+        }
+        test.runFor(100ms);
+    }
+    cr_expect(test.follower.storeStaleness(test.clock.time) > Duration(2s));
+}
+
+Test(fleetFollower, a_page_that_leaves_records_unread_is_followed_by_the_next_at_once)
+{
+    Fixture test;
+    test.startAndList(Fixture::page({}, 5));
+    test.runFor(600ms);
+    test.store.answer(Topic::Backends, Fixture::page({Fixture::backendRecord(5, "one", 1)}, 7),
+                      test.clock.time);
+    test.runFor(20ms);
+    cr_assert_eq(test.store.calls[Topic::Backends].size(), 1);
+    cr_expect_eq(test.store.calls[Topic::Backends][0].from, Offset(6));
+}
+
+Test(fleetFollower, a_lost_store_is_probed_without_a_long_poll)
+{
+    Fixture test;
+    test.startAndList({});
+    test.runFor(20ms);
+    cr_expect(test.store.calls[Topic::Operator].at(0).wait > Duration::zero());
+    test.store.fail(Topic::Operator, StoreFault::Unreachable, test.clock.time);
+    test.runFor(300ms);
+    cr_expect(test.store.calls[Topic::Operator].at(0).wait == Duration::zero());
+}
