A reader with a backlog lists the operator's records

Callers of an instance that the store had turned away for nine seconds got 404 for new routes. Cause: on its return the reader worked through every version that it had missed, each a document of a quarter of a megabyte, in pages of a megabyte over a link of 10 Mbit/s, and after each page waited a read interval. The time depends on the size of the state now, not on the number of changes that were missed.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -257,12 +257,16 @@
         return;
     }
     cursor.readAt = now;
-    outcome.value->era = m_era;
-    applyRecords(topic, *outcome.value, now);
-    if (!outcome.value->records.empty()) {
-        m_observer.onPageRead(topic, *outcome.value, false, now);
-    }
-    schedule(topic, pollInterval(topic));
+    RecordPage &page = *outcome.value;
+    page.era = m_era;
+    applyRecords(topic, page, now);
+    if (!page.records.empty()) {
+        m_observer.onPageRead(topic, page, false, now);
+    }
+    const bool moreToRead = !page.records.empty() && cursor.next < page.end;
+    // A listing has only the newest configuration, while further pages have all that it supersedes.
+    cursor.listing = cursor.listing || (moreToRead && topic == Topic::Operator);
+    schedule(topic, moreToRead ? Duration::zero() : pollInterval(topic));
 }
 
 bool FleetFollower::listedInEra(Topic topic) const
