--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -256,10 +256,12 @@
     if (!checkOutcome(topic, outcome, now) || !admitEra(topic, outcome.era, now)) {
         return;
     }
-    cursor.readAt = now;
     RecordPage &page = *outcome.value;
     page.era = m_era;
     applyRecords(topic, page, now);
+    if (cursor.next >= page.end) {
+        cursor.readAt = now;
+    }
     if (!page.records.empty()) {
         m_observer.onPageRead(topic, page, false, now);
     }
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -74,9 +74,9 @@
 
     /// Whether a configuration was read and all topics that are needed have been listed once.
     bool synced() const;
-    /// Time by which a read of the operator's records or of the backend servers' reports is
-    /// overdue, whichever is longer; zero if neither is. std::nullopt while this daemon follows a
-    /// feed or is not synced.
+    /// Time by which a read to the end of the operator's records or of the backend servers' reports
+    /// is overdue, whichever is longer; zero if neither is. std::nullopt while this daemon follows
+    /// a feed or is not synced.
     std::optional<Duration> storeStaleness(TimePoint now) const;
     /// Whether the last call for any topic failed. False while this daemon follows a feed.
     bool storeLost() const;
@@ -105,7 +105,7 @@
         Offset end; ///< Where the topic ended according to the last page.
         bool lost = false; ///< Calls for this topic fail.
         TimePoint lostAt;
-        TimePoint readAt; ///< Last successful read of the store.
+        TimePoint readAt; ///< Last read of the store that reached the end of the topic.
         Duration retryDelay{};
         TimerId timer;
     };
