--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -153,9 +153,11 @@
 
 void FleetFollower::readNewRecords(Topic topic)
 {
-    const Duration wait = topic == Topic::Operator ? m_timing.operatorWait : Duration::zero();
-    m_cursors[topic].callInFlight = true;
-    m_store.read(topic, m_cursors[topic].next, wait,
+    Cursor &cursor = m_cursors[topic];
+    // A probe of a lost store doesn't wait for records, so that its timeout is short.
+    const bool longPoll = topic == Topic::Operator && !cursor.lost;
+    cursor.callInFlight = true;
+    m_store.read(topic, cursor.next, longPoll ? m_timing.operatorWait : Duration::zero(),
                  [this, topic](StoreOutcome<RecordPage> outcome, TimePoint now) {
                      m_cursors[topic].callInFlight = false;
                      onNewRecords(topic, std::move(outcome), now);
