A daemon that the store turns away gets the news of any daemon that is fresh

Cause: news came by one path. A daemon followed only daemons before it in the feed order, so the first one had the store alone, and one whose source had lost the store as well stayed with it. Change: FeedSourceSelector decides without I/O which feed to connect to. While the view is stale because the store does not answer, any other daemon is tried, also of another data centre, at doubling intervals; its pages are applied, and the store is still probed, so that the feed order is back as soon as it answers. A source that turns out to be stale after a fresh one was left for it is left again at once. The same class elsewhere: loads and prompt cache entries also have one path (LoadSender sends to the first of a data centre, then to the next on a failure); they are hints with an age, no promise.

--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -1,8 +1,5 @@
 #include "Feed/FeedClient.h"
 
-#include <algorithm>
-
-#include "Base/Hash.h"
 #include "Feed/FeedTiming.h"
 
 namespace lycheearch {
@@ -12,53 +9,9 @@
 constexpr Duration CheckPeriod = 200ms;
 /// How long this daemon tries to switch to another source before it reads the store itself.
 constexpr Duration SwitchGrace = 300ms;
-/// A failed source is not retried for this long.
-constexpr Duration RetryBackoff = 3s;
-/// The same while this daemon has neither a source nor the store.
-constexpr Duration LostStoreBackoff = 600ms;
-/// Members whose last registration is older are ignored.
-constexpr std::int64_t MemberLifetimeMs = 150'000;
 
 } // namespace
 
-std::uint64_t feedRank(const InstanceId &instance)
-{
-    return stableHash("feed/" + instance.value());
-}
-
-bool memberIsCurrent(const MemberRegistered &member, std::int64_t wallMilliseconds)
-{
-    return member.registeredAt > wallMilliseconds - MemberLifetimeMs;
-}
-
-std::vector<MemberRegistered> feedOrder(const std::map<InstanceId, MemberRegistered> &members,
-                                        const DataCentreId &dataCentre,
-                                        std::int64_t wallMilliseconds)
-{
-    std::vector<MemberRegistered> order;
-    for (const auto &[id, member] : members) {
-        if (member.dataCentre == dataCentre && memberIsCurrent(member, wallMilliseconds)) {
-            order.push_back(member);
-        }
-    }
-    std::sort(order.begin(), order.end(),
-              [](const MemberRegistered &left, const MemberRegistered &right) {
-                  return feedRank(left.instance) < feedRank(right.instance);
-              });
-    return order;
-}
-
-std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self, const DataCentreId &dataCentre,
-                                             std::int64_t wallMilliseconds)
-{
-    std::vector<MemberRegistered> order = feedOrder(members, dataCentre, wallMilliseconds);
-    std::erase_if(order, [&](const MemberRegistered &member) {
-        return member.instance == self || feedRank(member.instance) >= feedRank(self);
-    });
-    return order;
-}
-
 FeedClient::FeedClient(EventLoop &loop, InstanceId self, DataCentreId dataCentre,
                        const FleetView &view, FleetFollower &follower, const Clock &clock,
                        SourceChangeCallback onSourceChange)
@@ -68,6 +21,7 @@
     , m_view(view)
     , m_follower(follower)
     , m_clock(clock)
+    , m_selector(m_self, m_dataCentre)
     , m_onSourceChange(std::move(onSourceChange))
 {
 }
@@ -92,53 +46,46 @@
     if (!m_follower.synced()) {
         return;
     }
-    const std::vector<MemberRegistered> candidates =
-        feedCandidates(m_view.members(), m_self, m_dataCentre, wallMilliseconds(m_clock));
-    for (const MemberRegistered &member : candidates) {
-        const auto backoff = m_backoffUntil.find(member.instance);
-        if (backoff != m_backoffUntil.end() && backoff->second > now) {
-            continue;
+    const bool viewStale = viewIsStale(now);
+    if (m_viewWasStale && !viewStale) {
+        m_selector.onStoreRegained();
+        if (m_substitute) {
+            dropSource("the store answers again", now);
         }
-        if (m_source != member.instance) {
-            connectTo(member, now);
-        }
-        break;
-    }
-    if (!m_socket && m_follower.storeLost()) {
-        retryAnySource(candidates, now);
     }
+    m_viewWasStale = viewStale;
+    chooseSource(now);
     // While no source can be reached, this daemon is not a backup: no other daemon reads for it.
-    m_follower.setBackupReader(m_socket != nullptr);
+    m_follower.setBackupReader(m_socket != nullptr && !m_substitute);
 }
 
-void FeedClient::retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now)
+bool FeedClient::viewIsStale(TimePoint now) const
 {
-    const auto backoffEnd = [&](const MemberRegistered &member) {
-        const auto found = m_backoffUntil.find(member.instance);
-        return found == m_backoffUntil.end() ? TimePoint() : found->second;
-    };
-    const auto next = std::min_element(
-        candidates.begin(), candidates.end(),
-        [&](const auto &left, const auto &right) { return backoffEnd(left) < backoffEnd(right); });
-    if (next != candidates.end() && backoffEnd(*next) - now <= RetryBackoff - LostStoreBackoff) {
-        connectTo(*next, now);
-    }
+    const std::optional<Duration> staleness = m_follower.storeStaleness(now);
+    return m_follower.storeLost() && staleness && *staleness > FeedStalenessLimit;
 }
 
-void FeedClient::connectTo(const MemberRegistered &member, TimePoint now)
+void FeedClient::chooseSource(TimePoint now)
 {
-    if (m_socket) {
-        dropSource("a preferred source is available", now);
-        m_backoffUntil.clear();
+    const auto choice = m_selector.choose(m_view.members(), m_source, viewIsStale(now),
+                                          wallMilliseconds(m_clock), now);
+    if (choice) {
+        connectTo(*choice, now);
     }
+}
+
+void FeedClient::connectTo(const FeedSourceChoice &choice, TimePoint now)
+{
+    closeSource("a preferred source is available", now);
     std::error_code error;
-    const int fd = connectTcp(member.feed, error);
+    const int fd = connectTcp(choice.member.feed, error);
     if (fd < 0) {
-        m_backoffUntil[member.instance] = now + RetryBackoff;
+        m_selector.onFailed(choice.member.instance, now);
         return;
     }
     setTcpOptions(fd, FeedLiveness);
-    m_source = member.instance;
+    m_source = choice.member.instance;
+    m_substitute = choice.substitute;
     m_lastReceivedAt = now;
     m_reader = FeedFrameReader();
     m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
@@ -182,11 +129,27 @@
     if (!heartbeat->storeStaleness) {
         dropSource("the source does not read the store", now);
     } else if (*heartbeat->storeStaleness > FeedStalenessLimit) {
-        setFollowingFeed(false, "the source is stale");
+        onStaleSource(now);
     } else {
-        m_sourceLostAt = TimePoint();
-        setFollowingFeed(true, "fresh");
+        m_selector.onFresh(m_source);
+        if (!m_substitute) {
+            m_sourceLostAt = TimePoint();
+            setFollowingFeed(true, "fresh");
+        }
+    }
+}
+
+void FeedClient::onStaleSource(TimePoint now)
+{
+    const bool leftFreshSource = m_sourceLostAt != TimePoint();
+    if (!leftFreshSource && !viewIsStale(now)) {
+        setFollowingFeed(false, "the source is stale");
+        return;
     }
+    // Another daemon may be fresh.
+    m_selector.onStale(m_source, now);
+    closeSource("the source is stale", now);
+    chooseSource(now);
 }
 
 bool FeedClient::sendLoad(const FeedLoad &load)
@@ -218,18 +181,26 @@
 }
 
 void FeedClient::dropSource(const char *reason, TimePoint now)
+{
+    if (m_socket) {
+        m_selector.onFailed(m_source, now);
+        closeSource(reason, now);
+    }
+}
+
+void FeedClient::closeSource(const char *reason, TimePoint now)
 {
     if (!m_socket) {
         return;
     }
     const bool silent = now - m_lastReceivedAt > FeedReceiveTimeout;
-    m_backoffUntil[m_source] = now + RetryBackoff;
     m_source = InstanceId();
+    m_substitute = false;
     m_socket->close();
     m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
     if (silent || !m_follower.followingFeed()) {
         setFollowingFeed(false, reason);
-    } else {
+    } else if (m_sourceLostAt == TimePoint()) {
         m_sourceLostAt = now;
     }
 }
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -1,38 +1,22 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 
 #include "Feed/FeedMessages.h"
+#include "Feed/FeedOrder.h"
+#include "Feed/FeedSourceSelector.h"
 #include "Fleet/FleetFollower.h"
 #include "Net/EventLoop.h"
 #include "Net/StreamSocket.h"
 
 namespace lycheearch {
 
-/// Rank of a member in the feed order, a hash of its id; the lowest rank is first.
-std::uint64_t feedRank(const InstanceId &instance);
-
-/// Returns the current members of a data centre in the feed order, the order in which they are
-/// preferred as sources. \p wallMilliseconds is the present time in Unix milliseconds.
-std::vector<MemberRegistered> feedOrder(const std::map<InstanceId, MemberRegistered> &members,
-                                        const DataCentreId &dataCentre,
-                                        std::int64_t wallMilliseconds);
-
-/// Returns the members whose feed \p self may follow: those before it in the feed order of its data
-/// centre. All members compute the same order, and each follows the first candidate that it can
-/// connect to. The first member has no candidates and reads the store.
-std::vector<MemberRegistered> feedCandidates(const std::map<InstanceId, MemberRegistered> &members,
-                                             const InstanceId &self, const DataCentreId &dataCentre,
-                                             std::int64_t wallMilliseconds);
-
-/// Whether a member's last registration is recent enough to consider the member running.
-bool memberIsCurrent(const MemberRegistered &member, std::int64_t wallMilliseconds);
-
 /// Replaces reads of the store by the feed of another daemon of the data centre, the source, while
 /// that feed is fresh. If the source disconnects or sends nothing, another candidate is tried;
-/// while the source is stale or there is none, this daemon reads the store itself.
+/// while the source is stale or there is none, this daemon reads the store itself. If the store
+/// does not answer either, it gets the news of any daemon that is fresh, until the store answers
+/// again.
 class FeedClient : public StreamSocketListener
 {
 public:
@@ -63,11 +47,15 @@
     void onError(std::error_code error, TimePoint now) override;
 
     void updateSource(TimePoint now);
-    /// Connects to the source whose last failure is longest ago, if that is long enough.
-    void retryAnySource(const std::vector<MemberRegistered> &candidates, TimePoint now);
-    void connectTo(const MemberRegistered &member, TimePoint now);
+    /// Whether the store does not answer and the last read is overdue.
+    bool viewIsStale(TimePoint now) const;
+    void chooseSource(TimePoint now);
+    void connectTo(const FeedSourceChoice &choice, TimePoint now);
     void onMessage(const FeedMessage &message, TimePoint now);
+    void onStaleSource(TimePoint now);
+    /// Closes the connection and does not retry the source for some time.
     void dropSource(const char *reason, TimePoint now);
+    void closeSource(const char *reason, TimePoint now);
     void setFollowingFeed(bool followingFeed, const char *reason);
     void checkSwitchGrace(TimePoint now);
 
@@ -77,14 +65,16 @@
     const FleetView &m_view;
     FleetFollower &m_follower;
     const Clock &m_clock;
+    FeedSourceSelector m_selector;
     SourceChangeCallback m_onSourceChange;
     LoadCallback m_onLoad;
     std::unique_ptr<StreamSocket> m_socket;
     FeedFrameReader m_reader;
     InstanceId m_source; ///< Empty without a connection.
+    bool m_substitute = false; ///< See FeedSourceChoice.
+    bool m_viewWasStale = false;
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
     TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
-    std::map<InstanceId, TimePoint> m_backoffUntil;
     TimerId m_timer;
 };
 
