Log an answer that broke off with the parts of its prompt

The logs of the BUDGET incident don't tell requests that crash servers from those that ran beside them, nor from servers that end under load.

--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -57,6 +57,7 @@
         bool newConnection = false;
         bool discarded = false; ///< The response is replaced by that of a larger model.
         TimePoint sentAt;
+        TimePoint headAt; ///< When the head of the response was received.
         TimePoint firstEventAt;
         int relayedEvents = 0; ///< Number of events sent to the caller.
         TimerId stallTimer;
@@ -78,6 +79,8 @@
     void applyNotices(const ResponseMetadata &metadata, TimePoint now);
     /// Time after which the caller may repeat the refused request.
     Duration retryAfter(const PickRequest &requirements, TimePoint now) const;
+    /// Logs an answer that broke off after its head, with the parts of the prompt.
+    void logBrokenOff(TimePoint now);
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
     int urgency() const;
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -38,6 +38,7 @@
     }
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
     m_attempt.headReceived = true;
+    m_attempt.headAt = now;
     m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
         && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
@@ -186,6 +187,9 @@
         return;
     }
     m_mayHaveRun = true;
+    if (m_attempt.headReceived && !silent) {
+        logBrokenOff(now);
+    }
     // A healthy server may have closed a reused idle connection.
     const bool reset = !m_attempt.headReceived && m_attempt.newConnection;
     endAttempt(silent      ? SendOutcome::Silent
@@ -195,6 +199,23 @@
     retryOrFail("connection to the backend server lost", now);
 }
 
+void RequestForwarder::logBrokenOff(TimePoint now)
+{
+    std::string parts;
+    for (const PromptPart &part : m_request.prompt) {
+        parts += (parts.empty() ? "" : ",") + part.id;
+    }
+    m_context.log.write(LogPriority::Notable,
+                        LogLine("answer.broken_off")
+                            .add("id", m_request.id.value())
+                            .add("backend", m_attempt.backend.value())
+                            .add("account", m_account.value())
+                            .add("parts", parts)
+                            .add("events", m_attempt.relayedEvents)
+                            .add("began_ms", now - m_attempt.headAt),
+                        now);
+}
+
 void RequestForwarder::sendBackendResponse(TimePoint now)
 {
     HttpFields fields = m_attempt.head.fields;
