--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/LoadExchange.h"
 
 #include <set>
+#include <utility>
 
 namespace lycheearch {
 
@@ -18,13 +19,14 @@
 
 LoadExchange::LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
                            const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                           const Clock &clock)
+                           PromptCrashTable &promptCrashes, const Clock &clock)
     : m_loop(loop)
     , m_ownDataCentre(std::move(ownDataCentre))
     , m_view(view)
     , m_follower(follower)
     , m_client(client)
     , m_picker(picker)
+    , m_promptCrashes(promptCrashes)
     , m_clock(clock)
 {
 }
@@ -45,6 +47,10 @@
 {
     m_remoteLoads[load.dataCentre] = {load.loads, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
+    m_promptCrashes.apply(load.promptEvidence, now);
+    if (!m_follower.followingFeed()) {
+        m_evidenceToForward.add(load.promptEvidence);
+    }
     const std::size_t size = m_entriesToForward.size() + load.promptCacheEntries.size();
     if (!m_follower.followingFeed() && size <= MaxQueuedEntriesToForward) {
         m_entriesToForward.insert(m_entriesToForward.end(), load.promptCacheEntries.begin(),
@@ -63,10 +69,13 @@
         return;
     }
     m_entriesToForward.clear();
+    m_evidenceToForward = PromptEvidence();
     FeedLoad ownLoad{DataCentreId(), m_picker.ownLoads(now),
-                     m_picker.promptCacheIndex().takeUnpublished()};
-    if ((ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty())
-        && m_client.sendLoad(ownLoad)) {
+                     m_picker.promptCacheIndex().takeUnpublished(),
+                     m_promptCrashes.takeUnpublished(now)};
+    const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
+        || !ownLoad.promptEvidence.empty();
+    if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
     }
 }
@@ -75,23 +84,28 @@
 {
     const BackendLoads ownLoad = m_picker.ownLoads(now);
     BackendLoads otherLoads = m_server->followerLoads();
-    FeedLoad ownDataCentre{m_ownDataCentre, otherLoads, m_server->takePromptCacheEntries()};
+    FeedLoad ownDataCentre{m_ownDataCentre, otherLoads, m_server->takePromptCacheEntries(),
+                           m_server->takePromptEvidence()};
     addLoads(ownDataCentre.loads, ownLoad);
     m_picker.promptCacheIndex().applyPublished(ownDataCentre.promptCacheEntries, now);
     const std::vector<PromptCacheEntry> newEntries = m_picker.promptCacheIndex().takeUnpublished();
     ownDataCentre.promptCacheEntries.insert(ownDataCentre.promptCacheEntries.end(),
                                             newEntries.begin(), newEntries.end());
+    m_promptCrashes.apply(ownDataCentre.promptEvidence, now);
+    ownDataCentre.promptEvidence.add(m_promptCrashes.takeUnpublished(now));
     sendToDataCentres(ownDataCentre, now);
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
             addLoads(otherLoads, remote.loads);
         }
     }
-    FeedLoad total{DataCentreId(), otherLoads, std::move(ownDataCentre.promptCacheEntries)};
+    FeedLoad total{DataCentreId(), otherLoads, std::move(ownDataCentre.promptCacheEntries),
+                   std::move(ownDataCentre.promptEvidence)};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
+    total.promptEvidence.add(std::exchange(m_evidenceToForward, {}));
     m_server->broadcastLoad(total);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
 }
@@ -119,6 +133,7 @@
     subtractLoads(otherLoads, m_lastSentLoads);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
+    m_promptCrashes.apply(total.promptEvidence, now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -7,6 +7,7 @@
 #include "Feed/FeedServer.h"
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
+#include "Routing/PromptCrashTable.h"
 
 namespace lycheearch {
 
@@ -14,13 +15,14 @@
 /// routes by the load and the caches of all. A daemon that follows a feed reports its own load to
 /// its feed source and receives the total. A daemon that reads the store adds up the load of its
 /// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
-/// The load of a data centre that stops reporting expires.
+/// The load of a data centre that stops reporting expires. Evidence against prompts that crash
+/// servers takes the same way.
 class LoadExchange
 {
 public:
     LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
                  const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                 const Clock &clock);
+                 PromptCrashTable &promptCrashes, const Clock &clock);
     ~LoadExchange();
 
     void start(FeedServer &server);
@@ -46,11 +48,13 @@
     const FleetFollower &m_follower;
     FeedClient &m_client;
     BackendPicker &m_picker;
+    PromptCrashTable &m_promptCrashes;
     const Clock &m_clock;
     FeedServer *m_server = nullptr;
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
+    PromptEvidence m_evidenceToForward; ///< From other data centres, to followers.
     std::map<DataCentreId, std::unique_ptr<LoadSender>> m_senders;
     TimerId m_timer;
 };
--- /dev/null
+++ b/Source/Daemon/PromptCrashAgent.cpp
@@ -0,0 +1,99 @@
+#include "Daemon/PromptCrashAgent.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr Duration StepPeriod = 500ms;
+
+std::string hexadecimal(std::uint64_t value)
+{
+    std::ostringstream text;
+    text << std::hex << value;
+    return text.str();
+}
+
+} // namespace
+
+PromptCrashAgent::PromptCrashAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
+                                   const FleetFollower &follower, PromptCrashTable &table,
+                                   StructuredLog &log, const Clock &clock)
+    : m_loop(loop)
+    , m_store(store)
+    , m_codec(codec)
+    , m_follower(follower)
+    , m_table(table)
+    , m_log(log)
+    , m_clock(clock)
+{
+}
+
+PromptCrashAgent::~PromptCrashAgent()
+{
+    m_loop.cancel(m_timer);
+}
+
+void PromptCrashAgent::start()
+{
+    step(m_loop.now());
+}
+
+void PromptCrashAgent::step(TimePoint now)
+{
+    m_timer = m_loop.at(now + StepPeriod, [this](TimePoint due) { step(due); });
+    m_table.evaluate(now);
+    logVerdicts(now);
+    if (!m_follower.followingFeed() && m_follower.synced() && !m_writeInFlight) {
+        writeMissing(now);
+    }
+}
+
+void PromptCrashAgent::logVerdicts(TimePoint now)
+{
+    for (const PromptCrashTable::Verdict &verdict : m_table.takeVerdicts()) {
+        m_log.write(LogPriority::Notable,
+                    LogLine("prompt.condemned")
+                        .add("part", hexadecimal(verdict.key.part))
+                        .add("account", hexadecimal(verdict.key.account))
+                        .add("learned", verdict.learned ? "yes" : "no")
+                        .add("servers", static_cast<std::int64_t>(verdict.servers))
+                        .add("requests", static_cast<std::int64_t>(verdict.requests))
+                        .add("all_servers", static_cast<std::int64_t>(verdict.allServers))
+                        .add("served_before", verdict.served ? "yes" : "no"),
+                    now);
+    }
+}
+
+void PromptCrashAgent::writeMissing(TimePoint now)
+{
+    const std::vector<CondemnedPart> parts = m_table.condemned(now);
+    const auto missing = std::find_if(parts.begin(), parts.end(), [&](const CondemnedPart &part) {
+        return !m_written.contains(part.key);
+    });
+    if (missing == parts.end()) {
+        return;
+    }
+    const PromptPartKey key = missing->key;
+    const PromptPartCondemned record{key, wallMilliseconds(m_clock) - toMilliseconds(missing->age)};
+    m_writeInFlight = true;
+    m_store.append(Topic::Own, m_codec.encode(record), std::nullopt,
+                   [this, key](const StoreOutcome<Offset> &outcome, TimePoint) {
+                       m_writeInFlight = false;
+                       if (outcome.ok()) {
+                           m_written.insert(key);
+                       }
+                   });
+}
+
+void PromptCrashAgent::onRecord(const PromptPartCondemned &record, TimePoint now)
+{
+    m_written.insert(record.key);
+    const std::int64_t ageMs =
+        std::max<std::int64_t>(wallMilliseconds(m_clock) - record.condemnedAt, 0);
+    m_table.condemn({record.key, std::chrono::milliseconds(ageMs)}, now);
+}
+
+} // namespace lycheearch
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -67,16 +67,29 @@
     , m_retries(retryBounds(m_settings.bounds, MinAssumedDaemons))
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_context{m_loop,       m_view,           m_picker,       m_connections,    headerCodec,
-                m_retries,    m_rolloutCounts,  m_modelCascade, m_shutdownPolicy, m_settings.bounds,
-                m_bodyBudget, m_responseBudget, m_log,          m_metrics}
+    , m_context{m_loop,
+                m_view,
+                m_picker,
+                m_connections,
+                headerCodec,
+                m_retries,
+                m_rolloutCounts,
+                m_modelCascade,
+                m_promptCrashes,
+                m_shutdownPolicy,
+                m_settings.bounds,
+                m_bodyBudget,
+                m_responseBudget,
+                m_log,
+                m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
                      m_rolloutCounts,
                      {m_settings.bounds.maxUnprovenShare, m_settings.bounds.unprovenSlack}, m_log)
     , m_loadExchange(m_loop, m_settings.dataCentre, m_view, m_follower, m_feedClient, m_picker,
-                     m_clock)
+                     m_promptCrashes, m_clock)
+    , m_promptCrashAgent(m_loop, *m_store, codec, m_follower, m_promptCrashes, m_log, m_clock)
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
     , m_registerRetryDelay(RegisterRetryDelay)
 {
@@ -134,6 +147,7 @@
     m_feedClient.start();
     m_rolloutAgent.start();
     m_loadExchange.start(*m_feedServer);
+    m_promptCrashAgent.start();
     registerMember(m_loop.now());
     sweep(m_loop.now());
     m_loop.run();
@@ -360,6 +374,9 @@
                         .add("member", std::get<MemberRegistered>(stored.record).instance.value()),
                     now);
         break;
+    case ViewChange::PromptPart:
+        m_promptCrashAgent.onRecord(std::get<PromptPartCondemned>(stored.record), now);
+        break;
     case ViewChange::Unreadable: {
         const auto &record = std::get<UnreadableRecord>(stored.record);
         m_log.write(LogPriority::Notable,
@@ -398,6 +415,7 @@
     m_log.write(LogPriority::Notable,
                 LogLine("store.era").add("previous", previous.value()).add("era", era.value()),
                 now);
+    m_promptCrashAgent.onStoreEra();
     // The registration may be missing from the older copy.
     const auto spread = static_cast<std::int64_t>(stableHash(m_settings.instance.value()) % 1000);
     scheduleRegistration(now, std::chrono::milliseconds(spread));
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -7,6 +7,7 @@
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
 #include "Daemon/LoadExchange.h"
+#include "Daemon/PromptCrashAgent.h"
 #include "Daemon/RolloutAgent.h"
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
@@ -93,6 +94,7 @@
     WindowedRetryBudget m_retries;
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
+    PromptCrashTable m_promptCrashes;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget;
@@ -100,6 +102,7 @@
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
     LoadExchange m_loadExchange;
+    PromptCrashAgent m_promptCrashAgent;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callerServer;
     std::unique_ptr<FeedServer> m_feedServer;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -109,6 +109,62 @@
     return message;
 }
 
+void writePart(wire::FeedPromptPart::Builder builder, const PromptPartKey &key, Duration age)
+{
+    builder.setAccount(key.account);
+    builder.setPart(key.part);
+    builder.setAge(age.count());
+}
+
+void writePromptEvidence(wire::FeedPromptEvidence::Builder builder, const PromptEvidence &evidence)
+{
+    auto crashes = builder.initCrashes(static_cast<unsigned>(evidence.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        const PromptCrash &crash = evidence.crashes[i];
+        crashes[i].setRequest(crash.request);
+        crashes[i].setServer(crash.server);
+        crashes[i].setAccount(crash.account);
+        crashes[i].setAge(crash.age.count());
+        auto parts = crashes[i].initParts(static_cast<unsigned>(crash.parts.size()));
+        for (unsigned j = 0; j < parts.size(); ++j) {
+            parts.set(j, crash.parts[j]);
+        }
+    }
+    auto successes = builder.initSuccesses(static_cast<unsigned>(evidence.successes.size()));
+    for (unsigned i = 0; i < successes.size(); ++i) {
+        writePart(successes[i], evidence.successes[i].key, evidence.successes[i].age);
+    }
+    auto condemned = builder.initCondemned(static_cast<unsigned>(evidence.condemned.size()));
+    for (unsigned i = 0; i < condemned.size(); ++i) {
+        writePart(condemned[i], evidence.condemned[i].key, evidence.condemned[i].age);
+    }
+}
+
+PromptEvidence readPromptEvidence(wire::FeedPromptEvidence::Reader reader)
+{
+    PromptEvidence evidence;
+    for (const auto entry : reader.getCrashes()) {
+        PromptCrash crash{entry.getRequest(),
+                          entry.getServer(),
+                          entry.getAccount(),
+                          {},
+                          Duration(entry.getAge())};
+        for (const std::uint64_t part : entry.getParts()) {
+            crash.parts.push_back(part);
+        }
+        evidence.crashes.push_back(std::move(crash));
+    }
+    for (const auto entry : reader.getSuccesses()) {
+        evidence.successes.push_back(
+            {{entry.getAccount(), entry.getPart()}, Duration(entry.getAge())});
+    }
+    for (const auto entry : reader.getCondemned()) {
+        evidence.condemned.push_back(
+            {{entry.getAccount(), entry.getPart()}, Duration(entry.getAge())});
+    }
+    return evidence;
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -131,6 +187,9 @@
         promptCacheEntries[j].setAffinity(message.promptCacheEntries[j].affinity);
         promptCacheEntries[j].setBackend(message.promptCacheEntries[j].backend.value());
     }
+    if (!message.promptEvidence.empty()) {
+        writePromptEvidence(builder.initPromptEvidence(), message.promptEvidence);
+    }
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -151,6 +210,7 @@
         message.promptCacheEntries.push_back(
             {place.getAffinity(), InstanceId(place.getBackend().cStr())});
     }
+    message.promptEvidence = readPromptEvidence(reader.getPromptEvidence());
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -9,6 +9,7 @@
 #include "Fleet/FleetStore.h"
 #include "Routing/BackendLoads.h"
 #include "Routing/PromptCacheIndex.h"
+#include "Routing/PromptEvidence.h"
 
 namespace lycheearch {
 
@@ -40,7 +41,7 @@
     std::vector<RolloutEvidence> evidence;
 };
 
-/// Load that one or more daemons put on backend servers.
+/// Load that one or more daemons put on backend servers, and what they learned about prompts.
 struct FeedLoad
 {
     /// Data centre whose daemons the loads are summed over; empty for the loads of one follower and
@@ -49,6 +50,7 @@
     BackendLoads loads;
     /// Entries that are new or that must be published again before they expire.
     std::vector<PromptCacheEntry> promptCacheEntries;
+    PromptEvidence promptEvidence;
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -71,6 +71,7 @@
         if (m_subscribed) {
             m_loads = load.loads;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
+            m_server.m_promptEvidence.add(load.promptEvidence);
         } else if (!load.dataCentre.empty()) {
             m_server.m_onLoad(load, now);
         }
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -39,6 +39,8 @@
     {
         return std::exchange(m_promptCacheEntries, {});
     }
+    /// Returns and clears what the followers told about prompts that crash servers.
+    PromptEvidence takePromptEvidence() { return std::exchange(m_promptEvidence, {}); }
 
 private:
     class FeedConnection;
@@ -58,6 +60,7 @@
     TimerId m_timer;
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
     std::vector<PromptCacheEntry> m_promptCacheEntries;
+    PromptEvidence m_promptEvidence;
 };
 
 } // namespace lycheearch
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -55,10 +55,31 @@
   backend @1 :Text;            # A backend server that has the prefix cached.
 }
 
+struct FeedPromptCrash {
+  request @0 :UInt64;          # Hashes, see Routing/PromptEvidence.h.
+  server @1 :UInt64;
+  account @2 :UInt64;
+  parts @3 :List(UInt64);
+  age @4 :Int64;               # Microseconds since the answer broke off.
+}
+
+struct FeedPromptPart {
+  account @0 :UInt64;
+  part @1 :UInt64;
+  age @2 :Int64;               # Microseconds since the success or the verdict.
+}
+
+struct FeedPromptEvidence {
+  crashes @0 :List(FeedPromptCrash);
+  successes @1 :List(FeedPromptPart);
+  condemned @2 :List(FeedPromptPart);
+}
+
 struct FeedLoad {
   dataCentre @0 :Text;         # Data centre whose loads are summed; empty: one follower's or all.
   entries @1 :List(FeedLoadEntry);
   places @2 :List(FeedPromptPlace);  # Entries that are new or would soon expire at the receiver.
+  promptEvidence @3 :FeedPromptEvidence;
 }
 
 struct FeedMessage {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -22,6 +22,9 @@
 CAPNP_DECLARE_SCHEMA(b2d7e464cd2eea93);
 CAPNP_DECLARE_SCHEMA(f9c59a0f29bd5ea7);
 CAPNP_DECLARE_SCHEMA(8b6a51f7f0d8c808);
+CAPNP_DECLARE_SCHEMA(9da51a5073c2edab);
+CAPNP_DECLARE_SCHEMA(ae8ae680b7e4568f);
+CAPNP_DECLARE_SCHEMA(8ddf46c8d9fd9d06);
 CAPNP_DECLARE_SCHEMA(cdca46df75ae5cee);
 CAPNP_DECLARE_SCHEMA(a16fbdf97169f605);
 
@@ -121,6 +124,51 @@
   };
 };
 
+struct FeedPromptCrash {
+  FeedPromptCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9da51a5073c2edab, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeedPromptPart {
+  FeedPromptPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae8ae680b7e4568f, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeedPromptEvidence {
+  FeedPromptEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ddf46c8d9fd9d06, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FeedLoad {
   FeedLoad() = delete;
 
@@ -129,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -794,6 +842,295 @@
 };
 #endif  // !CAPNP_LITE
 
+class FeedPromptCrash::Reader {
+public:
+  typedef FeedPromptCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getServer() const;
+
+  inline  ::uint64_t getAccount() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedPromptCrash::Builder {
+public:
+  typedef FeedPromptCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedPromptCrash::Pipeline {
+public:
+  typedef FeedPromptCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FeedPromptPart::Reader {
+public:
+  typedef FeedPromptPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount() const;
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedPromptPart::Builder {
+public:
+  typedef FeedPromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedPromptPart::Pipeline {
+public:
+  typedef FeedPromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FeedPromptEvidence::Reader {
+public:
+  typedef FeedPromptEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasSuccesses() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader getSuccesses() const;
+
+  inline bool hasCondemned() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader getCondemned() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedPromptEvidence::Builder {
+public:
+  typedef FeedPromptEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasSuccesses();
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder getSuccesses();
+  inline void setSuccesses( ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder initSuccesses(unsigned int size);
+  inline void adoptSuccesses(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>> disownSuccesses();
+
+  inline bool hasCondemned();
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder getCondemned();
+  inline void setCondemned( ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder initCondemned(unsigned int size);
+  inline void adoptCondemned(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>> disownCondemned();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedPromptEvidence::Pipeline {
+public:
+  typedef FeedPromptEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedLoad::Reader {
 public:
   typedef FeedLoad Reads;
@@ -820,6 +1157,9 @@
   inline bool hasPlaces() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedPromptPlace,  ::capnp::Kind::STRUCT>::Reader getPlaces() const;
 
+  inline bool hasPromptEvidence() const;
+  inline  ::lycheearch::wire::FeedPromptEvidence::Reader getPromptEvidence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -869,6 +1209,13 @@
   inline void adoptPlaces(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPlace,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPlace,  ::capnp::Kind::STRUCT>> disownPlaces();
 
+  inline bool hasPromptEvidence();
+  inline  ::lycheearch::wire::FeedPromptEvidence::Builder getPromptEvidence();
+  inline void setPromptEvidence( ::lycheearch::wire::FeedPromptEvidence::Reader value);
+  inline  ::lycheearch::wire::FeedPromptEvidence::Builder initPromptEvidence();
+  inline void adoptPromptEvidence(::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence>&& value);
+  inline ::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence> disownPromptEvidence();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -887,6 +1234,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::lycheearch::wire::FeedPromptEvidence::Pipeline getPromptEvidence();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1679,6 +2027,244 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FeedPromptCrash::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptCrash::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptCrash::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedPromptCrash::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptCrash::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptCrash::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedPromptCrash::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptCrash::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptCrash::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedPromptCrash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedPromptCrash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FeedPromptCrash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedPromptCrash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedPromptCrash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void FeedPromptCrash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedPromptCrash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedPromptCrash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FeedPromptCrash::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t FeedPromptCrash::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedPromptCrash::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptCrash::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedPromptPart::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptPart::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptPart::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedPromptPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FeedPromptPart::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedPromptPart::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptPart::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedPromptEvidence::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedPromptEvidence::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Reader FeedPromptEvidence::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedPromptEvidence::Builder::setCrashes( ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedPromptEvidence::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>> FeedPromptEvidence::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FeedPromptEvidence::Reader::hasSuccesses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedPromptEvidence::Builder::hasSuccesses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader FeedPromptEvidence::Reader::getSuccesses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::getSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedPromptEvidence::Builder::setSuccesses( ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::initSuccesses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedPromptEvidence::Builder::adoptSuccesses(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>> FeedPromptEvidence::Builder::disownSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FeedPromptEvidence::Reader::hasCondemned() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedPromptEvidence::Builder::hasCondemned() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader FeedPromptEvidence::Reader::getCondemned() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::getCondemned() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FeedPromptEvidence::Builder::setCondemned( ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>::Builder FeedPromptEvidence::Builder::initCondemned(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void FeedPromptEvidence::Builder::adoptCondemned(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>> FeedPromptEvidence::Builder::disownCondemned() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedPromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool FeedLoad::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1781,6 +2367,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoad::Reader::hasPromptEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasPromptEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::lycheearch::wire::FeedPromptEvidence::Reader FeedLoad::Reader::getPromptEvidence() const {
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::lycheearch::wire::FeedPromptEvidence::Builder FeedLoad::Builder::getPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::lycheearch::wire::FeedPromptEvidence::Pipeline FeedLoad::Pipeline::getPromptEvidence() {
+  return  ::lycheearch::wire::FeedPromptEvidence::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void FeedLoad::Builder::setPromptEvidence( ::lycheearch::wire::FeedPromptEvidence::Reader value) {
+  ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::lycheearch::wire::FeedPromptEvidence::Builder FeedLoad::Builder::initPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::adoptPromptEvidence(
+    ::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence>&& value) {
+  ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence> FeedLoad::Builder::disownPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::lycheearch::wire::FeedPromptEvidence>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -6,6 +6,7 @@
 
 #include "Base/Endpoint.h"
 #include "Fleet/RoutingConfig.h"
+#include "Routing/PromptEvidence.h"
 
 namespace lycheearch {
 
@@ -154,6 +155,15 @@
     bool operator==(const RolloutStage &) const = default;
 };
 
+/// A part of prompts crashes servers; requests with it are refused.
+struct PromptPartCondemned
+{
+    PromptPartKey key;
+    std::int64_t condemnedAt = 0; ///< Unix milliseconds on the clock of the daemon that wrote it.
+
+    bool operator==(const PromptPartCondemned &) const = default;
+};
+
 /// A record that can't be decoded. Other records are applied regardless.
 struct UnreadableRecord
 {
@@ -164,7 +174,7 @@
 using FleetRecord =
     std::variant<ConfigPublished, RolloutOrdered, RolloutWithdrawn, RolloutReported,
                  EvacuationChanged, BackendReported, BackendRemoved, MemberRegistered,
-                 EvidenceCollected, RolloutStage, UnreadableRecord>;
+                 EvidenceCollected, RolloutStage, PromptPartCondemned, UnreadableRecord>;
 
 /// A record in the encoding of the store. An empty value deletes the key.
 struct RawRecord
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -56,6 +56,7 @@
             m_members[record.instance] = record;
             return isNew ? ViewChange::Member : ViewChange::None;
         },
+        [&](const PromptPartCondemned &) { return ViewChange::PromptPart; },
         [&](const UnreadableRecord &) { return ViewChange::Unreadable; },
     };
     return std::visit(handler, stored.record);
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -21,6 +21,7 @@
     Evacuation,
     Rollout,
     Member,
+    PromptPart,
     Stale, ///< Older than the current state; ignored.
     Unreadable, ///< Could not be decoded; ignored.
 };
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -11,6 +11,7 @@
 constexpr std::string_view MemberPrefix = "member/";
 constexpr std::string_view EvidencePrefix = "evidence/";
 constexpr std::string_view StagePrefix = "stage/";
+constexpr std::string_view CondemnedPrefix = "condemned/";
 
 /// Positions 2 and 3 held the number and the sum of the latencies. Older daemons still read them,
 /// so they stay and are zero.
@@ -36,6 +37,12 @@
     return counts;
 }
 
+std::string condemnedName(const PromptPartKey &key)
+{
+    return std::string(CondemnedPrefix) + std::to_string(key.account) + "/"
+        + std::to_string(key.part);
+}
+
 FleetRecord decodeMember(const RawRecord &record, const Json &value)
 {
     MemberRegistered member;
@@ -86,6 +93,18 @@
     return stage;
 }
 
+FleetRecord decodeCondemned(const RawRecord &record, const Json &value)
+{
+    PromptPartCondemned condemned;
+    condemned.key.account = value.at("account").get<std::uint64_t>();
+    condemned.key.part = value.at("part").get<std::uint64_t>();
+    condemned.condemnedAt = value.at("condemned_ms").get<std::int64_t>();
+    if (record.key != condemnedName(condemned.key)) {
+        return UnreadableRecord{record.key, "at key: expected " + condemnedName(condemned.key)};
+    }
+    return condemned;
+}
+
 std::string recordKey(std::string_view prefix, const std::string &name)
 {
     return std::string(prefix) + name;
@@ -108,6 +127,9 @@
     if (record.key.starts_with(StagePrefix)) {
         return decodeStage(record, value);
     }
+    if (record.key.starts_with(CondemnedPrefix)) {
+        return decodeCondemned(record, value);
+    }
     return UnreadableRecord{record.key, "unknown record key"};
 }
 
@@ -145,6 +167,12 @@
             {"complete", stage->complete},      {"canary_share", stage->canaryShare}};
         return {Offset(), recordKey(StagePrefix, stage->service.value()), value.dump()};
     }
+    if (const auto *condemned = std::get_if<PromptPartCondemned>(&record)) {
+        const Json value = {{"account", condemned->key.account},
+                            {"part", condemned->key.part},
+                            {"condemned_ms", condemned->condemnedAt}};
+        return {Offset(), condemnedName(condemned->key), value.dump()};
+    }
     return {};
 }
 
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -10,6 +10,7 @@
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/ModelCascade.h"
+#include "Routing/PromptCrashTable.h"
 #include "Routing/RolloutCounts.h"
 #include "Routing/ShutdownPolicy.h"
 #include "Routing/WindowedRetryBudget.h"
@@ -27,6 +28,7 @@
     WindowedRetryBudget &retryBudget;
     RolloutCounts &rolloutCounts;
     ModelCascade &models;
+    PromptCrashTable &promptCrashes;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
     BodyBudget &bodyBudget; ///< Of requests.
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -23,6 +23,9 @@
 /// A request is retried only if more than this is left until its deadline; in less time a retry is
 /// of no use.
 constexpr Duration MinTimeForRetry = 30ms;
+/// A request is not retried after so many servers ended soon after they had begun to answer it: it
+/// may be the cause, and each retry may end all requests on one more server.
+constexpr int MaxServersEnded = 2;
 
 std::string formatSeconds(Duration duration)
 {
@@ -98,6 +101,7 @@
             m_sharedTokens += m_request.prompt[i].tokens;
         }
     }
+    hashPrompt();
     setModel(m_context.models.first(*m_route));
     const Duration timeLimit =
         std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
@@ -148,6 +152,9 @@
 
 void RequestForwarder::dispatch(TimePoint now)
 {
+    if (refuseCrashingPrompt(now)) {
+        return;
+    }
     while (!m_finished) {
         PickFault fault = PickFault::None;
         PickRequest requirements = pickRequest(now);
@@ -205,6 +212,8 @@
     }
     m_attempt = Attempt();
     m_attempt.backend = pick.backend;
+    m_attempt.server =
+        stableHash(pick.backend.value() + "/" + std::to_string(state->report.startedAt));
     m_attempt.version = state->report.version;
     m_attempt.prefillTokens = pick.prefillTokens;
     m_attempt.workTokens = pick.workTokens();
@@ -301,7 +310,8 @@
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const bool safe = m_route->retryable() || !m_mayHaveRun;
-    return safe && m_attemptCount < m_route->maxAttempts && m_deadline - now > MinTimeForRetry;
+    return safe && m_attemptCount < m_route->maxAttempts && m_serversEnded < MaxServersEnded
+        && m_deadline - now > MinTimeForRetry;
 }
 
 void RequestForwarder::retryOrFail(const char *cause, TimePoint now)
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -43,6 +43,7 @@
     struct Attempt
     {
         InstanceId backend;
+        std::uint64_t server = 0; ///< Hash of the server's id and start time.
         VersionId version;
         double prefillTokens = 0; ///< Weighted prompt tokens that the server must prefill.
         double workTokens = 0; ///< prefillTokens plus the estimated backlog ahead of them.
@@ -79,6 +80,11 @@
     void applyNotices(const ResponseMetadata &metadata, TimePoint now);
     /// Time after which the caller may repeat the refused request.
     Duration retryAfter(const PickRequest &requirements, TimePoint now) const;
+    void hashPrompt();
+    /// Fails the request if its prompt has a part that crashes servers. Returns whether it did.
+    bool refuseCrashingPrompt(TimePoint now);
+    /// Records whether an answer that had begun was served or broke off.
+    void recordAnswerEnd(bool brokenOff, TimePoint now);
     /// Logs an answer that broke off after its head, with the parts of the prompt.
     void logBrokenOff(TimePoint now);
     std::optional<Duration> latencySample(TimePoint now) const;
@@ -127,6 +133,8 @@
     std::uint64_t m_affinity = 0;
     std::int64_t m_sharedTokens = 0; ///< Prompt tokens that other requests may share.
     bool m_runsModels = false;
+    std::uint64_t m_accountHash = 0;
+    std::vector<std::uint64_t> m_sharedParts; ///< Hashes of the prompt's parts but the last.
 
     TimePoint m_receivedAt;
     TimePoint m_deadline;
@@ -137,6 +145,7 @@
     std::set<InstanceId> m_unreachableBackends;
     int m_attemptCount = 0; ///< Attempts that may have reached a backend server.
     int m_connectFailures = 0;
+    int m_serversEnded = 0; ///< Attempts whose server ended soon after the answer had begun.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     bool m_mayHaveRun = false;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -143,6 +143,7 @@
             m_attempt.metadata.hasSeal && m_attempt.head.fields.find("Content-Encoding") == nullptr;
         endAttempt(complete ? SendOutcome::Served : SendOutcome::Broken, complete, now);
         if (complete) {
+            recordAnswerEnd(false, now);
             sendBackendResponse(now);
         } else {
             retryOrFail("the response has no seal or has a content encoding", now);
@@ -188,7 +189,7 @@
     }
     m_mayHaveRun = true;
     if (m_attempt.headReceived && !silent) {
-        logBrokenOff(now);
+        recordAnswerEnd(true, now);
     }
     // A healthy server may have closed a reused idle connection.
     const bool reset = !m_attempt.headReceived && m_attempt.newConnection;
@@ -199,23 +200,6 @@
     retryOrFail("connection to the backend server lost", now);
 }
 
-void RequestForwarder::logBrokenOff(TimePoint now)
-{
-    std::string parts;
-    for (const PromptPart &part : m_request.prompt) {
-        parts += (parts.empty() ? "" : ",") + part.id;
-    }
-    m_context.log.write(LogPriority::Notable,
-                        LogLine("answer.broken_off")
-                            .add("id", m_request.id.value())
-                            .add("backend", m_attempt.backend.value())
-                            .add("account", m_account.value())
-                            .add("parts", parts)
-                            .add("events", m_attempt.relayedEvents)
-                            .add("began_ms", now - m_attempt.headAt),
-                        now);
-}
-
 void RequestForwarder::sendBackendResponse(TimePoint now)
 {
     HttpFields fields = m_attempt.head.fields;
--- /dev/null
+++ b/Source/Routing/PromptCrashTable.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "Routing/PromptEvidence.h"
+
+namespace lycheearch {
+
+/// Finds the prompt parts that crash servers, and refuses requests with them. It answers the load
+/// of a caller whose requests, all different, share one part under which every server ends.
+///
+/// A crash ends all requests on its server, so each of them, and each part of their prompts, is a
+/// suspect. What tells them apart:
+/// - a part that is served elsewhere is not the cause; the daemons object with their latest success
+///   during ObjectionTime;
+/// - the cause has a part in most crashes of its time, while a loss of many servers at once ends
+///   requests with all kinds of parts;
+/// - a crash that a condemned part explains is no evidence against the other parts of the prompt,
+///   nor against the requests beside it.
+///
+/// A part is condemned for one client account. If the parts of several accounts are condemned, it
+/// is refused to all: so a single account can't have the prompts of another one refused.
+class PromptCrashTable
+{
+public:
+    /// An answer that breaks off later after its begin, or not at all, counts as served.
+    static constexpr Duration CrashWindow = 2s;
+    /// How long a part stays condemned.
+    static constexpr Duration CondemnedLifetime = std::chrono::hours(1);
+
+    /// A decision, for the log.
+    struct Verdict
+    {
+        PromptPartKey key;
+        std::size_t servers = 0; ///< That ended under the part.
+        std::size_t requests = 0; ///< Under which they ended.
+        std::size_t allServers = 0; ///< That ended in the same time under any request.
+        bool served = false; ///< Whether the part had been served before.
+        bool learned = false; ///< From another daemon, so that the counts above are not known.
+    };
+
+    /// Records an answer of this daemon that broke off; its age is ignored.
+    void recordCrash(PromptCrash crash, TimePoint now);
+    /// Records an answer of this daemon that was served.
+    void recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
+                       TimePoint now);
+    /// Adds what another daemon told.
+    void apply(const PromptEvidence &evidence, TimePoint now);
+    /// Condemns a part that another daemon condemned.
+    void condemn(const CondemnedPart &part, TimePoint now);
+    /// What the other daemons need to be told now. Each entry is repeated for some time, as
+    /// messages may be lost.
+    PromptEvidence takeUnpublished(TimePoint now);
+
+    /// The part because of which a request must not be sent to a server, if any.
+    std::optional<std::uint64_t>
+    refusedPart(std::uint64_t account, const std::vector<std::uint64_t> &parts, TimePoint now);
+    /// Decides on the parts under suspicion.
+    void evaluate(TimePoint now);
+    /// Returns and clears the decisions since the last call.
+    std::vector<Verdict> takeVerdicts() { return std::exchange(m_verdicts, {}); }
+    /// All parts that are condemned.
+    std::vector<CondemnedPart> condemned(TimePoint now) const;
+
+private:
+    struct Crash
+    {
+        PromptCrash report;
+        TimePoint at;
+        TimePoint receivedAt;
+        TimePoint publishedAt; ///< Unset if not published; only for the crashes of this daemon.
+        bool own = false;
+    };
+
+    /// The evidence against one part.
+    struct Suspect
+    {
+        PromptPartKey key;
+        std::set<std::uint64_t> servers;
+        std::set<std::uint64_t> requests;
+        TimePoint first;
+        TimePoint last;
+        bool served = false; ///< Within the memory of the daemons.
+    };
+
+    struct Success
+    {
+        TimePoint at;
+        TimePoint publishedAt;
+        bool own = false;
+    };
+
+    void addCrash(Crash crash, TimePoint now);
+    /// Returns false if the part was condemned already, or if there is no room.
+    bool addCondemned(const CondemnedPart &part, TimePoint now);
+    void forgetOld(TimePoint now);
+    bool isCondemned(std::uint64_t account, std::uint64_t part) const;
+    bool explained(const PromptCrash &crash) const;
+    std::map<PromptPartKey, Suspect> suspects(TimePoint now) const;
+    void addToSuspect(Suspect &suspect, const Crash &crash) const;
+    bool convicts(const Suspect &suspect, TimePoint now) const;
+    std::size_t serversEnded(TimePoint from, TimePoint to) const;
+    std::optional<Suspect> worstSuspect(TimePoint now) const;
+    std::optional<TimePoint> lastSuccess(const PromptPartKey &key) const;
+    void noteOwnSuccess(const PromptPartKey &key);
+
+    std::deque<Crash> m_crashes;
+    std::map<PromptPartKey, Success> m_successes; ///< Of the parts under suspicion.
+    /// Latest successes of this daemon in two generations, the older of which is dropped whole.
+    std::unordered_map<std::uint64_t, TimePoint> m_ownSuccesses;
+    std::unordered_map<std::uint64_t, TimePoint> m_olderOwnSuccesses;
+    std::map<std::uint64_t, std::map<std::uint64_t, TimePoint>> m_condemned; ///< Part, account.
+    TimePoint m_condemnedPublishedAt;
+    TimePoint m_evaluatedAt;
+    std::vector<Verdict> m_verdicts;
+};
+
+} // namespace lycheearch
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -36,8 +36,13 @@
     FeedEvidence evidence;
     evidence.evidence = {
         {InstanceId("d"), ServiceId("s"), VersionId("v"), 2, {1, 2, 3, 4, 5}, {6, 7, 8, 9, 10}}};
-    FeedLoad load{
-        DataCentreId("here"), {}, {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}}};
+    FeedLoad load{DataCentreId("here"),
+                  {},
+                  {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
+                  {}};
+    load.promptEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms}};
+    load.promptEvidence.successes = {{{6, 7}, 8ms}};
+    load.promptEvidence.condemned = {{{9, 10}, 11ms}};
     load.loads[InstanceId("e1")] = {{1, 2.5, 3}, 4, 1};
     const std::string bytes = encodeFeedFrame(FeedSubscribe{InstanceId("me")})
         + encodeFeedFrame(FeedPage{Topic::Backends, true, page})
@@ -56,7 +61,8 @@
         cr_expect(std::get<FeedEvidence>(messages[4]).evidence == evidence.evidence);
         const auto &received = std::get<FeedLoad>(messages[5]);
         cr_expect(received.dataCentre == load.dataCentre && received.loads == load.loads
-                  && received.promptCacheEntries == load.promptCacheEntries);
+                  && received.promptCacheEntries == load.promptCacheEntries
+                  && received.promptEvidence == load.promptEvidence);
     }
 }
 
--- a/Tests/Fleet/testRecordCodec.cpp
+++ b/Tests/Fleet/testRecordCodec.cpp
@@ -132,6 +132,9 @@
     const auto decodedMember =
         std::get<MemberRegistered>(codec.decode(Topic::Own, codec.encode(member)));
     cr_expect(decodedMember.feed == member.feed);
+    const PromptPartCondemned condemned{{~std::uint64_t{0}, 3}, 99};
+    cr_expect(std::get<PromptPartCondemned>(codec.decode(Topic::Own, codec.encode(condemned)))
+              == condemned);
     cr_expect(std::holds_alternative<UnreadableRecord>(
         codec.decode(Topic::Own, {Offset(0), "stage/s", "{}"})));
 }
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -125,8 +125,9 @@
         , connections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , retries({0.9, 10s, 10})
         , log("test", STDERR_FILENO, 0, clock)
-        , context{loop,   view, picker, connections, headerCodec,    retries, rollouts,
-                  models, stop, bounds, bodyBudget,  responseBudget, log,     metrics}
+        , context{loop,    view,       picker,         connections,   headerCodec,
+                  retries, rollouts,   models,         promptCrashes, stop,
+                  bounds,  bodyBudget, responseBudget, log,           metrics}
     {
     }
 
@@ -259,6 +260,7 @@
     WindowedRetryBudget retries;
     RolloutCounts rollouts;
     ModelCascade models;
+    PromptCrashTable promptCrashes;
     ShutdownPolicy stop;
     RouterBounds bounds;
     BodyBudget bodyBudget{1024UL * 1024};
