Judge rollouts by requests in flight, and decide at the deadline

Cause: only answers that had ended were evidence. By the deadline 35 requests had been sent to the target, 24 were in flight, most without a first event for seconds, and 6 had ended, the quick ones. Six timed answers 3.4 times as slow missed the bound of 3.5 standard errors by 0.03, and the deadline completed what was not proved bad. Change: time until answers begin as a histogram with the waits of requests in flight (log-rank test with a margin for empty caches); streams in flight count with their gaps so far; a target that is suspicious when the final state must be stored is condemned. The test a_suspicious_version_does_not_enter_the_last_stage expected a suspicious target to stay undecided past the deadline. It now checks the same until the deadline, and a_version_that_is_suspicious_at_the_deadline_is_condemned checks what follows, since an order that is never decided leaves the operator with two versions. Not solved: under_load shows nothing in its outcomes and is still only bounded.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Routing/VersionComparison.h"
+
 namespace lycheearch {
 
 namespace {
@@ -60,9 +62,9 @@
     }
 }
 
-void RolloutAgent::reportEvidence(TimePoint)
+void RolloutAgent::reportEvidence(TimePoint now)
 {
-    std::vector<RolloutEvidence> evidence = m_counts.evidence(m_self, m_view);
+    std::vector<RolloutEvidence> evidence = m_counts.evidence(m_self, m_view, now);
     if (evidence == m_lastReported) {
         return;
     }
@@ -173,7 +175,10 @@
                     .add("target_log_latency", totals.target.logLatencySum)
                     .add("other_timed", totals.other.latencySamples)
                     .add("other_log_latency", totals.other.logLatencySum)
-                    .add("other_in_flight", totals.other.inFlight),
+                    .add("target_sent", totals.target.sent)
+                    .add("target_in_flight", totals.target.inFlight)
+                    .add("other_in_flight", totals.other.inFlight)
+                    .add("target_slowness", answerSlowness(totals.target, totals.other)),
                 now);
 }
 
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -23,6 +23,22 @@
 constexpr char Uncompressed = 0;
 constexpr char Compressed = 1;
 
+void writeBuckets(capnp::List<std::int64_t>::Builder list, const DelayHistogram::Counts &counts)
+{
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list.set(i, counts.at(i));
+    }
+}
+
+DelayHistogram::Counts readBuckets(capnp::List<std::int64_t>::Reader list)
+{
+    DelayHistogram::Counts counts{};
+    for (unsigned i = 0; i < list.size() && i < counts.size(); ++i) {
+        counts.at(i) = list[i];
+    }
+    return counts;
+}
+
 void writeCounts(wire::FeedCounts::Builder builder, const VersionCounts &counts)
 {
     builder.setGood(counts.good);
@@ -32,6 +48,8 @@
     builder.setLogLatencySum(counts.logLatencySum);
     builder.setLogLatencySquares(counts.logLatencySquares);
     builder.setSent(counts.sent);
+    writeBuckets(builder.initObservedDelays(DelayHistogram::Buckets), counts.answerDelays.observed);
+    writeBuckets(builder.initWaitingDelays(DelayHistogram::Buckets), counts.answerDelays.waiting);
 }
 
 VersionCounts readCounts(wire::FeedCounts::Reader reader)
@@ -42,7 +60,8 @@
             reader.getLogLatencySum(),
             reader.getLogLatencySquares(),
             reader.getInFlight(),
-            reader.getSent()};
+            reader.getSent(),
+            {readBuckets(reader.getObservedDelays()), readBuckets(reader.getWaitingDelays())}};
 }
 
 void writePage(wire::FeedPage::Builder builder, const FeedPage &page)
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -31,6 +31,8 @@
   logLatencySum @6 :Float64;        # Natural logarithm of the latencies in seconds.
   logLatencySquares @7 :Float64;
   sent @8 :Int64;                   # All requests, retries and cancelled ones included.
+  observedDelays @9 :List(Int64);   # Until answers begin, see Routing/DelayHistogram.h.
+  waitingDelays @10 :List(Int64);
 }
 
 struct FeedEvidence {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -72,7 +72,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1027f1191cc36a1, 9, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b1027f1191cc36a1, 9, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -440,6 +440,12 @@
 
   inline  ::int64_t getSent() const;
 
+  inline bool hasObservedDelays() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getObservedDelays() const;
+
+  inline bool hasWaitingDelays() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaitingDelays() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -495,6 +501,22 @@
   inline  ::int64_t getSent();
   inline void setSent( ::int64_t value);
 
+  inline bool hasObservedDelays();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getObservedDelays();
+  inline void setObservedDelays( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setObservedDelays(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initObservedDelays(unsigned int size);
+  inline void adoptObservedDelays(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownObservedDelays();
+
+  inline bool hasWaitingDelays();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWaitingDelays();
+  inline void setWaitingDelays( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWaitingDelays(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWaitingDelays(unsigned int size);
+  inline void adoptWaitingDelays(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownWaitingDelays();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1671,6 +1693,82 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FeedCounts::Reader::hasObservedDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedCounts::Builder::hasObservedDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader FeedCounts::Reader::getObservedDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedCounts::Builder::getObservedDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedCounts::Builder::setObservedDelays( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void FeedCounts::Builder::setObservedDelays(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedCounts::Builder::initObservedDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedCounts::Builder::adoptObservedDelays(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> FeedCounts::Builder::disownObservedDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FeedCounts::Reader::hasWaitingDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedCounts::Builder::hasWaitingDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader FeedCounts::Reader::getWaitingDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedCounts::Builder::getWaitingDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedCounts::Builder::setWaitingDelays( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void FeedCounts::Builder::setWaitingDelays(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedCounts::Builder::initWaitingDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedCounts::Builder::adoptWaitingDelays(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> FeedCounts::Builder::disownWaitingDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool FeedEvidence::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -6,6 +6,7 @@
 
 #include "Base/Endpoint.h"
 #include "Fleet/RoutingConfig.h"
+#include "Routing/DelayHistogram.h"
 #include "Routing/PromptEvidence.h"
 
 namespace lycheearch {
@@ -101,6 +102,7 @@
     double logLatencySquares = 0;
     std::int64_t inFlight = 0; ///< Requests without an outcome so far.
     std::int64_t sent = 0; ///< All requests, retries and cancelled ones included.
+    DelayHistogram answerDelays; ///< From sending a request until its answer begins.
 
     /// Requests with an outcome that says whether the version works.
     std::int64_t answers() const { return good + bad; }
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -13,12 +13,38 @@
 constexpr std::string_view StagePrefix = "stage/";
 constexpr std::string_view CondemnedPrefix = "condemned/";
 
+/// The buckets that are not empty: index, observed, waiting.
+Json delaysToJson(const DelayHistogram &delays)
+{
+    Json buckets = Json::array();
+    for (std::size_t i = 0; i < DelayHistogram::Buckets; ++i) {
+        if (delays.observed.at(i) != 0 || delays.waiting.at(i) != 0) {
+            buckets.push_back({i, delays.observed.at(i), delays.waiting.at(i)});
+        }
+    }
+    return buckets;
+}
+
+DelayHistogram delaysFrom(const Json &value)
+{
+    DelayHistogram delays;
+    for (const Json &bucket : value) {
+        const auto index = bucket.at(0).get<std::size_t>();
+        if (index < DelayHistogram::Buckets) {
+            delays.observed.at(index) = bucket.at(1).get<std::int64_t>();
+            delays.waiting.at(index) = bucket.at(2).get<std::int64_t>();
+        }
+    }
+    return delays;
+}
+
 /// Positions 2 and 3 held the number and the sum of the latencies. Older daemons still read them,
 /// so they stay and are zero.
 Json toJson(const VersionCounts &counts)
 {
     return Json::array({counts.good, counts.bad, 0, 0.0, counts.inFlight, counts.latencySamples,
-                        counts.logLatencySum, counts.logLatencySquares, counts.sent});
+                        counts.logLatencySum, counts.logLatencySquares, counts.sent,
+                        delaysToJson(counts.answerDelays)});
 }
 
 VersionCounts countsFrom(const Json &value)
@@ -27,13 +53,18 @@
     counts.good = value.at(0).get<std::int64_t>();
     counts.bad = value.at(1).get<std::int64_t>();
     counts.inFlight = value.at(4).get<std::int64_t>();
-    constexpr std::size_t presentSize = 9; // Older daemons write fewer values.
-    if (value.size() >= presentSize) {
+    // Older daemons write fewer values.
+    constexpr std::size_t sizeWithLatencies = 9;
+    constexpr std::size_t answerDelaysAt = 9;
+    if (value.size() >= sizeWithLatencies) {
         counts.latencySamples = value.at(5).get<std::int64_t>();
         counts.logLatencySum = value.at(6).get<double>();
         counts.logLatencySquares = value.at(7).get<double>();
         counts.sent = value.at(8).get<std::int64_t>();
     }
+    if (value.size() > answerDelaysAt) {
+        counts.answerDelays = delaysFrom(value.at(answerDelaysAt));
+    }
     return counts;
 }
 
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -246,7 +246,7 @@
     m_inAttempt = true;
     m_attempt.sentAt = now;
     m_context.picker.onSent(pick, requirements, now);
-    m_context.rolloutCounts.onSent(m_service, m_attempt.version);
+    m_attempt.ticket = m_context.rolloutCounts.onSent(m_service, m_attempt.version, now);
     logDispatch(pick, now);
     startStallTimer(now);
     m_attempt.connection->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this,
@@ -287,8 +287,8 @@
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
-    m_context.rolloutCounts.onEnded(m_service, m_attempt.version, versionSuccess(outcome),
-                                    latencySample(now));
+    m_context.rolloutCounts.onEnded(m_attempt.ticket, versionSuccess(outcome), latencySample(now),
+                                    now);
     m_triedBackends.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
         m_context.log.write(LogPriority::Notable,
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -57,6 +57,7 @@
         bool streaming = false;
         bool newConnection = false;
         bool discarded = false; ///< The response is replaced by that of a larger model.
+        RolloutCounts::Ticket ticket = 0;
         TimePoint sentAt;
         TimePoint headAt; ///< When the head of the response was received.
         TimePoint firstEventAt;
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -39,6 +39,9 @@
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
+    if (head.status < HttpStatus::FirstRedirect) {
+        m_context.rolloutCounts.onAnswerBegun(m_attempt.ticket, now);
+    }
     m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
         && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -24,6 +24,7 @@
 void RequestForwarder::relayEvents(const std::vector<StreamEvent> &events, TimePoint now)
 {
     std::string bytes;
+    const int relayedBefore = m_attempt.relayedEvents;
     for (const StreamEvent &event : events) {
         if (event.id && m_lastEventId && *event.id <= *m_lastEventId) {
             continue; // Already relayed from an earlier attempt.
@@ -40,6 +41,8 @@
     if (bytes.empty()) {
         return;
     }
+    m_context.rolloutCounts.onEvents(m_attempt.ticket, m_attempt.relayedEvents - relayedBefore,
+                                     now);
     if (!m_streamBegun) {
         m_streamBegun = true;
         m_firstByteAt = now;
--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -144,11 +144,15 @@
                              const Observation &observation, TimePoint now) const
 {
     const VersionVerdict verdict = compareVersions(totals.target, totals.other);
-    if (stage.stage > 0 && verdict == VersionVerdict::Worse) {
+    const Duration elapsed = now - orderedAt;
+    // At the deadline, a good version that is condemned costs another order; a bad one that
+    // completes costs the service.
+    const bool doubted =
+        verdict == VersionVerdict::Suspicious && deadlineNear(order, elapsed, observation);
+    if (stage.stage > 0 && (verdict == VersionVerdict::Worse || doubted)) {
         stage.condemned = true;
         return stage;
     }
-    const Duration elapsed = now - orderedAt;
     if (stage.stage == LastRolloutStage) {
         stage.complete = completionDue(order, totals, elapsed, observation);
         return stage.complete ? std::optional(stage) : std::nullopt;
@@ -176,10 +180,16 @@
     return reported && elapsedFraction(order, elapsed) >= StageStartFractions[stage];
 }
 
+bool RolloutController::deadlineNear(const RolloutOrdered &order, Duration elapsed,
+                                     const Observation &observation)
+{
+    return order.finishWithin - elapsed <= observation.changeDelay + CompletionReserve;
+}
+
 bool RolloutController::completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
                                       Duration elapsed, const Observation &observation)
 {
-    if (order.finishWithin - elapsed <= observation.changeDelay + CompletionReserve) {
+    if (deadlineNear(order, elapsed, observation)) {
         return true;
     }
     const bool idle = totals.other.inFlight <= 0 && totals.lowestStage >= LastRolloutStage;
--- a/Source/Routing/RolloutController.h
+++ b/Source/Routing/RolloutController.h
@@ -43,8 +43,8 @@
 /// it has not met. So the last stage, which moves all requests to the target, begins as late as
 /// completion in time allows: the target gets no more than the permitted share of all requests
 /// between the order and its deadline, whatever the outcomes are. Shortly before the deadline, the
-/// rollout completes. If the daemon that decides crashes, another one resumes from the stored
-/// stage.
+/// rollout completes, or the target is condemned if it is suspicious. If the daemon that decides
+/// crashes, another one resumes from the stored stage.
 class RolloutController
 {
 public:
@@ -91,6 +91,9 @@
                                           TimePoint now) const;
     /// Whether a stage before the last one is due.
     static bool earlyStageDue(int stage, const RolloutOrdered &order, Duration elapsed);
+    /// Whether the final state must be decided now to be stored in time.
+    static bool deadlineNear(const RolloutOrdered &order, Duration elapsed,
+                             const Observation &observation);
     static bool completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
                               Duration elapsed, const Observation &observation);
     bool lastStageDue(const RolloutOrdered &order, const RolloutTotals &totals, Duration elapsed,
--- a/Source/Routing/RolloutCounts.h
+++ b/Source/Routing/RolloutCounts.h
@@ -12,18 +12,43 @@
 class RolloutCounts
 {
 public:
-    void onSent(const ServiceId &service, const VersionId &version);
+    /// Identifies a request in flight.
+    using Ticket = std::uint64_t;
+
+    /// Records a request that is sent; the ticket is valid until onEnded().
+    Ticket onSent(const ServiceId &service, const VersionId &version, TimePoint now);
+    /// Records that the answer of a request has begun.
+    void onAnswerBegun(Ticket ticket, TimePoint now);
+    /// Records \p events further events of a stream.
+    void onEvents(Ticket ticket, int events, TimePoint now);
     /// Records the end of a request. \p good is empty if the outcome says nothing about the
     /// version. \p latency is the mean time between two events of a stream, or the time to the
     /// answer of other requests; it is only counted for good outcomes.
-    void onEnded(const ServiceId &service, const VersionId &version, std::optional<bool> good,
-                 std::optional<Duration> latency);
+    void onEnded(Ticket ticket, std::optional<bool> good, std::optional<Duration> latency,
+                 TimePoint now);
     /// Outcomes since this daemon's start for each rollout that is ordered: those of the target
-    /// version and those of all other versions.
-    std::vector<RolloutEvidence> evidence(const InstanceId &self, const FleetView &view) const;
+    /// version and those of all other versions. Requests in flight count with the time that they
+    /// have waited for the begin of the answer, and streams with the gaps between their events so
+    /// far.
+    std::vector<RolloutEvidence> evidence(const InstanceId &self, const FleetView &view,
+                                          TimePoint now) const;
 
 private:
+    struct InFlight
+    {
+        ServiceId service;
+        VersionId version;
+        TimePoint sentAt;
+        bool begun = false;
+        TimePoint firstEventAt;
+        int events = 0;
+    };
+
+    static void addInFlight(VersionCounts &counts, const InFlight &request, TimePoint now);
+
     std::map<ServiceId, std::map<VersionId, VersionCounts>> m_counts;
+    std::map<Ticket, InFlight> m_inFlight;
+    Ticket m_nextTicket = 1;
 };
 
 /// Sum of two counts, field by field.
--- a/Source/Routing/VersionComparison.cpp
+++ b/Source/Routing/VersionComparison.cpp
@@ -29,6 +29,15 @@
 /// Variance of the logarithm of latencies that is assumed at least: few samples underestimate it.
 constexpr double MinLogLatencyVariance = 0.25;
 
+/// Half octaves by which the answers of a new version may begin later: its servers have to read
+/// prompts that the others have cached.
+constexpr std::size_t AnswerDelayMargin = 3;
+/// Requests of the target that are needed for a verdict by the begin of answers.
+constexpr std::int64_t MinDelays = 5;
+/// Standard errors by which the answers of a worse or suspicious target begin later.
+constexpr double WorseSlowness = 4.0;
+constexpr double SuspiciousSlowness = 1.5;
+
 double badShare(const VersionCounts &counts)
 {
     const std::int64_t answers = counts.answers();
@@ -98,13 +107,23 @@
 
 } // namespace
 
+double answerSlowness(const VersionCounts &target, const VersionCounts &other)
+{
+    if (target.answerDelays.total() < MinDelays) {
+        return 0;
+    }
+    return slownessScore(target.answerDelays, other.answerDelays, AnswerDelayMargin);
+}
+
 VersionVerdict compareVersions(const VersionCounts &target, const VersionCounts &other)
 {
-    if (failsMoreOften(target, other) || takesLonger(target, other)) {
+    const double slowness = answerSlowness(target, other);
+    if (failsMoreOften(target, other) || takesLonger(target, other) || slowness > WorseSlowness) {
         return VersionVerdict::Worse;
     }
-    return failsSuspiciously(target, other) ? VersionVerdict::Suspicious
-                                            : VersionVerdict::Unremarkable;
+    return failsSuspiciously(target, other) || slowness > SuspiciousSlowness
+        ? VersionVerdict::Suspicious
+        : VersionVerdict::Unremarkable;
 }
 
 } // namespace lycheearch
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -36,6 +36,7 @@
     FeedEvidence evidence;
     evidence.evidence = {
         {InstanceId("d"), ServiceId("s"), VersionId("v"), 2, {1, 2, 3, 4, 5}, {6, 7, 8, 9, 10}}};
+    evidence.evidence[0].otherCounts.answerDelays.addWaiting(3s);
     FeedLoad load{DataCentreId("here"),
                   {},
                   {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
--- a/Tests/Routing/testRolloutController.cpp
+++ b/Tests/Routing/testRolloutController.cpp
@@ -6,6 +6,7 @@
 
 #include "Routing/RolloutController.h"
 #include "Routing/RolloutCounts.h"
+#include "Routing/VersionComparison.h"
 
 using namespace lycheearch;
 
@@ -202,15 +203,28 @@
 {
     RolloutController controller({ExposeShare, ExposeSlack});
     const RolloutStage canary{Service, New, LastRolloutStage - 1, 0.02, false, false};
-    for (TimePoint now = Start; now < Start + 30s; now += 400ms) {
+    for (TimePoint now = Start; now < Start + 23s; now += 400ms) {
         cr_expect_not(
             controller.decide(Order, Start, canary, totals(12, 3, 900, 2), 3, now).has_value());
     }
     const auto next =
-        controller.decide(Order, Start, canary, totals(200, 3, 1800, 9), 3, Start + 31s);
+        controller.decide(Order, Start, canary, totals(200, 3, 1800, 9), 3, Start + 23300ms);
     cr_expect(next && next->stage == LastRolloutStage);
 }
 
+Test(rolloutController, a_version_that_is_suspicious_at_the_deadline_is_condemned)
+{
+    const RolloutStage canary{Service, New, LastRolloutStage - 1, 0.02, false, false};
+    for (Duration late = Duration::zero(); late < 10s; late += 400ms) {
+        RolloutController controller({ExposeShare, ExposeSlack});
+        const auto next = controller.decide(Order, Start, canary, totals(12, 3, 900, 2), 3,
+                                            Start + Order.finishWithin - 500ms + late);
+        cr_assert(next);
+        cr_expect(next->condemned);
+        cr_expect_eq(next->stage, canary.stage);
+    }
+}
+
 Test(rolloutController, another_controller_resumes_from_the_stored_stage)
 {
     RolloutSimulation simulation([](double, double) { return 0.02; });
@@ -331,3 +345,25 @@
     cr_assert(first && first->stage == FirstRolloutStage);
     cr_expect(first->firstShare < 0.003 && first->firstShare > 0.001, "%g", first->firstShare);
 }
+
+Test(rolloutController, a_slow_version_is_not_completed_though_few_of_its_answers_have_ended)
+{
+    // The requests of the target wait, while those of the other version begin soon. There are too
+    // few to be sure.
+    RolloutController controller({ExposeShare, ExposeSlack});
+    RolloutTotals slow = totals(1, 0, 500, 0);
+    for (int i = 0; i < 500; ++i) {
+        slow.other.answerDelays.addObserved(std::chrono::milliseconds(100 + i));
+    }
+    slow.target.sent = 6;
+    for (int i = 0; i < 6; ++i) {
+        slow.target.answerDelays.addWaiting(1200ms);
+    }
+    cr_assert(compareVersions(slow.target, slow.other) == VersionVerdict::Suspicious);
+    const RolloutStage last{Service, New, LastRolloutStage, 0.01, false, false, 0.1};
+    const TimePoint atDeadline = Start + Order.finishWithin - 300ms;
+    const auto next = controller.decide(Order, Start, last, slow, 3, atDeadline);
+    cr_assert(next);
+    cr_expect(next->condemned);
+    cr_expect_not(next->complete);
+}
--- a/Tests/Routing/testVersionComparison.cpp
+++ b/Tests/Routing/testVersionComparison.cpp
@@ -27,10 +27,10 @@
     FleetView view;
     view.apply({Offset(0), RolloutOrdered{service, version, 24s}}, TimePoint());
     for (const Duration latency : latencies) {
-        counts.onSent(service, version);
-        counts.onEnded(service, version, true, latency);
+        const RolloutCounts::Ticket ticket = counts.onSent(service, version, TimePoint());
+        counts.onEnded(ticket, true, latency, TimePoint());
     }
-    return counts.evidence(InstanceId("d"), view).front().targetCounts;
+    return counts.evidence(InstanceId("d"), view, TimePoint()).front().targetCounts;
 }
 
 std::vector<Duration> drawnLatencies(int count, double medianSeconds, std::mt19937 &random)
