Registrations back off again

The back-off was lost when the holding behind stale sources was withdrawn; a constant and a member without use were left. MemberRegistration has the renewal, the back-off and what follows an outage or an older store, with tests. They could not be run on the code before, where the logic was part of the daemon; by its constants it made 60 attempts in 60 s, where the test allows 8.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -1,5 +1,4 @@
 #include "Daemon/RouterDaemon.h"
-#include "Base/Hash.h"
 #include "Net/HttpStatus.h"
 
 #include <algorithm>
@@ -13,10 +12,6 @@
 
 constexpr BackendHttpConnection::Limits ConnectionLimits{
     250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
-constexpr Duration RegisterPeriod = 70s;
-/// Delay after a failed registration; doubles with each consecutive failure.
-constexpr Duration RegisterRetryDelay = 1s;
-constexpr Duration MaxRegisterRetryDelay = 16s;
 /// Daemons of a new deployment register within this time of each other.
 constexpr Duration MemberReadDelay = 500ms;
 /// Fleet-wide limits are divided by at least this number of daemons, also if fewer are registered.
@@ -90,8 +85,10 @@
     , m_loadExchange(m_loop, m_settings.dataCentre, m_view, m_follower, m_feedClient, m_picker,
                      m_promptCrashes, m_clock)
     , m_promptCrashAgent(m_loop, *m_store, codec, m_follower, m_promptCrashes, m_log, m_clock)
+    , m_registration(m_loop, *m_store, codec, m_clock,
+                     {m_settings.instance, m_settings.dataCentre, m_settings.feedListen, 0},
+                     [this](TimePoint now) { scheduleMemberRead(now); })
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
-    , m_registerRetryDelay(RegisterRetryDelay)
 {
 }
 
@@ -148,30 +145,12 @@
     m_rolloutAgent.start();
     m_loadExchange.start(*m_feedServer);
     m_promptCrashAgent.start();
-    registerMember(m_loop.now());
+    m_registration.start();
     sweep(m_loop.now());
     m_loop.run();
     m_log.write(LogPriority::Notable, LogLine("process.stop"), m_loop.now());
 }
 
-void RouterDaemon::registerMember(TimePoint now)
-{
-    const MemberRegistered member{m_settings.instance, m_settings.dataCentre, m_settings.feedListen,
-                                  wallMilliseconds(m_clock)};
-    m_store->append(Topic::Own, m_codec.encode(member), std::nullopt,
-                    [this](const StoreOutcome<Offset> &outcome, TimePoint currentTime) {
-                        scheduleMemberRead(currentTime);
-                        scheduleRegistration(currentTime,
-                                             outcome.ok() ? RegisterPeriod : RegisterRetryDelay);
-                    });
-}
-
-void RouterDaemon::scheduleRegistration(TimePoint now, Duration delay)
-{
-    m_loop.cancel(m_registrationTimer);
-    m_registrationTimer = m_loop.at(now + delay, [this](TimePoint due) { registerMember(due); });
-}
-
 void RouterDaemon::scheduleMemberRead(TimePoint now)
 {
     if (m_memberReadScheduled) {
@@ -416,13 +395,12 @@
                 LogLine("store.era").add("previous", previous.value()).add("era", era.value()),
                 now);
     m_promptCrashAgent.onStoreEra();
-    // The registration may be missing from the older copy.
-    const auto spread = static_cast<std::int64_t>(stableHash(m_settings.instance.value()) % 1000);
-    scheduleRegistration(now, std::chrono::milliseconds(spread));
+    m_registration.onStoreEra(now);
 }
 
 void RouterDaemon::onStoreRegained(Topic topic, Duration lostFor, TimePoint now)
 {
+    m_registration.onStoreRegained(now);
     m_log.write(LogPriority::Notable,
                 LogLine("store.regained").add("topic", topicName(topic)).add("lost_ms", lostFor),
                 now);
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -7,6 +7,7 @@
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
 #include "Daemon/LoadExchange.h"
+#include "Daemon/MemberRegistration.h"
 #include "Daemon/PromptCrashAgent.h"
 #include "Daemon/RolloutAgent.h"
 #include "Feed/FeedClient.h"
@@ -58,9 +59,6 @@
     void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) override;
 
     void onFeedChange(const InstanceId &source, const char *why);
-    /// Writes this daemon's member record, now and periodically before it expires.
-    void registerMember(TimePoint now);
-    void scheduleRegistration(TimePoint now, Duration delay);
     /// Schedules one early read of the member records, so that this daemon soon finds the daemons
     /// that started at about the same time and can follow one of them.
     void scheduleMemberRead(TimePoint now);
@@ -103,14 +101,13 @@
     RolloutAgent m_rolloutAgent;
     LoadExchange m_loadExchange;
     PromptCrashAgent m_promptCrashAgent;
+    MemberRegistration m_registration;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callerServer;
     std::unique_ptr<FeedServer> m_feedServer;
     std::unique_ptr<HttpResponder> m_readinessServer;
     std::unique_ptr<HttpResponder> m_metricsServer;
     bool m_wasReady = false;
-    TimerId m_registrationTimer;
-    Duration m_registerRetryDelay; ///< Delay after the next failed registration.
     bool m_memberReadScheduled = false;
 };
 
