A response of the store that keeps arriving is not cut

Suspected, not seen: a configuration that takes longer than the timeout of a call over a link of 10 Mbit/s is read again from its start for ever. Cause: the timeout covered the whole response. Now it covers the time until the response begins and the time without further bytes; a response ends after 8 s at the latest, so one that sends a byte now and then ends too. Before: httpCallChannel::a_large_response_over_a_slow_link_is_not_cut and a_response_that_stalls_is_cut_after_the_timeout failed. After: they pass.

--- a/Source/Net/HttpCallChannel.cpp
+++ b/Source/Net/HttpCallChannel.cpp
@@ -1,5 +1,7 @@
 #include "Net/HttpCallChannel.h"
 
+#include <algorithm>
+
 namespace lycheearch {
 
 HttpCallChannel::HttpCallChannel(EventLoop &loop, Endpoint server, Liveness liveness,
@@ -20,7 +22,7 @@
 {
     const TimePoint now = m_loop.now();
     const TimePoint deadline = now + call.timeout;
-    m_queue.push_back({std::move(call), deadline, false});
+    m_queue.push_back({std::move(call), deadline, TimePoint(), false});
     startNext(now);
 }
 
@@ -31,11 +33,28 @@
     }
     m_currentCall = std::make_unique<Pending>(std::move(m_queue.front()));
     m_queue.pop_front();
+    startTimer();
+    sendCurrent(now);
+}
+
+void HttpCallChannel::startTimer()
+{
+    m_loop.cancel(m_timer);
     m_timer = m_loop.at(m_currentCall->deadline, [this](TimePoint currentTime) {
         m_timer = TimerId();
         finish(std::make_error_code(std::errc::timed_out), currentTime);
     });
-    sendCurrent(now);
+}
+
+void HttpCallChannel::extendDeadline(TimePoint now)
+{
+    Pending &pending = *m_currentCall;
+    if (pending.respondingSince == TimePoint()) {
+        pending.respondingSince = now;
+    }
+    pending.deadline =
+        std::min(now + pending.call.timeout, pending.respondingSince + MaxResponseTime);
+    startTimer();
 }
 
 void HttpCallChannel::sendCurrent(TimePoint now)
@@ -75,6 +94,8 @@
         finish(std::make_error_code(std::errc::protocol_error), now);
     } else if (m_parser->complete()) {
         finish({}, now);
+    } else {
+        extendDeadline(now);
     }
 }
 
--- a/Source/Net/HttpCallChannel.h
+++ b/Source/Net/HttpCallChannel.h
@@ -30,16 +30,23 @@
 
     HttpRequestHead head;
     std::string body;
-    Duration timeout{}; ///< Starts at call(), so that it includes the time in the queue.
+    /// Until the response begins, and then without further bytes of it. Starts at call(), so that
+    /// it includes the time in the queue.
+    Duration timeout{};
     Callback callback;
 };
 
 /// An HTTP client with one persistent connection to one server. Calls run one at a time, in order.
-/// If a reused connection is lost before the response head arrives, a GET is retried once on a new
-/// connection, because the server may have closed the idle one.
+/// A response that keeps arriving is not cut until MaxResponseTime, since a large one takes longer
+/// than the timeout over a slow link. If a reused connection is lost before the response head
+/// arrives, a GET is retried once on a new connection, because the server may have closed the idle
+/// one.
 class HttpCallChannel : public StreamSocketListener, public HttpResponseSink
 {
 public:
+    /// Longest time from the begin of a response to its end.
+    static constexpr Duration MaxResponseTime = 8s;
+
     HttpCallChannel(EventLoop &loop, Endpoint server, Liveness liveness, HttpLimits limits);
     ~HttpCallChannel() override;
 
@@ -52,6 +59,7 @@
     {
         HttpCall call;
         TimePoint deadline;
+        TimePoint respondingSince; ///< Unset until bytes of the response were received.
         bool retried = false;
     };
 
@@ -64,6 +72,9 @@
 
     void startNext(TimePoint now);
     void sendCurrent(TimePoint now);
+    void startTimer();
+    /// The response of the current call makes progress.
+    void extendDeadline(TimePoint now);
     void handleConnectionLoss(std::error_code error, TimePoint now);
     void finish(std::error_code error, TimePoint now);
     void dropConnection();
--- /dev/null
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -0,0 +1,125 @@
+#include <criterion/criterion.h>
+
+#include <memory>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "FreePort.h"
+#include "ManualLoop.h"
+#include "Net/HttpCallChannel.h"
+
+using namespace lycheearch;
+
+namespace {
+
+constexpr Duration Timeout = 1s;
+constexpr std::size_t BodyBytes = 20;
+
+/// Accepts one connection and sends the bytes that the test gives it.
+struct Server : IoHandler
+{
+    explicit Server(EventLoop &eventLoop)
+        : loop(eventLoop)
+        , address{"127.0.0.1", freePort()}
+    {
+        std::error_code error;
+        listener = listenTcp(address, error);
+        cr_assert_not(error);
+        loop.watch(listener, EPOLLIN, *this);
+    }
+    ~Server() override
+    {
+        loop.unwatch(listener);
+        close(listener);
+        if (connection >= 0) {
+            close(connection);
+        }
+    }
+    void onReady(std::uint32_t, TimePoint) override
+    {
+        std::error_code error;
+        connection = acceptTcp(listener, error);
+    }
+    void send(const std::string &bytes) const
+    {
+        cr_assert_eq(write(connection, bytes.data(), bytes.size()),
+                     static_cast<ssize_t>(bytes.size()));
+    }
+
+    EventLoop &loop;
+    Endpoint address;
+    int listener = -1;
+    int connection = -1;
+};
+
+struct Fixture
+{
+    Fixture()
+        : loop(clock)
+        , server(loop)
+        , channel(loop, server.address, {1s, 1s, 2, 2s}, {16UL * 1024, 8UL * 1024 * 1024})
+    {
+        HttpCall call;
+        call.head.method = "GET";
+        call.head.target = "/";
+        call.timeout = Timeout;
+        call.callback = [this](std::error_code error, const CompleteHttpResponse &answer,
+                               TimePoint) {
+            done = true;
+            failed = static_cast<bool>(error);
+            body = answer.body;
+        };
+        channel.call(std::move(call));
+        runFor(100ms);
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n");
+    }
+
+    void runFor(Duration span) { runLoopFor(clock, loop, span); }
+
+    ManualClock clock;
+    EventLoop loop;
+    Server server;
+    HttpCallChannel channel;
+    bool done = false;
+    bool failed = false;
+    std::string body;
+};
+
+} // namespace
+
+Test(httpCallChannel, a_large_response_over_a_slow_link_is_not_cut)
+{
+    Fixture test;
+    for (std::size_t i = 0; i < BodyBytes; ++i) {
+        test.runFor(200ms);
+        test.server.send("x");
+    }
+    test.runFor(100ms);
+    cr_assert(test.done);
+    cr_expect_not(test.failed);
+    cr_expect_eq(test.body.size(), BodyBytes);
+}
+
+Test(httpCallChannel, a_response_that_stalls_is_cut_after_the_timeout)
+{
+    Fixture test;
+    test.runFor(500ms);
+    test.server.send("x");
+    test.runFor(Timeout - Duration(200ms));
+    cr_expect_not(test.done);
+    test.runFor(400ms);
+    cr_expect(test.done && test.failed);
+}
+
+Test(httpCallChannel, a_response_of_single_bytes_ends_at_the_bound)
+{
+    Fixture test;
+    for (std::size_t i = 0; i + 1 < BodyBytes && !test.done; ++i) {
+        test.runFor(900ms);
+        if (!test.done) {
+            test.server.send("x");
+        }
+    }
+    cr_expect(test.done && test.failed);
+}
