Feed client: leave a source once, and forget stale ones only when the store answers

Messages that had arrived together with the one that made the daemon leave its source were taken for messages of the next source. Finding a fresh source counted as the return of the store, so the back-off of stale sources began anew. The new test of the back-off passed before as well; it guards the bound.

--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -47,13 +47,14 @@
         return;
     }
     const bool viewStale = viewIsStale(now);
-    if (m_viewWasStale && !viewStale) {
+    const bool storeRegained = m_viewWasStale && !viewStale && !m_follower.followingFeed();
+    m_viewWasStale = viewStale;
+    if (storeRegained) {
         m_selector.onStoreRegained();
-        if (m_substitute) {
-            dropSource("the store answers again", now);
-        }
     }
-    m_viewWasStale = viewStale;
+    if (m_substitute && !viewStale) {
+        dropSource("the store answers again", now);
+    }
     chooseSource(now);
     // While no source can be reached, this daemon is not a backup: no other daemon reads for it.
     m_follower.setBackupReader(m_socket != nullptr && !m_substitute);
@@ -105,10 +106,12 @@
         return;
     }
     m_lastReceivedAt = now;
+    const InstanceId sender = m_source;
     for (const FeedMessage &message : messages) {
-        if (m_socket) {
-            onMessage(message, now);
+        if (m_source != sender) {
+            return; // A message before made this daemon leave the source.
         }
+        onMessage(message, now);
     }
 }
 
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -52,6 +52,7 @@
     void chooseSource(TimePoint now);
     void connectTo(const FeedSourceChoice &choice, TimePoint now);
     void onMessage(const FeedMessage &message, TimePoint now);
+    /// The source sent that it is stale: reads the store, or tries another source.
     void onStaleSource(TimePoint now);
     /// Closes the connection and does not retry the source for some time.
     void dropSource(const char *reason, TimePoint now);
--- a/Tests/Feed/testFeedSubstitute.cpp
+++ b/Tests/Feed/testFeedSubstitute.cpp
@@ -21,6 +21,7 @@
         std::unique_ptr<FeedServer> server;
         std::unique_ptr<FeedClient> client;
         bool served = true; ///< The store answers its calls.
+        int sourcesFollowed = 0;
     };
 
     explicit DataCentre(std::size_t size)
@@ -43,7 +44,8 @@
 
     void start(const MemberRegistered &member)
     {
-        Daemon &daemon = daemons.emplace_back();
+        daemons.push_back(std::make_unique<Daemon>());
+        Daemon &daemon = *daemons.back();
         daemon.state = std::make_unique<TestDaemon>(loop);
         std::error_code error;
         daemon.server = std::make_unique<FeedServer>(
@@ -54,7 +56,9 @@
         daemon.state->startAndList(clock.now(), members);
         daemon.client = std::make_unique<FeedClient>(
             loop, member.instance, DataCentreId("here"), daemon.state->view, daemon.state->follower,
-            clock, [](const InstanceId &, const char *) {});
+            clock, [&daemon](const InstanceId &source, const char *) {
+                daemon.sourcesFollowed += source.empty() ? 0 : 1;
+            });
         daemon.client->onLoad([](const FeedLoad &, TimePoint) {});
         daemon.client->start();
     }
@@ -62,10 +66,10 @@
     /// Answers each open call every 50 ms: with the records from its offset on, or with a refusal.
     void answerCalls(TimePoint now)
     {
-        for (Daemon &daemon : daemons) {
+        for (const auto &daemon : daemons) {
             for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Own}) {
-                if (!daemon.state->store.calls[topic].empty()) {
-                    answer(daemon, topic, now);
+                if (!daemon->state->store.calls[topic].empty()) {
+                    answer(*daemon, topic, now);
                 }
             }
         }
@@ -92,7 +96,7 @@
 
     int version(std::size_t daemon) const
     {
-        return static_cast<int>(daemons[daemon].state->view.table()->version().value());
+        return static_cast<int>(daemons[daemon]->state->view.table()->version().value());
     }
 
     void runFor(Duration span) { runLoopFor(clock, loop, span); }
@@ -100,7 +104,7 @@
     ManualClock clock;
     EventLoop loop;
     std::vector<MemberRegistered> members;
-    std::vector<Daemon> daemons;
+    std::vector<std::unique_ptr<Daemon>> daemons;
     bool published = false; ///< The second version of the configuration.
 };
 
@@ -110,7 +114,7 @@
      .timeout = 20)
 {
     DataCentre dataCentre(2);
-    dataCentre.daemons[0].served = false;
+    dataCentre.daemons[0]->served = false;
     dataCentre.runFor(3s);
     dataCentre.published = true;
     dataCentre.runFor(ConfigBound);
@@ -121,8 +125,8 @@
 Test(feed, a_daemon_without_the_store_leaves_a_source_that_has_lost_the_store_too, .timeout = 20)
 {
     DataCentre dataCentre(3);
-    dataCentre.daemons[0].served = false;
-    dataCentre.daemons[2].served = false;
+    dataCentre.daemons[0]->served = false;
+    dataCentre.daemons[2]->served = false;
     dataCentre.runFor(3s);
     dataCentre.published = true;
     dataCentre.runFor(ConfigBound);
@@ -132,11 +136,23 @@
 Test(feed, a_daemon_returns_from_a_neighbour_to_the_store_when_it_answers_again, .timeout = 20)
 {
     DataCentre dataCentre(2);
-    dataCentre.daemons[0].served = false;
+    dataCentre.daemons[0]->served = false;
     dataCentre.runFor(3s);
-    cr_expect_eq(dataCentre.daemons[0].client->source(), dataCentre.members[1].instance);
-    dataCentre.daemons[0].served = true;
+    cr_expect_eq(dataCentre.daemons[0]->client->source(), dataCentre.members[1].instance);
+    dataCentre.daemons[0]->served = true;
     dataCentre.runFor(2s);
-    cr_expect(dataCentre.daemons[0].client->source().empty());
-    cr_expect(dataCentre.daemons[1].state->follower.followingFeed());
+    cr_expect(dataCentre.daemons[0]->client->source().empty());
+    cr_expect(dataCentre.daemons[1]->state->follower.followingFeed());
+}
+
+Test(feed, a_daemon_that_follows_a_fresh_source_seldom_tries_the_stale_ones_before_it,
+     .timeout = 20)
+{
+    DataCentre dataCentre(3);
+    dataCentre.daemons[0]->served = false;
+    dataCentre.daemons[2]->served = false;
+    dataCentre.runFor(4s);
+    const int before = dataCentre.daemons[2]->sourcesFollowed;
+    dataCentre.runFor(20s);
+    cr_expect_leq(dataCentre.daemons[2]->sourcesFollowed - before, 3);
 }
