--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -123,7 +123,7 @@
 
 void FeedServer::sendInitialState(FeedConnection &connection)
 {
-    for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Status, Topic::Own}) {
+    for (const Topic topic : AllTopics) {
         RecordPage listing = m_follower.mirror().listing(topic);
         listing.end = m_follower.nextOffset(topic);
         listing.era = m_follower.era();
--- a/Source/Feed/FeedSourceSelector.cpp
+++ b/Source/Feed/FeedSourceSelector.cpp
@@ -93,28 +93,36 @@
     for (const MemberRegistered &member : candidates) {
         order.push_back({member, false});
     }
-    std::set<DataCentreId> otherDataCentres;
-    for (const auto &[id, member] : members) {
-        otherDataCentres.insert(member.dataCentre);
-    }
-    otherDataCentres.erase(m_dataCentre);
     for (const MemberRegistered &member : feedOrder(members, m_dataCentre, wallMilliseconds)) {
         if (feedRank(member.instance) > feedRank(m_self)) {
             order.push_back({member, true});
         }
     }
-    std::vector<FeedSourceChoice> remote;
-    for (const DataCentreId &dataCentre : otherDataCentres) {
-        const auto remoteOrder = feedOrder(members, dataCentre, wallMilliseconds);
-        if (!remoteOrder.empty()) {
-            remote.push_back({remoteOrder.front(), true});
-        }
-    }
+    const std::vector<FeedSourceChoice> remote = firstOfOthers(members, wallMilliseconds);
     const std::size_t at = std::min(order.size(), OwnDataCentreFirst);
     order.insert(order.begin() + static_cast<std::ptrdiff_t>(at), remote.begin(), remote.end());
     return order;
 }
 
+std::vector<FeedSourceChoice>
+FeedSourceSelector::firstOfOthers(const std::map<InstanceId, MemberRegistered> &members,
+                                  std::int64_t wallMilliseconds) const
+{
+    std::set<DataCentreId> dataCentres;
+    for (const auto &[id, member] : members) {
+        dataCentres.insert(member.dataCentre);
+    }
+    dataCentres.erase(m_dataCentre);
+    std::vector<FeedSourceChoice> choices;
+    for (const DataCentreId &dataCentre : dataCentres) {
+        const auto order = feedOrder(members, dataCentre, wallMilliseconds);
+        if (!order.empty()) {
+            choices.push_back({order.front(), true});
+        }
+    }
+    return choices;
+}
+
 void FeedSourceSelector::onFailed(const InstanceId &source, TimePoint now)
 {
     m_backoffs[source].until = now + RetryBackoff;
--- a/Source/Feed/FeedSourceSelector.h
+++ b/Source/Feed/FeedSourceSelector.h
@@ -61,6 +61,10 @@
     std::vector<FeedSourceChoice> searchOrder(const std::map<InstanceId, MemberRegistered> &members,
                                               const std::vector<MemberRegistered> &candidates,
                                               std::int64_t wallMilliseconds) const;
+    /// The first member in the feed order of each other data centre.
+    std::vector<FeedSourceChoice>
+    firstOfOthers(const std::map<InstanceId, MemberRegistered> &members,
+                  std::int64_t wallMilliseconds) const;
 
     InstanceId m_self;
     DataCentreId m_dataCentre;
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -17,6 +17,8 @@
     Own, ///< The daemons' own records: those that they exchange or need after a restart.
 };
 constexpr int TopicCount = 4;
+constexpr Topic AllTopics[TopicCount] = {Topic::Operator, Topic::Backends, Topic::Status,
+                                         Topic::Own};
 
 const char *topicName(Topic topic);
 
