A call that fails after the switch to a feed is no outage

Before: fleetFollower::a_call_that_fails_after_the_switch_to_a_feed_is_no_outage failed. After: it passes. The code is older than this change, but a daemon now switches to a feed more often while a call fails.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -334,7 +334,9 @@
         }
         return true;
     }
-    if (!cursor.lost) {
+    // A call that was in flight when this daemon switched to a feed says nothing about the time
+    // since.
+    if (!cursor.lost && !m_followingFeed) {
         cursor.lost = true;
         cursor.lostAt = now;
         m_observer.onStoreLost(topic, outcome.fault, outcome.detail, now);
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -390,3 +390,17 @@
     test.runFor(300ms);
     cr_expect(test.store.calls[Topic::Operator].at(0).wait == Duration::zero());
 }
+
+Test(fleetFollower, a_call_that_fails_after_the_switch_to_a_feed_is_no_outage)
+{
+    Fixture test;
+    test.startAndList(Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5));
+    test.runFor(600ms);
+    test.follower.setFollowingFeed(true);
+    test.store.fail(Topic::Backends, StoreFault::Unreachable, test.clock.time);
+    test.runFor(5s);
+    test.follower.setFollowingFeed(false);
+    test.runFor(20ms);
+    test.store.answer(Topic::Backends, Fixture::page({{Offset(5), "one", ""}}, 6), test.clock.time);
+    cr_expect_null(test.view.backend(InstanceId("one")));
+}
