A source passes on what it had from a substitute; gaps in a feed are filled

Change: a daemon that does not follow a feed passes on each page that brought it news; a follower that sees a gap lists the topic from the store.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -284,19 +284,29 @@
         return; // The sender has not read the new era yet.
     }
     m_era = era;
+    Cursor &cursor = m_cursors[topic];
+    const Offset before = cursor.next;
+    bool gap = false;
     if (listing) {
-        m_cursors[topic].era = m_era;
+        cursor.era = m_era;
         applyListing(topic, page, now);
     } else {
-        applyRecords(topic, page, now);
+        gap = !applyRecords(topic, page, now);
+    }
+    if (m_followingFeed && gap) {
+        relist(topic);
+    }
+    if (!m_followingFeed && cursor.next > before) {
+        // The followers of this daemon get the news, too: its own reads begin after them.
+        m_observer.onPageRead(topic, page, listing, now);
     }
 }
 
-void FleetFollower::applyRecords(Topic topic, const RecordPage &page, TimePoint now)
+bool FleetFollower::applyRecords(Topic topic, const RecordPage &page, TimePoint now)
 {
     Cursor &cursor = m_cursors[topic];
     if (!page.records.empty() && page.records.front().offset > cursor.next) {
-        return; // Records in between are missing; the next read from the store returns them.
+        return false; // Records in between are missing.
     }
     cursor.end = page.end;
     m_mirror.apply(topic, page);
@@ -306,6 +316,7 @@
             cursor.next = raw.offset.next();
         }
     }
+    return true;
 }
 
 void FleetFollower::applyRecord(Topic topic, const RawRecord &raw, TimePoint now)
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -28,8 +28,8 @@
     virtual void onStoreRegained(Topic topic, Duration lostFor, TimePoint now) = 0;
     /// The store came back from an older copy.
     virtual void onStoreEra(StoreEra previous, StoreEra era, TimePoint now) = 0;
-    /// Records were read from the store, not from a feed. With \p listing, \p page is a full
-    /// listing of the topic; otherwise it holds only new records.
+    /// Records were read from the store, or received from a feed that is not followed. With
+    /// \p listing, \p page is a full listing of the topic; otherwise it holds only new records.
     virtual void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) = 0;
 };
 
@@ -64,7 +64,9 @@
     /// so, this daemon retries less often while the store is unavailable.
     void setBackupReader(bool backupReader) { m_backupReader = backupReader; }
     /// Applies a page that another daemon read. Ignores outdated listings, and pages that start
-    /// after nextOffset(), because records in between would be missing.
+    /// after nextOffset(), because records in between would be missing: the next read returns
+    /// them, or a listing if this daemon follows the feed. Unless it does, a page with news is
+    /// passed on to the observer like one that was read, for the followers of this daemon.
     void applyFeedPage(Topic topic, const RecordPage &page, bool listing, TimePoint now);
     /// Requests a listing of a topic. It starts without delay; if a call is in flight, it starts at
     /// the next regular read instead. A listing already in progress satisfies the request.
@@ -123,7 +125,8 @@
     /// Whether a listed record may be older than what the view holds, so that it is not applied.
     bool mayBeOlder(Topic topic, const RawRecord &raw, TimePoint now) const;
     bool applyListing(Topic topic, const RecordPage &listing, TimePoint now);
-    void applyRecords(Topic topic, const RecordPage &page, TimePoint now);
+    /// Returns false if records before the page are missing, so that it was not applied.
+    bool applyRecords(Topic topic, const RecordPage &page, TimePoint now);
     void applyRecord(Topic topic, const RawRecord &raw, TimePoint now);
     void retainListed(Topic topic, const RecordPage &listing, TimePoint now);
     bool isNeeded(Topic topic) const;
--- a/Tests/Feed/testFeedSubstitute.cpp
+++ b/Tests/Feed/testFeedSubstitute.cpp
@@ -21,6 +21,7 @@
         std::unique_ptr<FeedServer> server;
         std::unique_ptr<FeedClient> client;
         bool served = true; ///< The store answers its calls.
+        bool silent = false; ///< The store neither answers nor refuses them.
         int sourcesFollowed = 0;
     };
 
@@ -68,7 +69,7 @@
     {
         for (const auto &daemon : daemons) {
             for (const Topic topic : {Topic::Operator, Topic::Backends, Topic::Own}) {
-                if (!daemon->state->store.calls[topic].empty()) {
+                if (!daemon->silent && !daemon->state->store.calls[topic].empty()) {
                     answer(*daemon, topic, now);
                 }
             }
@@ -156,3 +157,19 @@
     dataCentre.runFor(20s);
     cr_expect_leq(dataCentre.daemons[2]->sourcesFollowed - before, 3);
 }
+
+Test(feed, followers_get_the_news_that_their_source_had_from_a_neighbour, .timeout = 20)
+{
+    DataCentre dataCentre(3);
+    dataCentre.daemons[0]->served = false;
+    dataCentre.runFor(3s);
+    // The last daemon reads the store for itself, and a read takes long.
+    dataCentre.daemons[2]->silent = true;
+    dataCentre.published = true;
+    dataCentre.runFor(1s);
+    cr_expect_eq(dataCentre.version(0), 2);
+    dataCentre.daemons[0]->served = true;
+    dataCentre.runFor(ConfigBound);
+    cr_expect(dataCentre.daemons[2]->state->follower.followingFeed());
+    cr_expect_eq(dataCentre.version(2), 2);
+}
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -404,3 +404,27 @@
     test.store.answer(Topic::Backends, Fixture::page({{Offset(5), "one", ""}}, 6), test.clock.time);
     cr_expect_null(test.view.backend(InstanceId("one")));
 }
+
+Test(fleetFollower, a_gap_in_the_feed_that_is_followed_is_filled_from_the_store)
+{
+    Fixture test;
+    test.startAndList(Fixture::page({}, 5));
+    test.follower.setFollowingFeed(true);
+    test.follower.applyFeedPage(Topic::Backends,
+                                Fixture::page({Fixture::backendRecord(8, "late", 1)}, 9), false,
+                                test.clock.time);
+    test.runFor(20ms);
+    cr_assert_eq(test.store.calls[Topic::Backends].size(), 1);
+    cr_expect(test.store.calls[Topic::Backends][0].listing);
+}
+
+Test(fleetFollower, a_page_without_news_is_not_passed_on)
+{
+    Fixture test;
+    test.startAndList(Fixture::page({}, 5));
+    const RecordPage page = Fixture::page({Fixture::backendRecord(5, "one", 1)}, 6);
+    const int before = test.observer.pages;
+    test.follower.applyFeedPage(Topic::Backends, page, false, test.clock.time);
+    test.follower.applyFeedPage(Topic::Backends, page, false, test.clock.time);
+    cr_expect_eq(test.observer.pages, before + 1);
+}
