A page that ends early but is not full is not a backlog

Cause: a reader took each page that ends before the topic for a backlog: it read on without pause, listed the operator's records each time and counted as stale. A store with stale reads states the true end and has no more to offer. Change: only a page at its size limit is a backlog. The tests of the backlog use full pages now and check the same; a_store_with_stale_reads_is_not_read_ without_pause is new.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -259,13 +259,14 @@
     RecordPage &page = *outcome.value;
     page.era = m_era;
     applyRecords(topic, page, now);
-    if (cursor.next >= page.end) {
+    // A page that is not full but ends early is all that a store with stale reads has.
+    const bool moreToRead = cursor.next < page.end && page.full();
+    if (!moreToRead) {
         cursor.readAt = now;
     }
     if (!page.records.empty()) {
         m_observer.onPageRead(topic, page, false, now);
     }
-    const bool moreToRead = !page.records.empty() && cursor.next < page.end;
     // A listing has only the newest configuration, while further pages have all that it supersedes.
     cursor.listing = cursor.listing || (moreToRead && topic == Topic::Operator);
     schedule(topic, moreToRead ? Duration::zero() : pollInterval(topic));
--- a/Source/Fleet/FleetStore.cpp
+++ b/Source/Fleet/FleetStore.cpp
@@ -34,4 +34,14 @@
     return "own";
 }
 
+bool RecordPage::full() const
+{
+    std::size_t bytes = 0;
+    for (const RawRecord &record : records) {
+        bytes += record.key.size() + record.value.size();
+    }
+    // The next record, of half the limit at most, did not fit.
+    return bytes >= MaxPageBytes / 2;
+}
+
 } // namespace lycheearch
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -36,6 +36,10 @@
 /// Era of pages from daemons of a version that doesn't know eras.
 constexpr StoreEra UnknownEra{-1};
 
+/// Size limit of the records of one read, so that a page arrives within the timeout of a call over
+/// a slow link: twice the largest record.
+constexpr std::size_t MaxPageBytes = 512UL * 1024;
+
 /// Records read from a topic.
 struct RecordPage
 {
@@ -44,6 +48,9 @@
     std::string lastKey; ///< Key of the last record; the afterKey of the next listing page.
     bool hasMore = false; ///< Further pages of the listing follow.
     StoreEra era; ///< Era in which the offsets hold.
+
+    /// Whether the page ends at its size limit and not at the end of what the store had to offer.
+    bool full() const;
 };
 
 /// The outcome of a call: a value, or a fault with details.
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -82,6 +82,13 @@
                     + std::to_string(sequence) + "}"};
     }
 
+    /// A page that ends at its size limit.
+    static RecordPage fullPage(std::vector<RawRecord> records, std::int64_t end)
+    {
+        records.back().value.insert(records.back().value.size() - 1, MaxPageBytes, ' ');
+        return page(std::move(records), end);
+    }
+
     static RecordPage page(std::vector<RawRecord> records, std::int64_t end)
     {
         RecordPage result;
@@ -338,7 +345,7 @@
     Fixture test;
     test.startAndList({});
     test.runFor(20ms);
-    test.store.answer(Topic::Operator, Fixture::page({Fixture::configRecord(1, 2)}, 8),
+    test.store.answer(Topic::Operator, Fixture::fullPage({Fixture::configRecord(1, 2)}, 8),
                       test.clock.time);
     test.runFor(20ms);
     cr_assert_eq(test.store.calls[Topic::Operator].size(), 1);
@@ -355,25 +362,50 @@
 {
     Fixture test;
     test.startAndList({});
+    std::int64_t read = 0;
     for (const TimePoint end = test.clock.time + 4s; test.clock.time < end;) {
-        for (const Topic topic : {Topic::Operator, Topic::Backends}) {
-            if (!test.store.calls[topic].empty()) {
-                const std::int64_t unread = topic == Topic::Backends ? 9 : 0;
-                const Offset next = test.follower.nextOffset(topic);
-                test.store.answer(topic, Fixture::page({}, next.value() + unread), test.clock.time);
-            }
+        if (!test.store.calls[Topic::Operator].empty()) {
+            test.store.answer(Topic::Operator, {}, test.clock.time);
+        }
+        if (!test.store.calls[Topic::Backends].empty()) {
+            const RawRecord record = Fixture::backendRecord(read++, "one", 1);
+            test.store.answer(Topic::Backends, Fixture::fullPage({record}, read + 9),
+                              test.clock.time);
         }
         test.runFor(100ms);
     }
     cr_expect(test.follower.storeStaleness(test.clock.time) > Duration(2s));
 }
 
+Test(fleetFollower, a_store_with_stale_reads_is_not_read_without_pause)
+{
+    // The store's answers lag behind the end that they state, as after it dropped its history.
+    Fixture test;
+    test.startAndList({});
+    std::int64_t read = 0;
+    int calls = 0;
+    for (const TimePoint end = test.clock.time + 4s; test.clock.time < end;) {
+        if (!test.store.calls[Topic::Operator].empty()) {
+            cr_expect_not(test.store.calls[Topic::Operator][0].listing);
+            test.store.answer(Topic::Operator, {}, test.clock.time);
+        }
+        if (!test.store.calls[Topic::Backends].empty()) {
+            ++calls;
+            const RawRecord record = Fixture::backendRecord(read++, "one", 1);
+            test.store.answer(Topic::Backends, Fixture::page({record}, read + 9), test.clock.time);
+        }
+        test.runFor(10ms);
+    }
+    cr_expect(calls <= 9, "%d", calls);
+    cr_expect(test.follower.storeStaleness(test.clock.time) < Duration(500ms));
+}
+
 Test(fleetFollower, a_page_that_leaves_records_unread_is_followed_by_the_next_at_once)
 {
     Fixture test;
     test.startAndList(Fixture::page({}, 5));
     test.runFor(600ms);
-    test.store.answer(Topic::Backends, Fixture::page({Fixture::backendRecord(5, "one", 1)}, 7),
+    test.store.answer(Topic::Backends, Fixture::fullPage({Fixture::backendRecord(5, "one", 1)}, 7),
                       test.clock.time);
     test.runFor(20ms);
     cr_assert_eq(test.store.calls[Topic::Backends].size(), 1);
