--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -32,6 +32,7 @@
         return Verdict::Skip;
     }
     applyNotices(metadata, now);
+    applyRateLimit(metadata, head.status < HttpStatus::FirstRedirect && metadata.hasSeal, now);
     if (metadata.load) {
         m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
                                         metadata.load->waiting, now);
@@ -58,6 +59,33 @@
     const ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
     if (metadata.requestId.empty() || metadata.requestId == m_request.id.value()) {
         applyNotices(metadata, now);
+        applyRateLimit(metadata, false, now);
+    }
+}
+
+void RequestForwarder::applyRateLimit(const ResponseMetadata &metadata, bool canEndLimit,
+                                      TimePoint now)
+{
+    if (!metadata.unreadableRateLimit.empty()) {
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.rate_limit_unreadable")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("text", metadata.unreadableRateLimit),
+                            now);
+        return;
+    }
+    if (!metadata.rateLimit && !canEndLimit) {
+        return;
+    }
+    if (m_context.picker.onRateLimit(m_attempt.backend, metadata.rateLimit, now)) {
+        m_context.log.write(
+            LogPriority::Notable,
+            LogLine("backend.rate_limit")
+                .add("id", m_request.id.value())
+                .add("backend", m_attempt.backend.value())
+                .add("per_second", metadata.rateLimit ? std::to_string(*metadata.rateLimit) : "none"),
+            now);
     }
 }
 
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -66,6 +66,11 @@
     std::optional<ReportedLoad> load;
     std::optional<int> confidence; ///< The model's confidence in its response, 0 to 100.
     bool leaving = false; ///< The backend server is about to stop and wants no new requests.
+    /// Requests per second that the backend server takes from all daemons together, if it names a
+    /// limit; never negative.
+    std::optional<double> rateLimit;
+    /// The text of a rate limit that is not a decimal number; empty otherwise.
+    std::string unreadableRateLimit;
     /// With status 503: how long the backend server wants no requests from this daemon.
     std::optional<Duration> retryAfter;
 };
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -469,6 +469,12 @@
     m_notices.onPauseRequested({id, m_health[id].startedAt}, pause, now);
 }
 
+bool BackendPicker::onRateLimit(const InstanceId &id, std::optional<double> perSecond,
+                                TimePoint now)
+{
+    return m_notices.onRateLimit({id, m_health[id].startedAt}, perSecond, now);
+}
+
 Duration BackendPicker::shortestPause(const PickRequest &request, const FleetView &view,
                                       TimePoint now) const
 {
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -106,6 +106,9 @@
     bool onLeaving(const InstanceId &id, TimePoint now);
     /// Records that a server asked for no requests for a time.
     void onPauseRequested(const InstanceId &id, Duration pause, TimePoint now);
+    /// Records the rate limit that a server stated in a response, or that it stated none. Returns
+    /// whether the limit in force has changed.
+    bool onRateLimit(const InstanceId &id, std::optional<double> perSecond, TimePoint now);
     /// Time until the first of the servers that match the request and asked for a pause may be
     /// chosen again; zero if no matching server asked for one.
     Duration shortestPause(const PickRequest &request, const FleetView &view, TimePoint now) const;
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -9,6 +9,8 @@
 /// Notices are kept this long, also while the server is missing from the registry: its entry may
 /// come back.
 constexpr Duration NoticeLifetime = 600s;
+/// Time between two messages to the other daemons about the rate limit of one server.
+constexpr Duration RateLimitPublishPeriod = 1s;
 
 bool sameRun(std::int64_t left, std::int64_t right)
 {
@@ -52,6 +54,55 @@
     notice.pausedUntil = std::max(notice.pausedUntil, now + std::min(pause, LongestPause));
 }
 
+bool ServerNotices::onRateLimit(const ServerRun &server, std::optional<double> perSecond,
+                                TimePoint now)
+{
+    const Notice *known = find(server);
+    if (!perSecond && (known == nullptr || !known->rateLimit)) {
+        return false;
+    }
+    Notice &notice = noticeOf(server, now);
+    const bool changed = notice.rateLimit != perSecond;
+    notice.rateLimit = perSecond;
+    notice.rateLimitSaidAt = now;
+    notice.rateLimitUnpublished = true;
+    if (changed) {
+        notice.rateLimitPublishedAt = TimePoint();
+    }
+    return changed;
+}
+
+void ServerNotices::apply(const RateLimitNotice &reported, TimePoint now)
+{
+    const TimePoint saidAt = now - std::max(reported.age, Duration::zero());
+    const auto found = m_notices.find(reported.server.id);
+    const bool laterRun = found != m_notices.end() && reported.server.startedAt != 0
+        && found->second.startedAt > reported.server.startedAt;
+    if (laterRun) {
+        return;
+    }
+    Notice &notice = noticeOf(reported.server, now);
+    if (saidAt > notice.rateLimitSaidAt) {
+        notice.rateLimit = reported.perSecond;
+        notice.rateLimitSaidAt = saidAt;
+    }
+}
+
+std::vector<RateLimitNotice> ServerNotices::takeUnpublished(TimePoint now)
+{
+    std::vector<RateLimitNotice> unpublished;
+    for (auto &[id, notice] : m_notices) {
+        if (notice.rateLimitUnpublished
+            && now - notice.rateLimitPublishedAt >= RateLimitPublishPeriod) {
+            notice.rateLimitUnpublished = false;
+            notice.rateLimitPublishedAt = now;
+            unpublished.push_back(
+                {{id, notice.startedAt}, notice.rateLimit, now - notice.rateLimitSaidAt});
+        }
+    }
+    return unpublished;
+}
+
 bool ServerNotices::leaving(const ServerRun &server) const
 {
     const Notice *notice = find(server);
@@ -65,6 +116,12 @@
                              : std::max(Duration::zero(), Duration(notice->pausedUntil - now));
 }
 
+std::optional<double> ServerNotices::rateLimit(const ServerRun &server) const
+{
+    const Notice *notice = find(server);
+    return notice == nullptr ? std::nullopt : notice->rateLimit;
+}
+
 std::vector<InstanceId> ServerNotices::leavingServers() const
 {
     std::vector<InstanceId> servers;
--- a/Tests/Routing/testServerNotices.cpp
+++ b/Tests/Routing/testServerNotices.cpp
@@ -61,3 +61,51 @@
     cr_expect_not(notices.leaving(First));
     cr_expect(notices.leavingServers().empty());
 }
+
+Test(serverNotices, a_rate_limit_holds_for_one_run_until_an_answer_without_it)
+{
+    ServerNotices notices;
+    cr_expect_not(notices.onRateLimit(First, std::nullopt, Start));
+    cr_expect(notices.onRateLimit(First, 2.5, Start));
+    cr_expect_not(notices.onRateLimit(First, 2.5, Start + 1s));
+    cr_expect_eq(notices.rateLimit(First).value_or(0), 2.5);
+    cr_expect_not(notices.rateLimit(Restarted));
+    cr_expect_not(notices.rateLimit(Other));
+    cr_expect(notices.onRateLimit(First, std::nullopt, Start + 2s));
+    cr_expect_not(notices.rateLimit(First));
+}
+
+Test(serverNotices, the_newest_statement_of_a_server_wins_not_the_last_to_arrive)
+{
+    ServerNotices notices;
+    notices.onRateLimit(First, 3, Start + 10s);
+    notices.apply({First, 1, 5s}, Start + 11s);
+    cr_expect_eq(notices.rateLimit(First).value_or(0), 3);
+    notices.apply({First, 1, 200ms}, Start + 11s);
+    cr_expect_eq(notices.rateLimit(First).value_or(0), 1);
+    notices.apply({First, std::nullopt, 200ms}, Start + 12s);
+    cr_expect_not(notices.rateLimit(First));
+}
+
+Test(serverNotices, what_is_told_of_an_earlier_run_does_not_limit_the_present_one)
+{
+    ServerNotices notices;
+    notices.onRateLimit(Restarted, 7, Start);
+    notices.apply({First, 1, Duration::zero()}, Start + 1s);
+    cr_expect_eq(notices.rateLimit(Restarted).value_or(0), 7);
+}
+
+Test(serverNotices, rate_limits_that_this_daemon_was_told_are_published_once_a_second)
+{
+    ServerNotices notices;
+    notices.onRateLimit(First, 2, Start);
+    notices.apply({Other, 1, Duration::zero()}, Start);
+    const auto first = notices.takeUnpublished(Start + 100ms);
+    cr_assert_eq(first.size(), 1);
+    cr_expect(first.front() == (RateLimitNotice{First, 2, 100ms}));
+    notices.onRateLimit(First, 2, Start + 200ms);
+    cr_expect(notices.takeUnpublished(Start + 300ms).empty());
+    cr_expect_eq(notices.takeUnpublished(Start + 1200ms).size(), 1);
+    notices.onRateLimit(First, 1, Start + 1300ms);
+    cr_expect_eq(notices.takeUnpublished(Start + 1400ms).size(), 1);
+}
