--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -48,8 +48,10 @@
     m_remoteLoads[load.dataCentre] = {load.loads, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_promptCrashes.apply(load.promptEvidence, now);
+    applyRateLimits(load.rateLimits, now);
     if (!m_follower.followingFeed()) {
         m_evidenceToForward.add(load.promptEvidence);
+        addNewest(m_rateLimitsToForward, load.rateLimits);
     }
     const std::size_t size = m_entriesToForward.size() + load.promptCacheEntries.size();
     if (!m_follower.followingFeed() && size <= MaxQueuedEntriesToForward) {
@@ -58,6 +60,13 @@
     }
 }
 
+void LoadExchange::applyRateLimits(const std::vector<RateLimitNotice> &notices, TimePoint now)
+{
+    for (const RateLimitNotice &notice : notices) {
+        m_picker.rateLimiter().notices().apply(notice, now);
+    }
+}
+
 void LoadExchange::step(TimePoint now)
 {
     m_timer = m_loop.at(now + ReportPeriod, [this](TimePoint currentTime) { step(currentTime); });
@@ -70,11 +79,13 @@
     }
     m_entriesToForward.clear();
     m_evidenceToForward = PromptEvidence();
+    m_rateLimitsToForward.clear();
     FeedLoad ownLoad{DataCentreId(), m_picker.ownLoads(now),
                      m_picker.promptCacheIndex().takeUnpublished(),
-                     m_promptCrashes.takeUnpublished(now)};
+                     m_promptCrashes.takeUnpublished(now),
+                     m_picker.rateLimiter().notices().takeUnpublished(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
-        || !ownLoad.promptEvidence.empty();
+        || !ownLoad.promptEvidence.empty() || !ownLoad.rateLimits.empty();
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
     }
@@ -85,7 +96,7 @@
     const BackendLoads ownLoad = m_picker.ownLoads(now);
     BackendLoads otherLoads = m_server->followerLoads();
     FeedLoad ownDataCentre{m_ownDataCentre, otherLoads, m_server->takePromptCacheEntries(),
-                           m_server->takePromptEvidence()};
+                           m_server->takePromptEvidence(), m_server->takeRateLimits()};
     addLoads(ownDataCentre.loads, ownLoad);
     m_picker.promptCacheIndex().applyPublished(ownDataCentre.promptCacheEntries, now);
     const std::vector<PromptCacheEntry> newEntries = m_picker.promptCacheIndex().takeUnpublished();
@@ -93,6 +104,8 @@
                                             newEntries.begin(), newEntries.end());
     m_promptCrashes.apply(ownDataCentre.promptEvidence, now);
     ownDataCentre.promptEvidence.add(m_promptCrashes.takeUnpublished(now));
+    applyRateLimits(ownDataCentre.rateLimits, now);
+    addNewest(ownDataCentre.rateLimits, m_picker.rateLimiter().notices().takeUnpublished(now));
     sendToDataCentres(ownDataCentre, now);
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
@@ -100,12 +113,13 @@
         }
     }
     FeedLoad total{DataCentreId(), otherLoads, std::move(ownDataCentre.promptCacheEntries),
-                   std::move(ownDataCentre.promptEvidence)};
+                   std::move(ownDataCentre.promptEvidence), std::move(ownDataCentre.rateLimits)};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
     total.promptEvidence.add(std::exchange(m_evidenceToForward, {}));
+    addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
     m_server->broadcastLoad(total);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
 }
@@ -134,6 +148,7 @@
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
     m_promptCrashes.apply(total.promptEvidence, now);
+    applyRateLimits(total.rateLimits, now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -16,7 +16,7 @@
 /// its feed source and receives the total. A daemon that reads the store adds up the load of its
 /// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
 /// The load of a data centre that stops reporting expires. Evidence against prompts that crash
-/// servers takes the same way.
+/// servers, and the rate limits that servers named, take the same way.
 class LoadExchange
 {
 public:
@@ -38,6 +38,7 @@
     };
 
     void step(TimePoint now);
+    void applyRateLimits(const std::vector<RateLimitNotice> &notices, TimePoint now);
     void aggregateLoads(TimePoint now);
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
     void onTotalLoad(const FeedLoad &total, TimePoint now);
@@ -55,6 +56,7 @@
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
     PromptEvidence m_evidenceToForward; ///< From other data centres, to followers.
+    std::vector<RateLimitNotice> m_rateLimitsToForward; ///< From other data centres, to followers.
     std::map<DataCentreId, std::unique_ptr<LoadSender>> m_senders;
     TimerId m_timer;
 };
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -14,8 +14,6 @@
     250ms, {64UL * 1024, 16UL * 1024 * 1024}, {1s, 1s, 2, 2500ms}};
 /// Daemons of a new deployment register within this time of each other.
 constexpr Duration MemberReadDelay = 500ms;
-/// Fleet-wide limits are divided by at least this number of daemons, also if fewer are registered.
-constexpr int MinAssumedDaemons = 8;
 constexpr Duration SweepPeriod = 1s;
 /// During shutdown, idle connections stay open for this time, so that callers can receive
 /// "Connection: close" with their next response.
@@ -24,10 +22,6 @@
 /// During shutdown, the listening socket stays open for this time, so that the load balancer
 /// detects that the instance is not ready before connections are refused.
 constexpr Duration StopListeningDelay = 3500ms;
-/// Allowance for running daemons whose registration was not read yet, as a fraction of the
-/// registered ones.
-constexpr double UnknownDaemonShare = 0.25;
-
 /// Parts of the process's memory limit that buffered bodies may use.
 constexpr std::size_t RequestMemoryDivisor = 3;
 constexpr std::size_t ResponseMemoryDivisor = 4;
@@ -39,12 +33,6 @@
     return static_cast<std::size_t>(memoryMegabytes) * bytesPerMegabyte / divisor;
 }
 
-RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
-{
-    return {bounds.retryRatio, bounds.retryWindow,
-            bounds.retrySlack / (daemons * (1 + UnknownDaemonShare))};
-}
-
 } // namespace
 
 RouterDaemon::RouterDaemon(RouterSettings settings, SettingsLoader settingsLoader,
@@ -59,23 +47,15 @@
     , m_follower(m_loop, *m_store, codec, m_view, *this, followerTiming(m_settings.bounds))
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_connections(m_loop, ConnectionLimits)
-    , m_retries(retryBounds(m_settings.bounds, MinAssumedDaemons))
+    , m_retries(FleetLimits::initialRetryBounds(m_settings.bounds))
+    , m_fleetLimits(m_view, m_settings.instance, m_settings.bounds, m_picker, m_retries, m_clock)
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_context{m_loop,
-                m_view,
-                m_picker,
-                m_connections,
-                headerCodec,
-                m_retries,
-                m_rolloutCounts,
-                m_modelCascade,
-                m_promptCrashes,
-                m_shutdownPolicy,
-                m_settings.bounds,
-                m_bodyBudget,
-                m_responseBudget,
-                m_log,
+    , m_context{m_loop,           m_view,           m_picker,
+                m_connections,    headerCodec,      m_retries,
+                m_rolloutCounts,  m_modelCascade,   m_promptCrashes,
+                m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
+                m_bodyBudget,     m_responseBudget, m_log,
                 m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
@@ -174,27 +154,6 @@
     m_feedServer->broadcast(topic, page, listing);
 }
 
-void RouterDaemon::divideFleetLimits()
-{
-    const std::int64_t wallMs = wallMilliseconds(m_clock);
-    const auto daemons = static_cast<int>(
-        std::count_if(m_view.members().begin(), m_view.members().end(),
-                      [&](const auto &entry) { return memberIsCurrent(entry.second, wallMs); }));
-    const RouterBounds &bounds = m_settings.bounds;
-    m_retries.setBounds(retryBounds(bounds, std::max(daemons, MinAssumedDaemons)));
-    m_picker.setDaemons(daemons);
-    const auto table = m_view.table();
-    if (!table) {
-        return;
-    }
-    for (const auto &[name, service] : table->config().services) {
-        const double limit = service.coldRequestsPerSecond <= 0
-            ? 0
-            : service.coldRequestsPerSecond * bounds.coldRateFactor + bounds.coldRateSlack;
-        m_picker.setColdLimits(name, {limit, std::max(daemons, MinAssumedDaemons)});
-    }
-}
-
 void RouterDaemon::onSignal(int signal, TimePoint now)
 {
     if (signal == SIGHUP) {
@@ -219,7 +178,7 @@
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
         || newSettings.dataCentre != m_settings.dataCentre;
     m_settings.bounds = newSettings.bounds;
-    divideFleetLimits();
+    m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
                 now);
@@ -265,7 +224,7 @@
         return state != nullptr && !state->draining;
     });
     m_picker.prune(m_view, now);
-    divideFleetLimits();
+    m_fleetLimits.divide();
     m_loop.at(now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); });
 }
 
@@ -297,7 +256,7 @@
 void RouterDaemon::applyConfig(Offset offset, TimePoint now)
 {
     const auto table = m_view.table();
-    divideFleetLimits();
+    m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("config.applied")
                     .add("version", table->version().value())
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -6,6 +6,7 @@
 
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
+#include "Daemon/FleetLimits.h"
 #include "Daemon/LoadExchange.h"
 #include "Daemon/MemberRegistration.h"
 #include "Daemon/PromptCrashAgent.h"
@@ -62,8 +63,6 @@
     /// Schedules one early read of the member records, so that this daemon soon finds the daemons
     /// that started at about the same time and can follow one of them.
     void scheduleMemberRead(TimePoint now);
-    /// Divides the fleet-wide limits on retries and cold starts among the registered daemons.
-    void divideFleetLimits();
     void onSignal(int signal, TimePoint now);
     void reloadSettings(TimePoint now);
     void beginDrain(TimePoint now);
@@ -90,9 +89,11 @@
     BackendPicker m_picker;
     BackendHttpConnectionPool m_connections;
     WindowedRetryBudget m_retries;
+    FleetLimits m_fleetLimits;
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
     PromptCrashTable m_promptCrashes;
+    ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -184,6 +184,22 @@
     return evidence;
 }
 
+void writeRateLimit(wire::FeedRateLimit::Builder builder, const RateLimitNotice &notice)
+{
+    builder.setBackend(notice.server.id.value());
+    builder.setStartedAt(notice.server.startedAt);
+    builder.setLimited(notice.perSecond.has_value());
+    builder.setPerSecond(notice.perSecond.value_or(0));
+    builder.setAge(notice.age.count());
+}
+
+RateLimitNotice readRateLimit(wire::FeedRateLimit::Reader reader)
+{
+    return {{InstanceId(reader.getBackend().cStr()), reader.getStartedAt()},
+            reader.getLimited() ? std::optional(reader.getPerSecond()) : std::nullopt,
+            Duration(reader.getAge())};
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -209,6 +225,10 @@
     if (!message.promptEvidence.empty()) {
         writePromptEvidence(builder.initPromptEvidence(), message.promptEvidence);
     }
+    auto rateLimits = builder.initRateLimits(static_cast<unsigned>(message.rateLimits.size()));
+    for (unsigned j = 0; j < rateLimits.size(); ++j) {
+        writeRateLimit(rateLimits[j], message.rateLimits[j]);
+    }
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -230,6 +250,9 @@
             {place.getAffinity(), InstanceId(place.getBackend().cStr())});
     }
     message.promptEvidence = readPromptEvidence(reader.getPromptEvidence());
+    for (const auto entry : reader.getRateLimits()) {
+        message.rateLimits.push_back(readRateLimit(entry));
+    }
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -10,6 +10,7 @@
 #include "Routing/BackendLoads.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptEvidence.h"
+#include "Routing/ServerNotices.h"
 
 namespace lycheearch {
 
@@ -51,6 +52,7 @@
     /// Entries that are new or that must be published again before they expire.
     std::vector<PromptCacheEntry> promptCacheEntries;
     PromptEvidence promptEvidence;
+    std::vector<RateLimitNotice> rateLimits; ///< That servers named since the last message.
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -72,6 +72,7 @@
             m_loads = load.loads;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
             m_server.m_promptEvidence.add(load.promptEvidence);
+            addNewest(m_server.m_rateLimits, load.rateLimits);
         } else if (!load.dataCentre.empty()) {
             m_server.m_onLoad(load, now);
         }
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -41,6 +41,8 @@
     }
     /// Returns and clears what the followers told about prompts that crash servers.
     PromptEvidence takePromptEvidence() { return std::exchange(m_promptEvidence, {}); }
+    /// Returns and clears the rate limits that servers named to the followers.
+    std::vector<RateLimitNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
 
 private:
     class FeedConnection;
@@ -61,6 +63,7 @@
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     PromptEvidence m_promptEvidence;
+    std::vector<RateLimitNotice> m_rateLimits;
 };
 
 } // namespace lycheearch
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -77,11 +77,20 @@
   condemned @2 :List(FeedPromptPart);
 }
 
+struct FeedRateLimit {
+  backend @0 :Text;
+  startedAt @1 :Int64;         # Start of the server's run in Unix milliseconds; 0 if not known.
+  limited @2 :Bool;            # False: the server ended its limit.
+  perSecond @3 :Float64;       # Requests per second from all daemons together.
+  age @4 :Int64;               # Microseconds since the server said so.
+}
+
 struct FeedLoad {
   dataCentre @0 :Text;         # Data centre whose loads are summed; empty: one follower's or all.
   entries @1 :List(FeedLoadEntry);
   places @2 :List(FeedPromptPlace);  # Entries that are new or would soon expire at the receiver.
   promptEvidence @3 :FeedPromptEvidence;
+  rateLimits @4 :List(FeedRateLimit);  # What servers said since the last message.
 }
 
 struct FeedMessage {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(9da51a5073c2edab);
 CAPNP_DECLARE_SCHEMA(ae8ae680b7e4568f);
 CAPNP_DECLARE_SCHEMA(8ddf46c8d9fd9d06);
+CAPNP_DECLARE_SCHEMA(97eaf0f27481c089);
 CAPNP_DECLARE_SCHEMA(cdca46df75ae5cee);
 CAPNP_DECLARE_SCHEMA(a16fbdf97169f605);
 
@@ -169,6 +170,21 @@
   };
 };
 
+struct FeedRateLimit {
+  FeedRateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97eaf0f27481c089, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FeedLoad {
   FeedLoad() = delete;
 
@@ -177,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1153,6 +1169,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class FeedRateLimit::Reader {
+public:
+  typedef FeedRateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedRateLimit::Builder {
+public:
+  typedef FeedRateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedRateLimit::Pipeline {
+public:
+  typedef FeedRateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedLoad::Reader {
 public:
   typedef FeedLoad Reads;
@@ -1182,6 +1299,9 @@
   inline bool hasPromptEvidence() const;
   inline  ::lycheearch::wire::FeedPromptEvidence::Reader getPromptEvidence() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1238,6 +1358,13 @@
   inline void adoptPromptEvidence(::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence>&& value);
   inline ::capnp::Orphan< ::lycheearch::wire::FeedPromptEvidence> disownPromptEvidence();
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2363,6 +2490,96 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FeedRateLimit::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedRateLimit::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedRateLimit::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedRateLimit::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedRateLimit::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedRateLimit::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedRateLimit::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedRateLimit::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t FeedRateLimit::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedRateLimit::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedRateLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedRateLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedRateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedRateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FeedRateLimit::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedRateLimit::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedLoad::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2504,6 +2721,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoad::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Reader FeedLoad::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setRateLimits( ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>> FeedLoad::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -11,6 +11,7 @@
 #include "Routing/BackendPicker.h"
 #include "Routing/ModelCascade.h"
 #include "Routing/PromptCrashTable.h"
+#include "Routing/ReturnSchedule.h"
 #include "Routing/RolloutCounts.h"
 #include "Routing/ShutdownPolicy.h"
 #include "Routing/WindowedRetryBudget.h"
@@ -29,6 +30,7 @@
     RolloutCounts &rolloutCounts;
     ModelCascade &models;
     PromptCrashTable &promptCrashes;
+    ReturnSchedule &returnSchedule;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
     BodyBudget &bodyBudget; ///< Of requests.
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -159,13 +159,14 @@
         PickFault fault = PickFault::None;
         PickRequest requirements = pickRequest(now);
         auto pick = m_context.picker.pick(requirements, m_context.view, now, fault);
-        if (!pick && requirements.versions.mode == VersionRule::Mode::Only) {
+        if (!pick && requirements.versions.mode == VersionRule::Mode::Only
+            && fault != PickFault::AllRateLimited) {
             // No server of the required version is available; fall back to the other versions.
             requirements.versions = VersionRule();
             pick = m_context.picker.pick(requirements, m_context.view, now, fault);
         }
         if (!pick) {
-            m_retryAfter = retryAfter(requirements, now);
+            m_retryAfter = retryAfter(requirements, fault, now);
             fail(pickFaultMessage(fault), now);
             return;
         }
@@ -180,9 +181,15 @@
     }
 }
 
-Duration RequestForwarder::retryAfter(const PickRequest &requirements, TimePoint now) const
+Duration RequestForwarder::retryAfter(const PickRequest &requirements, PickFault fault,
+                                      TimePoint now) const
 {
-    const Duration pause = m_context.picker.shortestPause(requirements, m_context.view, now);
+    const RoomForecast forecast = m_context.picker.roomForecast(requirements, m_context.view, now);
+    if (fault == PickFault::AllRateLimited && forecast.limitedRate > 0) {
+        const int daemons = m_context.picker.rateLimiter().position().daemons;
+        return m_context.returnSchedule.next(m_service, forecast.limitedRate / daemons, now);
+    }
+    const Duration pause = forecast.shortestPause;
     if (pause <= Duration::zero()) {
         return DefaultRetryAfter;
     }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -79,11 +79,11 @@
     void collectBody(std::string_view bytes, TimePoint now);
     /// Applies what the backend server announced about itself in a response.
     void applyNotices(const ResponseMetadata &metadata, TimePoint now);
-    /// Applies the rate limit that the backend server stated, or that it stated none. Only a complete
-    /// head of a success can end a limit.
+    /// Applies the rate limit that the backend server stated, or that it stated none. Only a
+    /// complete head of a success can end a limit.
     void applyRateLimit(const ResponseMetadata &metadata, bool canEndLimit, TimePoint now);
     /// Time after which the caller may repeat the refused request.
-    Duration retryAfter(const PickRequest &requirements, TimePoint now) const;
+    Duration retryAfter(const PickRequest &requirements, PickFault fault, TimePoint now) const;
     void hashPrompt();
     /// Fails the request if its prompt has a part that crashes servers. Returns whether it did.
     bool refuseCrashingPrompt(TimePoint now);
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -84,7 +84,8 @@
             LogLine("backend.rate_limit")
                 .add("id", m_request.id.value())
                 .add("backend", m_attempt.backend.value())
-                .add("per_second", metadata.rateLimit ? std::to_string(*metadata.rateLimit) : "none"),
+                .add("per_second",
+                     metadata.rateLimit ? std::to_string(*metadata.rateLimit) : "none"),
             now);
     }
 }
--- a/Source/Forward/SendOutcomes.cpp
+++ b/Source/Forward/SendOutcomes.cpp
@@ -55,6 +55,8 @@
         return "the backend servers are cold and at their rate limit";
     case PickFault::AllSilent:
         return "the data centres of the backend servers do not respond";
+    case PickFault::AllRateLimited:
+        return "the backend servers are at the rate limits that they named";
     case PickFault::AllPaused:
         return "the backend servers asked for a pause";
     case PickFault::None:
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -36,13 +36,6 @@
 constexpr double InFlightRequestTokens = 60;
 /// Weight of the newest prompt in the moving average of prefill tokens.
 constexpr double MeanPrefillSmoothing = 0.05;
-/// Allowance for daemons that have joined but are not yet counted, as a share of the counted ones.
-constexpr double UnknownDaemonShare = 0.25;
-/// Length of the periodic window in which a daemon may send one request to a cold server.
-constexpr Duration ColdSendWindow = 200ms;
-/// Number of recent send times that are kept for a server.
-constexpr std::size_t MaxRecordedSends = 16;
-
 /// Load of a server, in requests per slot, up to which a new request is expected to get a slot at
 /// once.
 constexpr double UncontendedLoad = 0.8;
@@ -82,6 +75,21 @@
     return "read";
 }
 
+PickFault faultOf(SendPermission permission)
+{
+    switch (permission) {
+    case SendPermission::Paused:
+        return PickFault::AllPaused;
+    case SendPermission::Cold:
+        return PickFault::AllCold;
+    case SendPermission::RateLimited:
+        return PickFault::AllRateLimited;
+    case SendPermission::Allowed:
+        break;
+    }
+    return PickFault::None;
+}
+
 void subtractTokens(TokensByUrgency &tokens, int urgency, double amount)
 {
     double &sum = tokens.at(static_cast<std::size_t>(urgency));
@@ -91,8 +99,8 @@
 } // namespace
 
 BackendPicker::BackendPicker(const InstanceId &self, DataCentreId ownDataCentre)
-    : m_coldWindowSeed(stableHash("cold/" + self.value()))
-    , m_ownDataCentre(std::move(ownDataCentre))
+    : m_ownDataCentre(std::move(ownDataCentre))
+    , m_rateLimiter(self)
     , m_placement(self)
 {
 }
@@ -118,8 +126,8 @@
 {
     const BackendEntry &report = state.report;
     return report.service == request.service && !state.draining
-        && !m_notices.leaving({report.id, report.startedAt}) && !view.evacuated(report.dataCentre)
-        && !request.disallowedBackends.contains(report.id)
+        && !m_rateLimiter.notices().leaving({report.id, report.startedAt})
+        && !view.evacuated(report.dataCentre) && !request.disallowedBackends.contains(report.id)
         && request.versions.allows(report.version);
 }
 
@@ -160,12 +168,9 @@
             fault = PickFault::AllSilent;
             continue;
         }
-        if (m_notices.pauseLeft({id, state.report.startedAt}, now) > Duration::zero()) {
-            fault = PickFault::AllPaused;
-            continue;
-        }
-        if (!coldRateAllows(state, health, now)) {
-            fault = PickFault::AllCold;
+        const SendPermission permission = m_rateLimiter.permission(state, now);
+        if (permission != SendPermission::Allowed) {
+            fault = faultOf(permission);
             continue;
         }
         candidates.push_back({&state, &health, loadOf(health, state, now),
@@ -311,49 +316,12 @@
     return requests / std::max(1, state.report.slots);
 }
 
-bool BackendPicker::inColdSendWindow(const BackendState &state, const Health &health,
-                                     double daemonRate, TimePoint now) const
-{
-    // The windows of the daemons have random phases, so some seconds contain more windows than
-    // average. The interval is longer by this factor, so that these seconds keep the rate limit.
-    constexpr double randomPhaseReserve = 1.6;
-    const auto interval = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(randomPhaseReserve / daemonRate));
-    const Duration phase(static_cast<std::int64_t>(mixBits(m_coldWindowSeed)
-                                                   % static_cast<std::uint64_t>(interval.count())));
-    const Duration signedWindowOffset = (now - state.coldUntil + phase) % interval;
-    const Duration windowOffset =
-        signedWindowOffset < Duration::zero() ? signedWindowOffset + interval : signedWindowOffset;
-    const bool sentInWindow = !health.sends.empty() && now - health.sends.back() < interval / 2;
-    return windowOffset < ColdSendWindow && !sentInWindow;
-}
-
-bool BackendPicker::coldRateAllows(const BackendState &state, const Health &health,
-                                   TimePoint now) const
-{
-    const auto limits = m_coldLimits.find(state.report.service);
-    if (limits == m_coldLimits.end() || limits->second.perSecond <= 0 || state.coldUntil <= now) {
-        return true;
-    }
-    const double daemonRate =
-        limits->second.perSecond / (std::max(1, limits->second.daemons) * (1 + UnknownDaemonShare));
-    if (daemonRate < 1) {
-        return inColdSendWindow(state, health, daemonRate, now);
-    }
-    const auto allowed = std::min(static_cast<std::size_t>(daemonRate), MaxRecordedSends);
-    return health.sends.size() < allowed
-        || now - health.sends[health.sends.size() - allowed] >= Duration(1s);
-}
-
 void BackendPicker::onSent(const Pick &pick, const PickRequest &request, TimePoint now)
 {
     Health &health = m_health[pick.backend];
     ++health.inFlight;
     health.unanswered.at(static_cast<std::size_t>(request.urgency)) += pick.prefillTokens;
-    health.sends.push_back(now);
-    if (health.sends.size() > MaxRecordedSends) {
-        health.sends.pop_front();
-    }
+    m_rateLimiter.onSent(runOf(pick.backend), now);
     double &mean = m_meanPrefillTokens[request.service];
     mean += MeanPrefillSmoothing * (pick.prefillTokens - mean);
     if (request.prompt.affinity != 0 && request.prompt.sharedTokens != 0) {
@@ -459,36 +427,45 @@
     health.reportedAt = now;
 }
 
+ServerRun BackendPicker::runOf(const InstanceId &id)
+{
+    return {id, m_health[id].startedAt};
+}
+
 bool BackendPicker::onLeaving(const InstanceId &id, TimePoint now)
 {
-    return m_notices.onLeaving({id, m_health[id].startedAt}, now);
+    return m_rateLimiter.notices().onLeaving(runOf(id), now);
 }
 
 void BackendPicker::onPauseRequested(const InstanceId &id, Duration pause, TimePoint now)
 {
-    m_notices.onPauseRequested({id, m_health[id].startedAt}, pause, now);
+    m_rateLimiter.notices().onPauseRequested(runOf(id), pause, now);
 }
 
 bool BackendPicker::onRateLimit(const InstanceId &id, std::optional<double> perSecond,
                                 TimePoint now)
 {
-    return m_notices.onRateLimit({id, m_health[id].startedAt}, perSecond, now);
+    return m_rateLimiter.notices().onRateLimit(runOf(id), perSecond, now);
 }
 
-Duration BackendPicker::shortestPause(const PickRequest &request, const FleetView &view,
-                                      TimePoint now) const
+RoomForecast BackendPicker::roomForecast(const PickRequest &request, const FleetView &view,
+                                         TimePoint now) const
 {
-    Duration shortest = Duration::zero();
+    const ServerNotices &notices = m_rateLimiter.notices();
+    RoomForecast forecast;
     for (const auto &[id, state] : view.backends()) {
         if (!matches(state, request, view)) {
             continue;
         }
-        const Duration pause = m_notices.pauseLeft({id, state.report.startedAt}, now);
+        const ServerRun server{id, state.report.startedAt};
+        const Duration pause = notices.pauseLeft(server, now);
+        const Duration shortest = forecast.shortestPause;
         if (pause > Duration::zero() && (shortest == Duration::zero() || pause < shortest)) {
-            shortest = pause;
+            forecast.shortestPause = pause;
         }
+        forecast.limitedRate += notices.rateLimit(server).value_or(0);
     }
-    return shortest;
+    return forecast;
 }
 
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
@@ -500,7 +477,7 @@
             loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
         }
     }
-    for (const InstanceId &id : m_notices.leavingServers()) {
+    for (const InstanceId &id : m_rateLimiter.notices().leavingServers()) {
         loads[id].leaving = 1;
     }
     return loads;
@@ -514,7 +491,7 @@
 
 void BackendPicker::prune(const FleetView &view, TimePoint now)
 {
-    m_notices.prune(now);
+    m_rateLimiter.prune(view, now);
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,10 +11,10 @@
 #include "Base/Time.h"
 #include "Fleet/FleetView.h"
 #include "Routing/BackendLoads.h"
+#include "Routing/BackendRateLimiter.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptPlacement.h"
 #include "Routing/RolloutRule.h"
-#include "Routing/ServerNotices.h"
 
 namespace lycheearch {
 
@@ -43,13 +42,6 @@
     std::set<InstanceId> disallowedBackends; ///< Must not be chosen, such as those already tried.
 };
 
-/// Rate limit for backend servers in cold start.
-struct ColdLimits
-{
-    double perSecond = 0; ///< Requests per second and server, of all daemons together; 0: no limit.
-    int daemons = 1; ///< Daemons that share the rate.
-};
-
 /// The chosen server, with the inputs of the decision.
 struct Pick
 {
@@ -68,21 +60,30 @@
     double workTokens() const { return backlogTokens + prefillTokens; }
 };
 
+/// When the servers of a service have room again, as far as they said so.
+struct RoomForecast
+{
+    /// Until the first pause that a server asked for ends; zero if none asked for one.
+    Duration shortestPause{};
+    /// Sum of the rate limits that servers named, in requests per second of all daemons.
+    double limitedRate = 0;
+};
+
 /// Why no backend server was chosen.
 enum class PickFault {
     None,
     NoBackend,
     AllCold, ///< Servers remain, but they are cold and at their rate limit.
     AllPaused, ///< Servers remain, but they asked for a pause.
+    AllRateLimited, ///< Servers remain, but they named rate limits that are used up.
     AllSilent, ///< Servers remain, but in data centres that are excluded as unresponsive.
 };
 
 /// Chooses the backend server for each request of one daemon, and tracks the load and health of the
 /// servers. Uses PromptPlacement for engines and the least loaded server otherwise. Handles failing
 /// and unreachable servers (exclusion with exponential backoff, ignored if it would leave no
-/// server), unresponsive data centres (excluded as a whole), cold servers (a share of their rate
-/// limit for each daemon) and servers that announced in their answers that they stop or want a
-/// pause (never chosen meanwhile).
+/// server), unresponsive data centres (excluded as a whole), servers that BackendRateLimiter holds
+/// back, and servers that announced in their answers that they stop (never chosen).
 class BackendPicker
 {
 public:
@@ -109,19 +110,16 @@
     /// Records the rate limit that a server stated in a response, or that it stated none. Returns
     /// whether the limit in force has changed.
     bool onRateLimit(const InstanceId &id, std::optional<double> perSecond, TimePoint now);
-    /// Time until the first of the servers that match the request and asked for a pause may be
-    /// chosen again; zero if no matching server asked for one.
-    Duration shortestPause(const PickRequest &request, const FleetView &view, TimePoint now) const;
+    /// When servers that are held back have room for the request.
+    RoomForecast roomForecast(const PickRequest &request, const FleetView &view,
+                              TimePoint now) const;
     /// Load that this daemon puts on the servers.
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
     void setOtherDaemonsLoads(BackendLoads loads, TimePoint now);
-    void setColdLimits(const ServiceId &service, ColdLimits limits)
-    {
-        m_coldLimits[service] = limits;
-    }
     /// Sets the number of daemons that send to the same servers.
     void setDaemons(int daemons) { m_placement.setDaemons(daemons); }
+    BackendRateLimiter &rateLimiter() { return m_rateLimiter; }
     /// Index of cached prompt prefixes.
     PromptCacheIndex &promptCacheIndex() { return m_promptCacheIndex; }
     /// Drops the state of servers that are not in the view and have no request in flight.
@@ -145,7 +143,6 @@
         int samples = 0;
         bool connectionFailed = false; ///< Set by a failed connection, cleared by a valid answer.
         std::int64_t startedAt = 0;
-        std::deque<TimePoint> sends; ///< Times of the most recent sends, oldest first.
     };
 
     /// State of one data centre.
@@ -168,8 +165,8 @@
     /// Whether a server in the view may get the request, apart from its health and load.
     bool matches(const BackendState &state, const PickRequest &request,
                  const FleetView &view) const;
-    /// Servers that match the request, except cold ones at their rate limit and those of excluded
-    /// data centres. Servers that are excluded themselves are included, but marked.
+    /// Servers that match the request, except those that the rate limiter holds back and those of
+    /// excluded data centres. Servers that are excluded themselves are included, but marked.
     std::vector<Candidate> collectCandidates(const PickRequest &request, const FleetView &view,
                                              TimePoint now, PickFault &fault);
     /// Keeps the part of the candidates that a version rule allows in its present rotation.
@@ -188,22 +185,16 @@
     bool isDataCentreExcluded(const DataCentreId &dataCentre, TimePoint now) const;
     bool isExcluded(const InstanceId &id, const Health &health, TimePoint now) const;
     double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
-    /// Whether this daemon may send to a cold server now. Used if \p daemonRate, each daemon's
-    /// share of the rate limit, is below one request per second: daemons then send in periodic
-    /// windows of different phases.
-    bool inColdSendWindow(const BackendState &state, const Health &health, double daemonRate,
-                          TimePoint now) const;
-    bool coldRateAllows(const BackendState &state, const Health &health, TimePoint now) const;
+    /// The present run of a server, as far as the view knows it.
+    ServerRun runOf(const InstanceId &id);
     void exclude(Health &health, TimePoint now);
     void recordSilentServer(const InstanceId &id, TimePoint now);
 
-    std::uint64_t m_coldWindowSeed; ///< Seed of the phase of this daemon's send windows.
     DataCentreId m_ownDataCentre;
     std::map<InstanceId, Health> m_health;
-    ServerNotices m_notices;
+    BackendRateLimiter m_rateLimiter;
     std::map<InstanceId, DataCentreId> m_dataCentreOf;
     std::map<DataCentreId, DataCentreHealth> m_dataCentreHealth;
-    std::map<ServiceId, ColdLimits> m_coldLimits;
     BackendLoads m_otherDaemonsLoads;
     TimePoint m_otherDaemonsLoadsAt;
     std::map<ServiceId, double> m_meanPrefillTokens;
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+void addNewest(std::vector<RateLimitNotice> &sum, const std::vector<RateLimitNotice> &notices)
+{
+    for (const RateLimitNotice &notice : notices) {
+        const auto known = std::find_if(sum.begin(), sum.end(), [&](const RateLimitNotice &other) {
+            return other.server.id == notice.server.id;
+        });
+        if (known == sum.end()) {
+            sum.push_back(notice);
+        } else if (notice.age < known->age) {
+            *known = notice;
+        }
+    }
+}
+
 ServerNotices::Notice &ServerNotices::noticeOf(const ServerRun &server, TimePoint now)
 {
     Notice &notice = m_notices[server.id];
--- a/Source/Routing/ServerNotices.h
+++ b/Source/Routing/ServerNotices.h
@@ -31,6 +31,9 @@
     bool operator==(const RateLimitNotice &) const = default;
 };
 
+/// Adds \p notices to \p sum, which has the newest notice of each server only.
+void addNewest(std::vector<RateLimitNotice> &sum, const std::vector<RateLimitNotice> &notices);
+
 /// What backend servers announced in their responses to this daemon: that they are about to stop,
 /// that they want no requests for some time, or how many requests they take from all daemons. All
 /// hold for one run of a server only.
@@ -46,13 +49,13 @@
     /// Records that the server wants no requests for \p pause.
     void onPauseRequested(const ServerRun &server, Duration pause, TimePoint now);
 
-    /// Records the rate limit that the server stated in a response to this daemon; std::nullopt if it
-    /// stated none, which ends an earlier limit. Returns whether the limit in force has changed.
+    /// Records the rate limit that the server stated in a response to this daemon; std::nullopt if
+    /// it stated none, which ends an earlier limit. Returns whether the limit in force has changed.
     bool onRateLimit(const ServerRun &server, std::optional<double> perSecond, TimePoint now);
     /// Adds what another daemon was told, unless something newer is known.
     void apply(const RateLimitNotice &notice, TimePoint now);
-    /// What this daemon was told since the last call, at most once in RateLimitPublishPeriod for each
-    /// server. The other daemons need it.
+    /// What this daemon was told since the last call, at most once in RateLimitPublishPeriod for
+    /// each server. The other daemons need it.
     std::vector<RateLimitNotice> takeUnpublished(TimePoint now);
 
     /// Whether the server is about to stop, so that it must get no new requests.
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -61,36 +61,76 @@
 
 } // namespace
 
-Test(loadExchange, evidence_against_a_prompt_reaches_the_followers_of_another_data_centre,
-     .timeout = 20)
+namespace {
+
+/// Four daemons in two data centres that follow their sources.
+struct ExchangingFleet
 {
-    ManualClock clock;
-    EventLoop loop(clock);
-    std::vector<MemberRegistered> members;
-    for (const char *name : {"here-1", "here-2", "there-1", "there-2"}) {
-        const std::string dataCentre = std::string(name).substr(0, std::string(name).find('-'));
-        members.push_back({InstanceId(name),
-                           DataCentreId(dataCentre),
-                           {"127.0.0.1", freePort()},
-                           wallMilliseconds(clock)});
+    ExchangingFleet()
+        : loop(clock)
+    {
+        std::vector<MemberRegistered> members;
+        for (const char *name : {"here-1", "here-2", "there-1", "there-2"}) {
+            const std::string dataCentre = std::string(name).substr(0, std::string(name).find('-'));
+            members.push_back({InstanceId(name),
+                               DataCentreId(dataCentre),
+                               {"127.0.0.1", freePort()},
+                               wallMilliseconds(clock)});
+        }
+        for (const MemberRegistered &self : members) {
+            daemons.push_back(std::make_unique<ExchangingDaemon>(clock, loop, self, members));
+        }
+        // The first connections fail, since not all daemons have started; they are retried after 3
+        // s.
+        run(4s);
     }
-    std::vector<std::unique_ptr<ExchangingDaemon>> daemons;
-    for (const MemberRegistered &self : members) {
-        daemons.push_back(std::make_unique<ExchangingDaemon>(clock, loop, self, members));
+
+    void run(Duration time)
+    {
+        runLoopFor(clock, loop, time, [this] {
+            for (const auto &daemon : daemons) {
+                daemon->answerCalls(clock.now());
+            }
+        });
     }
-    const auto answerCalls = [&] {
-        for (const auto &daemon : daemons) {
-            daemon->answerCalls(clock.now());
-        }
-    };
-    // The first connections fail, since not all daemons have started; they are retried after 3 s.
-    runLoopFor(clock, loop, 4s, answerCalls);
+
+    ManualClock clock;
+    EventLoop loop;
+    std::vector<std::unique_ptr<ExchangingDaemon>> daemons;
+};
+
+} // namespace
+
+Test(loadExchange, evidence_against_a_prompt_reaches_the_followers_of_another_data_centre,
+     .timeout = 20)
+{
+    ExchangingFleet fleet;
     // Each daemon sees one crash or none; a fleet of four has seen three.
     for (std::uint64_t i = 0; i < 3; ++i) {
-        daemons[i]->table.recordCrash({i, i, Account, {BadPart}, Duration::zero()}, clock.now());
+        fleet.daemons[i]->table.recordCrash({i, i, Account, {BadPart}, Duration::zero()},
+                                            fleet.clock.now());
     }
-    runLoopFor(clock, loop, 2s, answerCalls);
-    for (const auto &daemon : daemons) {
-        cr_expect(daemon->refuses(clock.now()));
+    fleet.run(2s);
+    for (const auto &daemon : fleet.daemons) {
+        cr_expect(daemon->refuses(fleet.clock.now()));
+    }
+}
+
+Test(loadExchange, a_rate_limit_that_one_daemon_is_told_reaches_all_and_so_does_its_end,
+     .timeout = 20)
+{
+    const ServerRun server{InstanceId("s"), 1000};
+    ExchangingFleet fleet;
+    for (const auto &teller : fleet.daemons) {
+        teller->picker.rateLimiter().notices().onRateLimit(server, 2.5, fleet.clock.now());
+        fleet.run(1500ms);
+        for (const auto &daemon : fleet.daemons) {
+            cr_expect_eq(daemon->picker.rateLimiter().notices().rateLimit(server).value_or(0), 2.5);
+        }
+        teller->picker.rateLimiter().notices().onRateLimit(server, std::nullopt, fleet.clock.now());
+        fleet.run(1500ms);
+        for (const auto &daemon : fleet.daemons) {
+            cr_expect_not(daemon->picker.rateLimiter().notices().rateLimit(server));
+        }
     }
 }
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -37,10 +37,12 @@
     evidence.evidence = {
         {InstanceId("d"), ServiceId("s"), VersionId("v"), 2, {1, 2, 3, 4, 5}, {6, 7, 8, 9, 10}}};
     evidence.evidence[0].otherCounts.answerDelays.addWaiting(3s);
-    FeedLoad load{DataCentreId("here"),
-                  {},
-                  {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
-                  {}};
+    FeedLoad load{
+        DataCentreId("here"),
+        {},
+        {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
+        {},
+        {{{InstanceId("e1"), 1000}, 1.5, 3ms}, {{InstanceId("e2"), 0}, std::nullopt, 4ms}}};
     load.promptEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms}};
     load.promptEvidence.successes = {{{6, 7}, 8ms}};
     load.promptEvidence.condemned = {{{9, 10}, 11ms}};
@@ -63,7 +65,8 @@
         const auto &received = std::get<FeedLoad>(messages[5]);
         cr_expect(received.dataCentre == load.dataCentre && received.loads == load.loads
                   && received.promptCacheEntries == load.promptCacheEntries
-                  && received.promptEvidence == load.promptEvidence);
+                  && received.promptEvidence == load.promptEvidence
+                  && received.rateLimits == load.rateLimits);
     }
 }
 
--- a/Tests/Routing/testBackendPicker.cpp
+++ b/Tests/Routing/testBackendPicker.cpp
@@ -218,7 +218,7 @@
         std::vector<BackendPicker> pickers;
         for (int i = 0; i < daemons; ++i) {
             pickers.emplace_back(InstanceId("d" + std::to_string(i)), Here);
-            pickers.back().setColdLimits(Engines, {Bound, daemons});
+            pickers.back().rateLimiter().setColdLimits(Engines, {Bound, daemons});
         }
         std::deque<TimePoint> sends;
         std::size_t maxPerSecond = 0;
