--- a/Source/Base/Hash.cpp
+++ b/Source/Base/Hash.cpp
@@ -1,6 +1,7 @@
 #include "Base/Hash.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include <Poco/Crypto/DigestEngine.h>
 #include <Poco/HMACEngine.h>
@@ -46,6 +47,13 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
+std::string hashText(std::uint64_t hash)
+{
+    std::ostringstream text;
+    text << std::hex << hash;
+    return text.str();
+}
+
 std::string sha256Hex(const std::string &text)
 {
     Sha256 engine;
--- a/Source/Base/Hash.h
+++ b/Source/Base/Hash.h
@@ -14,6 +14,9 @@
 /// Finalizer of MurmurHash3: each bit of \p value affects all bits of the result.
 std::uint64_t mixBits(std::uint64_t value);
 
+/// \p hash in lower-case hexadecimal, for the log.
+std::string hashText(std::uint64_t hash);
+
 /// SHA-256 of \p text in lower-case hexadecimal.
 std::string sha256Hex(const std::string &text);
 
--- a/Source/Daemon/PromptCrashAgent.cpp
+++ b/Source/Daemon/PromptCrashAgent.cpp
@@ -1,7 +1,7 @@
 #include "Daemon/PromptCrashAgent.h"
 
+#include "Base/Hash.h"
 #include <algorithm>
-#include <sstream>
 
 namespace lycheearch {
 
@@ -9,13 +9,6 @@
 
 constexpr Duration StepPeriod = 500ms;
 
-std::string hexadecimal(std::uint64_t value)
-{
-    std::ostringstream text;
-    text << std::hex << value;
-    return text.str();
-}
-
 } // namespace
 
 PromptCrashAgent::PromptCrashAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
@@ -56,8 +49,8 @@
     for (const PromptCrashTable::Verdict &verdict : m_table.takeVerdicts()) {
         m_log.write(LogPriority::Notable,
                     LogLine("prompt.condemned")
-                        .add("part", hexadecimal(verdict.key.part))
-                        .add("account", hexadecimal(verdict.key.account))
+                        .add("part", hashText(verdict.key.part))
+                        .add("account", hashText(verdict.key.account))
                         .add("learned", verdict.learned ? "yes" : "no")
                         .add("servers", static_cast<std::int64_t>(verdict.servers))
                         .add("requests", static_cast<std::int64_t>(verdict.requests))
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -85,6 +85,8 @@
     /// Time after which the caller may repeat the refused request.
     Duration retryAfter(const PickRequest &requirements, PickFault fault, TimePoint now) const;
     void hashPrompt();
+    /// Hash of what makes a repetition the same request: method, path and body.
+    std::uint64_t contentHash() const;
     /// Fails the request if its prompt has a part that crashes servers. Returns whether it did.
     bool refuseCrashingPrompt(TimePoint now);
     /// Records whether an answer that had begun was served or broke off.
--- a/Source/Forward/RequestForwarderPrompt.cpp
+++ b/Source/Forward/RequestForwarderPrompt.cpp
@@ -1,5 +1,3 @@
-#include <sstream>
-
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 
@@ -15,19 +13,23 @@
     }
 }
 
+std::uint64_t RequestForwarder::contentHash() const
+{
+    const std::string line = m_request.head.method + " " + m_request.head.target;
+    return mixBits(stableHash(line) ^ mixBits(stableHash(m_body)));
+}
+
 bool RequestForwarder::refuseCrashingPrompt(TimePoint now)
 {
     const auto part = m_context.promptCrashes.refusedPart(m_accountHash, m_sharedParts, now);
     if (!part) {
         return false;
     }
-    std::ostringstream hash;
-    hash << std::hex << *part;
     m_context.log.write(LogPriority::Notable,
                         LogLine("prompt.refused")
                             .add("id", m_request.id.value())
                             .add("account", m_account.value())
-                            .add("part", hash.str()),
+                            .add("part", hashText(*part)),
                         now);
     m_context.metrics.count("lycheearch_prompts_refused_total");
     m_retryAfter = PromptCrashTable::CondemnedLifetime;
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -1,3 +1,4 @@
+#include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/SendOutcomes.h"
 #include "Net/HttpStatus.h"
@@ -204,6 +205,8 @@
                             .add("backend", m_attempt.backend.value())
                             .add("sent", delivery == Delivery::NotSent ? "no" : "maybe")
                             .add("fresh", m_attempt.newConnection ? "yes" : "no")
+                            .add("account", m_account.value())
+                            .add("content", hashText(contentHash()))
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
                         now);
