Refuse a request that crashes the servers that run it, at every daemon

What callers saw: one request came again and again, each arrival ended up to three servers, and with them all requests that ran there; a tenth of two kinds of requests was not served, for as long as it came.

Cause: evidence against requests was taken from the parts of a prompt and after the head of an answer only. A request without parts, or one under which the server ends before any answer, was retried like one whose connection failed, and each of its arrivals began anew.

Change: a whole request (method, path, prompt, body; of an account) is one more suspect in PromptCrashTable, the narrowest: three servers in two arrivals without a success condemn it for its account. Connections lost before any answer count for it, not for the parts of its prompt. Suspects that tie are condemned together, since the cause is among them. While servers have ended under it anywhere, an attempt costs one server instead of two. An account with many crashes pushes out its own evidence only. The memory of successes of suspects is bounded (it grew for a minute).

--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -144,6 +144,7 @@
         crashes[i].setServer(crash.server);
         crashes[i].setAccount(crash.account);
         crashes[i].setAge(crash.age.count());
+        crashes[i].setContent(crash.content);
         auto parts = crashes[i].initParts(static_cast<unsigned>(crash.parts.size()));
         for (unsigned j = 0; j < parts.size(); ++j) {
             parts.set(j, crash.parts[j]);
@@ -163,11 +164,8 @@
 {
     PromptEvidence evidence;
     for (const auto entry : reader.getCrashes()) {
-        PromptCrash crash{entry.getRequest(),
-                          entry.getServer(),
-                          entry.getAccount(),
-                          {},
-                          Duration(entry.getAge())};
+        PromptCrash crash{entry.getRequest(),       entry.getServer(), entry.getAccount(), {},
+                          Duration(entry.getAge()), entry.getContent()};
         for (const std::uint64_t part : entry.getParts()) {
             crash.parts.push_back(part);
         }
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -62,7 +62,8 @@
   server @1 :UInt64;
   account @2 :UInt64;
   parts @3 :List(UInt64);
-  age @4 :Int64;               # Microseconds since the answer broke off.
+  age @4 :Int64;               # Microseconds since the connection was lost.
+  content @5 :UInt64;          # 0 from daemons that don't know it.
 }
 
 struct FeedPromptPart {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -133,7 +133,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9da51a5073c2edab, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9da51a5073c2edab, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -908,6 +908,8 @@
 
   inline  ::int64_t getAge() const;
 
+  inline  ::uint64_t getContent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -956,6 +958,9 @@
   inline  ::int64_t getAge();
   inline void setAge( ::int64_t value);
 
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2346,6 +2351,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FeedPromptCrash::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedPromptCrash::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FeedPromptCrash::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FeedPromptPart::Reader::getAccount() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -23,9 +23,9 @@
 /// A request is retried only if more than this is left until its deadline; in less time a retry is
 /// of no use.
 constexpr Duration MinTimeForRetry = 30ms;
-/// A request is not retried after so many servers ended soon after they had begun to answer it: it
-/// may be the cause, and each retry may end all requests on one more server.
-constexpr int MaxServersEnded = 2;
+/// A request is not retried after so many servers ended under it, at any daemon: it may be the
+/// cause, and each retry may end all requests on one more server.
+constexpr std::size_t MaxServersEnded = 2;
 
 std::string formatSeconds(Duration duration)
 {
@@ -101,7 +101,7 @@
             m_sharedTokens += m_request.prompt[i].tokens;
         }
     }
-    hashPrompt();
+    hashContent();
     setModel(m_context.models.first(*m_route));
     const Duration timeLimit =
         std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
@@ -152,7 +152,7 @@
 
 void RequestForwarder::dispatch(TimePoint now)
 {
-    if (refuseCrashingPrompt(now)) {
+    if (refuseCrashingRequest(now)) {
         return;
     }
     while (!m_finished) {
@@ -317,7 +317,8 @@
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const bool safe = m_route->retryable() || !m_mayHaveRun;
-    return safe && m_attemptCount < m_route->maxAttempts && m_serversEnded < MaxServersEnded
+    const std::size_t ended = m_context.promptCrashes.serversEndedUnder(m_accountHash, m_content);
+    return safe && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
         && m_deadline - now > MinTimeForRetry;
 }
 
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -84,13 +84,16 @@
     void applyRateLimit(const ResponseMetadata &metadata, bool canEndLimit, TimePoint now);
     /// Time after which the caller may repeat the refused request.
     Duration retryAfter(const PickRequest &requirements, PickFault fault, TimePoint now) const;
-    void hashPrompt();
-    /// Hash of what makes a repetition the same request: method, path and body.
-    std::uint64_t contentHash() const;
-    /// Fails the request if its prompt has a part that crashes servers. Returns whether it did.
-    bool refuseCrashingPrompt(TimePoint now);
-    /// Records whether an answer that had begun was served or broke off.
-    void recordAnswerEnd(bool brokenOff, TimePoint now);
+    /// Hashes what may crash servers: the parts of the prompt and the whole request.
+    void hashContent();
+    /// Fails the request if it or a part of its prompt crashes servers. Returns whether it did.
+    bool refuseCrashingRequest(TimePoint now);
+    void logCrashingRefused(const char *event, const char *field, std::uint64_t hash,
+                            TimePoint now);
+    /// Records a request that was served, or whose answer broke off too late to be a crash.
+    void recordServed(TimePoint now);
+    /// Records that the server may have ended because of the request: the connection was lost.
+    void recordConnectionLost(TimePoint now);
     /// Logs an answer that broke off after its head, with the parts of the prompt.
     void logBrokenOff(TimePoint now);
     std::optional<Duration> latencySample(TimePoint now) const;
@@ -141,6 +144,8 @@
     bool m_runsModels = false;
     std::uint64_t m_accountHash = 0;
     std::vector<std::uint64_t> m_sharedParts; ///< Hashes of the prompt's parts but the last.
+    /// Hash of what stays the same when the request comes again: method, path, prompt and body.
+    std::uint64_t m_content = 0;
 
     TimePoint m_receivedAt;
     TimePoint m_deadline;
@@ -151,7 +156,6 @@
     std::set<InstanceId> m_unreachableBackends;
     int m_attemptCount = 0; ///< Attempts that may have reached a backend server.
     int m_connectFailures = 0;
-    int m_serversEnded = 0; ///< Attempts whose server ended soon after the answer had begun.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     bool m_mayHaveRun = false;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderPrompt.cpp
+++ b/Source/Forward/RequestForwarderPrompt.cpp
@@ -1,58 +1,74 @@
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 
-// The part of RequestForwarder that deals with prompts that crash servers.
+// The part of RequestForwarder that deals with requests and prompts that crash servers.
 
 namespace lycheearch {
 
-void RequestForwarder::hashPrompt()
+void RequestForwarder::hashContent()
 {
     m_accountHash = stableHash(m_account.value());
     for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
         m_sharedParts.push_back(stableHash(m_request.prompt[i].id));
     }
+    std::string line = m_request.head.method + " " + m_request.head.target;
+    for (const PromptPart &part : m_request.prompt) {
+        line += " " + part.id;
+    }
+    m_content = mixBits(stableHash(line) ^ mixBits(stableHash(m_body)));
 }
 
-std::uint64_t RequestForwarder::contentHash() const
+bool RequestForwarder::refuseCrashingRequest(TimePoint now)
 {
-    const std::string line = m_request.head.method + " " + m_request.head.target;
-    return mixBits(stableHash(line) ^ mixBits(stableHash(m_body)));
+    PromptCrashTable &table = m_context.promptCrashes;
+    if (const auto part = table.refusedPart(m_accountHash, m_sharedParts, now)) {
+        logCrashingRefused("prompt.refused", "part", *part, now);
+        m_context.metrics.count("lycheearch_prompts_refused_total");
+        m_retryAfter = PromptCrashTable::CondemnedLifetime;
+        fail("a part of the prompt crashes backend servers", now);
+        return true;
+    }
+    if (table.refusesRequest(m_accountHash, m_content, now)) {
+        logCrashingRefused("request.refused", "content", m_content, now);
+        m_context.metrics.count("lycheearch_crashing_requests_refused_total");
+        m_retryAfter = PromptCrashTable::CondemnedLifetime;
+        fail("the request crashes backend servers", now);
+        return true;
+    }
+    return false;
 }
 
-bool RequestForwarder::refuseCrashingPrompt(TimePoint now)
+void RequestForwarder::logCrashingRefused(const char *event, const char *field, std::uint64_t hash,
+                                          TimePoint now)
 {
-    const auto part = m_context.promptCrashes.refusedPart(m_accountHash, m_sharedParts, now);
-    if (!part) {
-        return false;
-    }
     m_context.log.write(LogPriority::Notable,
-                        LogLine("prompt.refused")
+                        LogLine(event)
                             .add("id", m_request.id.value())
                             .add("account", m_account.value())
-                            .add("part", hashText(*part)),
+                            .add(field, hashText(hash)),
                         now);
-    m_context.metrics.count("lycheearch_prompts_refused_total");
-    m_retryAfter = PromptCrashTable::CondemnedLifetime;
-    fail("a part of the prompt crashes backend servers", now);
-    return true;
 }
 
-void RequestForwarder::recordAnswerEnd(bool brokenOff, TimePoint now)
+void RequestForwarder::recordServed(TimePoint now)
 {
-    if (!m_attempt.headReceived || m_sharedParts.empty()) {
-        return;
-    }
-    if (brokenOff) {
+    m_context.promptCrashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+    m_context.promptCrashes.withdrawCrashes(stableHash(m_request.id.value()));
+}
+
+void RequestForwarder::recordConnectionLost(TimePoint now)
+{
+    if (m_attempt.headReceived && !m_sharedParts.empty()) {
         logBrokenOff(now);
     }
-    if (brokenOff && now - m_attempt.headAt < PromptCrashTable::CrashWindow) {
-        ++m_serversEnded;
-        m_context.promptCrashes.recordCrash({stableHash(m_request.id.value()), m_attempt.server,
-                                             m_accountHash, m_sharedParts, Duration::zero()},
-                                            now);
-    } else {
-        m_context.promptCrashes.recordSuccess(m_accountHash, m_sharedParts, now);
+    if (m_attempt.headReceived && now - m_attempt.headAt >= PromptCrashTable::CrashWindow) {
+        m_context.promptCrashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+        return;
     }
+    // Without a head, the request may have waited for a slot: that says nothing of its parts.
+    const auto parts = m_attempt.headReceived ? m_sharedParts : std::vector<std::uint64_t>();
+    m_context.promptCrashes.recordCrash({stableHash(m_request.id.value()), m_attempt.server,
+                                         m_accountHash, parts, Duration::zero(), m_content},
+                                        now);
 }
 
 void RequestForwarder::logBrokenOff(TimePoint now)
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -176,7 +176,7 @@
             m_attempt.metadata.hasSeal && m_attempt.head.fields.find("Content-Encoding") == nullptr;
         endAttempt(complete ? SendOutcome::Served : SendOutcome::Broken, complete, now);
         if (complete) {
-            recordAnswerEnd(false, now);
+            recordServed(now);
             sendBackendResponse(now);
         } else {
             retryOrFail("the response has no seal or has a content encoding", now);
@@ -206,7 +206,7 @@
                             .add("sent", delivery == Delivery::NotSent ? "no" : "maybe")
                             .add("fresh", m_attempt.newConnection ? "yes" : "no")
                             .add("account", m_account.value())
-                            .add("content", hashText(contentHash()))
+                            .add("content", hashText(m_content))
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
                         now);
@@ -223,8 +223,8 @@
         return;
     }
     m_mayHaveRun = true;
-    if (m_attempt.headReceived && !silent) {
-        recordAnswerEnd(true, now);
+    if (!silent) {
+        recordConnectionLost(now);
     }
     // A healthy server may have closed a reused idle connection.
     const bool reset = !m_attempt.headReceived && m_attempt.newConnection;
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -64,12 +64,12 @@
 void RequestForwarder::handleStreamEnd(TimePoint now)
 {
     if (!m_attempt.splitter.atBoundary() || !m_streamBegun) {
-        recordAnswerEnd(true, now);
+        recordConnectionLost(now);
         endAttempt(SendOutcome::Broken, false, now);
         retryOrFail("the event stream ended early", now);
         return;
     }
-    recordAnswerEnd(false, now);
+    recordServed(now);
     endAttempt(SendOutcome::Served, true, now);
     finish(m_attempt.head.status, "served", now);
     m_writer.endStream(now);
--- a/Source/Routing/PromptCrashTable.cpp
+++ b/Source/Routing/PromptCrashTable.cpp
@@ -13,11 +13,15 @@
 constexpr std::size_t MaxCrashes = 512;
 /// Own successes remembered in each of two generations.
 constexpr std::size_t MaxOwnSuccesses = 8192;
-/// Condemned parts of all accounts; while as many are condemned, no others are.
-constexpr std::size_t MaxCondemnedParts = 256;
+/// Successes of suspects, above which those are forgotten that are no suspects any more.
+constexpr std::size_t MaxSuspectSuccesses = 4096;
+/// Condemned parts and requests of all accounts.
+constexpr std::size_t MaxCondemned = 256;
 
 /// Distinct servers that must have ended, under as many distinct requests.
 constexpr std::size_t MinCrashes = 3;
+/// Distinct requests with the same content, under which as many servers must have ended.
+constexpr std::size_t MinArrivals = 2;
 /// The same since the last success, for a part that was served within the memory of the daemons.
 constexpr std::size_t MinCrashesOfServedPart = 6;
 /// Time without a success after which a part that was served can be condemned.
@@ -32,8 +36,12 @@
 constexpr std::size_t AccountsForAll = 2;
 
 constexpr Duration EvaluationPeriod = 100ms;
+/// Bounds the work of one evaluation while a caller crashes servers in many ways.
+constexpr int MaxVerdictsPerEvaluation = 8;
 constexpr Duration CrashPublishPeriod = 1s;
 constexpr Duration CrashPublishLifetime = 10s;
+/// The same for connections lost before any answer: a server that ends loses many of them.
+constexpr Duration LostPublishLifetime = 1500ms;
 constexpr Duration SuccessPublishPeriod = 1s;
 constexpr Duration CondemnedPublishPeriod = 2s;
 
@@ -62,19 +70,25 @@
     for (const std::uint64_t part : crash.report.parts) {
         noteOwnSuccess({crash.report.account, part});
     }
+    if (crash.report.content != 0) {
+        noteOwnSuccess({crash.report.account, crash.report.content});
+    }
+    ++m_crashCounts[crash.report.account];
     m_crashes.push_back(std::move(crash));
     forgetOld(now);
 }
 
 void PromptCrashTable::forgetOld(TimePoint now)
 {
-    while (
-        !m_crashes.empty()
-        && (m_crashes.size() > MaxCrashes || now - m_crashes.front().receivedAt > CrashLifetime)) {
-        m_crashes.pop_front();
+    while (!m_crashes.empty() && now - m_crashes.front().receivedAt > CrashLifetime) {
+        eraseCrash(m_crashes.begin());
+    }
+    while (m_crashes.size() > MaxCrashes) {
+        dropOldestCrash();
+    }
+    if (m_successes.size() > MaxSuspectSuccesses) {
+        std::erase_if(m_successes, [&](const auto &entry) { return !isSuspect(entry.first); });
     }
-    std::erase_if(m_successes,
-                  [&](const auto &entry) { return now - entry.second.at > CrashLifetime; });
     for (auto &[part, accounts] : m_condemned) {
         std::erase_if(accounts,
                       [&](const auto &entry) { return now - entry.second > CondemnedLifetime; });
@@ -82,6 +96,59 @@
     std::erase_if(m_condemned, [](const auto &entry) { return entry.second.empty(); });
 }
 
+void PromptCrashTable::dropOldestCrash()
+{
+    const auto most = std::max_element(
+        m_crashCounts.begin(), m_crashCounts.end(),
+        [](const auto &left, const auto &right) { return left.second < right.second; });
+    eraseCrash(std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
+        return crash.report.account == most->first;
+    }));
+}
+
+std::deque<PromptCrashTable::Crash>::iterator
+PromptCrashTable::eraseCrash(std::deque<Crash>::iterator crash)
+{
+    const auto count = m_crashCounts.find(crash->report.account);
+    if (--count->second == 0) {
+        m_crashCounts.erase(count);
+    }
+    return m_crashes.erase(crash);
+}
+
+void PromptCrashTable::withdrawCrashes(std::uint64_t request)
+{
+    for (auto crash = m_crashes.begin(); crash != m_crashes.end();) {
+        const PromptCrash &report = crash->report;
+        const bool withdrawn = crash->own && report.parts.empty() && report.request == request;
+        crash = withdrawn ? eraseCrash(crash) : std::next(crash);
+    }
+}
+
+bool PromptCrashTable::isSuspect(const PromptPartKey &key) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
+        const PromptCrash &report = crash.report;
+        return report.account == key.account
+            && (report.content == key.part
+                || std::find(report.parts.begin(), report.parts.end(), key.part)
+                    != report.parts.end());
+    });
+}
+
+std::size_t PromptCrashTable::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
+{
+    const std::optional<TimePoint> success = lastSuccess({account, content});
+    std::set<std::uint64_t> servers;
+    for (const Crash &crash : m_crashes) {
+        const bool same = crash.report.account == account && crash.report.content == content;
+        if (same && (!success || *success < crash.at)) {
+            servers.insert(crash.report.server);
+        }
+    }
+    return servers.size();
+}
+
 void PromptCrashTable::noteOwnSuccess(const PromptPartKey &key)
 {
     const std::uint64_t hash = hashOf(key);
@@ -97,18 +164,22 @@
 }
 
 void PromptCrashTable::recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
-                                     TimePoint now)
+                                     std::uint64_t content, TimePoint now)
 {
-    for (const std::uint64_t part : parts) {
+    std::vector<std::uint64_t> served = parts;
+    if (content != 0) {
+        served.push_back(content);
+    }
+    for (const std::uint64_t part : served) {
         const PromptPartKey key{account, part};
         if (m_ownSuccesses.size() >= MaxOwnSuccesses) {
             m_olderOwnSuccesses = std::exchange(m_ownSuccesses, {});
         }
         m_ownSuccesses[hashOf(key)] = now;
-        const auto suspect = m_successes.find(key);
-        if (suspect != m_successes.end()) {
-            suspect->second.at = now;
-            suspect->second.own = true;
+        if (m_successes.contains(key) || isSuspect(key)) {
+            Success &success = m_successes[key];
+            success.at = now;
+            success.own = true;
         }
     }
 }
@@ -139,8 +210,7 @@
 
 bool PromptCrashTable::addCondemned(const CondemnedPart &part, TimePoint now)
 {
-    if (part.age > CondemnedLifetime
-        || (m_condemned.size() >= MaxCondemnedParts && !m_condemned.contains(part.key.part))) {
+    if (part.age > CondemnedLifetime) {
         return false;
     }
     const TimePoint at = now - part.age;
@@ -148,16 +218,36 @@
     const auto [entry, inserted] = accounts.try_emplace(part.key.account, at);
     if (!inserted) {
         entry->second = std::min(entry->second, at);
+    } else if (condemned(now).size() > MaxCondemned) {
+        dropOldestCondemned();
     }
     return inserted;
 }
 
+void PromptCrashTable::dropOldestCondemned()
+{
+    std::map<std::uint64_t, std::vector<std::pair<TimePoint, std::uint64_t>>> partsOf;
+    for (const auto &[part, accounts] : m_condemned) {
+        for (const auto &[account, at] : accounts) {
+            partsOf[account].emplace_back(at, part);
+        }
+    }
+    const auto most =
+        std::max_element(partsOf.begin(), partsOf.end(), [](const auto &left, const auto &right) {
+            return left.second.size() < right.second.size();
+        });
+    const std::uint64_t oldest = std::min_element(most->second.begin(), most->second.end())->second;
+    m_condemned[oldest].erase(most->first);
+    if (m_condemned[oldest].empty()) {
+        m_condemned.erase(oldest);
+    }
+}
+
 PromptEvidence PromptCrashTable::takeUnpublished(TimePoint now)
 {
     PromptEvidence evidence;
     for (Crash &crash : m_crashes) {
-        if (crash.own && now - crash.at < CrashPublishLifetime
-            && now - crash.publishedAt >= CrashPublishPeriod) {
+        if (publishes(crash, now)) {
             crash.publishedAt = now;
             evidence.crashes.push_back(crash.report);
             evidence.crashes.back().age = now - crash.at;
@@ -177,6 +267,13 @@
     return evidence;
 }
 
+bool PromptCrashTable::publishes(const Crash &crash, TimePoint now) const
+{
+    const Duration lifetime =
+        crash.report.parts.empty() ? LostPublishLifetime : CrashPublishLifetime;
+    return crash.own && now - crash.at < lifetime && now - crash.publishedAt >= CrashPublishPeriod;
+}
+
 std::vector<CondemnedPart> PromptCrashTable::condemned(TimePoint now) const
 {
     std::vector<CondemnedPart> parts;
@@ -198,6 +295,18 @@
     return found == parts.end() ? std::nullopt : std::optional(*found);
 }
 
+bool PromptCrashTable::refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now)
+{
+    evaluate(now);
+    return isRequestCondemned(account, content);
+}
+
+bool PromptCrashTable::isRequestCondemned(std::uint64_t account, std::uint64_t content) const
+{
+    const auto found = m_condemned.find(content);
+    return found != m_condemned.end() && found->second.contains(account);
+}
+
 bool PromptCrashTable::isCondemned(std::uint64_t account, std::uint64_t part) const
 {
     const auto found = m_condemned.find(part);
@@ -205,7 +314,7 @@
         && (found->second.size() >= AccountsForAll || found->second.contains(account));
 }
 
-bool PromptCrashTable::explained(const PromptCrash &crash) const
+bool PromptCrashTable::explainedByPart(const PromptCrash &crash) const
 {
     return std::any_of(crash.parts.begin(), crash.parts.end(),
                        [&](std::uint64_t part) { return isCondemned(crash.account, part); });
@@ -218,29 +327,34 @@
     }
     m_evaluatedAt = now;
     forgetOld(now);
-    while (const std::optional<Suspect> suspect = worstSuspect(now)) {
-        const std::size_t allServers = serversEnded(suspect->first, suspect->last);
-        if (!addCondemned({suspect->key, Duration::zero()}, now)) {
-            return; // The table is full.
+    std::erase_if(m_successes,
+                  [&](const auto &entry) { return now - entry.second.at > CrashLifetime; });
+    for (int i = 0; i < MaxVerdictsPerEvaluation; ++i) {
+        for (const Suspect &suspect : worstSuspects(now)) {
+            const std::size_t allServers = serversEnded(suspect.first, suspect.last);
+            addCondemned({suspect.key, Duration::zero()}, now);
+            m_verdicts.push_back({suspect.key, suspect.servers.size(), suspect.requests.size(),
+                                  allServers, suspect.served, suspect.wholeRequest, false});
         }
-        m_verdicts.push_back({suspect->key, suspect->servers.size(), suspect->requests.size(),
-                              allServers, suspect->served, false});
     }
 }
 
-std::optional<PromptCrashTable::Suspect> PromptCrashTable::worstSuspect(TimePoint now) const
+std::vector<PromptCrashTable::Suspect> PromptCrashTable::worstSuspects(TimePoint now) const
 {
-    std::optional<Suspect> worst;
+    // A suspect that was never served explains its crashes better than one that was.
+    const auto rank = [](const Suspect &suspect) {
+        return std::pair(!suspect.served, suspect.servers.size());
+    };
+    std::vector<Suspect> worst;
     for (const auto &[key, suspect] : suspects(now)) {
         if (!convicts(suspect, now)) {
             continue;
         }
-        // A part that was never served explains its crashes better than one that was.
-        const auto rank = [](const Suspect &other) {
-            return std::pair(!other.served, other.servers.size());
-        };
-        if (!worst || rank(suspect) > rank(*worst)) {
-            worst = suspect;
+        if (worst.empty() || rank(suspect) > rank(worst.front())) {
+            worst = {suspect};
+        } else if (rank(suspect) == rank(worst.front()) && suspect.wholeRequest
+                   && worst.front().wholeRequest) {
+            worst.push_back(suspect);
         }
     }
     return worst;
@@ -248,29 +362,45 @@
 
 std::map<PromptPartKey, PromptCrashTable::Suspect> PromptCrashTable::suspects(TimePoint now) const
 {
-    // Servers whose end a condemned part explains are no evidence against the requests beside it.
-    std::set<std::uint64_t> explainedServers;
+    std::set<std::uint64_t> serversEndedByPart;
+    std::set<std::uint64_t> serversEndedByRequest;
     for (const Crash &crash : m_crashes) {
-        if (explained(crash.report)) {
-            explainedServers.insert(crash.report.server);
+        if (explainedByPart(crash.report)) {
+            serversEndedByPart.insert(crash.report.server);
+        }
+        if (isRequestCondemned(crash.report.account, crash.report.content)) {
+            serversEndedByRequest.insert(crash.report.server);
         }
     }
     std::map<PromptPartKey, Suspect> found;
     for (const Crash &crash : m_crashes) {
-        if (explainedServers.contains(crash.report.server)
-            || now - crash.receivedAt < ObjectionTime) {
-            continue;
-        }
-        for (const std::uint64_t part : crash.report.parts) {
-            const PromptPartKey key{crash.report.account, part};
-            Suspect &suspect = found[key];
-            suspect.key = key;
-            addToSuspect(suspect, crash);
+        const bool cause = isRequestCondemned(crash.report.account, crash.report.content);
+        const bool explained = serversEndedByPart.contains(crash.report.server)
+            || (!cause && serversEndedByRequest.contains(crash.report.server));
+        if (!explained && now - crash.receivedAt >= ObjectionTime) {
+            addSuspects(crash, found);
         }
     }
     return found;
 }
 
+void PromptCrashTable::addSuspects(const Crash &crash,
+                                   std::map<PromptPartKey, Suspect> &suspects) const
+{
+    const PromptCrash &report = crash.report;
+    for (const std::uint64_t part : report.parts) {
+        Suspect &suspect = suspects[{report.account, part}];
+        suspect.key = {report.account, part};
+        addToSuspect(suspect, crash);
+    }
+    if (report.content != 0 && !isRequestCondemned(report.account, report.content)) {
+        Suspect &suspect = suspects[{report.account, report.content}];
+        suspect.key = {report.account, report.content};
+        suspect.wholeRequest = true;
+        addToSuspect(suspect, crash);
+    }
+}
+
 void PromptCrashTable::addToSuspect(Suspect &suspect, const Crash &crash) const
 {
     const std::optional<TimePoint> success = lastSuccess(suspect.key);
@@ -285,19 +415,24 @@
     suspect.first = std::min(suspect.first, crash.at);
     suspect.last = std::max(suspect.last, crash.at);
     suspect.servers.insert(crash.report.server);
-    suspect.requests.insert(crash.report.request);
+    const bool byContent = !suspect.wholeRequest && crash.report.content != 0;
+    suspect.requests.insert(byContent ? crash.report.content : crash.report.request);
 }
 
 bool PromptCrashTable::convicts(const Suspect &suspect, TimePoint now) const
 {
     const std::size_t needed = suspect.served ? MinCrashesOfServedPart : MinCrashes;
-    if (suspect.servers.size() < needed || suspect.requests.size() < needed) {
+    const std::size_t neededRequests = suspect.wholeRequest ? MinArrivals : needed;
+    if (suspect.servers.size() < needed || suspect.requests.size() < neededRequests) {
         return false;
     }
     const std::optional<TimePoint> success = lastSuccess(suspect.key);
     if (success && now - *success < MinTimeSinceSuccess) {
         return false;
     }
+    if (suspect.wholeRequest) {
+        return true;
+    }
     const auto all = static_cast<double>(serversEnded(suspect.first, suspect.last));
     return static_cast<double>(suspect.servers.size()) >= MinShareOfCrashes * all;
 }
@@ -308,7 +443,7 @@
     for (const Crash &crash : m_crashes) {
         const bool within =
             crash.at >= from - SimultaneousCrashes && crash.at <= to + SimultaneousCrashes;
-        if (within && !explained(crash.report)) {
+        if (within && !crash.report.parts.empty() && !explainedByPart(crash.report)) {
             servers.insert(crash.report.server);
         }
     }
--- a/Source/Routing/PromptCrashTable.h
+++ b/Source/Routing/PromptCrashTable.h
@@ -11,8 +11,10 @@
 
 namespace lycheearch {
 
-/// Finds the prompt parts that crash servers, and refuses requests with them. It answers the load
-/// of a caller whose requests, all different, share one part under which every server ends.
+/// Finds the requests and the prompt parts that crash servers, and has them refused. It answers two
+/// loads: a caller that repeats a request under which every server ends, at any daemon; and a
+/// caller whose requests, all different, share one part of their prompts under which every server
+/// ends.
 ///
 /// A crash ends all requests on its server, so each of them, and each part of their prompts, is a
 /// suspect. What tells them apart:
@@ -21,10 +23,15 @@
 /// - the cause has a part in most crashes of its time, while a loss of many servers at once ends
 ///   requests with all kinds of parts;
 /// - a crash that a condemned part explains is no evidence against the other parts of the prompt,
-///   nor against the requests beside it.
+///   nor against the requests beside it; one that a condemned request explains is none against the
+///   requests beside it;
+/// - a part counts once for each content, so that a request that is repeated doesn't condemn the
+///   parts of its prompt.
 ///
-/// A part is condemned for one client account. If the parts of several accounts are condemned, it
-/// is refused to all: so a single account can't have the prompts of another one refused.
+/// A whole request is the narrowest suspect: fewer requests and no share of all crashes are needed,
+/// since a wrong verdict hits only its repetitions. It is refused to its account only. A part is
+/// condemned for one client account. If the parts of several accounts are condemned, it is refused
+/// to all: so a single account can't have the prompts of another one refused.
 class PromptCrashTable
 {
 public:
@@ -41,6 +48,7 @@
         std::size_t requests = 0; ///< Under which they ended.
         std::size_t allServers = 0; ///< That ended in the same time under any request.
         bool served = false; ///< Whether the part had been served before.
+        bool wholeRequest = false; ///< Or a part of prompts; not known if learned.
         bool learned = false; ///< From another daemon, so that the counts above are not known.
     };
 
@@ -48,7 +56,10 @@
     void recordCrash(PromptCrash crash, TimePoint now);
     /// Records an answer of this daemon that was served.
     void recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
-                       TimePoint now);
+                       std::uint64_t content, TimePoint now);
+    /// Withdraws the crashes without an answer of a request of this daemon that was served after
+    /// all: it only ran beside the cause.
+    void withdrawCrashes(std::uint64_t request);
     /// Adds what another daemon told.
     void apply(const PromptEvidence &evidence, TimePoint now);
     /// Condemns a part that another daemon condemned.
@@ -60,6 +71,11 @@
     /// The part because of which a request must not be sent to a server, if any.
     std::optional<std::uint64_t>
     refusedPart(std::uint64_t account, const std::vector<std::uint64_t> &parts, TimePoint now);
+    /// Whether a request of the account with this content must not be sent to a server.
+    bool refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now);
+    /// Number of servers that ended under the request since it was last served, as far as known.
+    /// Each further attempt may cost one more.
+    std::size_t serversEndedUnder(std::uint64_t account, std::uint64_t content) const;
     /// Decides on the parts under suspicion.
     void evaluate(TimePoint now);
     /// Returns and clears the decisions since the last call.
@@ -81,8 +97,9 @@
     struct Suspect
     {
         PromptPartKey key;
+        bool wholeRequest = false;
         std::set<std::uint64_t> servers;
-        std::set<std::uint64_t> requests;
+        std::set<std::uint64_t> requests; ///< Ids for a whole request, contents for a part.
         TimePoint first;
         TimePoint last;
         bool served = false; ///< Within the memory of the daemons.
@@ -96,20 +113,33 @@
     };
 
     void addCrash(Crash crash, TimePoint now);
-    /// Returns false if the part was condemned already, or if there is no room.
+    /// Drops the oldest crash of the account with the most of them, so that an account can't push
+    /// out the evidence of another one.
+    void dropOldestCrash();
+    std::deque<Crash>::iterator eraseCrash(std::deque<Crash>::iterator crash);
+    void dropOldestCondemned();
+    /// Returns false if the key was condemned already.
     bool addCondemned(const CondemnedPart &part, TimePoint now);
     void forgetOld(TimePoint now);
     bool isCondemned(std::uint64_t account, std::uint64_t part) const;
-    bool explained(const PromptCrash &crash) const;
+    bool isRequestCondemned(std::uint64_t account, std::uint64_t content) const;
+    bool explainedByPart(const PromptCrash &crash) const;
     std::map<PromptPartKey, Suspect> suspects(TimePoint now) const;
+    void addSuspects(const Crash &crash, std::map<PromptPartKey, Suspect> &suspects) const;
     void addToSuspect(Suspect &suspect, const Crash &crash) const;
+    bool publishes(const Crash &crash, TimePoint now) const;
     bool convicts(const Suspect &suspect, TimePoint now) const;
     std::size_t serversEnded(TimePoint from, TimePoint to) const;
-    std::optional<Suspect> worstSuspect(TimePoint now) const;
+    /// The suspects that explain most crashes. Several whole requests may do so equally: those that
+    /// ran on the same servers.
+    std::vector<Suspect> worstSuspects(TimePoint now) const;
+    /// Whether a server ended under the part or the whole request.
+    bool isSuspect(const PromptPartKey &key) const;
     std::optional<TimePoint> lastSuccess(const PromptPartKey &key) const;
     void noteOwnSuccess(const PromptPartKey &key);
 
     std::deque<Crash> m_crashes;
+    std::map<std::uint64_t, std::size_t> m_crashCounts; ///< Of m_crashes, by account.
     std::map<PromptPartKey, Success> m_successes; ///< Of the parts under suspicion.
     /// Latest successes of this daemon in two generations, the older of which is dropped whole.
     std::unordered_map<std::uint64_t, TimePoint> m_ownSuccesses;
--- a/Source/Routing/PromptEvidence.h
+++ b/Source/Routing/PromptEvidence.h
@@ -8,25 +8,30 @@
 
 namespace lycheearch {
 
-/// A part of the prompts of one client account. Both are hashes, since their texts are only
-/// compared.
+/// What may crash servers: a part of the prompts of one client account, or a whole request of it.
+/// All are hashes, since their texts are only compared.
 struct PromptPartKey
 {
     std::uint64_t account = 0;
-    std::uint64_t part = 0;
+    std::uint64_t part = 0; ///< Or the content of a whole request.
 
     auto operator<=>(const PromptPartKey &) const = default;
 };
 
-/// A request whose answer broke off soon after it had begun, so that it may have crashed its
-/// server.
+/// A request whose answer broke off soon after it had begun, or whose connection was lost before
+/// any answer, so that it may have crashed its server.
 struct PromptCrash
 {
     std::uint64_t request = 0; ///< Hash of the request's id.
     std::uint64_t server = 0; ///< Hash of the server's id and start time.
     std::uint64_t account = 0; ///< Hash of the client account.
-    std::vector<std::uint64_t> parts; ///< Hashes of the parts that other requests may share.
-    Duration age{}; ///< Time since the answer broke off.
+    /// Hashes of the parts that other requests may share; empty if no answer had begun, since the
+    /// request may have waited for a slot.
+    std::vector<std::uint64_t> parts;
+    Duration age{}; ///< Time since the connection was lost.
+    /// Hash of the method, path, prompt and body, which stay the same when the request comes again;
+    /// 0 if not known.
+    std::uint64_t content = 0;
 
     bool operator==(const PromptCrash &) const = default;
 };
@@ -40,7 +45,7 @@
     bool operator==(const PromptSuccess &) const = default;
 };
 
-/// A part that is condemned: requests with it are refused.
+/// A part, or the content of a request, that is condemned: requests with it are refused.
 struct CondemnedPart
 {
     PromptPartKey key;
--- a/Tests/Routing/testPromptCrashTable.cpp
+++ b/Tests/Routing/testPromptCrashTable.cpp
@@ -132,7 +132,7 @@
         fleet.exchange(now);
         for (const Running &answer : running) {
             if (answer.end <= now) {
-                fleet.tables[answer.daemon]->recordSuccess(Account, answer.parts, now);
+                fleet.tables[answer.daemon]->recordSuccess(Account, answer.parts, 0, now);
             }
         }
         std::erase_if(running, [&](const Running &answer) { return answer.end <= now; });
@@ -225,7 +225,7 @@
 Test(promptCrashTable, a_daemon_objects_for_a_part_that_it_has_served)
 {
     PromptCrashTable table;
-    table.recordSuccess(Account, {FirstPart}, start());
+    table.recordSuccess(Account, {FirstPart}, 0, start());
     PromptEvidence evidence;
     evidence.crashes = {crash(1, 1, {FirstPart, BadPart})};
     table.apply(evidence, start() + 1s);
@@ -238,7 +238,7 @@
 {
     PromptCrashTable table;
     TimePoint now = start();
-    table.recordSuccess(Account, {BadPart}, now);
+    table.recordSuccess(Account, {BadPart}, 0, now);
     for (std::uint64_t i = 0; i < 8; ++i) {
         now += 1s;
         table.recordCrash(crash(i, i, {BadPart}), now);
@@ -308,7 +308,7 @@
 {
     PromptCrashTable table;
     for (std::uint64_t i = 0; i < 100'000; ++i) {
-        table.recordSuccess(Account, {i}, start());
+        table.recordSuccess(Account, {i}, i, start());
         table.recordCrash(crash(i, i % 7, {i}), start());
     }
     cr_expect(table.takeUnpublished(start() + 1s).crashes.size() <= 512);
