--- a/Source/Routing/PromptCrashTable.cpp
+++ b/Source/Routing/PromptCrashTable.cpp
@@ -1,6 +1,7 @@
 #include "Routing/PromptCrashTable.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "Base/Hash.h"
 
@@ -22,6 +23,9 @@
 constexpr std::size_t MinCrashes = 3;
 /// Distinct requests with the same content, under which as many servers must have ended.
 constexpr std::size_t MinArrivals = 2;
+/// Servers that must have ended under requests of which none stands out: the next crash mostly
+/// tells them apart.
+constexpr std::size_t MinCrashesOfTied = 5;
 /// The same since the last success, for a part that was served within the memory of the daemons.
 constexpr std::size_t MinCrashesOfServedPart = 6;
 /// Time without a success after which a part that was served can be condemned.
@@ -342,22 +346,45 @@
 std::vector<PromptCrashTable::Suspect> PromptCrashTable::worstSuspects(TimePoint now) const
 {
     // A suspect that was never served explains its crashes better than one that was.
-    const auto rank = [](const Suspect &suspect) {
-        return std::pair(!suspect.served, suspect.servers.size());
-    };
-    std::vector<Suspect> worst;
+    using Rank = std::pair<bool, std::size_t>;
+    std::map<Rank, std::vector<Suspect>, std::greater<>> ranked;
     for (const auto &[key, suspect] : suspects(now)) {
-        if (!convicts(suspect, now)) {
-            continue;
+        if (convicts(suspect, now)) {
+            ranked[{!suspect.served, suspect.servers.size()}].push_back(suspect);
         }
-        if (worst.empty() || rank(suspect) > rank(worst.front())) {
-            worst = {suspect};
-        } else if (rank(suspect) == rank(worst.front()) && suspect.wholeRequest
-                   && worst.front().wholeRequest) {
-            worst.push_back(suspect);
+    }
+    for (const auto &[rank, equals] : ranked) {
+        const auto part = std::find_if(equals.begin(), equals.end(), [](const Suspect &suspect) {
+            return !suspect.wholeRequest;
+        });
+        if (part != equals.end()) {
+            return {*part};
+        }
+        const bool enough = rank.second >= MinCrashesOfTied;
+        std::vector<Suspect> decided = enough ? equals : withoutRivals(equals);
+        if (!decided.empty()) {
+            return decided;
+        }
+    }
+    return {};
+}
+
+std::vector<PromptCrashTable::Suspect>
+PromptCrashTable::withoutRivals(const std::vector<Suspect> &suspects)
+{
+    std::map<std::uint64_t, int> suspectsOf;
+    for (const Suspect &suspect : suspects) {
+        for (const std::uint64_t server : suspect.servers) {
+            ++suspectsOf[server];
         }
     }
-    return worst;
+    std::vector<Suspect> found;
+    std::copy_if(
+        suspects.begin(), suspects.end(), std::back_inserter(found), [&](const Suspect &suspect) {
+            return std::all_of(suspect.servers.begin(), suspect.servers.end(),
+                               [&](std::uint64_t server) { return suspectsOf[server] == 1; });
+        });
+    return found;
 }
 
 std::map<PromptPartKey, PromptCrashTable::Suspect> PromptCrashTable::suspects(TimePoint now) const
--- a/Source/Routing/PromptCrashTable.h
+++ b/Source/Routing/PromptCrashTable.h
@@ -130,9 +130,11 @@
     bool publishes(const Crash &crash, TimePoint now) const;
     bool convicts(const Suspect &suspect, TimePoint now) const;
     std::size_t serversEnded(TimePoint from, TimePoint to) const;
-    /// The suspects that explain most crashes. Several whole requests may do so equally: those that
-    /// ran on the same servers.
+    /// The suspects that explain most crashes, of those against which the evidence suffices: one,
+    /// or several whole requests that ran on the same servers.
     std::vector<Suspect> worstSuspects(TimePoint now) const;
+    /// Those of the suspects that share no server with another one.
+    static std::vector<Suspect> withoutRivals(const std::vector<Suspect> &suspects);
     /// Whether a server ended under the part or the whole request.
     bool isSuspect(const PromptPartKey &key) const;
     std::optional<TimePoint> lastSuccess(const PromptPartKey &key) const;
