Decide on whole requests by what explains most crashes (RequestSuspects)

Cause: a sound request that waits at servers for seconds can end with three of them, be condemned first, and then explain the crashes of the request that caused them.

Change: the cause ran on all servers that it ended, so among requests that share servers the one with most of them, and with most answers begun, is condemned; a condemned request explains only the crashes of requests with less evidence than it has.

--- a/Source/Routing/PromptCrashTable.cpp
+++ b/Source/Routing/PromptCrashTable.cpp
@@ -1,7 +1,6 @@
 #include "Routing/PromptCrashTable.h"
 
 #include <algorithm>
-#include <functional>
 
 #include "Base/Hash.h"
 
@@ -21,11 +20,6 @@
 
 /// Distinct servers that must have ended, under as many distinct requests.
 constexpr std::size_t MinCrashes = 3;
-/// Distinct requests with the same content, under which as many servers must have ended.
-constexpr std::size_t MinArrivals = 2;
-/// Servers that must have ended under requests of which none stands out: the next crash mostly
-/// tells them apart.
-constexpr std::size_t MinCrashesOfTied = 5;
 /// The same since the last success, for a part that was served within the memory of the daemons.
 constexpr std::size_t MinCrashesOfServedPart = 6;
 /// Time without a success after which a part that was served can be condemned.
@@ -334,100 +328,97 @@
     std::erase_if(m_successes,
                   [&](const auto &entry) { return now - entry.second.at > CrashLifetime; });
     for (int i = 0; i < MaxVerdictsPerEvaluation; ++i) {
-        for (const Suspect &suspect : worstSuspects(now)) {
-            const std::size_t allServers = serversEnded(suspect.first, suspect.last);
-            addCondemned({suspect.key, Duration::zero()}, now);
-            m_verdicts.push_back({suspect.key, suspect.servers.size(), suspect.requests.size(),
-                                  allServers, suspect.served, suspect.wholeRequest, false});
+        const std::optional<Suspect> suspect = worstSuspect(now);
+        if (!suspect) {
+            break;
         }
+        const std::size_t allServers = serversEnded(suspect->first, suspect->last);
+        addCondemned({suspect->key, Duration::zero()}, now);
+        m_verdicts.push_back({suspect->key, suspect->servers.size(), suspect->requests.size(),
+                              allServers, suspect->served, false, false});
+    }
+    for (const RequestSuspects::Suspect &suspect : requestSuspects(now).convicted()) {
+        addCondemned({suspect.key, Duration::zero()}, now);
+        m_verdicts.push_back({suspect.key, suspect.servers.size(), suspect.arrivals.size(), 0,
+                              suspect.served, true, false});
     }
 }
 
-std::vector<PromptCrashTable::Suspect> PromptCrashTable::worstSuspects(TimePoint now) const
+RequestSuspects PromptCrashTable::requestSuspects(TimePoint now) const
 {
-    // A suspect that was never served explains its crashes better than one that was.
-    using Rank = std::pair<bool, std::size_t>;
-    std::map<Rank, std::vector<Suspect>, std::greater<>> ranked;
-    for (const auto &[key, suspect] : suspects(now)) {
-        if (convicts(suspect, now)) {
-            ranked[{!suspect.served, suspect.servers.size()}].push_back(suspect);
+    const std::set<std::uint64_t> explained = serversEndedByParts();
+    RequestSuspects suspects;
+    for (const Crash &crash : m_crashes) {
+        const PromptPartKey key{crash.report.account, crash.report.content};
+        const std::optional<TimePoint> success = lastSuccess(key);
+        const bool acquitted =
+            success && (*success >= crash.at || now - *success < MinTimeSinceSuccess);
+        if (key.part != 0 && !acquitted && now - crash.receivedAt >= ObjectionTime
+            && !explained.contains(crash.report.server)) {
+            suspects.add(crash.report, success.has_value(),
+                         isRequestCondemned(key.account, key.part));
         }
     }
-    for (const auto &[rank, equals] : ranked) {
-        const auto part = std::find_if(equals.begin(), equals.end(), [](const Suspect &suspect) {
-            return !suspect.wholeRequest;
-        });
-        if (part != equals.end()) {
-            return {*part};
+    return suspects;
+}
+
+std::optional<PromptCrashTable::Suspect> PromptCrashTable::worstSuspect(TimePoint now) const
+{
+    std::optional<Suspect> worst;
+    for (const auto &[key, suspect] : suspects(now)) {
+        if (!convicts(suspect, now)) {
+            continue;
         }
-        const bool enough = rank.second >= MinCrashesOfTied;
-        std::vector<Suspect> decided = enough ? equals : withoutRivals(equals);
-        if (!decided.empty()) {
-            return decided;
+        // A part that was never served explains its crashes better than one that was.
+        const auto rank = [](const Suspect &other) {
+            return std::pair(!other.served, other.servers.size());
+        };
+        if (!worst || rank(suspect) > rank(*worst)) {
+            worst = suspect;
         }
     }
-    return {};
+    return worst;
 }
 
-std::vector<PromptCrashTable::Suspect>
-PromptCrashTable::withoutRivals(const std::vector<Suspect> &suspects)
+std::set<std::uint64_t> PromptCrashTable::serversEndedByParts() const
 {
-    std::map<std::uint64_t, int> suspectsOf;
-    for (const Suspect &suspect : suspects) {
-        for (const std::uint64_t server : suspect.servers) {
-            ++suspectsOf[server];
+    std::set<std::uint64_t> servers;
+    for (const Crash &crash : m_crashes) {
+        if (explainedByPart(crash.report)) {
+            servers.insert(crash.report.server);
         }
     }
-    std::vector<Suspect> found;
-    std::copy_if(
-        suspects.begin(), suspects.end(), std::back_inserter(found), [&](const Suspect &suspect) {
-            return std::all_of(suspect.servers.begin(), suspect.servers.end(),
-                               [&](std::uint64_t server) { return suspectsOf[server] == 1; });
-        });
-    return found;
+    return servers;
 }
 
 std::map<PromptPartKey, PromptCrashTable::Suspect> PromptCrashTable::suspects(TimePoint now) const
 {
-    std::set<std::uint64_t> serversEndedByPart;
-    std::set<std::uint64_t> serversEndedByRequest;
+    const std::set<std::uint64_t> endedByParts = serversEndedByParts();
+    std::set<std::uint64_t> endedByRequests;
     for (const Crash &crash : m_crashes) {
-        if (explainedByPart(crash.report)) {
-            serversEndedByPart.insert(crash.report.server);
-        }
         if (isRequestCondemned(crash.report.account, crash.report.content)) {
-            serversEndedByRequest.insert(crash.report.server);
+            endedByRequests.insert(crash.report.server);
         }
     }
     std::map<PromptPartKey, Suspect> found;
     for (const Crash &crash : m_crashes) {
-        const bool cause = isRequestCondemned(crash.report.account, crash.report.content);
-        const bool explained = serversEndedByPart.contains(crash.report.server)
-            || (!cause && serversEndedByRequest.contains(crash.report.server));
-        if (!explained && now - crash.receivedAt >= ObjectionTime) {
-            addSuspects(crash, found);
+        const PromptCrash &report = crash.report;
+        const bool cause = isRequestCondemned(report.account, report.content);
+        if (endedByParts.contains(report.server)
+            || (!cause && endedByRequests.contains(report.server))
+            || now - crash.receivedAt < ObjectionTime) {
+            continue;
+        }
+        for (const std::uint64_t part : report.parts) {
+            const PromptPartKey key{report.account, part};
+            Suspect &suspect = found[key];
+            suspect.key = key;
+            addToSuspect(suspect, crash);
         }
     }
     return found;
 }
 
-void PromptCrashTable::addSuspects(const Crash &crash,
-                                   std::map<PromptPartKey, Suspect> &suspects) const
-{
-    const PromptCrash &report = crash.report;
-    for (const std::uint64_t part : report.parts) {
-        Suspect &suspect = suspects[{report.account, part}];
-        suspect.key = {report.account, part};
-        addToSuspect(suspect, crash);
-    }
-    if (report.content != 0 && !isRequestCondemned(report.account, report.content)) {
-        Suspect &suspect = suspects[{report.account, report.content}];
-        suspect.key = {report.account, report.content};
-        suspect.wholeRequest = true;
-        addToSuspect(suspect, crash);
-    }
-}
-
 void PromptCrashTable::addToSuspect(Suspect &suspect, const Crash &crash) const
 {
     const std::optional<TimePoint> success = lastSuccess(suspect.key);
@@ -442,24 +433,20 @@
     suspect.first = std::min(suspect.first, crash.at);
     suspect.last = std::max(suspect.last, crash.at);
     suspect.servers.insert(crash.report.server);
-    const bool byContent = !suspect.wholeRequest && crash.report.content != 0;
-    suspect.requests.insert(byContent ? crash.report.content : crash.report.request);
+    const std::uint64_t content = crash.report.content;
+    suspect.requests.insert(content != 0 ? content : crash.report.request);
 }
 
 bool PromptCrashTable::convicts(const Suspect &suspect, TimePoint now) const
 {
     const std::size_t needed = suspect.served ? MinCrashesOfServedPart : MinCrashes;
-    const std::size_t neededRequests = suspect.wholeRequest ? MinArrivals : needed;
-    if (suspect.servers.size() < needed || suspect.requests.size() < neededRequests) {
+    if (suspect.servers.size() < needed || suspect.requests.size() < needed) {
         return false;
     }
     const std::optional<TimePoint> success = lastSuccess(suspect.key);
     if (success && now - *success < MinTimeSinceSuccess) {
         return false;
     }
-    if (suspect.wholeRequest) {
-        return true;
-    }
     const auto all = static_cast<double>(serversEnded(suspect.first, suspect.last));
     return static_cast<double>(suspect.servers.size()) >= MinShareOfCrashes * all;
 }
--- a/Source/Routing/PromptCrashTable.h
+++ b/Source/Routing/PromptCrashTable.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Routing/PromptEvidence.h"
+#include "Routing/RequestSuspects.h"
 
 namespace lycheearch {
 
@@ -28,10 +29,10 @@
 /// - a part counts once for each content, so that a request that is repeated doesn't condemn the
 ///   parts of its prompt.
 ///
-/// A whole request is the narrowest suspect: fewer requests and no share of all crashes are needed,
-/// since a wrong verdict hits only its repetitions. It is refused to its account only. A part is
-/// condemned for one client account. If the parts of several accounts are condemned, it is refused
-/// to all: so a single account can't have the prompts of another one refused.
+/// A whole request is the narrowest suspect, see RequestSuspects: a wrong verdict hits only its
+/// repetitions. It is refused to its account only. A part is condemned for one client account. If
+/// the parts of several accounts are condemned, it is refused to all: so a single account can't
+/// have the prompts of another one refused.
 class PromptCrashTable
 {
 public:
@@ -97,9 +98,8 @@
     struct Suspect
     {
         PromptPartKey key;
-        bool wholeRequest = false;
         std::set<std::uint64_t> servers;
-        std::set<std::uint64_t> requests; ///< Ids for a whole request, contents for a part.
+        std::set<std::uint64_t> requests; ///< Their contents, or ids if these are not known.
         TimePoint first;
         TimePoint last;
         bool served = false; ///< Within the memory of the daemons.
@@ -125,16 +125,15 @@
     bool isRequestCondemned(std::uint64_t account, std::uint64_t content) const;
     bool explainedByPart(const PromptCrash &crash) const;
     std::map<PromptPartKey, Suspect> suspects(TimePoint now) const;
-    void addSuspects(const Crash &crash, std::map<PromptPartKey, Suspect> &suspects) const;
     void addToSuspect(Suspect &suspect, const Crash &crash) const;
     bool publishes(const Crash &crash, TimePoint now) const;
     bool convicts(const Suspect &suspect, TimePoint now) const;
     std::size_t serversEnded(TimePoint from, TimePoint to) const;
-    /// The suspects that explain most crashes, of those against which the evidence suffices: one,
-    /// or several whole requests that ran on the same servers.
-    std::vector<Suspect> worstSuspects(TimePoint now) const;
-    /// Those of the suspects that share no server with another one.
-    static std::vector<Suspect> withoutRivals(const std::vector<Suspect> &suspects);
+    std::optional<Suspect> worstSuspect(TimePoint now) const;
+    /// The evidence against whole requests.
+    RequestSuspects requestSuspects(TimePoint now) const;
+    /// Servers whose end a condemned part explains.
+    std::set<std::uint64_t> serversEndedByParts() const;
     /// Whether a server ended under the part or the whole request.
     bool isSuspect(const PromptPartKey &key) const;
     std::optional<TimePoint> lastSuccess(const PromptPartKey &key) const;
