--- a/Source/Daemon/PromptCrashAgent.cpp
+++ b/Source/Daemon/CrashVerdictAgent.cpp
@@ -1,4 +1,4 @@
-#include "Daemon/PromptCrashAgent.h"
+#include "Daemon/CrashVerdictAgent.h"
 
 #include "Base/Hash.h"
 #include <algorithm>
@@ -11,9 +11,9 @@
 
 } // namespace
 
-PromptCrashAgent::PromptCrashAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
-                                   const FleetFollower &follower, PromptCrashTable &table,
-                                   StructuredLog &log, const Clock &clock)
+CrashVerdictAgent::CrashVerdictAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
+                                     const FleetFollower &follower, CrashTable &table,
+                                     StructuredLog &log, const Clock &clock)
     : m_loop(loop)
     , m_store(store)
     , m_codec(codec)
@@ -24,17 +24,17 @@
 {
 }
 
-PromptCrashAgent::~PromptCrashAgent()
+CrashVerdictAgent::~CrashVerdictAgent()
 {
     m_loop.cancel(m_timer);
 }
 
-void PromptCrashAgent::start()
+void CrashVerdictAgent::start()
 {
     step(m_loop.now());
 }
 
-void PromptCrashAgent::step(TimePoint now)
+void CrashVerdictAgent::step(TimePoint now)
 {
     m_timer = m_loop.at(now + StepPeriod, [this](TimePoint due) { step(due); });
     m_table.evaluate(now);
@@ -44,9 +44,9 @@
     }
 }
 
-void PromptCrashAgent::logVerdicts(TimePoint now)
+void CrashVerdictAgent::logVerdicts(TimePoint now)
 {
-    for (const PromptCrashTable::Verdict &verdict : m_table.takeVerdicts()) {
+    for (const CrashTable::Verdict &verdict : m_table.takeVerdicts()) {
         m_log.write(LogPriority::Notable,
                     LogLine("prompt.condemned")
                         .add("part", hashText(verdict.key.part))
@@ -61,16 +61,16 @@
     }
 }
 
-void PromptCrashAgent::writeMissing(TimePoint now)
+void CrashVerdictAgent::writeMissing(TimePoint now)
 {
-    const std::vector<CondemnedPart> parts = m_table.condemned(now);
-    const auto missing = std::find_if(parts.begin(), parts.end(), [&](const CondemnedPart &part) {
-        return !m_written.contains(part.key);
-    });
+    const std::vector<CondemnedSuspect> parts = m_table.condemned(now);
+    const auto missing =
+        std::find_if(parts.begin(), parts.end(),
+                     [&](const CondemnedSuspect &part) { return !m_written.contains(part.key); });
     if (missing == parts.end()) {
         return;
     }
-    const PromptPartKey key = missing->key;
+    const SuspectKey key = missing->key;
     const PromptPartCondemned record{key, wallMilliseconds(m_clock) - toMilliseconds(missing->age)};
     m_writeInFlight = true;
     m_store.append(Topic::Own, m_codec.encode(record), std::nullopt,
@@ -82,7 +82,7 @@
                    });
 }
 
-void PromptCrashAgent::onRecord(const PromptPartCondemned &record, TimePoint now)
+void CrashVerdictAgent::onRecord(const PromptPartCondemned &record, TimePoint now)
 {
     m_written.insert(record.key);
     const std::int64_t ageMs =
--- a/Source/Daemon/PromptCrashAgent.h
+++ b/Source/Daemon/CrashVerdictAgent.h
@@ -6,20 +6,20 @@
 #include "Fleet/FleetFollower.h"
 #include "Log/StructuredLog.h"
 #include "Net/EventLoop.h"
-#include "Routing/PromptCrashTable.h"
+#include "Routing/CrashTable.h"
 
 namespace lycheearch {
 
 /// Keeps the condemned prompt parts in the store, so that daemons know them that start when no
 /// other daemon is left to tell them, and logs each decision. Only the daemons that read the store
 /// write there.
-class PromptCrashAgent
+class CrashVerdictAgent
 {
 public:
-    PromptCrashAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
-                     const FleetFollower &follower, PromptCrashTable &table, StructuredLog &log,
-                     const Clock &clock);
-    ~PromptCrashAgent();
+    CrashVerdictAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
+                      const FleetFollower &follower, CrashTable &table, StructuredLog &log,
+                      const Clock &clock);
+    ~CrashVerdictAgent();
 
     void start();
     /// A record of a condemned part was read.
@@ -36,10 +36,10 @@
     FleetStore &m_store;
     const RecordCodec &m_codec;
     const FleetFollower &m_follower;
-    PromptCrashTable &m_table;
+    CrashTable &m_table;
     StructuredLog &m_log;
     const Clock &m_clock;
-    std::set<PromptPartKey> m_written; ///< Acknowledged by the store, or read from it.
+    std::set<SuspectKey> m_written; ///< Acknowledged by the store, or read from it.
     bool m_writeInFlight = false;
     TimerId m_timer;
 };
--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -19,14 +19,14 @@
 
 LoadExchange::LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
                            const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                           PromptCrashTable &promptCrashes, const Clock &clock)
+                           CrashTable &crashes, const Clock &clock)
     : m_loop(loop)
     , m_ownDataCentre(std::move(ownDataCentre))
     , m_view(view)
     , m_follower(follower)
     , m_client(client)
     , m_picker(picker)
-    , m_promptCrashes(promptCrashes)
+    , m_crashes(crashes)
     , m_clock(clock)
 {
 }
@@ -47,10 +47,10 @@
 {
     m_remoteLoads[load.dataCentre] = {load.loads, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
-    m_promptCrashes.apply(load.promptEvidence, now);
+    m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
     if (!m_follower.followingFeed()) {
-        m_evidenceToForward.add(load.promptEvidence);
+        m_evidenceToForward.add(load.crashEvidence);
         addNewest(m_rateLimitsToForward, load.rateLimits);
     }
     const std::size_t size = m_entriesToForward.size() + load.promptCacheEntries.size();
@@ -78,14 +78,13 @@
         return;
     }
     m_entriesToForward.clear();
-    m_evidenceToForward = PromptEvidence();
+    m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
     FeedLoad ownLoad{DataCentreId(), m_picker.ownLoads(now),
-                     m_picker.promptCacheIndex().takeUnpublished(),
-                     m_promptCrashes.takeUnpublished(now),
+                     m_picker.promptCacheIndex().takeUnpublished(), m_crashes.takeUnpublished(now),
                      m_picker.rateLimiter().notices().takeUnpublished(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
-        || !ownLoad.promptEvidence.empty() || !ownLoad.rateLimits.empty();
+        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty();
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
     }
@@ -96,14 +95,14 @@
     const BackendLoads ownLoad = m_picker.ownLoads(now);
     BackendLoads otherLoads = m_server->followerLoads();
     FeedLoad ownDataCentre{m_ownDataCentre, otherLoads, m_server->takePromptCacheEntries(),
-                           m_server->takePromptEvidence(), m_server->takeRateLimits()};
+                           m_server->takeCrashEvidence(), m_server->takeRateLimits()};
     addLoads(ownDataCentre.loads, ownLoad);
     m_picker.promptCacheIndex().applyPublished(ownDataCentre.promptCacheEntries, now);
     const std::vector<PromptCacheEntry> newEntries = m_picker.promptCacheIndex().takeUnpublished();
     ownDataCentre.promptCacheEntries.insert(ownDataCentre.promptCacheEntries.end(),
                                             newEntries.begin(), newEntries.end());
-    m_promptCrashes.apply(ownDataCentre.promptEvidence, now);
-    ownDataCentre.promptEvidence.add(m_promptCrashes.takeUnpublished(now));
+    m_crashes.apply(ownDataCentre.crashEvidence, now);
+    ownDataCentre.crashEvidence.add(m_crashes.takeUnpublished(now));
     applyRateLimits(ownDataCentre.rateLimits, now);
     addNewest(ownDataCentre.rateLimits, m_picker.rateLimiter().notices().takeUnpublished(now));
     sendToDataCentres(ownDataCentre, now);
@@ -113,12 +112,12 @@
         }
     }
     FeedLoad total{DataCentreId(), otherLoads, std::move(ownDataCentre.promptCacheEntries),
-                   std::move(ownDataCentre.promptEvidence), std::move(ownDataCentre.rateLimits)};
+                   std::move(ownDataCentre.crashEvidence), std::move(ownDataCentre.rateLimits)};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
-    total.promptEvidence.add(std::exchange(m_evidenceToForward, {}));
+    total.crashEvidence.add(std::exchange(m_evidenceToForward, {}));
     addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
     m_server->broadcastLoad(total);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
@@ -147,7 +146,7 @@
     subtractLoads(otherLoads, m_lastSentLoads);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
-    m_promptCrashes.apply(total.promptEvidence, now);
+    m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
 }
 
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -7,7 +7,7 @@
 #include "Feed/FeedServer.h"
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
-#include "Routing/PromptCrashTable.h"
+#include "Routing/CrashTable.h"
 
 namespace lycheearch {
 
@@ -22,7 +22,7 @@
 public:
     LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
                  const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                 PromptCrashTable &promptCrashes, const Clock &clock);
+                 CrashTable &crashes, const Clock &clock);
     ~LoadExchange();
 
     void start(FeedServer &server);
@@ -49,13 +49,13 @@
     const FleetFollower &m_follower;
     FeedClient &m_client;
     BackendPicker &m_picker;
-    PromptCrashTable &m_promptCrashes;
+    CrashTable &m_crashes;
     const Clock &m_clock;
     FeedServer *m_server = nullptr;
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
-    PromptEvidence m_evidenceToForward; ///< From other data centres, to followers.
+    CrashEvidence m_evidenceToForward; ///< From other data centres, to followers.
     std::vector<RateLimitNotice> m_rateLimitsToForward; ///< From other data centres, to followers.
     std::map<DataCentreId, std::unique_ptr<LoadSender>> m_senders;
     TimerId m_timer;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -53,7 +53,7 @@
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
     , m_context{m_loop,           m_view,           m_picker,
                 m_connections,    headerCodec,      m_retries,
-                m_rolloutCounts,  m_modelCascade,   m_promptCrashes,
+                m_rolloutCounts,  m_modelCascade,   m_crashes,
                 m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
                 m_bodyBudget,     m_responseBudget, m_log,
                 m_metrics}
@@ -63,8 +63,8 @@
                      m_rolloutCounts,
                      {m_settings.bounds.maxUnprovenShare, m_settings.bounds.unprovenSlack}, m_log)
     , m_loadExchange(m_loop, m_settings.dataCentre, m_view, m_follower, m_feedClient, m_picker,
-                     m_promptCrashes, m_clock)
-    , m_promptCrashAgent(m_loop, *m_store, codec, m_follower, m_promptCrashes, m_log, m_clock)
+                     m_crashes, m_clock)
+    , m_crashVerdicts(m_loop, *m_store, codec, m_follower, m_crashes, m_log, m_clock)
     , m_registration(m_loop, *m_store, codec, m_clock,
                      {m_settings.instance, m_settings.dataCentre, m_settings.feedListen, 0},
                      [this](TimePoint now) { scheduleMemberRead(now); })
@@ -124,7 +124,7 @@
     m_feedClient.start();
     m_rolloutAgent.start();
     m_loadExchange.start(*m_feedServer);
-    m_promptCrashAgent.start();
+    m_crashVerdicts.start();
     m_registration.start();
     sweep(m_loop.now());
     m_loop.run();
@@ -313,7 +313,7 @@
                     now);
         break;
     case ViewChange::PromptPart:
-        m_promptCrashAgent.onRecord(std::get<PromptPartCondemned>(stored.record), now);
+        m_crashVerdicts.onRecord(std::get<PromptPartCondemned>(stored.record), now);
         break;
     case ViewChange::Unreadable: {
         const auto &record = std::get<UnreadableRecord>(stored.record);
@@ -353,7 +353,7 @@
     m_log.write(LogPriority::Notable,
                 LogLine("store.era").add("previous", previous.value()).add("era", era.value()),
                 now);
-    m_promptCrashAgent.onStoreEra();
+    m_crashVerdicts.onStoreEra();
     m_registration.onStoreEra(now);
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -6,10 +6,10 @@
 
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
+#include "Daemon/CrashVerdictAgent.h"
 #include "Daemon/FleetLimits.h"
 #include "Daemon/LoadExchange.h"
 #include "Daemon/MemberRegistration.h"
-#include "Daemon/PromptCrashAgent.h"
 #include "Daemon/RolloutAgent.h"
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
@@ -92,7 +92,7 @@
     FleetLimits m_fleetLimits;
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
-    PromptCrashTable m_promptCrashes;
+    CrashTable m_crashes;
     ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
@@ -101,7 +101,7 @@
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
     LoadExchange m_loadExchange;
-    PromptCrashAgent m_promptCrashAgent;
+    CrashVerdictAgent m_crashVerdicts;
     MemberRegistration m_registration;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callerServer;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -128,18 +128,18 @@
     return message;
 }
 
-void writePart(wire::FeedPromptPart::Builder builder, const PromptPartKey &key, Duration age)
+void writePart(wire::FeedPromptPart::Builder builder, const SuspectKey &key, Duration age)
 {
     builder.setAccount(key.account);
     builder.setPart(key.part);
     builder.setAge(age.count());
 }
 
-void writePromptEvidence(wire::FeedPromptEvidence::Builder builder, const PromptEvidence &evidence)
+void writeCrashEvidence(wire::FeedPromptEvidence::Builder builder, const CrashEvidence &evidence)
 {
     auto crashes = builder.initCrashes(static_cast<unsigned>(evidence.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i) {
-        const PromptCrash &crash = evidence.crashes[i];
+        const RequestCrash &crash = evidence.crashes[i];
         crashes[i].setRequest(crash.request);
         crashes[i].setServer(crash.server);
         crashes[i].setAccount(crash.account);
@@ -160,12 +160,12 @@
     }
 }
 
-PromptEvidence readPromptEvidence(wire::FeedPromptEvidence::Reader reader)
+CrashEvidence readCrashEvidence(wire::FeedPromptEvidence::Reader reader)
 {
-    PromptEvidence evidence;
+    CrashEvidence evidence;
     for (const auto entry : reader.getCrashes()) {
-        PromptCrash crash{entry.getRequest(),       entry.getServer(), entry.getAccount(), {},
-                          Duration(entry.getAge()), entry.getContent()};
+        RequestCrash crash{entry.getRequest(),       entry.getServer(), entry.getAccount(), {},
+                           Duration(entry.getAge()), entry.getContent()};
         for (const std::uint64_t part : entry.getParts()) {
             crash.parts.push_back(part);
         }
@@ -220,8 +220,8 @@
         promptCacheEntries[j].setAffinity(message.promptCacheEntries[j].affinity);
         promptCacheEntries[j].setBackend(message.promptCacheEntries[j].backend.value());
     }
-    if (!message.promptEvidence.empty()) {
-        writePromptEvidence(builder.initPromptEvidence(), message.promptEvidence);
+    if (!message.crashEvidence.empty()) {
+        writeCrashEvidence(builder.initPromptEvidence(), message.crashEvidence);
     }
     auto rateLimits = builder.initRateLimits(static_cast<unsigned>(message.rateLimits.size()));
     for (unsigned j = 0; j < rateLimits.size(); ++j) {
@@ -247,7 +247,7 @@
         message.promptCacheEntries.push_back(
             {place.getAffinity(), InstanceId(place.getBackend().cStr())});
     }
-    message.promptEvidence = readPromptEvidence(reader.getPromptEvidence());
+    message.crashEvidence = readCrashEvidence(reader.getPromptEvidence());
     for (const auto entry : reader.getRateLimits()) {
         message.rateLimits.push_back(readRateLimit(entry));
     }
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -8,8 +8,8 @@
 
 #include "Fleet/FleetStore.h"
 #include "Routing/BackendLoads.h"
+#include "Routing/CrashEvidence.h"
 #include "Routing/PromptCacheIndex.h"
-#include "Routing/PromptEvidence.h"
 #include "Routing/ServerNotices.h"
 
 namespace lycheearch {
@@ -51,7 +51,7 @@
     BackendLoads loads;
     /// Entries that are new or that must be published again before they expire.
     std::vector<PromptCacheEntry> promptCacheEntries;
-    PromptEvidence promptEvidence;
+    CrashEvidence crashEvidence;
     std::vector<RateLimitNotice> rateLimits; ///< That servers named since the last message.
 };
 
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -71,7 +71,7 @@
         if (m_subscribed) {
             m_loads = load.loads;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
-            m_server.m_promptEvidence.add(load.promptEvidence);
+            m_server.m_crashEvidence.add(load.crashEvidence);
             addNewest(m_server.m_rateLimits, load.rateLimits);
         } else if (!load.dataCentre.empty()) {
             m_server.m_onLoad(load, now);
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -40,7 +40,7 @@
         return std::exchange(m_promptCacheEntries, {});
     }
     /// Returns and clears what the followers told about prompts that crash servers.
-    PromptEvidence takePromptEvidence() { return std::exchange(m_promptEvidence, {}); }
+    CrashEvidence takeCrashEvidence() { return std::exchange(m_crashEvidence, {}); }
     /// Returns and clears the rate limits that servers named to the followers.
     std::vector<RateLimitNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
 
@@ -62,7 +62,7 @@
     TimerId m_timer;
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
     std::vector<PromptCacheEntry> m_promptCacheEntries;
-    PromptEvidence m_promptEvidence;
+    CrashEvidence m_crashEvidence;
     std::vector<RateLimitNotice> m_rateLimits;
 };
 
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -6,8 +6,8 @@
 
 #include "Base/Endpoint.h"
 #include "Fleet/RoutingConfig.h"
+#include "Routing/CrashEvidence.h"
 #include "Routing/DelayHistogram.h"
-#include "Routing/PromptEvidence.h"
 
 namespace lycheearch {
 
@@ -160,7 +160,7 @@
 /// A part of prompts crashes servers; requests with it are refused.
 struct PromptPartCondemned
 {
-    PromptPartKey key;
+    SuspectKey key;
     std::int64_t condemnedAt = 0; ///< Unix milliseconds on the clock of the daemon that wrote it.
 
     bool operator==(const PromptPartCondemned &) const = default;
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -68,7 +68,7 @@
     return counts;
 }
 
-std::string condemnedName(const PromptPartKey &key)
+std::string condemnedName(const SuspectKey &key)
 {
     return std::string(CondemnedPrefix) + std::to_string(key.account) + "/"
         + std::to_string(key.part);
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -9,8 +9,8 @@
 #include "Log/StructuredLog.h"
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
+#include "Routing/CrashTable.h"
 #include "Routing/ModelCascade.h"
-#include "Routing/PromptCrashTable.h"
 #include "Routing/ReturnSchedule.h"
 #include "Routing/RolloutCounts.h"
 #include "Routing/ShutdownPolicy.h"
@@ -29,7 +29,7 @@
     WindowedRetryBudget &retryBudget;
     RolloutCounts &rolloutCounts;
     ModelCascade &models;
-    PromptCrashTable &promptCrashes;
+    CrashTable &crashes;
     ReturnSchedule &returnSchedule;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -317,7 +317,7 @@
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const bool safe = m_route->retryable() || !m_mayHaveRun;
-    const std::size_t ended = m_context.promptCrashes.serversEndedUnder(m_accountHash, m_content);
+    const std::size_t ended = m_context.crashes.serversEndedUnder(m_accountHash, m_content);
     return safe && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
         && m_deadline - now > MinTimeForRetry;
 }
--- a/Source/Forward/RequestForwarderPrompt.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -20,18 +20,18 @@
 
 bool RequestForwarder::refuseCrashingRequest(TimePoint now)
 {
-    PromptCrashTable &table = m_context.promptCrashes;
+    CrashTable &table = m_context.crashes;
     if (const auto part = table.refusedPart(m_accountHash, m_sharedParts, now)) {
         logCrashingRefused("prompt.refused", "part", *part, now);
         m_context.metrics.count("lycheearch_prompts_refused_total");
-        m_retryAfter = PromptCrashTable::CondemnedLifetime;
+        m_retryAfter = CrashTable::CondemnedLifetime;
         fail("a part of the prompt crashes backend servers", now);
         return true;
     }
     if (table.refusesRequest(m_accountHash, m_content, now)) {
         logCrashingRefused("request.refused", "content", m_content, now);
         m_context.metrics.count("lycheearch_crashing_requests_refused_total");
-        m_retryAfter = PromptCrashTable::CondemnedLifetime;
+        m_retryAfter = CrashTable::CondemnedLifetime;
         fail("the request crashes backend servers", now);
         return true;
     }
@@ -51,8 +51,8 @@
 
 void RequestForwarder::recordServed(TimePoint now)
 {
-    m_context.promptCrashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
-    m_context.promptCrashes.withdrawCrashes(stableHash(m_request.id.value()));
+    m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+    m_context.crashes.withdrawCrashes(stableHash(m_request.id.value()));
 }
 
 void RequestForwarder::recordConnectionLost(TimePoint now)
@@ -60,15 +60,15 @@
     if (m_attempt.headReceived && !m_sharedParts.empty()) {
         logBrokenOff(now);
     }
-    if (m_attempt.headReceived && now - m_attempt.headAt >= PromptCrashTable::CrashWindow) {
-        m_context.promptCrashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+    if (m_attempt.headReceived && now - m_attempt.headAt >= CrashTable::CrashWindow) {
+        m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
         return;
     }
     // Without a head, the request may have waited for a slot: that says nothing of its parts.
     const auto parts = m_attempt.headReceived ? m_sharedParts : std::vector<std::uint64_t>();
-    m_context.promptCrashes.recordCrash({stableHash(m_request.id.value()), m_attempt.server,
-                                         m_accountHash, parts, Duration::zero(), m_content},
-                                        now);
+    m_context.crashes.recordCrash({stableHash(m_request.id.value()), m_attempt.server,
+                                   m_accountHash, parts, Duration::zero(), m_content},
+                                  now);
 }
 
 void RequestForwarder::logBrokenOff(TimePoint now)
--- a/Source/Routing/PromptEvidence.cpp
+++ b/Source/Routing/CrashEvidence.cpp
@@ -1,4 +1,4 @@
-#include "Routing/PromptEvidence.h"
+#include "Routing/CrashEvidence.h"
 
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 void addEntries(std::vector<Entry> &entries, const std::vector<Entry> &others)
 {
     for (const Entry &other : others) {
-        if (entries.size() >= PromptEvidence::MaxEntries) {
+        if (entries.size() >= CrashEvidence::MaxEntries) {
             return;
         }
         entries.push_back(other);
@@ -18,13 +18,13 @@
 }
 
 /// Adds the parts that are not among \p parts yet: all daemons report the same ones.
-void addNewParts(std::vector<CondemnedPart> &parts, const std::vector<CondemnedPart> &others)
+void addNewParts(std::vector<CondemnedSuspect> &parts, const std::vector<CondemnedSuspect> &others)
 {
-    for (const CondemnedPart &other : others) {
-        const bool known = std::any_of(parts.begin(), parts.end(), [&](const CondemnedPart &part) {
-            return part.key == other.key;
-        });
-        if (!known && parts.size() < PromptEvidence::MaxEntries) {
+    for (const CondemnedSuspect &other : others) {
+        const bool known =
+            std::any_of(parts.begin(), parts.end(),
+                        [&](const CondemnedSuspect &part) { return part.key == other.key; });
+        if (!known && parts.size() < CrashEvidence::MaxEntries) {
             parts.push_back(other);
         }
     }
@@ -32,7 +32,7 @@
 
 } // namespace
 
-void PromptEvidence::add(const PromptEvidence &other)
+void CrashEvidence::add(const CrashEvidence &other)
 {
     addEntries(crashes, other.crashes);
     addEntries(successes, other.successes);
--- a/Source/Routing/PromptEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -10,17 +10,17 @@
 
 /// What may crash servers: a part of the prompts of one client account, or a whole request of it.
 /// All are hashes, since their texts are only compared.
-struct PromptPartKey
+struct SuspectKey
 {
     std::uint64_t account = 0;
     std::uint64_t part = 0; ///< Or the content of a whole request.
 
-    auto operator<=>(const PromptPartKey &) const = default;
+    auto operator<=>(const SuspectKey &) const = default;
 };
 
 /// A request whose answer broke off soon after it had begun, or whose connection was lost before
 /// any answer, so that it may have crashed its server.
-struct PromptCrash
+struct RequestCrash
 {
     std::uint64_t request = 0; ///< Hash of the request's id.
     std::uint64_t server = 0; ///< Hash of the server's id and start time.
@@ -33,41 +33,41 @@
     /// 0 if not known.
     std::uint64_t content = 0;
 
-    bool operator==(const PromptCrash &) const = default;
+    bool operator==(const RequestCrash &) const = default;
 };
 
 /// The latest answer that was served to a request with a part that is under suspicion.
-struct PromptSuccess
+struct SuspectSuccess
 {
-    PromptPartKey key;
+    SuspectKey key;
     Duration age{};
 
-    bool operator==(const PromptSuccess &) const = default;
+    bool operator==(const SuspectSuccess &) const = default;
 };
 
 /// A part, or the content of a request, that is condemned: requests with it are refused.
-struct CondemnedPart
+struct CondemnedSuspect
 {
-    PromptPartKey key;
+    SuspectKey key;
     Duration age{}; ///< Time since the first daemon condemned it.
 
-    bool operator==(const CondemnedPart &) const = default;
+    bool operator==(const CondemnedSuspect &) const = default;
 };
 
 /// What daemons tell each other about prompts that crash servers.
-struct PromptEvidence
+struct CrashEvidence
 {
-    std::vector<PromptCrash> crashes;
-    std::vector<PromptSuccess> successes;
-    std::vector<CondemnedPart> condemned;
+    std::vector<RequestCrash> crashes;
+    std::vector<SuspectSuccess> successes;
+    std::vector<CondemnedSuspect> condemned;
 
     /// Adds the entries of \p other, as long as no kind has more than MaxEntries of them.
-    void add(const PromptEvidence &other);
+    void add(const CrashEvidence &other);
     /// Entries of a kind in one message; those that are left out are repeated by their origin.
     static constexpr std::size_t MaxEntries = 512;
 
     bool empty() const { return crashes.empty() && successes.empty() && condemned.empty(); }
-    bool operator==(const PromptEvidence &) const = default;
+    bool operator==(const CrashEvidence &) const = default;
 };
 
 } // namespace lycheearch
--- a/Source/Routing/PromptCrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -1,4 +1,4 @@
-#include "Routing/PromptCrashTable.h"
+#include "Routing/CrashTable.h"
 
 #include <algorithm>
 
@@ -43,20 +43,20 @@
 constexpr Duration SuccessPublishPeriod = 1s;
 constexpr Duration CondemnedPublishPeriod = 2s;
 
-std::uint64_t hashOf(const PromptPartKey &key)
+std::uint64_t hashOf(const SuspectKey &key)
 {
     return mixBits(key.account ^ mixBits(key.part));
 }
 
 } // namespace
 
-void PromptCrashTable::recordCrash(PromptCrash crash, TimePoint now)
+void CrashTable::recordCrash(RequestCrash crash, TimePoint now)
 {
     crash.age = Duration::zero();
     addCrash({std::move(crash), now, now, TimePoint(), true}, now);
 }
 
-void PromptCrashTable::addCrash(Crash crash, TimePoint now)
+void CrashTable::addCrash(Crash crash, TimePoint now)
 {
     const bool known = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &other) {
         return other.report.request == crash.report.request
@@ -76,7 +76,7 @@
     forgetOld(now);
 }
 
-void PromptCrashTable::forgetOld(TimePoint now)
+void CrashTable::forgetOld(TimePoint now)
 {
     while (!m_crashes.empty() && now - m_crashes.front().receivedAt > CrashLifetime) {
         eraseCrash(m_crashes.begin());
@@ -94,7 +94,7 @@
     std::erase_if(m_condemned, [](const auto &entry) { return entry.second.empty(); });
 }
 
-void PromptCrashTable::dropOldestCrash()
+void CrashTable::dropOldestCrash()
 {
     const auto most = std::max_element(
         m_crashCounts.begin(), m_crashCounts.end(),
@@ -104,8 +104,7 @@
     }));
 }
 
-std::deque<PromptCrashTable::Crash>::iterator
-PromptCrashTable::eraseCrash(std::deque<Crash>::iterator crash)
+std::deque<CrashTable::Crash>::iterator CrashTable::eraseCrash(std::deque<Crash>::iterator crash)
 {
     const auto count = m_crashCounts.find(crash->report.account);
     if (--count->second == 0) {
@@ -114,19 +113,19 @@
     return m_crashes.erase(crash);
 }
 
-void PromptCrashTable::withdrawCrashes(std::uint64_t request)
+void CrashTable::withdrawCrashes(std::uint64_t request)
 {
     for (auto crash = m_crashes.begin(); crash != m_crashes.end();) {
-        const PromptCrash &report = crash->report;
+        const RequestCrash &report = crash->report;
         const bool withdrawn = crash->own && report.parts.empty() && report.request == request;
         crash = withdrawn ? eraseCrash(crash) : std::next(crash);
     }
 }
 
-bool PromptCrashTable::isSuspect(const PromptPartKey &key) const
+bool CrashTable::isSuspect(const SuspectKey &key) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
-        const PromptCrash &report = crash.report;
+        const RequestCrash &report = crash.report;
         return report.account == key.account
             && (report.content == key.part
                 || std::find(report.parts.begin(), report.parts.end(), key.part)
@@ -134,7 +133,7 @@
     });
 }
 
-std::size_t PromptCrashTable::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
+std::size_t CrashTable::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
 {
     const std::optional<TimePoint> success = lastSuccess({account, content});
     std::set<std::uint64_t> servers;
@@ -147,7 +146,7 @@
     return servers.size();
 }
 
-void PromptCrashTable::noteOwnSuccess(const PromptPartKey &key)
+void CrashTable::noteOwnSuccess(const SuspectKey &key)
 {
     const std::uint64_t hash = hashOf(key);
     for (const auto *generation : {&m_ownSuccesses, &m_olderOwnSuccesses}) {
@@ -161,15 +160,15 @@
     }
 }
 
-void PromptCrashTable::recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
-                                     std::uint64_t content, TimePoint now)
+void CrashTable::recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
+                               std::uint64_t content, TimePoint now)
 {
     std::vector<std::uint64_t> served = parts;
     if (content != 0) {
         served.push_back(content);
     }
     for (const std::uint64_t part : served) {
-        const PromptPartKey key{account, part};
+        const SuspectKey key{account, part};
         if (m_ownSuccesses.size() >= MaxOwnSuccesses) {
             m_olderOwnSuccesses = std::exchange(m_ownSuccesses, {});
         }
@@ -182,21 +181,21 @@
     }
 }
 
-void PromptCrashTable::apply(const PromptEvidence &evidence, TimePoint now)
+void CrashTable::apply(const CrashEvidence &evidence, TimePoint now)
 {
-    for (const PromptCrash &crash : evidence.crashes) {
+    for (const RequestCrash &crash : evidence.crashes) {
         addCrash({crash, now - crash.age, now, TimePoint(), false}, now);
     }
-    for (const PromptSuccess &reported : evidence.successes) {
+    for (const SuspectSuccess &reported : evidence.successes) {
         Success &success = m_successes[reported.key];
         success.at = std::max(success.at, now - reported.age);
     }
-    for (const CondemnedPart &part : evidence.condemned) {
+    for (const CondemnedSuspect &part : evidence.condemned) {
         condemn(part, now);
     }
 }
 
-void PromptCrashTable::condemn(const CondemnedPart &part, TimePoint now)
+void CrashTable::condemn(const CondemnedSuspect &part, TimePoint now)
 {
     if (addCondemned(part, now)) {
         Verdict verdict;
@@ -206,7 +205,7 @@
     }
 }
 
-bool PromptCrashTable::addCondemned(const CondemnedPart &part, TimePoint now)
+bool CrashTable::addCondemned(const CondemnedSuspect &part, TimePoint now)
 {
     if (part.age > CondemnedLifetime) {
         return false;
@@ -222,7 +221,7 @@
     return inserted;
 }
 
-void PromptCrashTable::dropOldestCondemned()
+void CrashTable::dropOldestCondemned()
 {
     std::map<std::uint64_t, std::vector<std::pair<TimePoint, std::uint64_t>>> partsOf;
     for (const auto &[part, accounts] : m_condemned) {
@@ -241,9 +240,9 @@
     }
 }
 
-PromptEvidence PromptCrashTable::takeUnpublished(TimePoint now)
+CrashEvidence CrashTable::takeUnpublished(TimePoint now)
 {
-    PromptEvidence evidence;
+    CrashEvidence evidence;
     for (Crash &crash : m_crashes) {
         if (publishes(crash, now)) {
             crash.publishedAt = now;
@@ -265,16 +264,16 @@
     return evidence;
 }
 
-bool PromptCrashTable::publishes(const Crash &crash, TimePoint now) const
+bool CrashTable::publishes(const Crash &crash, TimePoint now) const
 {
     const Duration lifetime =
         crash.report.parts.empty() ? LostPublishLifetime : CrashPublishLifetime;
     return crash.own && now - crash.at < lifetime && now - crash.publishedAt >= CrashPublishPeriod;
 }
 
-std::vector<CondemnedPart> PromptCrashTable::condemned(TimePoint now) const
+std::vector<CondemnedSuspect> CrashTable::condemned(TimePoint now) const
 {
-    std::vector<CondemnedPart> parts;
+    std::vector<CondemnedSuspect> parts;
     for (const auto &[part, accounts] : m_condemned) {
         for (const auto &[account, at] : accounts) {
             parts.push_back({{account, part}, now - at});
@@ -283,9 +282,9 @@
     return parts;
 }
 
-std::optional<std::uint64_t> PromptCrashTable::refusedPart(std::uint64_t account,
-                                                           const std::vector<std::uint64_t> &parts,
-                                                           TimePoint now)
+std::optional<std::uint64_t> CrashTable::refusedPart(std::uint64_t account,
+                                                     const std::vector<std::uint64_t> &parts,
+                                                     TimePoint now)
 {
     evaluate(now);
     const auto found = std::find_if(parts.begin(), parts.end(),
@@ -293,32 +292,32 @@
     return found == parts.end() ? std::nullopt : std::optional(*found);
 }
 
-bool PromptCrashTable::refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now)
+bool CrashTable::refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now)
 {
     evaluate(now);
     return isRequestCondemned(account, content);
 }
 
-bool PromptCrashTable::isRequestCondemned(std::uint64_t account, std::uint64_t content) const
+bool CrashTable::isRequestCondemned(std::uint64_t account, std::uint64_t content) const
 {
     const auto found = m_condemned.find(content);
     return found != m_condemned.end() && found->second.contains(account);
 }
 
-bool PromptCrashTable::isCondemned(std::uint64_t account, std::uint64_t part) const
+bool CrashTable::isCondemned(std::uint64_t account, std::uint64_t part) const
 {
     const auto found = m_condemned.find(part);
     return found != m_condemned.end()
         && (found->second.size() >= AccountsForAll || found->second.contains(account));
 }
 
-bool PromptCrashTable::explainedByPart(const PromptCrash &crash) const
+bool CrashTable::explainedByPart(const RequestCrash &crash) const
 {
     return std::any_of(crash.parts.begin(), crash.parts.end(),
                        [&](std::uint64_t part) { return isCondemned(crash.account, part); });
 }
 
-void PromptCrashTable::evaluate(TimePoint now)
+void CrashTable::evaluate(TimePoint now)
 {
     if (now - m_evaluatedAt < EvaluationPeriod) {
         return;
@@ -344,12 +343,12 @@
     }
 }
 
-RequestSuspects PromptCrashTable::requestSuspects(TimePoint now) const
+RequestSuspects CrashTable::requestSuspects(TimePoint now) const
 {
     const std::set<std::uint64_t> explained = serversEndedByParts();
     RequestSuspects suspects;
     for (const Crash &crash : m_crashes) {
-        const PromptPartKey key{crash.report.account, crash.report.content};
+        const SuspectKey key{crash.report.account, crash.report.content};
         const std::optional<TimePoint> success = lastSuccess(key);
         const bool acquitted =
             success && (*success >= crash.at || now - *success < MinTimeSinceSuccess);
@@ -362,7 +361,7 @@
     return suspects;
 }
 
-std::optional<PromptCrashTable::Suspect> PromptCrashTable::worstSuspect(TimePoint now) const
+std::optional<CrashTable::Suspect> CrashTable::worstSuspect(TimePoint now) const
 {
     std::optional<Suspect> worst;
     for (const auto &[key, suspect] : suspects(now)) {
@@ -380,7 +379,7 @@
     return worst;
 }
 
-std::set<std::uint64_t> PromptCrashTable::serversEndedByParts() const
+std::set<std::uint64_t> CrashTable::serversEndedByParts() const
 {
     std::set<std::uint64_t> servers;
     for (const Crash &crash : m_crashes) {
@@ -391,7 +390,7 @@
     return servers;
 }
 
-std::map<PromptPartKey, PromptCrashTable::Suspect> PromptCrashTable::suspects(TimePoint now) const
+std::map<SuspectKey, CrashTable::Suspect> CrashTable::suspects(TimePoint now) const
 {
     const std::set<std::uint64_t> endedByParts = serversEndedByParts();
     std::set<std::uint64_t> endedByRequests;
@@ -400,9 +399,9 @@
             endedByRequests.insert(crash.report.server);
         }
     }
-    std::map<PromptPartKey, Suspect> found;
+    std::map<SuspectKey, Suspect> found;
     for (const Crash &crash : m_crashes) {
-        const PromptCrash &report = crash.report;
+        const RequestCrash &report = crash.report;
         const bool cause = isRequestCondemned(report.account, report.content);
         if (endedByParts.contains(report.server)
             || (!cause && endedByRequests.contains(report.server))
@@ -410,7 +409,7 @@
             continue;
         }
         for (const std::uint64_t part : report.parts) {
-            const PromptPartKey key{report.account, part};
+            const SuspectKey key{report.account, part};
             Suspect &suspect = found[key];
             suspect.key = key;
             addToSuspect(suspect, crash);
@@ -419,7 +418,7 @@
     return found;
 }
 
-void PromptCrashTable::addToSuspect(Suspect &suspect, const Crash &crash) const
+void CrashTable::addToSuspect(Suspect &suspect, const Crash &crash) const
 {
     const std::optional<TimePoint> success = lastSuccess(suspect.key);
     suspect.served = success.has_value();
@@ -437,7 +436,7 @@
     suspect.requests.insert(content != 0 ? content : crash.report.request);
 }
 
-bool PromptCrashTable::convicts(const Suspect &suspect, TimePoint now) const
+bool CrashTable::convicts(const Suspect &suspect, TimePoint now) const
 {
     const std::size_t needed = suspect.served ? MinCrashesOfServedPart : MinCrashes;
     if (suspect.servers.size() < needed || suspect.requests.size() < needed) {
@@ -451,7 +450,7 @@
     return static_cast<double>(suspect.servers.size()) >= MinShareOfCrashes * all;
 }
 
-std::size_t PromptCrashTable::serversEnded(TimePoint from, TimePoint to) const
+std::size_t CrashTable::serversEnded(TimePoint from, TimePoint to) const
 {
     std::set<std::uint64_t> servers;
     for (const Crash &crash : m_crashes) {
@@ -464,7 +463,7 @@
     return servers.size();
 }
 
-std::optional<TimePoint> PromptCrashTable::lastSuccess(const PromptPartKey &key) const
+std::optional<TimePoint> CrashTable::lastSuccess(const SuspectKey &key) const
 {
     const auto found = m_successes.find(key);
     return found == m_successes.end() ? std::nullopt : std::optional(found->second.at);
--- a/Source/Routing/PromptCrashTable.h
+++ b/Source/Routing/CrashTable.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "Routing/PromptEvidence.h"
+#include "Routing/CrashEvidence.h"
 #include "Routing/RequestSuspects.h"
 
 namespace lycheearch {
@@ -33,7 +33,7 @@
 /// repetitions. It is refused to its account only. A part is condemned for one client account. If
 /// the parts of several accounts are condemned, it is refused to all: so a single account can't
 /// have the prompts of another one refused.
-class PromptCrashTable
+class CrashTable
 {
 public:
     /// An answer that breaks off later after its begin, or not at all, counts as served.
@@ -44,7 +44,7 @@
     /// A decision, for the log.
     struct Verdict
     {
-        PromptPartKey key;
+        SuspectKey key;
         std::size_t servers = 0; ///< That ended under the part.
         std::size_t requests = 0; ///< Under which they ended.
         std::size_t allServers = 0; ///< That ended in the same time under any request.
@@ -54,7 +54,7 @@
     };
 
     /// Records an answer of this daemon that broke off; its age is ignored.
-    void recordCrash(PromptCrash crash, TimePoint now);
+    void recordCrash(RequestCrash crash, TimePoint now);
     /// Records an answer of this daemon that was served.
     void recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
                        std::uint64_t content, TimePoint now);
@@ -62,12 +62,12 @@
     /// all: it only ran beside the cause.
     void withdrawCrashes(std::uint64_t request);
     /// Adds what another daemon told.
-    void apply(const PromptEvidence &evidence, TimePoint now);
+    void apply(const CrashEvidence &evidence, TimePoint now);
     /// Condemns a part that another daemon condemned.
-    void condemn(const CondemnedPart &part, TimePoint now);
+    void condemn(const CondemnedSuspect &part, TimePoint now);
     /// What the other daemons need to be told now. Each entry is repeated for some time, as
     /// messages may be lost.
-    PromptEvidence takeUnpublished(TimePoint now);
+    CrashEvidence takeUnpublished(TimePoint now);
 
     /// The part because of which a request must not be sent to a server, if any.
     std::optional<std::uint64_t>
@@ -82,12 +82,12 @@
     /// Returns and clears the decisions since the last call.
     std::vector<Verdict> takeVerdicts() { return std::exchange(m_verdicts, {}); }
     /// All parts that are condemned.
-    std::vector<CondemnedPart> condemned(TimePoint now) const;
+    std::vector<CondemnedSuspect> condemned(TimePoint now) const;
 
 private:
     struct Crash
     {
-        PromptCrash report;
+        RequestCrash report;
         TimePoint at;
         TimePoint receivedAt;
         TimePoint publishedAt; ///< Unset if not published; only for the crashes of this daemon.
@@ -97,7 +97,7 @@
     /// The evidence against one part.
     struct Suspect
     {
-        PromptPartKey key;
+        SuspectKey key;
         std::set<std::uint64_t> servers;
         std::set<std::uint64_t> requests; ///< Their contents, or ids if these are not known.
         TimePoint first;
@@ -119,12 +119,12 @@
     std::deque<Crash>::iterator eraseCrash(std::deque<Crash>::iterator crash);
     void dropOldestCondemned();
     /// Returns false if the key was condemned already.
-    bool addCondemned(const CondemnedPart &part, TimePoint now);
+    bool addCondemned(const CondemnedSuspect &part, TimePoint now);
     void forgetOld(TimePoint now);
     bool isCondemned(std::uint64_t account, std::uint64_t part) const;
     bool isRequestCondemned(std::uint64_t account, std::uint64_t content) const;
-    bool explainedByPart(const PromptCrash &crash) const;
-    std::map<PromptPartKey, Suspect> suspects(TimePoint now) const;
+    bool explainedByPart(const RequestCrash &crash) const;
+    std::map<SuspectKey, Suspect> suspects(TimePoint now) const;
     void addToSuspect(Suspect &suspect, const Crash &crash) const;
     bool publishes(const Crash &crash, TimePoint now) const;
     bool convicts(const Suspect &suspect, TimePoint now) const;
@@ -135,13 +135,13 @@
     /// Servers whose end a condemned part explains.
     std::set<std::uint64_t> serversEndedByParts() const;
     /// Whether a server ended under the part or the whole request.
-    bool isSuspect(const PromptPartKey &key) const;
-    std::optional<TimePoint> lastSuccess(const PromptPartKey &key) const;
-    void noteOwnSuccess(const PromptPartKey &key);
+    bool isSuspect(const SuspectKey &key) const;
+    std::optional<TimePoint> lastSuccess(const SuspectKey &key) const;
+    void noteOwnSuccess(const SuspectKey &key);
 
     std::deque<Crash> m_crashes;
     std::map<std::uint64_t, std::size_t> m_crashCounts; ///< Of m_crashes, by account.
-    std::map<PromptPartKey, Success> m_successes; ///< Of the parts under suspicion.
+    std::map<SuspectKey, Success> m_successes; ///< Of the parts under suspicion.
     /// Latest successes of this daemon in two generations, the older of which is dropped whole.
     std::unordered_map<std::uint64_t, TimePoint> m_ownSuccesses;
     std::unordered_map<std::uint64_t, TimePoint> m_olderOwnSuccesses;
--- a/Source/Routing/RequestSuspects.cpp
+++ b/Source/Routing/RequestSuspects.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-void RequestSuspects::add(const PromptCrash &crash, bool served, bool condemned)
+void RequestSuspects::add(const RequestCrash &crash, bool served, bool condemned)
 {
-    const PromptPartKey key{crash.account, crash.content};
+    const SuspectKey key{crash.account, crash.content};
     Suspect &suspect = m_suspects[key];
     suspect.key = key;
     suspect.served = served;
@@ -62,7 +62,7 @@
     bool hasRival = false;
     for (const std::uint64_t server : suspect.servers) {
         bool explained = false;
-        for (const PromptPartKey &key : m_suspectsOf.at(server)) {
+        for (const SuspectKey &key : m_suspectsOf.at(server)) {
             const Suspect &other = m_suspects.at(key);
             if (key == suspect.key || !explainsBetter(other, suspect)) {
                 continue;
--- a/Source/Routing/RequestSuspects.h
+++ b/Source/Routing/RequestSuspects.h
@@ -4,7 +4,7 @@
 #include <set>
 #include <vector>
 
-#include "Routing/PromptEvidence.h"
+#include "Routing/CrashEvidence.h"
 
 namespace lycheearch {
 
@@ -20,7 +20,7 @@
     /// The evidence against one request.
     struct Suspect
     {
-        PromptPartKey key;
+        SuspectKey key;
         std::set<std::uint64_t> servers; ///< That ended under it.
         std::set<std::uint64_t> begun; ///< Those of them that had begun to answer it.
         std::set<std::uint64_t> arrivals; ///< Ids under which it came.
@@ -29,7 +29,7 @@
     };
 
     /// Adds a connection that was lost under a request which was not served since.
-    void add(const PromptCrash &crash, bool served, bool condemned);
+    void add(const RequestCrash &crash, bool served, bool condemned);
     /// The requests to condemn, of those that are not condemned yet.
     std::vector<Suspect> convicted() const;
 
@@ -38,8 +38,8 @@
     static bool explainsBetter(const Suspect &other, const Suspect &suspect);
     bool isConvicted(const Suspect &suspect) const;
 
-    std::map<PromptPartKey, Suspect> m_suspects;
-    std::map<std::uint64_t, std::vector<PromptPartKey>> m_suspectsOf; ///< By server.
+    std::map<SuspectKey, Suspect> m_suspects;
+    std::map<std::uint64_t, std::vector<SuspectKey>> m_suspectsOf; ///< By server.
 };
 
 } // namespace lycheearch
--- a/Tests/Daemon/testPromptCrashAgent.cpp
+++ b/Tests/Daemon/testCrashVerdictAgent.cpp
@@ -2,7 +2,7 @@
 
 #include <unistd.h>
 
-#include "Daemon/PromptCrashAgent.h"
+#include "Daemon/CrashVerdictAgent.h"
 #include "Feed/FeedHarness.h"
 #include "Fleet/ContentStore.h"
 #include "ManualLoop.h"
@@ -11,7 +11,7 @@
 
 namespace {
 
-const PromptPartKey Bad{1, 2};
+const SuspectKey Bad{1, 2};
 
 /// Passes the records of condemned parts to the agent, as the daemon does.
 struct RecordObserver : BroadcastingObserver
@@ -24,7 +24,7 @@
     }
     void onStoreEra(StoreEra, StoreEra, TimePoint) override { agent->onStoreEra(); }
 
-    PromptCrashAgent *agent = nullptr;
+    CrashVerdictAgent *agent = nullptr;
 };
 
 struct Fixture
@@ -48,14 +48,14 @@
     FleetView view;
     RecordObserver observer;
     FleetFollower follower;
-    PromptCrashTable table;
+    CrashTable table;
     StructuredLog log;
-    PromptCrashAgent agent;
+    CrashVerdictAgent agent;
 };
 
 } // namespace
 
-Test(promptCrashAgent, a_fleet_that_starts_anew_refuses_what_was_condemned_before)
+Test(crashVerdictAgent, a_fleet_that_starts_anew_refuses_what_was_condemned_before)
 {
     ManualClock clock;
     EventLoop loop(clock);
@@ -74,7 +74,7 @@
     cr_expect_eq(store.content(Topic::Own).size(), 1);
 }
 
-Test(promptCrashAgent, a_record_that_the_store_lost_is_written_again_once)
+Test(crashVerdictAgent, a_record_that_the_store_lost_is_written_again_once)
 {
     ManualClock clock;
     EventLoop loop(clock);
@@ -92,7 +92,7 @@
     cr_expect(daemon.refuses(clock.now()));
 }
 
-Test(promptCrashAgent, a_daemon_that_follows_a_feed_does_not_write)
+Test(crashVerdictAgent, a_daemon_that_follows_a_feed_does_not_write)
 {
     ManualClock clock;
     EventLoop loop(clock);
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -53,7 +53,7 @@
 
     TestDaemon state;
     BackendPicker picker;
-    PromptCrashTable table;
+    CrashTable table;
     FeedClient client;
     LoadExchange exchange;
     std::unique_ptr<FeedServer> server;
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -43,9 +43,9 @@
         {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
         {},
         {{{InstanceId("e1"), 1000}, 1.5, 3ms}, {{InstanceId("e2"), 0}, std::nullopt, 4ms}}};
-    load.promptEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms, 12}};
-    load.promptEvidence.successes = {{{6, 7}, 8ms}};
-    load.promptEvidence.condemned = {{{9, 10}, 11ms}};
+    load.crashEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms, 12}};
+    load.crashEvidence.successes = {{{6, 7}, 8ms}};
+    load.crashEvidence.condemned = {{{9, 10}, 11ms}};
     load.loads[InstanceId("e1")] = {{1, 2.5, 3}, 4, 1};
     const std::string bytes = encodeFeedFrame(FeedSubscribe{InstanceId("me")})
         + encodeFeedFrame(FeedPage{Topic::Backends, true, page})
@@ -65,7 +65,7 @@
         const auto &received = std::get<FeedLoad>(messages[5]);
         cr_expect(received.dataCentre == load.dataCentre && received.loads == load.loads
                   && received.promptCacheEntries == load.promptCacheEntries
-                  && received.promptEvidence == load.promptEvidence
+                  && received.crashEvidence == load.crashEvidence
                   && received.rateLimits == load.rateLimits);
     }
 }
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -125,9 +125,9 @@
         , connections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , retries({0.9, 10s, 10})
         , log("test", STDERR_FILENO, 0, clock)
-        , context{loop,       view,           picker,        connections, headerCodec, retries,
-                  rollouts,   models,         promptCrashes, returns,     stop,        bounds,
-                  bodyBudget, responseBudget, log,           metrics}
+        , context{loop,       view,           picker,  connections, headerCodec, retries,
+                  rollouts,   models,         crashes, returns,     stop,        bounds,
+                  bodyBudget, responseBudget, log,     metrics}
     {
     }
 
@@ -260,7 +260,7 @@
     WindowedRetryBudget retries;
     RolloutCounts rollouts;
     ModelCascade models;
-    PromptCrashTable promptCrashes;
+    CrashTable crashes;
     ReturnSchedule returns;
     ShutdownPolicy stop;
     RouterBounds bounds;
--- a/Tests/Routing/EvidenceFleet.h
+++ b/Tests/Routing/EvidenceFleet.h
@@ -4,7 +4,7 @@
 #include <random>
 #include <vector>
 
-#include "Routing/PromptCrashTable.h"
+#include "Routing/CrashTable.h"
 
 namespace lycheearch {
 
@@ -16,7 +16,7 @@
         : m_random(seed)
     {
         for (std::size_t i = 0; i < daemons; ++i) {
-            tables.push_back(std::make_unique<PromptCrashTable>());
+            tables.push_back(std::make_unique<CrashTable>());
         }
     }
 
@@ -24,7 +24,7 @@
     void exchange(TimePoint now)
     {
         for (std::size_t from = 0; from < tables.size(); ++from) {
-            const PromptEvidence evidence = tables[from]->takeUnpublished(now);
+            const CrashEvidence evidence = tables[from]->takeUnpublished(now);
             if (!evidence.empty()) {
                 const Duration delay = std::chrono::milliseconds(200 + m_random() % 400);
                 m_messages.push_back({now + delay, from, evidence});
@@ -52,14 +52,14 @@
 
     std::mt19937 &random() { return m_random; }
 
-    std::vector<std::unique_ptr<PromptCrashTable>> tables;
+    std::vector<std::unique_ptr<CrashTable>> tables;
 
 private:
     struct Message
     {
         TimePoint at;
         std::size_t from;
-        PromptEvidence evidence;
+        CrashEvidence evidence;
     };
 
     std::mt19937 m_random;
--- a/Tests/Routing/testPromptCrashTable.cpp
+++ b/Tests/Routing/testCrashTable.cpp
@@ -22,13 +22,13 @@
     return TimePoint(Duration(1000s));
 }
 
-PromptCrash crash(std::uint64_t request, std::uint64_t server, std::vector<std::uint64_t> parts,
-                  std::uint64_t account = Account)
+RequestCrash crash(std::uint64_t request, std::uint64_t server, std::vector<std::uint64_t> parts,
+                   std::uint64_t account = Account)
 {
     return {request, server, account, std::move(parts), Duration::zero()};
 }
 
-bool refuses(PromptCrashTable &table, std::vector<std::uint64_t> parts, TimePoint now,
+bool refuses(CrashTable &table, std::vector<std::uint64_t> parts, TimePoint now,
              std::uint64_t account = Account)
 {
     return table.refusedPart(account, parts, now).has_value();
@@ -113,7 +113,7 @@
 
 } // namespace
 
-Test(promptCrashTable, a_part_under_which_servers_end_is_refused_in_time_by_fleets_of_any_size)
+Test(crashTable, a_part_under_which_servers_end_is_refused_in_time_by_fleets_of_any_size)
 {
     for (const std::size_t daemons : {1, 8, 76, 195}) {
         for (const int badPerSecond : {1, 5, 40}) {
@@ -131,11 +131,11 @@
     }
 }
 
-Test(promptCrashTable, the_loss_of_many_servers_at_once_condemns_no_part)
+Test(crashTable, the_loss_of_many_servers_at_once_condemns_no_part)
 {
     for (unsigned seed = 1; seed <= 20; ++seed) {
         std::mt19937 random(seed);
-        PromptCrashTable table;
+        CrashTable table;
         TimePoint now = start();
         // Each server ends with some requests whose parts are new, as after a change of prompts.
         for (std::uint64_t server = 0; server < 40; ++server) {
@@ -149,35 +149,35 @@
     }
 }
 
-Test(promptCrashTable, a_part_that_another_daemon_has_served_is_not_condemned)
+Test(crashTable, a_part_that_another_daemon_has_served_is_not_condemned)
 {
-    PromptCrashTable table;
+    CrashTable table;
     const TimePoint now = start();
     for (std::uint64_t i = 0; i < 5; ++i) {
         table.recordCrash(crash(i, i, {FirstPart}), now);
     }
-    PromptEvidence objection;
+    CrashEvidence objection;
     objection.successes = {{{Account, FirstPart}, Duration(100ms)}};
     table.apply(objection, now + 700ms);
     cr_expect_not(refuses(table, {FirstPart}, now + 1s));
     cr_expect_not(refuses(table, {FirstPart}, now + 10s));
 }
 
-Test(promptCrashTable, a_daemon_objects_for_a_part_that_it_has_served)
+Test(crashTable, a_daemon_objects_for_a_part_that_it_has_served)
 {
-    PromptCrashTable table;
+    CrashTable table;
     table.recordSuccess(Account, {FirstPart}, 0, start());
-    PromptEvidence evidence;
+    CrashEvidence evidence;
     evidence.crashes = {crash(1, 1, {FirstPart, BadPart})};
     table.apply(evidence, start() + 1s);
-    const PromptEvidence told = table.takeUnpublished(start() + 1100ms);
+    const CrashEvidence told = table.takeUnpublished(start() + 1100ms);
     cr_assert_eq(told.successes.size(), 1);
-    cr_expect(told.successes[0].key == (PromptPartKey{Account, FirstPart}));
+    cr_expect(told.successes[0].key == (SuspectKey{Account, FirstPart}));
 }
 
-Test(promptCrashTable, a_part_that_was_served_and_crashes_servers_from_now_on_is_condemned)
+Test(crashTable, a_part_that_was_served_and_crashes_servers_from_now_on_is_condemned)
 {
-    PromptCrashTable table;
+    CrashTable table;
     TimePoint now = start();
     table.recordSuccess(Account, {BadPart}, 0, now);
     for (std::uint64_t i = 0; i < 8; ++i) {
@@ -187,18 +187,18 @@
     cr_expect(refuses(table, {BadPart}, now + 1s));
 }
 
-Test(promptCrashTable, retries_of_one_request_condemn_no_part)
+Test(crashTable, retries_of_one_request_condemn_no_part)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (std::uint64_t server = 0; server < 9; ++server) {
         table.recordCrash(crash(1, server, {BadPart}), start());
     }
     cr_expect_not(refuses(table, {BadPart}, start() + 2s));
 }
 
-Test(promptCrashTable, one_account_cannot_have_the_prompts_of_another_refused)
+Test(crashTable, one_account_cannot_have_the_prompts_of_another_refused)
 {
-    PromptCrashTable table;
+    CrashTable table;
     TimePoint now = start();
     const std::uint64_t victimPart = 42;
     // The hostile account adds the other account's part to prompts that crash servers.
@@ -212,32 +212,32 @@
     cr_expect(table.condemned(now).size() <= 256);
 }
 
-Test(promptCrashTable, a_part_condemned_for_two_accounts_is_refused_to_all)
+Test(crashTable, a_part_condemned_for_two_accounts_is_refused_to_all)
 {
-    PromptCrashTable table;
+    CrashTable table;
     table.condemn({{Account, BadPart}, Duration::zero()}, start());
     cr_expect_not(refuses(table, {BadPart}, start(), 99));
     table.condemn({{OtherAccount, BadPart}, Duration::zero()}, start());
     cr_expect(refuses(table, {BadPart}, start(), 99));
 }
 
-Test(promptCrashTable, a_daemon_that_starts_later_is_told_what_is_condemned)
+Test(crashTable, a_daemon_that_starts_later_is_told_what_is_condemned)
 {
-    PromptCrashTable old;
+    CrashTable old;
     old.condemn({{Account, BadPart}, Duration::zero()}, start());
     old.takeUnpublished(start());
-    PromptCrashTable newcomer;
+    CrashTable newcomer;
     newcomer.apply(old.takeUnpublished(start() + 2s), start() + 2s);
     cr_expect(refuses(newcomer, {BadPart}, start() + 2s));
 }
 
-Test(promptCrashTable, a_condemned_part_is_released_after_its_lifetime_by_all_daemons)
+Test(crashTable, a_condemned_part_is_released_after_its_lifetime_by_all_daemons)
 {
-    PromptCrashTable first;
-    PromptCrashTable second;
+    CrashTable first;
+    CrashTable second;
     first.condemn({{Account, BadPart}, Duration::zero()}, start());
     TimePoint now = start();
-    for (; now < start() + PromptCrashTable::CondemnedLifetime + 60s; now += 30s) {
+    for (; now < start() + CrashTable::CondemnedLifetime + 60s; now += 30s) {
         second.apply(first.takeUnpublished(now), now);
         first.apply(second.takeUnpublished(now), now);
     }
@@ -245,9 +245,9 @@
     cr_expect_not(refuses(second, {BadPart}, now));
 }
 
-Test(promptCrashTable, crashes_and_memory_of_successes_are_bounded)
+Test(crashTable, crashes_and_memory_of_successes_are_bounded)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (std::uint64_t i = 0; i < 100'000; ++i) {
         table.recordSuccess(Account, {i}, i, start());
         table.recordCrash(crash(i, i % 7, {i}), start());
--- a/Tests/Routing/testCrashingRequests.cpp
+++ b/Tests/Routing/testCrashingRequests.cpp
@@ -27,8 +27,8 @@
     return TimePoint(Duration(1000s));
 }
 
-PromptCrash lost(std::uint64_t request, std::uint64_t server, std::uint64_t content,
-                 std::uint64_t account = Account)
+RequestCrash lost(std::uint64_t request, std::uint64_t server, std::uint64_t content,
+                  std::uint64_t account = Account)
 {
     return {request, server, account, {}, Duration::zero(), content};
 }
@@ -83,7 +83,7 @@
     {
         for (const Running &request : m_running) {
             if (request.endsAt <= m_now) {
-                PromptCrashTable &table = *m_fleet.tables[request.daemon];
+                CrashTable &table = *m_fleet.tables[request.daemon];
                 table.recordSuccess(Account, {}, request.content, m_now);
                 table.withdrawCrashes(request.request);
             }
@@ -107,7 +107,7 @@
     void arrive()
     {
         const std::size_t daemon = m_fleet.pick();
-        PromptCrashTable &table = *m_fleet.tables[daemon];
+        CrashTable &table = *m_fleet.tables[daemon];
         const std::uint64_t request = ++m_nextRequest;
         if (table.refusesRequest(Account, CrashingContent, m_now)) {
             return;
@@ -189,7 +189,7 @@
 
 Test(crashingRequests, a_read_that_many_callers_send_is_not_condemned_beside_crashes)
 {
-    PromptCrashTable table;
+    CrashTable table;
     TimePoint now = start();
     for (std::uint64_t i = 0; i < 40; ++i) {
         now += 200ms;
@@ -201,8 +201,8 @@
 
 Test(crashingRequests, the_success_of_another_daemon_acquits_a_request)
 {
-    PromptCrashTable table;
-    PromptCrashTable other;
+    CrashTable table;
+    CrashTable other;
     const TimePoint now = start();
     other.recordSuccess(Account, {}, 1, now - Duration(10s));
     for (std::uint64_t i = 0; i < 4; ++i) {
@@ -216,7 +216,7 @@
 
 Test(crashingRequests, one_arrival_alone_is_not_condemned)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (std::uint64_t server = 0; server < 5; ++server) {
         table.recordCrash(lost(1, server, CrashingContent), start());
     }
@@ -225,7 +225,7 @@
 
 Test(crashingRequests, a_request_that_was_served_in_the_end_is_no_evidence)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (std::uint64_t i = 0; i < 4; ++i) {
         table.recordCrash(lost(i, i, CrashingContent), start());
         table.withdrawCrashes(i);
@@ -236,7 +236,7 @@
 
 Test(crashingRequests, a_request_that_is_repeated_does_not_condemn_the_parts_of_its_prompt)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (std::uint64_t i = 0; i < 6; ++i) {
         table.recordCrash({i, i, Account, {100, 200}, Duration::zero(), CrashingContent}, start());
     }
@@ -246,7 +246,7 @@
 
 Test(crashingRequests, a_condemned_request_of_two_accounts_is_refused_to_these_only)
 {
-    PromptCrashTable table;
+    CrashTable table;
     for (const std::uint64_t account : {Account, OtherAccount}) {
         for (std::uint64_t i = 0; i < 4; ++i) {
             table.recordCrash(lost(10 * account + i, 10 * account + i, CrashingContent, account),
@@ -261,7 +261,7 @@
 Test(crashingRequests, an_account_that_crashes_servers_in_many_ways_pushes_out_its_own_entries_only)
 {
     constexpr std::uint64_t hostile = 66;
-    PromptCrashTable table;
+    CrashTable table;
     TimePoint now = start();
     std::uint64_t id = 1000;
     const auto crashThrice = [&](std::uint64_t account, std::uint64_t content) {
--- a/Tests/Routing/testRequestSuspects.cpp
+++ b/Tests/Routing/testRequestSuspects.cpp
@@ -26,7 +26,7 @@
     std::uint64_t request = 0;
     for (const Losses &loss : losses) {
         for (const std::uint64_t server : loss.servers) {
-            PromptCrash crash{++request, server, Account, {}, Duration::zero(), loss.content};
+            RequestCrash crash{++request, server, Account, {}, Duration::zero(), loss.content};
             if (loss.begun) {
                 crash.parts = {100};
             }
