--- a/Source/Forward/RequestForwarderCrash.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -29,7 +29,7 @@
         return true;
     }
     if (table.refusesRequest(m_accountHash, m_content, now)) {
-        logCrashingRefused("request.refused", "content", m_content, now);
+        logCrashingRefused("crash.refused", "content", m_content, now);
         m_context.metrics.count("lycheearch_crashing_requests_refused_total");
         m_retryAfter = CrashTable::CondemnedLifetime;
         fail("the request crashes backend servers", now);
