Feeds don't carry rollout evidence

Cause: while a rollout is under way, each reader of the store writes the evidence of its followers every 0.7 s, and each source sent the evidence of all readers on to all of its followers: about 30 compressed pages a second over a link of 20 Mbit/s or less (its bytes don't count as bytes between data centres, so they showed in no price). The heartbeats behind them came late, followers took the source for stale and read the store themselves, and each of these wrote and read evidence too. Followers don't need it: only readers decide.

Change: FeedServer empties these records (they stay as keys, so that followers see no gap). A daemon that begins to read waits until each other reader has written once before it decides on rollouts.

Test: feed::followers_are_not_sent_rollout_evidence_and_miss_no_record failed before.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration StepPeriod = 400ms;
 constexpr Duration EvidenceWritePeriod = 700ms;
+/// Feeds don't carry the evidence of all daemons. A daemon that begins to read the store has it
+/// after each of the other readers has written once.
+constexpr Duration EvidenceCollectionTime = 2 * EvidenceWritePeriod;
 
 } // namespace
 
@@ -56,8 +59,12 @@
     if (rolloutUnderWay(m_view)) {
         reportEvidence(now);
     }
-    if (!m_follower.followingFeed()) {
-        writeEvidence(now);
+    if (m_follower.followingFeed()) {
+        m_lastFollowedAt = now;
+        return;
+    }
+    writeEvidence(now);
+    if (m_lastFollowedAt == TimePoint() || now - m_lastFollowedAt >= EvidenceCollectionTime) {
         advanceRollouts(now);
     }
 }
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -81,6 +81,7 @@
     std::vector<RolloutEvidence> m_lastReported;
     std::vector<RolloutEvidence> m_lastWritten;
     TimePoint m_lastWriteAt;
+    TimePoint m_lastFollowedAt; ///< When this daemon last followed a feed.
     std::map<ServiceId, DueChange> m_dueChanges;
     bool m_writeInFlight = false; ///< A write of a stage or state is in flight.
     TimerId m_timer;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "Feed/FeedTiming.h"
+#include "Fleet/OwnRecords.h"
 #include "Net/Socket.h"
 #include "Net/StreamSocket.h"
 
@@ -20,6 +21,20 @@
 /// periodically republish the entries that are still in use.
 constexpr std::size_t MaxQueuedPromptCacheEntries = 16384;
 
+/// Empties the records of rollout evidence, which are large and change all the time: only daemons
+/// that read the store decide on rollouts. The records stay, since followers detect missing ones.
+void dropEvidence(Topic topic, RecordPage &page)
+{
+    if (topic != Topic::Own) {
+        return;
+    }
+    for (RawRecord &record : page.records) {
+        if (hasRolloutEvidence(record)) {
+            record.value.clear();
+        }
+    }
+}
+
 } // namespace
 
 /// The connection of a follower, or of a LoadSender of another data centre, which does not
@@ -128,6 +143,7 @@
         RecordPage listing = m_follower.mirror().listing(topic);
         listing.end = m_follower.nextOffset(topic);
         listing.era = m_follower.era();
+        dropEvidence(topic, listing);
         connection.send(encodeFeedFrame(FeedPage{topic, true, std::move(listing)}));
     }
     connection.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(m_loop.now())}));
@@ -141,7 +157,9 @@
     if (m_connections.empty()) {
         return;
     }
-    sendToFollowers(encodeFeedFrame(FeedPage{topic, listing, page}));
+    RecordPage sent = page;
+    dropEvidence(topic, sent);
+    sendToFollowers(encodeFeedFrame(FeedPage{topic, listing, std::move(sent)}));
 }
 
 void FeedServer::broadcastLoad(const FeedLoad &load)
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -143,8 +143,16 @@
 
 } // namespace
 
+bool hasRolloutEvidence(const RawRecord &record)
+{
+    return record.key.starts_with(EvidencePrefix);
+}
+
 FleetRecord decodeOwnRecord(const RawRecord &record)
 {
+    if (record.value.empty() && hasRolloutEvidence(record)) {
+        return EvidenceCollected{InstanceId(record.key.substr(EvidencePrefix.size())), {}, {}};
+    }
     if (record.value.empty()) {
         return UnreadableRecord{record.key, "the key was deleted"};
     }
@@ -152,7 +160,7 @@
     if (record.key.starts_with(MemberPrefix)) {
         return decodeMember(record, value);
     }
-    if (record.key.starts_with(EvidencePrefix)) {
+    if (hasRolloutEvidence(record)) {
         return decodeEvidence(record, value);
     }
     if (record.key.starts_with(StagePrefix)) {
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -173,6 +173,56 @@
     loop.run();
 }
 
+Test(feed, followers_are_not_sent_rollout_evidence_and_miss_no_record, .timeout = 20)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    const std::int64_t wall = wallMilliseconds(clock);
+    TestDaemon reader(loop);
+    TestDaemon follower(loop);
+    // The first daemon in the feed order is the one that reads the store.
+    const bool aFirst = feedRank(InstanceId("a")) < feedRank(InstanceId("b"));
+    const InstanceId source(aFirst ? "a" : "b");
+    const InstanceId self(aFirst ? "b" : "a");
+    const Endpoint listen{"127.0.0.1", freePort()};
+    std::error_code error;
+    FeedServer server(
+        loop, listen, reader.follower, [](const FeedEvidence &) {},
+        [](const FeedLoad &, TimePoint) {}, error);
+    cr_assert_not(error);
+    reader.observer.server = &server;
+    const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
+                                                   member(self.value(), "here", wall)};
+    reader.startAndList(clock.now(), members);
+    follower.startAndList(clock.now(), members);
+    FeedClient client(loop, self, DataCentreId("here"), follower.view, follower.follower, clock,
+                      [](const InstanceId &, const char *) {});
+    client.start();
+    EvidenceCollected bundle;
+    bundle.collector = source;
+    bundle.evidence = {{source, ServiceId("s"), VersionId("v2"), 1, {}, {}}};
+    loop.at(clock.now() + 600ms, [&](TimePoint) {
+        cr_expect(follower.follower.followingFeed());
+        RecordPage page;
+        page.records = {reader.codec.encode(bundle),
+                        reader.codec.encode(member("c", "here", wall))};
+        page.records[0].offset = Offset(2);
+        page.records[1].offset = Offset(3);
+        page.end = Offset(4);
+        reader.store.answer(Topic::Own, page, loop.now());
+    });
+    loop.at(clock.now() + 500ms, [&](TimePoint) { reader.follower.pollNow(Topic::Own); });
+    loop.at(clock.now() + 900ms, [&](TimePoint) {
+        cr_expect_eq(reader.view.evidence().at(source).evidence.size(), 1);
+        cr_expect(follower.view.evidence().at(source).evidence.empty());
+        cr_expect(follower.view.members().contains(InstanceId("c")));
+        cr_expect(follower.follower.nextOffset(Topic::Own) == Offset(4));
+        cr_expect(follower.follower.followingFeed());
+        loop.stop();
+    });
+    loop.run();
+}
+
 Test(feed, a_follower_that_lost_the_store_gets_the_configuration_from_a_source_that_came_back,
      .timeout = 20)
 {
