--- a/Source/Forward/RequestForwarderCrash.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -24,14 +24,14 @@
     if (const auto part = table.refusedPart(m_accountHash, m_sharedParts, now)) {
         logCrashingRefused("prompt.refused", "part", *part, now);
         m_context.metrics.count("lycheearch_prompts_refused_total");
-        m_retryAfter = CrashTable::CondemnedLifetime;
+        m_retryAfter = CondemnedTable::Lifetime;
         fail("a part of the prompt crashes backend servers", now);
         return true;
     }
     if (table.refusesRequest(m_accountHash, m_content, now)) {
         logCrashingRefused("crash.refused", "content", m_content, now);
         m_context.metrics.count("lycheearch_crashing_requests_refused_total");
-        m_retryAfter = CrashTable::CondemnedLifetime;
+        m_retryAfter = CondemnedTable::Lifetime;
         fail("the request crashes backend servers", now);
         return true;
     }
--- a/Source/Routing/CrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t MaxOwnSuccesses = 8192;
 /// Successes of suspects, above which those are forgotten that are no suspects any more.
 constexpr std::size_t MaxSuspectSuccesses = 4096;
-/// Condemned parts and requests of all accounts.
-constexpr std::size_t MaxCondemned = 256;
 
 /// Distinct servers that must have ended, under as many distinct requests.
 constexpr std::size_t MinCrashes = 3;
@@ -30,8 +28,6 @@
 constexpr Duration SimultaneousCrashes = 200ms;
 /// Time for other daemons to report a success.
 constexpr Duration ObjectionTime = 800ms;
-/// Accounts with the same condemned part after which it is refused to all accounts.
-constexpr std::size_t AccountsForAll = 2;
 
 constexpr Duration EvaluationPeriod = 100ms;
 /// Bounds the work of one evaluation while a caller crashes servers in many ways.
@@ -87,11 +83,7 @@
     if (m_successes.size() > MaxSuspectSuccesses) {
         std::erase_if(m_successes, [&](const auto &entry) { return !isSuspect(entry.first); });
     }
-    for (auto &[part, accounts] : m_condemned) {
-        std::erase_if(accounts,
-                      [&](const auto &entry) { return now - entry.second > CondemnedLifetime; });
-    }
-    std::erase_if(m_condemned, [](const auto &entry) { return entry.second.empty(); });
+    m_condemned.forgetOld(now);
 }
 
 void CrashTable::dropOldestCrash()
@@ -197,7 +189,7 @@
 
 void CrashTable::condemn(const CondemnedSuspect &part, TimePoint now)
 {
-    if (addCondemned(part, now)) {
+    if (m_condemned.add(part, now)) {
         Verdict verdict;
         verdict.key = part.key;
         verdict.learned = true;
@@ -205,41 +197,6 @@
     }
 }
 
-bool CrashTable::addCondemned(const CondemnedSuspect &part, TimePoint now)
-{
-    if (part.age > CondemnedLifetime) {
-        return false;
-    }
-    const TimePoint at = now - part.age;
-    auto &accounts = m_condemned[part.key.part];
-    const auto [entry, inserted] = accounts.try_emplace(part.key.account, at);
-    if (!inserted) {
-        entry->second = std::min(entry->second, at);
-    } else if (condemned(now).size() > MaxCondemned) {
-        dropOldestCondemned();
-    }
-    return inserted;
-}
-
-void CrashTable::dropOldestCondemned()
-{
-    std::map<std::uint64_t, std::vector<std::pair<TimePoint, std::uint64_t>>> partsOf;
-    for (const auto &[part, accounts] : m_condemned) {
-        for (const auto &[account, at] : accounts) {
-            partsOf[account].emplace_back(at, part);
-        }
-    }
-    const auto most =
-        std::max_element(partsOf.begin(), partsOf.end(), [](const auto &left, const auto &right) {
-            return left.second.size() < right.second.size();
-        });
-    const std::uint64_t oldest = std::min_element(most->second.begin(), most->second.end())->second;
-    m_condemned[oldest].erase(most->first);
-    if (m_condemned[oldest].empty()) {
-        m_condemned.erase(oldest);
-    }
-}
-
 CrashEvidence CrashTable::takeUnpublished(TimePoint now)
 {
     CrashEvidence evidence;
@@ -259,7 +216,7 @@
     }
     if (!m_condemned.empty() && now - m_condemnedPublishedAt >= CondemnedPublishPeriod) {
         m_condemnedPublishedAt = now;
-        evidence.condemned = condemned(now);
+        evidence.condemned = m_condemned.all(now);
     }
     return evidence;
 }
@@ -271,50 +228,28 @@
     return crash.own && now - crash.at < lifetime && now - crash.publishedAt >= CrashPublishPeriod;
 }
 
-std::vector<CondemnedSuspect> CrashTable::condemned(TimePoint now) const
-{
-    std::vector<CondemnedSuspect> parts;
-    for (const auto &[part, accounts] : m_condemned) {
-        for (const auto &[account, at] : accounts) {
-            parts.push_back({{account, part}, now - at});
-        }
-    }
-    return parts;
-}
-
 std::optional<std::uint64_t> CrashTable::refusedPart(std::uint64_t account,
                                                      const std::vector<std::uint64_t> &parts,
                                                      TimePoint now)
 {
     evaluate(now);
-    const auto found = std::find_if(parts.begin(), parts.end(),
-                                    [&](std::uint64_t part) { return isCondemned(account, part); });
+    const auto found = std::find_if(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        return m_condemned.refusesPart(account, part);
+    });
     return found == parts.end() ? std::nullopt : std::optional(*found);
 }
 
 bool CrashTable::refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now)
 {
     evaluate(now);
-    return isRequestCondemned(account, content);
-}
-
-bool CrashTable::isRequestCondemned(std::uint64_t account, std::uint64_t content) const
-{
-    const auto found = m_condemned.find(content);
-    return found != m_condemned.end() && found->second.contains(account);
-}
-
-bool CrashTable::isCondemned(std::uint64_t account, std::uint64_t part) const
-{
-    const auto found = m_condemned.find(part);
-    return found != m_condemned.end()
-        && (found->second.size() >= AccountsForAll || found->second.contains(account));
+    return m_condemned.refusesRequest(account, content);
 }
 
 bool CrashTable::explainedByPart(const RequestCrash &crash) const
 {
-    return std::any_of(crash.parts.begin(), crash.parts.end(),
-                       [&](std::uint64_t part) { return isCondemned(crash.account, part); });
+    return std::any_of(crash.parts.begin(), crash.parts.end(), [&](std::uint64_t part) {
+        return m_condemned.refusesPart(crash.account, part);
+    });
 }
 
 void CrashTable::evaluate(TimePoint now)
@@ -332,12 +267,12 @@
             break;
         }
         const std::size_t allServers = serversEnded(suspect->first, suspect->last);
-        addCondemned({suspect->key, Duration::zero()}, now);
+        m_condemned.add({suspect->key, Duration::zero()}, now);
         m_verdicts.push_back({suspect->key, suspect->servers.size(), suspect->requests.size(),
                               allServers, suspect->served, false, false});
     }
     for (const RequestSuspects::Suspect &suspect : requestSuspects(now).convicted()) {
-        addCondemned({suspect.key, Duration::zero()}, now);
+        m_condemned.add({suspect.key, Duration::zero()}, now);
         m_verdicts.push_back({suspect.key, suspect.servers.size(), suspect.arrivals.size(), 0,
                               suspect.served, true, false});
     }
@@ -355,7 +290,7 @@
         if (key.part != 0 && !acquitted && now - crash.receivedAt >= ObjectionTime
             && !explained.contains(crash.report.server)) {
             suspects.add(crash.report, success.has_value(),
-                         isRequestCondemned(key.account, key.part));
+                         m_condemned.refusesRequest(key.account, key.part));
         }
     }
     return suspects;
@@ -395,14 +330,14 @@
     const std::set<std::uint64_t> endedByParts = serversEndedByParts();
     std::set<std::uint64_t> endedByRequests;
     for (const Crash &crash : m_crashes) {
-        if (isRequestCondemned(crash.report.account, crash.report.content)) {
+        if (m_condemned.refusesRequest(crash.report.account, crash.report.content)) {
             endedByRequests.insert(crash.report.server);
         }
     }
     std::map<SuspectKey, Suspect> found;
     for (const Crash &crash : m_crashes) {
         const RequestCrash &report = crash.report;
-        const bool cause = isRequestCondemned(report.account, report.content);
+        const bool cause = m_condemned.refusesRequest(report.account, report.content);
         if (endedByParts.contains(report.server)
             || (!cause && endedByRequests.contains(report.server))
             || now - crash.receivedAt < ObjectionTime) {
--- a/Source/Routing/CrashTable.h
+++ b/Source/Routing/CrashTable.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "Routing/CondemnedTable.h"
 #include "Routing/CrashEvidence.h"
 #include "Routing/RequestSuspects.h"
 
@@ -38,8 +39,6 @@
 public:
     /// An answer that breaks off later after its begin, or not at all, counts as served.
     static constexpr Duration CrashWindow = 2s;
-    /// How long a part stays condemned.
-    static constexpr Duration CondemnedLifetime = std::chrono::hours(1);
 
     /// A decision, for the log.
     struct Verdict
@@ -82,7 +81,7 @@
     /// Returns and clears the decisions since the last call.
     std::vector<Verdict> takeVerdicts() { return std::exchange(m_verdicts, {}); }
     /// All parts that are condemned.
-    std::vector<CondemnedSuspect> condemned(TimePoint now) const;
+    std::vector<CondemnedSuspect> condemned(TimePoint now) const { return m_condemned.all(now); }
 
 private:
     struct Crash
@@ -117,12 +116,7 @@
     /// out the evidence of another one.
     void dropOldestCrash();
     std::deque<Crash>::iterator eraseCrash(std::deque<Crash>::iterator crash);
-    void dropOldestCondemned();
-    /// Returns false if the key was condemned already.
-    bool addCondemned(const CondemnedSuspect &part, TimePoint now);
     void forgetOld(TimePoint now);
-    bool isCondemned(std::uint64_t account, std::uint64_t part) const;
-    bool isRequestCondemned(std::uint64_t account, std::uint64_t content) const;
     bool explainedByPart(const RequestCrash &crash) const;
     std::map<SuspectKey, Suspect> suspects(TimePoint now) const;
     void addToSuspect(Suspect &suspect, const Crash &crash) const;
@@ -145,7 +139,7 @@
     /// Latest successes of this daemon in two generations, the older of which is dropped whole.
     std::unordered_map<std::uint64_t, TimePoint> m_ownSuccesses;
     std::unordered_map<std::uint64_t, TimePoint> m_olderOwnSuccesses;
-    std::map<std::uint64_t, std::map<std::uint64_t, TimePoint>> m_condemned; ///< Part, account.
+    CondemnedTable m_condemned;
     TimePoint m_condemnedPublishedAt;
     TimePoint m_evaluatedAt;
     std::vector<Verdict> m_verdicts;
--- a/Tests/Routing/testCrashTable.cpp
+++ b/Tests/Routing/testCrashTable.cpp
@@ -237,7 +237,7 @@
     CrashTable second;
     first.condemn({{Account, BadPart}, Duration::zero()}, start());
     TimePoint now = start();
-    for (; now < start() + CrashTable::CondemnedLifetime + 60s; now += 30s) {
+    for (; now < start() + CondemnedTable::Lifetime + 60s; now += 30s) {
         second.apply(first.takeUnpublished(now), now);
         first.apply(second.takeUnpublished(now), now);
     }
