--- a/Source/Routing/CrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -96,7 +96,8 @@
     }));
 }
 
-std::deque<CrashTable::Crash>::iterator CrashTable::eraseCrash(std::deque<Crash>::iterator crash)
+std::deque<CrashTable::Crash>::iterator
+CrashTable::eraseCrash(const std::deque<Crash>::iterator &crash)
 {
     const auto count = m_crashCounts.find(crash->report.account);
     if (--count->second == 0) {
--- a/Source/Routing/CrashTable.h
+++ b/Source/Routing/CrashTable.h
@@ -115,7 +115,7 @@
     /// Drops the oldest crash of the account with the most of them, so that an account can't push
     /// out the evidence of another one.
     void dropOldestCrash();
-    std::deque<Crash>::iterator eraseCrash(std::deque<Crash>::iterator crash);
+    std::deque<Crash>::iterator eraseCrash(const std::deque<Crash>::iterator &crash);
     void forgetOld(TimePoint now);
     bool explainedByPart(const RequestCrash &crash) const;
     std::map<SuspectKey, Suspect> suspects(TimePoint now) const;
