--- a/Source/Daemon/CrashVerdictAgent.cpp
+++ b/Source/Daemon/CrashVerdictAgent.cpp
@@ -49,7 +49,7 @@
     for (const CrashTable::Verdict &verdict : m_table.takeVerdicts()) {
         m_log.write(LogPriority::Notable,
                     LogLine("prompt.condemned")
-                        .add("part", hashText(verdict.key.part))
+                        .add("part", hashText(verdict.key.hash))
                         .add("account", hashText(verdict.key.account))
                         .add("whole_request", verdict.wholeRequest ? "yes" : "no")
                         .add("learned", verdict.learned ? "yes" : "no")
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -131,7 +131,7 @@
 void writePart(wire::FeedPromptPart::Builder builder, const SuspectKey &key, Duration age)
 {
     builder.setAccount(key.account);
-    builder.setPart(key.part);
+    builder.setPart(key.hash);
     builder.setAge(age.count());
 }
 
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -71,7 +71,7 @@
 std::string condemnedName(const SuspectKey &key)
 {
     return std::string(CondemnedPrefix) + std::to_string(key.account) + "/"
-        + std::to_string(key.part);
+        + std::to_string(key.hash);
 }
 
 FleetRecord decodeMember(const RawRecord &record, const Json &value)
@@ -128,7 +128,7 @@
 {
     PromptPartCondemned condemned;
     condemned.key.account = value.at("account").get<std::uint64_t>();
-    condemned.key.part = value.at("part").get<std::uint64_t>();
+    condemned.key.hash = value.at("part").get<std::uint64_t>();
     condemned.condemnedAt = value.at("condemned_ms").get<std::int64_t>();
     if (record.key != condemnedName(condemned.key)) {
         return UnreadableRecord{record.key, "at key: expected " + condemnedName(condemned.key)};
@@ -208,7 +208,7 @@
     }
     if (const auto *condemned = std::get_if<PromptPartCondemned>(&record)) {
         const Json value = {{"account", condemned->key.account},
-                            {"part", condemned->key.part},
+                            {"part", condemned->key.hash},
                             {"condemned_ms", condemned->condemnedAt}};
         return {Offset(), condemnedName(condemned->key), value.dump()};
     }
--- a/Source/Routing/CondemnedTable.cpp
+++ b/Source/Routing/CondemnedTable.cpp
@@ -19,7 +19,7 @@
         return false;
     }
     const TimePoint at = now - suspect.age;
-    auto &accounts = m_accountsOf[suspect.key.part];
+    auto &accounts = m_accountsOf[suspect.key.hash];
     const auto [entry, inserted] = accounts.try_emplace(suspect.key.account, at);
     if (!inserted) {
         entry->second = std::min(entry->second, at);
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -13,7 +13,7 @@
 struct SuspectKey
 {
     std::uint64_t account = 0;
-    std::uint64_t part = 0; ///< Or the content of a whole request.
+    std::uint64_t hash = 0; ///< Of the part, or of the content of a whole request.
 
     auto operator<=>(const SuspectKey &) const = default;
 };
@@ -54,7 +54,7 @@
     bool operator==(const CondemnedSuspect &) const = default;
 };
 
-/// What daemons tell each other about prompts that crash servers.
+/// What daemons tell each other about requests and prompts that crash servers.
 struct CrashEvidence
 {
     std::vector<RequestCrash> crashes;
--- a/Source/Routing/CrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -41,7 +41,7 @@
 
 std::uint64_t hashOf(const SuspectKey &key)
 {
-    return mixBits(key.account ^ mixBits(key.part));
+    return mixBits(key.account ^ mixBits(key.hash));
 }
 
 } // namespace
@@ -120,8 +120,8 @@
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
         const RequestCrash &report = crash.report;
         return report.account == key.account
-            && (report.content == key.part
-                || std::find(report.parts.begin(), report.parts.end(), key.part)
+            && (report.content == key.hash
+                || std::find(report.parts.begin(), report.parts.end(), key.hash)
                     != report.parts.end());
     });
 }
@@ -288,10 +288,10 @@
         const std::optional<TimePoint> success = lastSuccess(key);
         const bool acquitted =
             success && (*success >= crash.at || now - *success < MinTimeSinceSuccess);
-        if (key.part != 0 && !acquitted && now - crash.receivedAt >= ObjectionTime
+        if (key.hash != 0 && !acquitted && now - crash.receivedAt >= ObjectionTime
             && !explained.contains(crash.report.server)) {
             suspects.add(crash.report, success.has_value(),
-                         m_condemned.refusesRequest(key.account, key.part));
+                         m_condemned.refusesRequest(key.account, key.hash));
         }
     }
     return suspects;
--- a/Tests/Daemon/testCrashVerdictAgent.cpp
+++ b/Tests/Daemon/testCrashVerdictAgent.cpp
@@ -41,7 +41,7 @@
 
     bool refuses(TimePoint now)
     {
-        return table.refusedPart(Bad.account, {Bad.part}, now).has_value();
+        return table.refusedPart(Bad.account, {Bad.hash}, now).has_value();
     }
 
     platform::PlatformRecordCodec codec;
--- a/Tests/Routing/testRequestSuspects.cpp
+++ b/Tests/Routing/testRequestSuspects.cpp
@@ -40,7 +40,7 @@
 {
     std::vector<std::uint64_t> contents;
     for (const auto &suspect : suspectsOf(losses).convicted()) {
-        contents.push_back(suspect.key.part);
+        contents.push_back(suspect.key.hash);
     }
     return contents;
 }
