--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <random>
 
 #include "Feed/FeedHarness.h"
@@ -122,105 +123,106 @@
     cr_expect_eq(firsts.size(), 1);
 }
 
-Test(feed, a_follower_stops_reading_the_store_until_its_source_disconnects, .timeout = 20)
+namespace {
+
+/// A daemon that reads the store and one of the same data centre that follows it.
+struct FeedPair
 {
+    FeedPair()
+        : loop(clock)
+        , reader(loop)
+        , follower(loop)
+    {
+        // The first daemon in the feed order is the one that reads the store.
+        const bool aFirst = feedRank(InstanceId("a")) < feedRank(InstanceId("b"));
+        source = InstanceId(aFirst ? "a" : "b");
+        const InstanceId self(aFirst ? "b" : "a");
+        const Endpoint listen{"127.0.0.1", freePort()};
+        std::error_code error;
+        server = std::make_unique<FeedServer>(
+            loop, listen, reader.follower, [](const FeedEvidence &) {},
+            [](const FeedLoad &, TimePoint) {}, error);
+        cr_assert_not(error);
+        reader.observer.server = server.get();
+        const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
+                                                       member(self.value(), "here", wall)};
+        reader.startAndList(clock.now(), members);
+        follower.startAndList(clock.now(), members);
+        client = std::make_unique<FeedClient>(loop, self, DataCentreId("here"), follower.view,
+                                              follower.follower, clock,
+                                              [](const InstanceId &, const char *) {});
+        client->start();
+    }
+
+    /// Calls \p action at \p time after the start.
+    void at(Duration time, const std::function<void()> &action)
+    {
+        loop.at(start + time, [action](TimePoint) { action(); });
+    }
+
     SystemClock clock;
-    EventLoop loop(clock);
-    const std::int64_t wall =
-        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallTime().time_since_epoch())
-            .count();
-    TestDaemon reader(loop);
-    TestDaemon follower(loop);
-    // The first daemon in the feed order is the one that reads the store.
-    std::map<InstanceId, MemberRegistered> both;
-    both[InstanceId("a")] = member("a", "here", wall);
-    both[InstanceId("b")] = member("b", "here", wall);
-    const bool aFirst = feedCandidates(both, InstanceId("a"), DataCentreId("here"), wall).empty();
-    const InstanceId source(aFirst ? "a" : "b");
-    const InstanceId self(aFirst ? "b" : "a");
-    const Endpoint listen{"127.0.0.1", freePort()};
-    std::error_code error;
-    auto server = std::make_unique<FeedServer>(
-        loop, listen, reader.follower, [](const FeedEvidence &) {},
-        [](const FeedLoad &, TimePoint) {}, error);
-    cr_assert_not(error);
-    reader.observer.server = server.get();
-    const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
-                                                   member(self.value(), "here", wall)};
-    reader.startAndList(clock.now(), members);
-    follower.startAndList(clock.now(), members);
-    FeedClient client(loop, self, DataCentreId("here"), follower.view, follower.follower, clock,
-                      [](const InstanceId &, const char *) {});
-    client.start();
-    loop.at(clock.now() + 600ms, [&](TimePoint) {
-        cr_expect(follower.follower.followingFeed());
+    EventLoop loop;
+    const std::int64_t wall = wallMilliseconds(clock);
+    const TimePoint start = clock.now();
+    TestDaemon reader;
+    TestDaemon follower;
+    InstanceId source;
+    std::unique_ptr<FeedServer> server;
+    std::unique_ptr<FeedClient> client;
+};
+
+} // namespace
+
+Test(feed, a_follower_stops_reading_the_store_until_its_source_disconnects, .timeout = 20)
+{
+    FeedPair pair;
+    pair.at(600ms, [&] {
+        cr_expect(pair.follower.follower.followingFeed());
         RecordPage page;
         page.records = {{Offset(0), "i-1",
                          R"({"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1",
                             "Slots":4,"State":"ready","ColdMs":0,"Sequence":1})"}};
         page.end = Offset(1);
-        reader.store.answer(Topic::Backends, page, loop.now());
+        pair.reader.store.answer(Topic::Backends, page, pair.loop.now());
     });
-    loop.at(clock.now() + 800ms, [&](TimePoint) {
-        cr_expect_not_null(follower.view.backend(InstanceId("i-1")));
-        reader.observer.server = nullptr;
-        server.reset();
+    pair.at(800ms, [&] {
+        cr_expect_not_null(pair.follower.view.backend(InstanceId("i-1")));
+        pair.reader.observer.server = nullptr;
+        pair.server.reset();
     });
-    loop.at(clock.now() + 1500ms, [&](TimePoint) {
-        cr_expect_not(follower.follower.followingFeed());
-        loop.stop();
+    pair.at(1500ms, [&] {
+        cr_expect_not(pair.follower.follower.followingFeed());
+        pair.loop.stop();
     });
-    loop.run();
+    pair.loop.run();
 }
 
 Test(feed, followers_are_not_sent_rollout_evidence_and_miss_no_record, .timeout = 20)
 {
-    SystemClock clock;
-    EventLoop loop(clock);
-    const std::int64_t wall = wallMilliseconds(clock);
-    TestDaemon reader(loop);
-    TestDaemon follower(loop);
-    // The first daemon in the feed order is the one that reads the store.
-    const bool aFirst = feedRank(InstanceId("a")) < feedRank(InstanceId("b"));
-    const InstanceId source(aFirst ? "a" : "b");
-    const InstanceId self(aFirst ? "b" : "a");
-    const Endpoint listen{"127.0.0.1", freePort()};
-    std::error_code error;
-    FeedServer server(
-        loop, listen, reader.follower, [](const FeedEvidence &) {},
-        [](const FeedLoad &, TimePoint) {}, error);
-    cr_assert_not(error);
-    reader.observer.server = &server;
-    const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
-                                                   member(self.value(), "here", wall)};
-    reader.startAndList(clock.now(), members);
-    follower.startAndList(clock.now(), members);
-    FeedClient client(loop, self, DataCentreId("here"), follower.view, follower.follower, clock,
-                      [](const InstanceId &, const char *) {});
-    client.start();
+    FeedPair pair;
     EvidenceCollected bundle;
-    bundle.collector = source;
-    bundle.evidence = {{source, ServiceId("s"), VersionId("v2"), 1, {}, {}}};
-    loop.at(clock.now() + 600ms, [&](TimePoint) {
-        cr_expect(follower.follower.followingFeed());
+    bundle.collector = pair.source;
+    bundle.evidence = {{pair.source, ServiceId("s"), VersionId("v2"), 1, {}, {}}};
+    pair.at(500ms, [&] { pair.reader.follower.pollNow(Topic::Own); });
+    pair.at(600ms, [&] {
+        cr_expect(pair.follower.follower.followingFeed());
         RecordPage page;
-        page.records = {reader.codec.encode(bundle),
-                        reader.codec.encode(member("c", "here", wall))};
+        page.records = {pair.reader.codec.encode(bundle),
+                        pair.reader.codec.encode(member("c", "here", pair.wall))};
         page.records[0].offset = Offset(2);
         page.records[1].offset = Offset(3);
         page.end = Offset(4);
-        reader.store.answer(Topic::Own, page, loop.now());
+        pair.reader.store.answer(Topic::Own, page, pair.loop.now());
     });
-    loop.at(clock.now() + 500ms, [&](TimePoint) { reader.follower.pollNow(Topic::Own); });
-    loop.at(clock.now() + 900ms, [&](TimePoint) {
-        cr_expect_eq(reader.view.evidence().at(source).evidence.size(), 1);
-        cr_expect(follower.view.evidence().at(source).evidence.empty());
-        cr_expect(follower.view.members().contains(InstanceId("c")));
-        cr_expect(follower.follower.nextOffset(Topic::Own) == Offset(4));
-        cr_expect(follower.follower.followingFeed());
-        loop.stop();
+    pair.at(900ms, [&] {
+        cr_expect_eq(pair.reader.view.evidence().at(pair.source).evidence.size(), 1);
+        cr_expect(pair.follower.view.evidence().at(pair.source).evidence.empty());
+        cr_expect(pair.follower.view.members().contains(InstanceId("c")));
+        cr_expect(pair.follower.follower.nextOffset(Topic::Own) == Offset(4));
+        cr_expect(pair.follower.follower.followingFeed());
+        pair.loop.stop();
     });
-    loop.run();
+    pair.loop.run();
 }
 
 Test(feed, a_follower_that_lost_the_store_gets_the_configuration_from_a_source_that_came_back,
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -198,6 +198,26 @@
         return caller.received;
     }
 
+    /// Number of requests that the backend servers have received.
+    std::size_t received() const
+    {
+        std::size_t total = 0;
+        for (const auto &backend : backends) {
+            total += backend->requests.size();
+        }
+        return total;
+    }
+
+    /// Status of a response; 0 if there is none.
+    static int statusOf(const std::string &response)
+    {
+        constexpr std::size_t statusAt = 9;
+        constexpr std::size_t statusLength = 3;
+        return response.size() < statusAt + statusLength
+            ? 0
+            : std::stoi(response.substr(statusAt, statusLength));
+    }
+
     /// Runs the loop for \p time, so that work after a call completes.
     void runLoop(Duration time = 100ms)
     {
--- a/Tests/Forward/testCrashingRequests.cpp
+++ b/Tests/Forward/testCrashingRequests.cpp
@@ -41,16 +41,7 @@
             "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: q" + std::to_string(m_calls++)
             + "\r\nApi-Key: k\r\nTime-Budget-Ms: 2000\r\nConnection: close\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body);
-        return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
-    }
-
-    std::size_t received() const
-    {
-        std::size_t total = 0;
-        for (const auto &backend : harness.backends) {
-            total += backend->requests.size();
-        }
-        return total;
+        return ForwardHarness::statusOf(response);
     }
 
     ForwardHarness harness;
@@ -71,11 +62,11 @@
             cr_expect_neq(fleet.call(CrashingBody), 200);
         }
         fleet.harness.runLoop(1s);
-        const std::size_t before = fleet.received();
+        const std::size_t before = fleet.harness.received();
         for (int i = 0; i < 3; ++i) {
             cr_expect_eq(fleet.call(CrashingBody), 503);
         }
-        cr_expect_eq(fleet.received(), before);
+        cr_expect_eq(fleet.harness.received(), before);
         cr_expect_eq(fleet.call("sound"), 200);
         cr_expect_eq(fleet.call("another"), 200);
     }
@@ -86,5 +77,5 @@
 {
     CrashingServers fleet(RouteKind::Idempotent);
     cr_expect_eq(fleet.call(CrashingBody), 502);
-    cr_expect_eq(fleet.received(), 2);
+    cr_expect_eq(fleet.harness.received(), 2);
 }
--- a/Tests/Forward/testPromptCrashes.cpp
+++ b/Tests/Forward/testPromptCrashes.cpp
@@ -54,16 +54,7 @@
             + "\r\nApi-Key: k\r\nTime-Budget-Ms: 2000\r\nConnection: close\r\nPrompt-Prefix: "
             + firstPart + ":100," + secondPart + ":50," + own
             + ":10\r\nToken-Count: 160,10\r\nContent-Length: 0\r\n\r\n");
-        return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
-    }
-
-    std::size_t received() const
-    {
-        std::size_t total = 0;
-        for (const auto &backend : harness.backends) {
-            total += backend->requests.size();
-        }
-        return total;
+        return ForwardHarness::statusOf(response);
     }
 
     ForwardHarness harness;
@@ -83,11 +74,11 @@
         cr_expect_neq(fleet.call("f0", CrashingPart), 200);
     }
     fleet.harness.runLoop(1s);
-    const std::size_t before = fleet.received();
+    const std::size_t before = fleet.harness.received();
     for (int i = 0; i < 3; ++i) {
         cr_expect_eq(fleet.call("f0", CrashingPart), 503);
     }
-    cr_expect_eq(fleet.received(), before);
+    cr_expect_eq(fleet.harness.received(), before);
     cr_expect_eq(fleet.call("f0", "a1"), 200);
 }
 
@@ -95,5 +86,5 @@
 {
     CrashingFleet fleet;
     cr_expect_eq(fleet.call("f0", CrashingPart), 502);
-    cr_expect_eq(fleet.received(), 2);
+    cr_expect_eq(fleet.harness.received(), 2);
 }
--- a/Tests/Forward/testRequestForwarder.cpp
+++ b/Tests/Forward/testRequestForwarder.cpp
@@ -40,7 +40,7 @@
 
 int statusOf(const std::string &response)
 {
-    return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
+    return ForwardHarness::statusOf(response);
 }
 
 bool contains(const std::string &text, const std::string &part)
--- a/Tests/Forward/testServerRateLimit.cpp
+++ b/Tests/Forward/testServerRateLimit.cpp
@@ -25,8 +25,7 @@
 
 int call(ForwardHarness &harness)
 {
-    const std::string response = harness.call(ForwardHarness::request("GET"));
-    return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
+    return ForwardHarness::statusOf(harness.call(ForwardHarness::request("GET")));
 }
 
 /// The most requests that a server with a rate limit of \p perSecond may get in four seconds.
