--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -90,9 +90,9 @@
     bool refuseCrashingRequest(TimePoint now);
     void logCrashingRefused(const char *event, const char *field, std::uint64_t hash,
                             TimePoint now);
-    /// Records a request that was served, or whose answer broke off too late to be a crash.
+    /// Records that the request was served.
     void recordServed(TimePoint now);
-    /// Records that the server may have ended because of the request: the connection was lost.
+    /// Records that the connection was lost: the server may have ended because of the request.
     void recordConnectionLost(TimePoint now);
     /// Logs an answer that broke off after its head, with the parts of the prompt.
     void logBrokenOff(TimePoint now);
