--- a/Source/Routing/ReturnSchedule.h
+++ b/Source/Routing/ReturnSchedule.h
@@ -14,7 +14,7 @@
 class ReturnSchedule
 {
 public:
-    /// The longest time that a caller is told; more says no more than that the service is in need.
+    /// Upper limit of the delay; callers that are refused later all get it.
     static constexpr Duration LongestDelay = 10s;
 
     /// Time after which the next refused caller may come back. \p perSecond is the rate at which
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -45,7 +45,7 @@
 {
     SoakOptions options;
     options.seed = 13;
-    options.serversInNeed = true;
+    options.limitsAndCrashes = true;
     options.firstPort = 23800;
     expectNoViolation(options);
 }
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -117,7 +117,7 @@
         for (const auto &caller : m_callers) {
             caller->start();
         }
-        if (m_options.serversInNeed) {
+        if (m_options.limitsAndCrashes) {
             m_crashingCaller->startCrashing();
         }
     });
@@ -155,7 +155,7 @@
 
 void Soak::injectFault(TimePoint now)
 {
-    if (m_options.serversInNeed) {
+    if (m_options.limitsAndCrashes) {
         injectRateLimit();
         return;
     }
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -24,7 +24,7 @@
     int callersPerDaemon = 3;
     bool storeDrills = false; ///< The store also comes back from older copies.
     /// The only faults: backend servers name rate limits, and a request comes that crashes them.
-    bool serversInNeed = false;
+    bool limitsAndCrashes = false;
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
     std::string workFolder;
--- a/Utilities/Soak/main.cpp
+++ b/Utilities/Soak/main.cpp
@@ -22,7 +22,7 @@
     app.add_option("--seeds", seeds, "Number of consecutive seeds to run");
     app.add_option("--seconds", seconds, "Duration of fault injection in seconds");
     app.add_flag("--drills", options.storeDrills, "The store also comes back from older copies");
-    app.add_flag("--servers-in-need", options.serversInNeed,
+    app.add_flag("--limits-and-crashes", options.limitsAndCrashes,
                  "Instead of other faults, servers name rate limits and a request crashes them");
     app.add_option("--daemons", options.daemons, "Daemons")->check(CLI::Range(1, 60));
     app.add_option("--runners", options.backends, "Number of backend servers")
