--- a/Source/Routing/BackendRateLimiter.h
+++ b/Source/Routing/BackendRateLimiter.h
@@ -27,7 +27,7 @@
 
 /// Decides how many requests this daemon may send to each run of a backend server: the strictest of
 /// the pause and the rate limit that the server announced and of the rate limit in cold start. It
-/// answers the load of many daemons before a server that can bear few requests in all.
+/// answers the load of many daemons before a server that accepts few requests in all.
 class BackendRateLimiter
 {
 public:
