--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -78,16 +78,26 @@
         , id(std::move(id))
         , address{"127.0.0.1", port}
         , onRequest(std::move(script))
+    {
+        listenAgain();
+    }
+    ~ScriptedBackend() override { stopListening(); }
+
+    /// Refuses new connections. Open ones are not affected.
+    void stopListening()
+    {
+        if (m_listener >= 0) {
+            m_loop.unwatch(m_listener);
+            ::close(m_listener);
+            m_listener = -1;
+        }
+    }
+    void listenAgain()
     {
         std::error_code error;
         m_listener = listenTcp(address, error);
         cr_assert_not(error, "%s", error.message().c_str());
-        loop.watch(m_listener, EPOLLIN, *this);
-    }
-    ~ScriptedBackend() override
-    {
-        m_loop.unwatch(m_listener);
-        ::close(m_listener);
+        m_loop.watch(m_listener, EPOLLIN, *this);
     }
 
     void onReady(std::uint32_t, TimePoint) override
--- a/Tests/Routing/testBackendPicker.cpp
+++ b/Tests/Routing/testBackendPicker.cpp
@@ -358,3 +358,21 @@
     }
     cr_expect_geq(usedInAllRotations.size(), 18);
 }
+
+Test(backendPicker, servers_that_only_a_cut_off_daemon_loses_stay_in_use_at_the_others)
+{
+    const FleetView view = engineFleet(6);
+    BackendPicker cutOff(InstanceId("one"), Here);
+    const PickRequest request = promptRequest(1);
+    for (int i = 0; i < 6; ++i) {
+        const auto chosen = pick(cutOff, request, view);
+        cr_assert(chosen);
+        cutOff.onSent(*chosen, request, Start);
+        cutOff.onEnded(chosen->backend, SendOutcome::Unreachable, 0, 0, Start);
+    }
+    int unreachable = 0;
+    for (const auto &[id, load] : cutOff.ownLoads(Start + 100ms)) {
+        unreachable += load.unreachable;
+    }
+    cr_expect_eq(unreachable, 0, "%d servers were reported as unreachable", unreachable);
+}
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -49,3 +49,12 @@
     options.firstPort = 23800;
     expectNoViolation(options);
 }
+
+Test(soak, callers_of_daemons_that_are_cut_off_from_all_servers_are_served, .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 2;
+    options.linkCuts = true;
+    options.firstPort = 22600;
+    expectNoViolation(options);
+}
--- a/Utilities/Soak/AsyncServer.cpp
+++ b/Utilities/Soak/AsyncServer.cpp
@@ -1,8 +1,10 @@
 #include "AsyncServer.h"
 
 #include <stdexcept>
+#include <utility>
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "Net/Socket.h"
@@ -12,6 +14,9 @@
 namespace {
 
 constexpr HttpLimits Limits{64UL * 1024, 8UL * 1024 * 1024};
+/// Connections that fill the shortest backlog of a listening socket.
+constexpr int ShortestBacklogFill = 4;
+constexpr int UsualBacklog = 128;
 
 } // namespace
 
@@ -39,15 +44,66 @@
         throw std::runtime_error("listen on " + m_endpoint.text() + ": " + error.message());
     }
     m_loop.watch(m_listener, EPOLLIN, *this);
+    if (m_silent) {
+        fillBacklog();
+    }
 }
 
-void AsyncServer::closeAll()
+void AsyncServer::refuseConnections()
 {
     if (m_listener >= 0) {
         m_loop.unwatch(m_listener);
         ::close(m_listener);
         m_listener = -1;
     }
+}
+
+void AsyncServer::fallSilent()
+{
+    m_silent = true;
+    if (m_listener >= 0) {
+        fillBacklog();
+    }
+}
+
+void AsyncServer::fillBacklog()
+{
+    m_loop.unwatch(m_listener);
+    ::listen(m_listener, 0);
+    for (int i = 0; i < ShortestBacklogFill; ++i) {
+        std::error_code error;
+        const int fd = connectTcp(m_endpoint, error);
+        if (fd >= 0) {
+            m_backlogFillers.push_back(fd);
+        }
+    }
+}
+
+void AsyncServer::resume()
+{
+    if (!m_silent) {
+        return;
+    }
+    m_silent = false;
+    for (const int fd : std::exchange(m_backlogFillers, {})) {
+        ::close(fd);
+    }
+    if (m_listener >= 0) {
+        ::listen(m_listener, UsualBacklog);
+        m_loop.watch(m_listener, EPOLLIN, *this);
+    }
+    const auto connections = m_connections;
+    for (const auto &[key, connection] : connections) {
+        connection->resume();
+    }
+}
+
+void AsyncServer::closeAll()
+{
+    refuseConnections();
+    for (const int fd : std::exchange(m_backlogFillers, {})) {
+        ::close(fd);
+    }
     const auto connections = m_connections;
     for (const auto &[key, connection] : connections) {
         connection->close();
@@ -74,7 +130,24 @@
 void AsyncServer::Connection::onBytes(std::string_view bytes, TimePoint)
 {
     m_input.append(bytes);
-    if (!m_handlingRequest) {
+    if (!m_handlingRequest && !m_server.m_silent) {
+        parse();
+    }
+}
+
+void AsyncServer::Connection::send(std::string_view bytes)
+{
+    if (m_server.m_silent) {
+        m_heldOutput.append(bytes);
+    } else {
+        m_socket.send(bytes);
+    }
+}
+
+void AsyncServer::Connection::resume()
+{
+    m_socket.send(std::exchange(m_heldOutput, {}));
+    if (!m_handlingRequest && !m_input.empty()) {
         parse();
     }
 }
@@ -106,7 +179,7 @@
         self->m_handlingRequest = false;
         self->m_body.clear();
         self->m_parser = std::make_unique<HttpRequestParser>(Limits, *self);
-        if (!self->m_input.empty()) {
+        if (!self->m_input.empty() && !self->m_server.m_silent) {
             self->parse();
         }
     });
--- a/Utilities/Soak/AsyncServer.h
+++ b/Utilities/Soak/AsyncServer.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "Base/Endpoint.h"
 #include "Net/HttpParser.h"
@@ -29,14 +30,25 @@
     /// Listens on the endpoint. Throws std::runtime_error if it can't.
     void open();
     bool isOpen() const { return m_listener >= 0; }
+    /// Refuses new connections until open() is called. Open ones are not affected.
+    void refuseConnections();
+    /// Neither accepts connections nor reads or sends anything until resume() is called. Attempts
+    /// to connect get no answer.
+    void fallSilent();
+    /// Accepts, reads and sends again, also what was held back.
+    void resume();
+    const Endpoint &endpoint() const { return m_endpoint; }
 
 private:
     void onReady(std::uint32_t events, TimePoint now) override;
+    void fillBacklog();
 
     EventLoop &m_loop;
     Endpoint m_endpoint;
     Handler m_handler;
     int m_listener = -1;
+    bool m_silent = false;
+    std::vector<int> m_backlogFillers; ///< Sockets that keep the backlog of a silent server full.
     std::unordered_map<Connection *, std::shared_ptr<Connection>> m_connections;
 };
 
@@ -49,7 +61,11 @@
     Connection(AsyncServer &server, int fd);
 
     /// Sends raw bytes as part of an answer.
-    void send(std::string_view bytes) { m_socket.send(bytes); }
+    void send(std::string_view bytes);
+    /// Handles what was held back while the server was silent.
+    void resume();
+    /// The host at which the peer reached the server.
+    const std::string &localHost() const { return m_server.m_endpoint.host; }
     /// Sends a complete response and calls finish().
     void reply(int status, HttpFields fields, std::string_view body);
     /// Marks the answer as complete, so that the next request is parsed.
@@ -71,6 +87,7 @@
     StreamSocket m_socket;
     std::unique_ptr<HttpRequestParser> m_parser;
     std::string m_input;
+    std::string m_heldOutput; ///< Of a silent server.
     HttpRequestHead m_head;
     std::string m_body;
     bool m_handlingRequest = false;
--- a/Utilities/Soak/GuaranteeChecker.cpp
+++ b/Utilities/Soak/GuaranteeChecker.cpp
@@ -18,6 +18,22 @@
 constexpr Duration VerdictTime = 3s;
 constexpr int MaxLaterCrashes = 3;
 
+/// Daemons that are cut off from the backend servers must serve their callers from then on, at
+/// least MinCutServedRatio times as often as the others, or fail no more than slack and share
+/// allow.
+constexpr Duration CutDetectionTime = 3s;
+constexpr double MinCutServedRatio = 2.0 / 3;
+constexpr double CutFailureSlack = 10;
+constexpr double CutFailureShare = 1.0 / 50;
+
+struct ServedCount
+{
+    int sent = 0;
+    int served = 0;
+
+    double share() const { return sent == 0 ? 0 : static_cast<double>(served) / sent; }
+};
+
 bool meansNotRun(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -136,6 +152,34 @@
     }
 }
 
+void GuaranteeChecker::checkCutOff(const std::vector<std::string> &prefixes, TimePoint cutAt,
+                                   TimePoint restoredAt)
+{
+    ServedCount cutOff;
+    ServedCount others;
+    for (const auto &[id, history] : m_histories) {
+        const bool within =
+            history.sentAt >= cutAt + CutDetectionTime && history.sentAt < restoredAt;
+        if (!within || history.crashing) {
+            continue;
+        }
+        const bool isCutOff =
+            std::any_of(prefixes.begin(), prefixes.end(),
+                        [&id = id](const std::string &prefix) { return id.starts_with(prefix); });
+        ServedCount &count = isCutOff ? cutOff : others;
+        ++count.sent;
+        count.served += history.status == 200 ? 1 : 0;
+    }
+    const double failed = cutOff.sent - cutOff.served;
+    const double allowed = CutFailureSlack + CutFailureShare * (cutOff.sent + others.sent);
+    if (failed > allowed && cutOff.share() < MinCutServedRatio * others.share()) {
+        addViolation("daemons that were cut off from all backend servers served "
+                     + std::to_string(cutOff.served) + " of " + std::to_string(cutOff.sent)
+                     + " requests, the others " + std::to_string(others.served) + " of "
+                     + std::to_string(others.sent));
+    }
+}
+
 double GuaranteeChecker::servedShare(TimePoint from, TimePoint until) const
 {
     int total = 0;
--- a/Utilities/Soak/GuaranteeChecker.h
+++ b/Utilities/Soak/GuaranteeChecker.h
@@ -45,6 +45,11 @@
     /// A backend server names a rate limit from now on, in requests per second of all daemons.
     void beginRateLimit(const std::string &server, double perSecond, TimePoint now);
     void endRateLimit(const std::string &server) { m_rateLimits.erase(server); }
+    /// Checks what the callers of daemons that were cut off from all backend servers got, from some
+    /// time after \p cutAt until \p restoredAt. The ids of their requests begin with one of
+    /// \p prefixes. They must be served nearly as often as those of the other daemons.
+    void checkCutOff(const std::vector<std::string> &prefixes, TimePoint cutAt,
+                     TimePoint restoredAt);
     /// Adds a violation that another class detected.
     void addViolation(const std::string &what) { m_violations.push_back(what); }
     /// Treats each request that the draining backend server \p server receives after \p from as a
--- a/Utilities/Soak/SimulatedBackend.cpp
+++ b/Utilities/Soak/SimulatedBackend.cpp
@@ -43,16 +43,49 @@
     , m_store(store)
     , m_checker(checker)
     , m_random(random)
-    , m_server(loop, listen,
-               [this](const Connection &connection, const HttpRequestHead &head,
-                      const std::string &body) { onRequest(connection, head, body); })
 {
+    addLink(listen.host);
     start();
 }
 
+std::size_t SimulatedBackend::addLink(const std::string &host)
+{
+    m_servers.push_back(std::make_unique<AsyncServer>(
+        m_loop, Endpoint{host, m_address.port},
+        [this](const Connection &connection, const HttpRequestHead &head, const std::string &body) {
+            onRequest(connection, head, body);
+        }));
+    return m_servers.size() - 1;
+}
+
+void SimulatedBackend::refuseLink(std::size_t link, bool keepOpen)
+{
+    if (keepOpen) {
+        m_servers[link]->refuseConnections();
+    } else {
+        m_servers[link]->closeAll();
+    }
+}
+
+void SimulatedBackend::silenceLink(std::size_t link)
+{
+    m_servers[link]->fallSilent();
+}
+
+void SimulatedBackend::restoreLink(std::size_t link)
+{
+    m_servers[link]->resume();
+    if (m_running) {
+        m_servers[link]->open();
+    }
+}
+
 void SimulatedBackend::start()
 {
-    m_server.open();
+    for (const auto &server : m_servers) {
+        server->open();
+    }
+    m_running = true;
     m_id = "i-" + std::to_string(m_address.port) + "-" + std::to_string(++m_startCount);
     m_sequence = 0;
     m_rateLimit.reset();
@@ -84,7 +117,10 @@
 
 void SimulatedBackend::crash()
 {
-    m_server.closeAll();
+    for (const auto &server : m_servers) {
+        server->closeAll();
+    }
+    m_running = false;
     m_store.appendRecord("keyed.servers", m_id, "");
 }
 
--- a/Utilities/Soak/SimulatedBackend.h
+++ b/Utilities/Soak/SimulatedBackend.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "AsyncServer.h"
 #include "GuaranteeChecker.h"
@@ -18,6 +20,13 @@
     SimulatedBackend(EventLoop &loop, const Endpoint &listen, SimulatedStore &store,
                      GuaranteeChecker &checker, std::mt19937_64 &random);
 
+    /// Also listens on another host, for one daemon only. Returns the number of this link.
+    std::size_t addLink(const std::string &host);
+    /// Closes the open connections of a link, unless \p keepOpen is set, and refuses new ones.
+    void refuseLink(std::size_t link, bool keepOpen);
+    /// Nothing passes on a link, in either direction.
+    void silenceLink(std::size_t link);
+    void restoreLink(std::size_t link);
     /// Listens and registers as ready under a new instance id.
     void start();
     /// Closes all connections without draining, and deletes the registration at once, as if it had
@@ -31,7 +40,7 @@
     void nameRateLimit(double perSecond);
     void endRateLimit();
     bool namesRateLimit() const { return m_rateLimit.has_value(); }
-    bool isRunning() const { return m_server.isOpen(); }
+    bool isRunning() const { return m_running; }
     /// Sets the share of answers, from 0 to 1, whose connection closes before the answer is
     /// complete. For a stream, a quarter of it applies to each event.
     void setBrokenAnswerShare(double share) { m_brokenAnswerShare = share; }
@@ -51,7 +60,8 @@
     SimulatedStore &m_store;
     GuaranteeChecker &m_checker;
     std::mt19937_64 &m_random;
-    AsyncServer m_server;
+    std::vector<std::unique_ptr<AsyncServer>> m_servers; ///< One for each link.
+    bool m_running = false;
     std::string m_id;
     const char *m_registeredState = "ready";
     int m_startCount = 0;
--- a/Utilities/Soak/SimulatedStore.cpp
+++ b/Utilities/Soak/SimulatedStore.cpp
@@ -59,10 +59,28 @@
 
 SimulatedStore::SimulatedStore(EventLoop &loop, const Endpoint &listen)
     : m_loop(loop)
-    , m_server(loop, listen,
-               [this](const Connection &connection, const HttpRequestHead &head,
-                      const std::string &body) { onRequest(connection, head, body); })
 {
+    addHost(listen);
+}
+
+void SimulatedStore::addHost(const Endpoint &listen)
+{
+    m_servers.push_back(std::make_unique<AsyncServer>(
+        m_loop, listen,
+        [this](const Connection &connection, const HttpRequestHead &head, const std::string &body) {
+            onRequest(connection, head, body);
+        }));
+}
+
+std::string SimulatedStore::valueAt(const Connection &connection, const std::string &value)
+{
+    const std::string field = R"("Address":")";
+    const std::size_t host = value.find(field);
+    if (host == std::string::npos) {
+        return value;
+    }
+    const std::size_t start = host + field.size();
+    return value.substr(0, start) + connection->localHost() + value.substr(value.find(':', start));
 }
 
 void SimulatedStore::appendRecord(const std::string &topic, const std::string &key,
@@ -157,7 +175,7 @@
     for (std::int64_t i = from; i < topicLog.end(); ++i) {
         const Record &record = topicLog.records[static_cast<std::size_t>(i - topicLog.first)];
         const std::string content =
-            static_cast<char>(record.key.size()) + record.key + record.value;
+            static_cast<char>(record.key.size()) + record.key + valueAt(connection, record.value);
         body += bigEndian(content.size(), RecordLengthBytes) + content;
     }
     reply(connection, Ok, body);
@@ -169,8 +187,9 @@
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, newest] : topicLog.newest) {
         if (!newest.value.empty()) {
-            items.push_back(
-                {{"Key", key}, {"Value", encodeBase64(newest.value)}, {"Offset", newest.offset}});
+            items.push_back({{"Key", key},
+                             {"Value", encodeBase64(valueAt(connection, newest.value))},
+                             {"Offset", newest.offset}});
         }
     }
     const nlohmann::json answer = {{"Items", items}, {"HasMore", false}, {"End", topicLog.end()}};
--- a/Utilities/Soak/SimulatedStore.h
+++ b/Utilities/Soak/SimulatedStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
 public:
     SimulatedStore(EventLoop &loop, const Endpoint &listen);
 
+    /// Also listens on another host. Entries of backend servers that are read there have the host
+    /// in place of their own, so that each daemon can have links of its own to the servers.
+    void addHost(const Endpoint &listen);
     /// Appends a record, as the operator or a backend server does. An empty value deletes the key.
     void appendRecord(const std::string &topic, const std::string &key, const std::string &value);
     void setMode(StoreMode mode) { m_mode = mode; }
@@ -64,6 +68,8 @@
                    const std::string &body);
     void read(const Connection &connection, const std::string &topic, std::int64_t from,
               Duration wait);
+    /// The value of a record as it is read at the host of the connection.
+    static std::string valueAt(const Connection &connection, const std::string &value);
     void listNewest(const Connection &connection, const std::string &topic);
     void append(const Connection &connection, const std::string &topic, const std::string &target,
                 const std::string &body);
@@ -73,7 +79,7 @@
     void add(TopicLog &topicLog, Record record);
 
     EventLoop &m_loop;
-    AsyncServer m_server;
+    std::vector<std::unique_ptr<AsyncServer>> m_servers; ///< One for each host.
     StoreMode m_mode = StoreMode::Normal;
     std::map<std::string, TopicLog> m_topicLogs;
     std::int64_t m_era = 1;
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -53,16 +53,24 @@
         m_backends.push_back(std::make_unique<SimulatedBackend>(m_loop, port(10 + i), *m_store,
                                                                 m_checker, m_random));
     }
+    if (m_options.linkCuts) {
+        m_linkCuts =
+            std::make_unique<LinkCuts>(m_loop, m_backends, m_checker, m_random, m_options.daemons,
+                                       [this](const std::string &what) { logFault(what); });
+    }
     for (int i = 0; i < m_options.daemons; ++i) {
         auto daemon = std::make_unique<Daemon>();
         daemon->storeProxy =
             std::make_unique<trial::FaultProxy>(port(100 + 10 * i).port, port(0).port);
         m_daemons.push_back(std::move(daemon));
         writeSettings(i);
+        if (m_options.linkCuts) {
+            m_store->addHost({LinkCuts::hostOf(i), port(0).port});
+        }
         for (int j = 0; j < m_options.callersPerDaemon; ++j) {
             m_callers.push_back(std::make_unique<SimulatedCaller>(
-                m_loop, port(101 + 10 * i), "q" + std::to_string(i) + "." + std::to_string(j),
-                m_checker, m_random));
+                m_loop, port(101 + 10 * i), LinkCuts::idPrefixOf(i) + std::to_string(j), m_checker,
+                m_random));
         }
     }
     m_crashingCaller =
@@ -92,9 +100,13 @@
         return "127.0.0.1:" + std::to_string(base + offset) + "\n";
     };
     std::ofstream file(daemon.settingsPath);
-    file << "instance: " << name << "\ndata_centre: here\nlisten: " << address(1)
+    const std::string dataCentre = m_options.linkCuts ? "near-" + name : "here";
+    const std::string store = m_options.linkCuts
+        ? LinkCuts::hostOf(number) + ":" + std::to_string(m_options.firstPort) + "\n"
+        : address(0);
+    file << "instance: " << name << "\ndata_centre: " << dataCentre << "\nlisten: " << address(1)
          << "readiness_listen: " << address(2) << "metrics_listen: " << address(3)
-         << "feed_listen: " << address(4) << "store: " << address(0)
+         << "feed_listen: " << address(4) << "store: " << store
          << "bounds:\n  grace_s: 4\n  retry_ratio: 0.9\n  retry_slack: 50\n";
 }
 
@@ -159,6 +171,14 @@
         injectRateLimit();
         return;
     }
+    if (m_linkCuts) {
+        if (m_random() % 4 == 0) {
+            m_linkCuts->silenceServers(now);
+        } else {
+            m_linkCuts->cutSome(now);
+        }
+        return;
+    }
     m_checker.suspendTimeLimits(now + FaultRecoveryTime);
     switch (m_random() % 3) {
     case 0:
@@ -332,6 +352,9 @@
 {
     logFault("all faults end");
     m_store->setMode(StoreMode::Normal);
+    if (m_linkCuts) {
+        m_linkCuts->endAll();
+    }
     for (const auto &daemon : m_daemons) {
         daemon->storeProxy->setState(trial::LinkState::Open);
         if (daemon->suspended) {
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -8,6 +8,7 @@
 #include "ChildProcess.h"
 #include "FaultProxy.h"
 #include "GuaranteeChecker.h"
+#include "LinkCuts.h"
 #include "SimulatedBackend.h"
 #include "SimulatedCaller.h"
 #include "SimulatedStore.h"
@@ -25,6 +26,9 @@
     bool storeDrills = false; ///< The store also comes back from older copies.
     /// The only faults: backend servers name rate limits, and a request comes that crashes them.
     bool limitsAndCrashes = false;
+    /// The only faults: daemons lose their links to all backend servers, and servers fall silent
+    /// for about a second. Each daemon is in a data centre of its own and reads the store itself.
+    bool linkCuts = false;
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
     std::string workFolder;
@@ -84,6 +88,7 @@
     std::vector<std::unique_ptr<SimulatedBackend>> m_backends;
     std::vector<std::unique_ptr<SimulatedCaller>> m_callers;
     std::unique_ptr<SimulatedCaller> m_crashingCaller;
+    std::unique_ptr<LinkCuts> m_linkCuts; ///< Null without SoakOptions::linkCuts.
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     TimePoint m_startTime;
     int m_configVersion = 0;
--- a/Utilities/Soak/main.cpp
+++ b/Utilities/Soak/main.cpp
@@ -24,6 +24,8 @@
     app.add_flag("--drills", options.storeDrills, "The store also comes back from older copies");
     app.add_flag("--limits-and-crashes", options.limitsAndCrashes,
                  "Instead of other faults, servers name rate limits and a request crashes them");
+    app.add_flag("--link-cuts", options.linkCuts,
+                 "Instead of other faults, daemons lose their links to all backend servers");
     app.add_option("--daemons", options.daemons, "Daemons")->check(CLI::Range(1, 60));
     app.add_option("--runners", options.backends, "Number of backend servers")
         ->check(CLI::Range(1, 60));
