A daemon that reaches no server of a service reports none as unreachable

Callers of other daemons would have been refused: two daemons that report a server as unreachable have it excluded everywhere, and daemons that are cut off from all servers reported all of them.

Cause: a failed connection counted against the server, whoever's link it was. ServiceReach decides when failures mean this daemon's own links: several servers, of more than one data centre if there are several, and none reached in between. Then they count against no server, and the exclusions end when the service is reached again.

--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -163,7 +163,7 @@
         }
         Health &health = m_health[id];
         detectRestart(state, health);
-        m_dataCentreOf[id] = state.report.dataCentre;
+        m_places[id] = {state.report.service, state.report.dataCentre};
         if (isDataCentreExcluded(state.report.dataCentre, now)) {
             fault = PickFault::AllSilent;
             continue;
@@ -336,7 +336,45 @@
     Health &health = m_health[id];
     subtractTokens(health.unanswered, urgency, prefillTokens);
     health.lastAnswerAt = now;
-    m_dataCentreHealth[m_dataCentreOf[id]] = DataCentreHealth();
+    m_dataCentreHealth[m_places[id].dataCentre] = DataCentreHealth();
+}
+
+void BackendPicker::onReached(const InstanceId &id, TimePoint begunAt)
+{
+    const auto place = m_places.find(id);
+    if (place == m_places.end() || !m_reach.onReached(place->second.service, id, begunAt)) {
+        return;
+    }
+    // The connections failed because of this daemon's links.
+    for (const auto &[other, otherPlace] : m_places) {
+        if (otherPlace.service == place->second.service) {
+            Health &health = m_health[other];
+            health.excludedUntil = TimePoint();
+            health.consecutiveExclusions = 0;
+            health.connectionFailed = false;
+            m_dataCentreHealth[otherPlace.dataCentre] = DataCentreHealth();
+        }
+    }
+}
+
+ServiceReach::Servers BackendPicker::serversOf(const ServiceId &service) const
+{
+    ServiceReach::Servers servers;
+    for (const auto &[id, place] : m_places) {
+        if (place.service == service) {
+            servers.emplace(id, place.dataCentre);
+        }
+    }
+    return servers;
+}
+
+void BackendPicker::recordConnectFailure(const InstanceId &id, TimePoint now)
+{
+    const auto place = m_places.find(id);
+    if (place != m_places.end()) {
+        const ServiceId service = place->second.service;
+        m_reach.onConnectFailed(service, id, serversOf(service), now);
+    }
 }
 
 void BackendPicker::exclude(Health &health, TimePoint now)
@@ -348,11 +386,11 @@
 
 void BackendPicker::recordSilentServer(const InstanceId &id, TimePoint now)
 {
-    const auto found = m_dataCentreOf.find(id);
-    if (found == m_dataCentreOf.end()) {
+    const auto found = m_places.find(id);
+    if (found == m_places.end()) {
         return;
     }
-    DataCentreHealth &dataCentreHealth = m_dataCentreHealth[found->second];
+    DataCentreHealth &dataCentreHealth = m_dataCentreHealth[found->second.dataCentre];
     dataCentreHealth.silentServers.insert(id);
     if (dataCentreHealth.silentServers.size() >= SilentServersForExclusion) {
         const int doublings =
@@ -376,12 +414,15 @@
         || outcome == SendOutcome::Silent;
     health.failureRate += FailureRateSmoothing * ((failed ? 1.0 : 0.0) - health.failureRate);
     ++health.samples;
+    if (outcome == SendOutcome::Unreachable || outcome == SendOutcome::Silent) {
+        recordConnectFailure(id, now);
+    }
     switch (outcome) {
     case SendOutcome::Served:
         health.consecutiveExclusions = 0;
         health.connectionFailed = false;
         health.lastAnswerAt = now;
-        m_dataCentreHealth[m_dataCentreOf[id]] = DataCentreHealth();
+        m_dataCentreHealth[m_places[id].dataCentre] = DataCentreHealth();
         break;
     case SendOutcome::Silent:
         recordSilentServer(id, now);
@@ -472,7 +513,9 @@
 {
     BackendLoads loads;
     for (const auto &[id, health] : m_health) {
-        const bool unreachable = health.connectionFailed && health.excludedUntil > now;
+        const auto place = m_places.find(id);
+        const bool cutOff = place != m_places.end() && m_reach.cutOff(place->second.service);
+        const bool unreachable = health.connectionFailed && health.excludedUntil > now && !cutOff;
         if (health.inFlight > 0 || unreachable) {
             loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
         }
@@ -495,8 +538,10 @@
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
-    std::erase_if(m_dataCentreOf,
-                  [&](const auto &entry) { return view.backend(entry.first) == nullptr; });
+    std::erase_if(m_places, [&](const auto &entry) {
+        const BackendState *state = view.backend(entry.first);
+        return state == nullptr || state->draining;
+    });
 }
 
 } // namespace lycheearch
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -15,6 +15,7 @@
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptPlacement.h"
 #include "Routing/RolloutRule.h"
+#include "Routing/ServiceReach.h"
 
 namespace lycheearch {
 
@@ -82,7 +83,8 @@
 /// Chooses the backend server for each request of one daemon, and tracks the load and health of the
 /// servers. Uses PromptPlacement for engines and the least loaded server otherwise. Handles failing
 /// and unreachable servers (exclusion with exponential backoff, ignored if it would leave no
-/// server), unresponsive data centres (excluded as a whole), servers that BackendRateLimiter holds
+/// server), unresponsive data centres (excluded as a whole), services of which this daemon reaches
+/// no server (which then counts against no server), servers that BackendRateLimiter holds
 /// back, and servers that announced in their answers that they stop (never chosen).
 class BackendPicker
 {
@@ -101,6 +103,14 @@
     /// answer arrived, else 0.
     void onEnded(const InstanceId &id, SendOutcome outcome, int urgency, double unansweredTokens,
                  TimePoint now);
+    /// Records that a server accepted a connection or answered a request; the attempt began at
+    /// \p begunAt.
+    void onReached(const InstanceId &id, TimePoint begunAt);
+    /// Which services this daemon reaches.
+    ServiceReach &reach() { return m_reach; }
+    const ServiceReach &reach() const { return m_reach; }
+    /// The servers of a service that requests were compared for.
+    ServiceReach::Servers serversOf(const ServiceId &service) const;
     /// Records the running and waiting requests that a server reported with an answer.
     void onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now);
     /// Records that a server announced that it is about to stop. Returns false if this was known.
@@ -145,6 +155,13 @@
         std::int64_t startedAt = 0;
     };
 
+    /// Where a server is and what it provides.
+    struct Place
+    {
+        ServiceId service;
+        DataCentreId dataCentre;
+    };
+
     /// State of one data centre.
     struct DataCentreHealth
     {
@@ -188,12 +205,14 @@
     /// The present run of a server, as far as the view knows it.
     ServerRun runOf(const InstanceId &id);
     void exclude(Health &health, TimePoint now);
+    void recordConnectFailure(const InstanceId &id, TimePoint now);
     void recordSilentServer(const InstanceId &id, TimePoint now);
 
     DataCentreId m_ownDataCentre;
     std::map<InstanceId, Health> m_health;
     BackendRateLimiter m_rateLimiter;
-    std::map<InstanceId, DataCentreId> m_dataCentreOf;
+    ServiceReach m_reach;
+    std::map<InstanceId, Place> m_places;
     std::map<DataCentreId, DataCentreHealth> m_dataCentreHealth;
     BackendLoads m_otherDaemonsLoads;
     TimePoint m_otherDaemonsLoadsAt;
