--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -23,6 +23,16 @@
     return {};
 }
 
+std::optional<Endpoint> readOptionalEndpoint(YamlReader &reader, const Option &option)
+{
+    const std::string text = reader.text(option, "");
+    const auto parsed = Endpoint::parse(text);
+    if (!text.empty() && !parsed) {
+        reader.report(option.key, text, "IP:PORT");
+    }
+    return parsed;
+}
+
 Duration readMilliseconds(YamlReader &reader, const Option &option, std::int64_t fallback)
 {
     return reader.milliseconds(option, {0, MaxDurationMs}, fallback);
@@ -79,6 +89,11 @@
     settings.metricsListen = readEndpoint(reader, {"metrics_listen", "Address for metrics"});
     settings.feedListen = readEndpoint(
         reader, {"feed_listen", "Address for daemons that subscribe to the records of this one"});
+    settings.relayListen = readOptionalEndpoint(
+        reader,
+        {"relay_listen",
+         "Address for requests of daemons that don't reach the backend servers; "
+         "without it, this daemon takes none"});
     settings.store = readEndpoint(reader, {"store", "Address of the log store"});
     settings.memoryMegabytes =
         reader.integer({"memory_mb", "Memory limit of the process, in MiB"}, {16, 1'000'000}, 128);
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "Base/Endpoint.h"
@@ -34,6 +35,9 @@
     Endpoint readinessListen; ///< For the load balancer's readiness checks.
     Endpoint metricsListen;
     Endpoint feedListen; ///< For daemons that subscribe to the records this one reads.
+    /// For requests of daemons that don't reach the backend servers. Without it, this daemon takes
+    /// none of them.
+    std::optional<Endpoint> relayListen;
     Endpoint store;
     std::int64_t memoryMegabytes = 0; ///< Memory limit of the process, in MiB.
     int routineLogLines = 0; ///< Per second, for successful requests.
--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -17,16 +17,20 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
-                           const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                           CrashTable &crashes, const Clock &clock)
+LoadExchange::LoadExchange(EventLoop &loop, InstanceId self, DataCentreId ownDataCentre,
+                           const FleetView &view, const FleetFollower &follower, FeedClient &client,
+                           BackendPicker &picker, PeerSelector &peers, CrashTable &crashes,
+                           PendingCrashes &pendingCrashes, const Clock &clock)
     : m_loop(loop)
+    , m_self(std::move(self))
     , m_ownDataCentre(std::move(ownDataCentre))
     , m_view(view)
     , m_follower(follower)
     , m_client(client)
     , m_picker(picker)
+    , m_peers(peers)
     , m_crashes(crashes)
+    , m_pendingCrashes(pendingCrashes)
     , m_clock(clock)
 {
 }
@@ -45,7 +49,7 @@
 
 void LoadExchange::onRemoteLoad(const FeedLoad &load, TimePoint now)
 {
-    m_remoteLoads[load.dataCentre] = {load.loads, now};
+    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
@@ -60,6 +64,13 @@
     }
 }
 
+std::vector<CutOffDaemon> LoadExchange::ownCutOff() const
+{
+    const std::vector<ServiceId> services = m_picker.reach().cutOffServices();
+    return services.empty() ? std::vector<CutOffDaemon>()
+                            : std::vector<CutOffDaemon>{{m_self, services}};
+}
+
 void LoadExchange::applyRateLimits(const std::vector<RateLimitNotice> &notices, TimePoint now)
 {
     for (const RateLimitNotice &notice : notices) {
@@ -73,6 +84,7 @@
     if (!m_follower.synced()) {
         return;
     }
+    m_pendingCrashes.settle(now);
     if (!m_follower.followingFeed()) {
         aggregateLoads(now);
         return;
@@ -80,13 +92,18 @@
     m_entriesToForward.clear();
     m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
-    FeedLoad ownLoad{DataCentreId(), m_picker.ownLoads(now),
-                     m_picker.promptCacheIndex().takeUnpublished(), m_crashes.takeUnpublished(now),
-                     m_picker.rateLimiter().notices().takeUnpublished(now)};
+    FeedLoad ownLoad{DataCentreId(),
+                     m_picker.ownLoads(now),
+                     m_picker.promptCacheIndex().takeUnpublished(),
+                     m_crashes.takeUnpublished(now),
+                     m_picker.rateLimiter().notices().takeUnpublished(now),
+                     ownCutOff()};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
-        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty();
+        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
+        || ownLoad.cutOff != m_lastSentCutOff;
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
+        m_lastSentCutOff = std::move(ownLoad.cutOff);
     }
 }
 
@@ -94,8 +111,14 @@
 {
     const BackendLoads ownLoad = m_picker.ownLoads(now);
     BackendLoads otherLoads = m_server->followerLoads();
-    FeedLoad ownDataCentre{m_ownDataCentre, otherLoads, m_server->takePromptCacheEntries(),
-                           m_server->takeCrashEvidence(), m_server->takeRateLimits()};
+    FeedLoad ownDataCentre{m_ownDataCentre,
+                           otherLoads,
+                           m_server->takePromptCacheEntries(),
+                           m_server->takeCrashEvidence(),
+                           m_server->takeRateLimits(),
+                           m_server->followersCutOff()};
+    const std::vector<CutOffDaemon> cutOff = ownCutOff();
+    ownDataCentre.cutOff.insert(ownDataCentre.cutOff.end(), cutOff.begin(), cutOff.end());
     addLoads(ownDataCentre.loads, ownLoad);
     m_picker.promptCacheIndex().applyPublished(ownDataCentre.promptCacheEntries, now);
     const std::vector<PromptCacheEntry> newEntries = m_picker.promptCacheIndex().takeUnpublished();
@@ -106,13 +129,20 @@
     applyRateLimits(ownDataCentre.rateLimits, now);
     addNewest(ownDataCentre.rateLimits, m_picker.rateLimiter().notices().takeUnpublished(now));
     sendToDataCentres(ownDataCentre, now);
+    std::vector<CutOffDaemon> allCutOff = std::move(ownDataCentre.cutOff);
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
             addLoads(otherLoads, remote.loads);
+            allCutOff.insert(allCutOff.end(), remote.cutOff.begin(), remote.cutOff.end());
         }
     }
-    FeedLoad total{DataCentreId(), otherLoads, std::move(ownDataCentre.promptCacheEntries),
-                   std::move(ownDataCentre.crashEvidence), std::move(ownDataCentre.rateLimits)};
+    m_peers.setCutOff(allCutOff, now);
+    FeedLoad total{DataCentreId(),
+                   otherLoads,
+                   std::move(ownDataCentre.promptCacheEntries),
+                   std::move(ownDataCentre.crashEvidence),
+                   std::move(ownDataCentre.rateLimits),
+                   std::move(allCutOff)};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
@@ -148,6 +178,7 @@
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
     m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
+    m_peers.setCutOff(total.cutOff, now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -8,6 +8,8 @@
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
+#include "Routing/PeerSelector.h"
+#include "Routing/PendingCrashes.h"
 
 namespace lycheearch {
 
@@ -16,13 +18,15 @@
 /// its feed source and receives the total. A daemon that reads the store adds up the load of its
 /// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
 /// The load of a data centre that stops reporting expires. Evidence against prompts that crash
-/// servers, and the rate limits that servers named, take the same way.
+/// servers, the rate limits that servers named, and which daemons are cut off from the servers of a
+/// service, take the same way.
 class LoadExchange
 {
 public:
-    LoadExchange(EventLoop &loop, DataCentreId ownDataCentre, const FleetView &view,
-                 const FleetFollower &follower, FeedClient &client, BackendPicker &picker,
-                 CrashTable &crashes, const Clock &clock);
+    LoadExchange(EventLoop &loop, InstanceId self, DataCentreId ownDataCentre,
+                 const FleetView &view, const FleetFollower &follower, FeedClient &client,
+                 BackendPicker &picker, PeerSelector &peers, CrashTable &crashes,
+                 PendingCrashes &pendingCrashes, const Clock &clock);
     ~LoadExchange();
 
     void start(FeedServer &server);
@@ -34,6 +38,7 @@
     struct RemoteLoad
     {
         BackendLoads loads;
+        std::vector<CutOffDaemon> cutOff;
         TimePoint at; ///< When it was received.
     };
 
@@ -43,16 +48,23 @@
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
     void onTotalLoad(const FeedLoad &total, TimePoint now);
 
+    /// This daemon, if it is cut off from the servers of any service.
+    std::vector<CutOffDaemon> ownCutOff() const;
+
     EventLoop &m_loop;
+    InstanceId m_self;
     DataCentreId m_ownDataCentre;
     const FleetView &m_view;
     const FleetFollower &m_follower;
     FeedClient &m_client;
     BackendPicker &m_picker;
+    PeerSelector &m_peers;
     CrashTable &m_crashes;
+    PendingCrashes &m_pendingCrashes;
     const Clock &m_clock;
     FeedServer *m_server = nullptr;
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
+    std::vector<CutOffDaemon> m_lastSentCutOff; ///< The same.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
     CrashEvidence m_evidenceToForward; ///< From other data centres, to followers.
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -1,4 +1,5 @@
 #include "Daemon/RouterDaemon.h"
+#include "Feed/FeedOrder.h"
 #include "Net/HttpStatus.h"
 
 #include <algorithm>
@@ -47,29 +48,51 @@
     , m_follower(m_loop, *m_store, codec, m_view, *this, followerTiming(m_settings.bounds))
     , m_picker(m_settings.instance, m_settings.dataCentre)
     , m_connections(m_loop, ConnectionLimits)
+    , m_peerConnections(m_loop, ConnectionLimits)
+    , m_peers(m_settings.instance, m_settings.dataCentre)
+    , m_reachProber(m_loop, m_view, m_picker)
     , m_retries(FleetLimits::initialRetryBounds(m_settings.bounds))
     , m_fleetLimits(m_view, m_settings.instance, m_settings.bounds, m_picker, m_retries, m_clock)
+    , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_context{m_loop,           m_view,           m_picker,
-                m_connections,    headerCodec,      m_retries,
-                m_rolloutCounts,  m_modelCascade,   m_crashes,
-                m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
-                m_bodyBudget,     m_responseBudget, m_log,
+    , m_context{m_loop,
+                m_view,
+                m_picker,
+                m_connections,
+                headerCodec,
+                m_retries,
+                m_rolloutCounts,
+                m_modelCascade,
+                m_crashes,
+                m_pendingCrashes,
+                m_peers,
+                m_peerConnections,
+                m_relayAdmission,
+                m_returnSchedule,
+                m_shutdownPolicy,
+                m_settings.bounds,
+                m_bodyBudget,
+                m_responseBudget,
+                m_log,
                 m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
                      m_rolloutCounts,
                      {m_settings.bounds.maxUnprovenShare, m_settings.bounds.unprovenSlack}, m_log)
-    , m_loadExchange(m_loop, m_settings.dataCentre, m_view, m_follower, m_feedClient, m_picker,
-                     m_crashes, m_clock)
+    , m_loadExchange(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower,
+                     m_feedClient, m_picker, m_peers, m_crashes, m_pendingCrashes, m_clock)
     , m_crashVerdicts(m_loop, *m_store, codec, m_follower, m_crashes, m_log, m_clock)
     , m_registration(m_loop, *m_store, codec, m_clock,
-                     {m_settings.instance, m_settings.dataCentre, m_settings.feedListen, 0},
+                     {m_settings.instance, m_settings.dataCentre, m_settings.feedListen, 0,
+                      m_settings.relayListen},
                      [this](TimePoint now) { scheduleMemberRead(now); })
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
+    m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
+        onReachChanged(service, reached, m_loop.now());
+    });
 }
 
 RouterDaemon::~RouterDaemon() = default;
@@ -81,10 +104,18 @@
         return std::string(what) + " " + endpoint.text() + ": " + error.message();
     };
     std::error_code error;
-    m_callerServer = std::make_unique<CallerServer>(m_context, m_settings.listen, error);
+    m_callerServer =
+        std::make_unique<CallerServer>(m_context, RequestOrigin::Caller, m_settings.listen, error);
     if (error) {
         return listenError("listen", m_settings.listen, error);
     }
+    if (m_settings.relayListen) {
+        m_relayServer = std::make_unique<CallerServer>(m_context, RequestOrigin::Daemon,
+                                                       *m_settings.relayListen, error);
+        if (error) {
+            return listenError("relay_listen", *m_settings.relayListen, error);
+        }
+    }
     m_feedServer = std::make_unique<FeedServer>(
         m_loop, m_settings.feedListen, m_follower,
         [this](const FeedEvidence &evidence) { m_rolloutAgent.addFollowerEvidence(evidence); },
@@ -173,6 +204,7 @@
         return;
     }
     const bool restartNeeded = newSettings.listen != m_settings.listen
+        || newSettings.relayListen != m_settings.relayListen
         || newSettings.readinessListen != m_settings.readinessListen
         || newSettings.metricsListen != m_settings.metricsListen
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
@@ -191,6 +223,9 @@
     }
     m_shutdownPolicy.begin(m_settings.bounds.gracePeriod, now);
     m_callerServer->drain(now);
+    if (m_relayServer) {
+        m_relayServer->drain(now);
+    }
     m_log.write(LogPriority::Notable,
                 LogLine("process.draining")
                     .add("connections", static_cast<std::int64_t>(m_callerServer->connections()))
@@ -202,15 +237,20 @@
 void RouterDaemon::checkDrained(TimePoint now)
 {
     const Duration elapsed = m_shutdownPolicy.elapsed(now);
-    if (elapsed >= IdleCloseDelay) {
-        m_callerServer->closeIdle(now);
+    for (CallerServer *server : {m_callerServer.get(), m_relayServer.get()}) {
+        if (server != nullptr && elapsed >= IdleCloseDelay) {
+            server->closeIdle(now);
+        }
+        if (server != nullptr && elapsed >= StopListeningDelay) {
+            server->stopListening();
+        }
     }
-    if (elapsed >= StopListeningDelay) {
-        m_callerServer->stopListening();
-    }
-    const bool drained = m_callerServer->connections() == 0 && elapsed >= StopListeningDelay;
+    const bool drained = callerConnections() == 0 && elapsed >= StopListeningDelay;
     if (drained || m_shutdownPolicy.mustTerminate(now)) {
         m_callerServer->terminateAll(now);
+        if (m_relayServer) {
+            m_relayServer->terminateAll(now);
+        }
         m_loop.stop();
         return;
     }
@@ -223,11 +263,41 @@
         const BackendState *state = m_view.backend(id);
         return state != nullptr && !state->draining;
     });
+    m_peerConnections.sweep(now,
+                            [this](const InstanceId &id) { return m_view.members().contains(id); });
     m_picker.prune(m_view, now);
     m_fleetLimits.divide();
+    updatePeers();
     m_loop.at(now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); });
 }
 
+void RouterDaemon::updatePeers()
+{
+    const std::int64_t wallMs = wallMilliseconds(m_clock);
+    std::vector<MemberRegistered> members;
+    for (const auto &[id, member] : m_view.members()) {
+        if (memberIsCurrent(member, wallMs)) {
+            members.push_back(member);
+        }
+    }
+    m_peers.setMembers(std::move(members));
+}
+
+void RouterDaemon::onReachChanged(const ServiceId &service, bool reached, TimePoint now)
+{
+    m_log.write(LogPriority::Notable,
+                LogLine(reached ? "reach.regained" : "reach.lost").add("service", service.value()),
+                now);
+    if (!reached) {
+        m_reachProber.start();
+    }
+}
+
+std::size_t RouterDaemon::callerConnections() const
+{
+    return m_callerServer->connections() + (m_relayServer ? m_relayServer->connections() : 0);
+}
+
 CompleteHttpResponse RouterDaemon::readiness(TimePoint now)
 {
     const bool ready = m_follower.synced() && !m_shutdownPolicy.stopping();
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -10,6 +10,7 @@
 #include "Daemon/FleetLimits.h"
 #include "Daemon/LoadExchange.h"
 #include "Daemon/MemberRegistration.h"
+#include "Daemon/ReachProber.h"
 #include "Daemon/RolloutAgent.h"
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
@@ -73,6 +74,10 @@
     /// divides the fleet-wide limits again, since registrations of daemons expire.
     void sweep(TimePoint now);
     void applyConfig(Offset offset, TimePoint now);
+    /// Sets the daemons that requests can be passed to.
+    void updatePeers();
+    void onReachChanged(const ServiceId &service, bool reached, TimePoint now);
+    std::size_t callerConnections() const;
     CompleteHttpResponse readiness(TimePoint now);
     CompleteHttpResponse metricsPage(TimePoint now);
 
@@ -88,11 +93,16 @@
     FleetFollower m_follower;
     BackendPicker m_picker;
     BackendHttpConnectionPool m_connections;
+    BackendHttpConnectionPool m_peerConnections; ///< To other daemons.
+    PeerSelector m_peers;
+    RelayAdmission m_relayAdmission;
+    ReachProber m_reachProber;
     WindowedRetryBudget m_retries;
     FleetLimits m_fleetLimits;
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
     CrashTable m_crashes;
+    PendingCrashes m_pendingCrashes;
     ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
@@ -105,6 +115,7 @@
     MemberRegistration m_registration;
     SignalPipe m_signals;
     std::unique_ptr<CallerServer> m_callerServer;
+    std::unique_ptr<CallerServer> m_relayServer; ///< Null without RouterSettings::relayListen.
     std::unique_ptr<FeedServer> m_feedServer;
     std::unique_ptr<HttpResponder> m_readinessServer;
     std::unique_ptr<HttpResponder> m_metricsServer;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -198,6 +198,25 @@
             Duration(reader.getAge())};
 }
 
+void writeCutOff(wire::FeedCutOff::Builder builder, const CutOffDaemon &entry)
+{
+    builder.setDaemon(entry.daemon.value());
+    auto services = builder.initServices(static_cast<unsigned>(entry.services.size()));
+    for (unsigned i = 0; i < services.size(); ++i) {
+        services.set(i, entry.services[i].value());
+    }
+}
+
+CutOffDaemon readCutOff(wire::FeedCutOff::Reader reader)
+{
+    CutOffDaemon entry;
+    entry.daemon = InstanceId(reader.getDaemon().cStr());
+    for (const auto service : reader.getServices()) {
+        entry.services.emplace_back(service.cStr());
+    }
+    return entry;
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -227,6 +246,10 @@
     for (unsigned j = 0; j < rateLimits.size(); ++j) {
         writeRateLimit(rateLimits[j], message.rateLimits[j]);
     }
+    auto cutOff = builder.initCutOff(static_cast<unsigned>(message.cutOff.size()));
+    for (unsigned j = 0; j < cutOff.size(); ++j) {
+        writeCutOff(cutOff[j], message.cutOff[j]);
+    }
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -251,6 +274,9 @@
     for (const auto entry : reader.getRateLimits()) {
         message.rateLimits.push_back(readRateLimit(entry));
     }
+    for (const auto entry : reader.getCutOff()) {
+        message.cutOff.push_back(readCutOff(entry));
+    }
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -9,6 +9,7 @@
 #include "Fleet/FleetStore.h"
 #include "Routing/BackendLoads.h"
 #include "Routing/CrashEvidence.h"
+#include "Routing/PeerSelector.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/ServerNotices.h"
 
@@ -53,6 +54,8 @@
     std::vector<PromptCacheEntry> promptCacheEntries;
     CrashEvidence crashEvidence;
     std::vector<RateLimitNotice> rateLimits; ///< That servers named since the last message.
+    /// All daemons that reach no backend server of some services, as of now.
+    std::vector<CutOffDaemon> cutOff;
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -53,6 +53,7 @@
     bool overfull() const { return m_socket.queuedBytes() > MaxQueuedBytes; }
     bool subscribed() const { return m_subscribed; }
     const BackendLoads &loads() const { return m_loads; }
+    const std::vector<CutOffDaemon> &cutOff() const { return m_cutOff; }
     void end()
     {
         m_socket.close();
@@ -85,6 +86,7 @@
     {
         if (m_subscribed) {
             m_loads = load.loads;
+            m_cutOff = load.cutOff;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
             m_server.m_crashEvidence.add(load.crashEvidence);
             addNewest(m_server.m_rateLimits, load.rateLimits);
@@ -97,6 +99,7 @@
     StreamSocket m_socket;
     FeedFrameReader m_reader;
     BackendLoads m_loads;
+    std::vector<CutOffDaemon> m_cutOff;
     bool m_subscribed = false;
 };
 
@@ -186,6 +189,15 @@
     return sum;
 }
 
+std::vector<CutOffDaemon> FeedServer::followersCutOff() const
+{
+    std::vector<CutOffDaemon> all;
+    for (const auto &[key, connection] : m_connections) {
+        all.insert(all.end(), connection->cutOff().begin(), connection->cutOff().end());
+    }
+    return all;
+}
+
 void FeedServer::sendToFollowers(std::string_view frame)
 {
     std::vector<FeedConnection *> overfull;
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -84,6 +84,15 @@
   limited @2 :Bool;            # False: the server ended its limit.
   perSecond @3 :Float64;       # Requests per second from all daemons together.
   age @4 :Int64;               # Microseconds since the server said so.
+  brittle @5 :Bool;            # The server stops if it has to reject too many requests.
+  maxRejections @6 :Float64;   # Rejections per second that it bears, if it is brittle.
+  rejected @7 :Bool;           # It has rejected a request for want of room while it was brittle.
+  rejectionAge @8 :Int64;      # Microseconds since it last did.
+}
+
+struct FeedCutOff {
+  daemon @0 :Text;
+  services @1 :List(Text);     # Services of which it reaches no server.
 }
 
 struct FeedLoad {
@@ -92,6 +101,7 @@
   places @2 :List(FeedPromptPlace);  # Entries that are new or would soon expire at the receiver.
   promptEvidence @3 :FeedPromptEvidence;
   rateLimits @4 :List(FeedRateLimit);  # What servers said since the last message.
+  cutOff @5 :List(FeedCutOff);  # All daemons that are cut off from servers now.
 }
 
 struct FeedMessage {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(ae8ae680b7e4568f);
 CAPNP_DECLARE_SCHEMA(8ddf46c8d9fd9d06);
 CAPNP_DECLARE_SCHEMA(97eaf0f27481c089);
+CAPNP_DECLARE_SCHEMA(9eb5332093a34fdc);
 CAPNP_DECLARE_SCHEMA(cdca46df75ae5cee);
 CAPNP_DECLARE_SCHEMA(a16fbdf97169f605);
 
@@ -178,7 +179,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(97eaf0f27481c089, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(97eaf0f27481c089, 6, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeedCutOff {
+  FeedCutOff() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9eb5332093a34fdc, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -193,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1202,6 +1218,14 @@
 
   inline  ::int64_t getAge() const;
 
+  inline bool getBrittle() const;
+
+  inline double getMaxRejections() const;
+
+  inline bool getRejected() const;
+
+  inline  ::int64_t getRejectionAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1249,6 +1273,18 @@
   inline  ::int64_t getAge();
   inline void setAge( ::int64_t value);
 
+  inline bool getBrittle();
+  inline void setBrittle(bool value);
+
+  inline double getMaxRejections();
+  inline void setMaxRejections(double value);
+
+  inline bool getRejected();
+  inline void setRejected(bool value);
+
+  inline  ::int64_t getRejectionAge();
+  inline void setRejectionAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1275,6 +1311,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class FeedCutOff::Reader {
+public:
+  typedef FeedCutOff Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDaemon() const;
+  inline  ::capnp::Text::Reader getDaemon() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getServices() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedCutOff::Builder {
+public:
+  typedef FeedCutOff Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDaemon();
+  inline  ::capnp::Text::Builder getDaemon();
+  inline void setDaemon( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDaemon(unsigned int size);
+  inline void adoptDaemon(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDaemon();
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getServices();
+  inline void setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownServices();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedCutOff::Pipeline {
+public:
+  typedef FeedCutOff Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedLoad::Reader {
 public:
   typedef FeedLoad Reads;
@@ -1307,6 +1435,9 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline bool hasCutOff() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Reader getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1370,6 +1501,13 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedRateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline bool hasCutOff();
+  inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Builder getCutOff();
+  inline void setCutOff( ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Builder initCutOff(unsigned int size);
+  inline void adoptCutOff(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>> disownCutOff();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2599,6 +2737,134 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FeedRateLimit::Reader::getBrittle() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedRateLimit::Builder::getBrittle() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setBrittle(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedRateLimit::Reader::getMaxRejections() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedRateLimit::Builder::getMaxRejections() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setMaxRejections(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedRateLimit::Reader::getRejected() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedRateLimit::Builder::getRejected() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setRejected(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FeedRateLimit::Reader::getRejectionAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedRateLimit::Builder::getRejectionAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FeedRateLimit::Builder::setRejectionAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedCutOff::Reader::hasDaemon() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedCutOff::Builder::hasDaemon() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedCutOff::Reader::getDaemon() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedCutOff::Builder::getDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedCutOff::Builder::setDaemon( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedCutOff::Builder::initDaemon(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedCutOff::Builder::adoptDaemon(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedCutOff::Builder::disownDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FeedCutOff::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedCutOff::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FeedCutOff::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FeedCutOff::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedCutOff::Builder::setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void FeedCutOff::Builder::setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FeedCutOff::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedCutOff::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FeedCutOff::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool FeedLoad::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2774,6 +3040,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoad::Reader::hasCutOff() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasCutOff() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Reader FeedLoad::Reader::getCutOff() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::getCutOff() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setCutOff( ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::initCutOff(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptCutOff(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>> FeedLoad::Builder::disownCutOff() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -88,6 +89,8 @@
     DataCentreId dataCentre;
     Endpoint feed; ///< Address of its feed server.
     std::int64_t registeredAt = 0; ///< Unix milliseconds on the clock of its machine.
+    /// Address at which it takes requests from daemons that don't reach the backend servers.
+    std::optional<Endpoint> relay;
 };
 
 /// Request outcomes that one daemon counted for one version of a service.
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -84,6 +84,9 @@
         return UnreadableRecord{record.key, "at feed: expected IP:PORT"};
     }
     member.feed = *feed;
+    if (value.contains("relay")) {
+        member.relay = Endpoint::parse(value.at("relay").get<std::string>());
+    }
     member.registeredAt = value.at("registered_ms").get<std::int64_t>();
     return member;
 }
@@ -175,9 +178,12 @@
 RawRecord encodeOwnRecord(const FleetRecord &record)
 {
     if (const auto *member = std::get_if<MemberRegistered>(&record)) {
-        const Json value = {{"data_centre", member->dataCentre.value()},
-                            {"feed", member->feed.text()},
-                            {"registered_ms", member->registeredAt}};
+        Json value = {{"data_centre", member->dataCentre.value()},
+                      {"feed", member->feed.text()},
+                      {"registered_ms", member->registeredAt}};
+        if (member->relay) {
+            value["relay"] = member->relay->text();
+        }
         return {Offset(), recordKey(MemberPrefix, member->instance.value()), value.dump()};
     }
     if (const auto *collected = std::get_if<EvidenceCollected>(&record)) {
--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -86,9 +86,12 @@
         && m_input.empty();
 }
 
-void BackendHttpConnection::onConnected(TimePoint)
+void BackendHttpConnection::onConnected(TimePoint now)
 {
     m_loop.cancel(m_connectTimer);
+    if (m_listener != nullptr) {
+        m_listener->onConnected(now);
+    }
 }
 
 void BackendHttpConnection::onBytes(std::string_view bytes, TimePoint now)
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -22,6 +22,8 @@
     enum class Verdict { Accept, Skip };
 
     virtual ~BackendResponseListener() = default;
+    /// A new connection was established.
+    virtual void onConnected(TimePoint) { }
     /// Returns Skip if the response belongs to another request. It is then discarded, and the right
     /// one may follow.
     virtual Verdict onResponseStarted(const HttpResponseHead &head, TimePoint now) = 0;
--- a/Source/Forward/BackendHttpConnectionPool.h
+++ b/Source/Forward/BackendHttpConnectionPool.h
@@ -9,7 +9,7 @@
 
 namespace lycheearch {
 
-/// Pools idle connections to backend servers for reuse by later requests.
+/// Pools idle connections to backend servers, or to other daemons, for reuse by later requests.
 class BackendHttpConnectionPool
 {
 public:
@@ -21,6 +21,12 @@
     std::unique_ptr<BackendHttpConnection> acquire(const InstanceId &id, const Endpoint &address,
                                                    Duration maxIdle, TimePoint now,
                                                    std::error_code &error);
+    /// Maximum idle time of a connection that is reused for a request. If the request can't be
+    /// retried, it is short, since the server may be closing a connection that was idle for longer.
+    static constexpr Duration maxIdle(bool retryable)
+    {
+        return retryable ? MaxIdleTime : MaxIdleTimeNonRetryable;
+    }
     /// Returns a connection to the pool after a complete response, or closes it if it is not
     /// reusable.
     void release(const InstanceId &id, std::unique_ptr<BackendHttpConnection> connection);
@@ -46,6 +52,7 @@
 
 private:
     static constexpr Duration MaxIdleTime = 30s;
+    static constexpr Duration MaxIdleTimeNonRetryable = 1500ms;
 
     static bool usable(const BackendHttpConnection &connection, Duration maxIdle, TimePoint now);
 
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -14,9 +14,10 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(ForwardContext &context, int fd, bool draining,
-                                   ClosedCallback onClosed, TimePoint now)
+CallerConnection::CallerConnection(ForwardContext &context, RequestOrigin origin, int fd,
+                                   bool draining, ClosedCallback onClosed, TimePoint now)
     : m_context(context)
+    , m_origin(origin)
     , m_onClosed(std::move(onClosed))
     , m_socket(context.loop, fd, StreamSocket::Start::Connected, *this)
     , m_draining(draining)
@@ -152,6 +153,9 @@
         return;
     }
     DecodedRequest request = m_context.headerCodec.decodeRequest(std::move(m_head));
+    if (m_origin == RequestOrigin::Daemon) {
+        request.relayed = takeRelayedRequest(request.head.fields);
+    }
     m_forwarder = std::make_unique<RequestForwarder>(m_context, *this, std::move(request),
                                                      std::move(m_body), now);
     m_body = std::string();
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -11,7 +11,14 @@
 
 namespace lycheearch {
 
-/// One connection of a caller: reads requests one at a time and writes their responses.
+/// Who sends the requests of a connection.
+enum class RequestOrigin {
+    Caller,
+    Daemon, ///< Another daemon, which passes on requests of its callers.
+};
+
+/// One connection of a caller or of another daemon: reads requests one at a time and writes their
+/// responses.
 class CallerConnection : public StreamSocketListener, public HttpRequestSink, public ResponseWriter
 {
 public:
@@ -19,8 +26,8 @@
     /// deleted later.
     using ClosedCallback = std::function<void(CallerConnection &)>;
 
-    CallerConnection(ForwardContext &context, int fd, bool draining, ClosedCallback onClosed,
-                     TimePoint now);
+    CallerConnection(ForwardContext &context, RequestOrigin origin, int fd, bool draining,
+                     ClosedCallback onClosed, TimePoint now);
     ~CallerConnection() override;
 
     /// Graceful shutdown: the connection closes after the next response.
@@ -67,6 +74,7 @@
     void releaseBodyMemory();
 
     ForwardContext &m_context;
+    RequestOrigin m_origin;
     ClosedCallback m_onClosed;
     StreamSocket m_socket;
     State m_state = State::Waiting;
--- a/Source/Forward/CallerServer.cpp
+++ b/Source/Forward/CallerServer.cpp
@@ -15,8 +15,10 @@
 
 } // namespace
 
-CallerServer::CallerServer(ForwardContext &context, const Endpoint &listen, std::error_code &error)
+CallerServer::CallerServer(ForwardContext &context, RequestOrigin origin, const Endpoint &listen,
+                           std::error_code &error)
     : m_context(context)
+    , m_origin(origin)
     , m_listener(listenTcp(listen, error))
 {
     if (m_listener >= 0) {
@@ -47,7 +49,7 @@
             return;
         }
         auto connection = std::make_unique<CallerConnection>(
-            m_context, fd, m_draining,
+            m_context, m_origin, fd, m_draining,
             [this](CallerConnection &ended) { onConnectionClosed(ended); }, now);
         m_connections.emplace(connection.get(), std::move(connection));
     }
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -10,12 +10,14 @@
 
 namespace lycheearch {
 
-/// Accepts the connections of callers, and closes them in stages when the process stops.
+/// Accepts the connections of callers or of other daemons, and closes them in stages when the
+/// process stops.
 class CallerServer : private IoHandler
 {
 public:
     /// Listens on \p listen. Sets \p error if that fails.
-    CallerServer(ForwardContext &context, const Endpoint &listen, std::error_code &error);
+    CallerServer(ForwardContext &context, RequestOrigin origin, const Endpoint &listen,
+                 std::error_code &error);
     ~CallerServer() override;
 
     /// Graceful shutdown: each connection, including new ones, closes after its next response.
@@ -33,6 +35,7 @@
     void onConnectionClosed(CallerConnection &connection);
 
     ForwardContext &m_context;
+    RequestOrigin m_origin;
     int m_listener = -1;
     bool m_draining = false;
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -5,12 +5,15 @@
 #include "Fleet/FleetView.h"
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
+#include "Forward/RelayAdmission.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
 #include "Routing/ModelCascade.h"
+#include "Routing/PeerSelector.h"
+#include "Routing/PendingCrashes.h"
 #include "Routing/ReturnSchedule.h"
 #include "Routing/RolloutCounts.h"
 #include "Routing/ShutdownPolicy.h"
@@ -30,6 +33,10 @@
     RolloutCounts &rolloutCounts;
     ModelCascade &models;
     CrashTable &crashes;
+    PendingCrashes &pendingCrashes;
+    PeerSelector &peers;
+    BackendHttpConnectionPool &peerConnections; ///< To other daemons.
+    RelayAdmission &relayAdmission;
     ReturnSchedule &returnSchedule;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include "Forward/RequestForwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Base/Hash.h"
 #include "Forward/SendOutcomes.h"
@@ -11,11 +12,6 @@
 namespace {
 
 constexpr int LowestEnginePriority = 9; ///< 0 is the highest priority.
-/// Maximum idle time of a reused connection for a request that must not be executed twice. The
-/// server may be closing a connection that was idle for longer, and the request could not be
-/// retried.
-constexpr Duration MaxIdleTimeNonRetryable = 1500ms;
-constexpr Duration MaxIdleTime = 30s;
 /// Retry-After of the 503 responses that have no value of their own below.
 constexpr Duration DefaultRetryAfter = 300ms;
 constexpr Duration StoppingRetryAfter = 20ms;
@@ -48,6 +44,10 @@
     , m_retryAfter(DefaultRetryAfter)
     , m_lastEventId(m_request.lastEventId)
 {
+    if (m_request.relayed) {
+        m_attemptCount = m_request.relayed->attempts;
+        m_triedBackends.insert(m_request.relayed->tried.begin(), m_request.relayed->tried.end());
+    }
 }
 
 RequestForwarder::~RequestForwarder()
@@ -65,7 +65,17 @@
 
 bool RequestForwarder::admit(TimePoint now)
 {
-    if (!m_table) {
+    if (m_request.relayed) {
+        m_relayAdmitted = m_context.relayAdmission.tryEnter();
+        if (!m_relayAdmitted) {
+            m_declined = true;
+            sendLocalResponse(HttpStatus::Unavailable, "too many requests of other daemons", now,
+                              DefaultRetryAfter);
+            return false;
+        }
+    }
+    if (!m_table || (m_request.relayed && m_table->version() < m_request.relayed->config)) {
+        m_declined = true;
         sendLocalResponse(HttpStatus::Unavailable, "no configuration yet", now, NotReadyRetryAfter);
         return false;
     }
@@ -75,11 +85,16 @@
         return false;
     }
     m_priority = m_route->priority;
+    if (m_attemptCount > 0 && m_attemptCount >= m_route->maxAttempts) {
+        sendLocalResponse(HttpStatus::BadGateway, "no attempt is left", now);
+        return false;
+    }
     if (!authenticate(now)) {
         return false;
     }
     if (!m_context.shutdownPolicy.admits(
             std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout), now)) {
+        m_declined = true;
         sendLocalResponse(HttpStatus::Unavailable, "the process is stopping", now,
                           StoppingRetryAfter);
         return false;
@@ -110,7 +125,10 @@
         m_deadlineTimer = TimerId();
         onDeadline(currentTime);
     });
-    m_context.retryBudget.onRequest(m_service, now);
+    if (!m_request.relayed) {
+        // The daemon that the caller sent it to has counted it.
+        m_context.retryBudget.onRequest(m_service, now);
+    }
     return true;
 }
 
@@ -152,10 +170,13 @@
 
 void RequestForwarder::dispatch(TimePoint now)
 {
-    if (refuseCrashingRequest(now)) {
+    if (refuseCrashingRequest(now) || declinesRelayed(now)) {
         return;
     }
     while (!m_finished) {
+        if (shouldRelay(now) && relay(now)) {
+            return;
+        }
         PickFault fault = PickFault::None;
         PickRequest requirements = pickRequest(now);
         auto pick = m_context.picker.pick(requirements, m_context.view, now, fault);
@@ -165,7 +186,11 @@
             requirements.versions = VersionRule();
             pick = m_context.picker.pick(requirements, m_context.view, now, fault);
         }
+        if (!pick && fault == PickFault::AllSilent && relay(now)) {
+            return;
+        }
         if (!pick) {
+            m_declined = fault == PickFault::AllSilent;
             m_retryAfter = retryAfter(requirements, fault, now);
             fail(pickFaultMessage(fault), now);
             return;
@@ -174,13 +199,21 @@
             send(*pick, requirements, now);
             return;
         }
-        if (++m_connectFailures >= MaxConnectFailures) {
-            fail("no connection to a backend server", now);
+        if (++m_connectFailures >= maxConnectFailures()) {
+            decline("no connection to a backend server", now);
             return;
         }
     }
 }
 
+int RequestForwarder::maxConnectFailures() const
+{
+    if (m_context.picker.reach().cutOff(m_service)) {
+        return 1;
+    }
+    return m_request.relayed ? MaxConnectFailuresRelayed : MaxConnectFailures;
+}
+
 Duration RequestForwarder::retryAfter(const PickRequest &requirements, PickFault fault,
                                       TimePoint now) const
 {
@@ -204,7 +237,7 @@
 {
     const BackendState *state = m_context.view.backend(pick.backend);
     std::error_code error;
-    const Duration maxIdle = m_route->retryable() ? MaxIdleTime : MaxIdleTimeNonRetryable;
+    const Duration maxIdle = m_context.connections.maxIdle(m_route->retryable());
     auto connection =
         m_context.connections.acquire(pick.backend, state->report.address, maxIdle, now, error);
     if (!connection) {
@@ -289,6 +322,10 @@
 
 void RequestForwarder::endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now)
 {
+    if (m_attempt.relayed) {
+        endRelay(peerOutcome(outcome), keepConnection, now);
+        return;
+    }
     m_inAttempt = false;
     m_context.responseBudget.release(m_attempt.reservedBytes);
     m_attempt.reservedBytes = 0;
@@ -317,7 +354,7 @@
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const bool safe = m_route->retryable() || !m_mayHaveRun;
-    const std::size_t ended = m_context.crashes.serversEndedUnder(m_accountHash, m_content);
+    const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_content);
     return safe && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
         && m_deadline - now > MinTimeForRetry;
 }
@@ -359,11 +396,13 @@
         HttpFields fields = m_errorHead->fields;
         removeConnectionFields(fields);
         fields.remove("Content-Length");
+        addRelayResult(m_attempt.backend, fields);
         finish(m_errorHead->status, "error response of the backend server", now);
         m_writer.sendResponse(m_errorHead->status, m_errorHead->reason, std::move(fields),
                               m_errorBody, now);
         return;
     }
+    m_declined = m_declined && !m_mayHaveRun;
     if (!m_mayHaveRun) {
         sendLocalResponse(HttpStatus::Unavailable, cause, now, m_retryAfter);
         return;
@@ -380,6 +419,7 @@
     if (retryAfter) {
         fields.add("Retry-After", formatSeconds(*retryAfter));
     }
+    addRelayResult(InstanceId(), fields);
     finish(status, cause, now);
     m_writer.sendResponse(status, reasonPhrase(status), std::move(fields),
                           std::string(cause) + "\n", now);
@@ -399,6 +439,9 @@
 void RequestForwarder::finish(int status, const char *cause, TimePoint now)
 {
     m_finished = true;
+    if (std::exchange(m_relayAdmitted, false)) {
+        m_context.relayAdmission.leave();
+    }
     m_context.loop.cancel(m_deadlineTimer);
     m_context.metrics.count("lycheearch_requests_total",
                             "status=\"" + std::to_string(status) + "\"");
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -9,6 +9,7 @@
 #include "Forward/BackendHttpConnection.h"
 #include "Forward/EventSplitter.h"
 #include "Forward/ForwardContext.h"
+#include "Forward/RelayFields.h"
 #include "Forward/ResponseWriter.h"
 
 namespace lycheearch {
@@ -18,7 +19,8 @@
 /// closes the connection early, the request is retried on another one if it cannot have been
 /// executed or if its route is retryable, and if the deadline, the maximum number of attempts and
 /// the retry budget allow it. A server that no connection can be opened to counts neither as an
-/// attempt nor against the retry budget.
+/// attempt nor against the retry budget. If this daemon does not reach the servers, the request is
+/// passed to another daemon.
 ///
 /// The statuses 408, 421, 429 and 503 tell the caller that the request was not executed. They are
 /// sent only if no attempt can have executed the request.
@@ -36,13 +38,17 @@
     bool finished() const { return m_finished; }
 
 private:
-    /// Failed connections after which the request fails.
+    /// Failed connections after which the request fails, and the same for one that another daemon
+    /// passed on: a third daemon may reach the servers.
     static constexpr int MaxConnectFailures = 4;
+    static constexpr int MaxConnectFailuresRelayed = 2;
 
     /// State of the latest attempt at a backend server.
     struct Attempt
     {
-        InstanceId backend;
+        InstanceId backend; ///< The other daemon, if the request was passed to one.
+        bool relayed = false; ///< The request was passed to another daemon.
+        RelayedResponse relayResult; ///< What that daemon told.
         std::uint64_t server = 0; ///< Hash of the server's id and start time.
         VersionId version;
         double prefillTokens = 0; ///< Weighted prompt tokens that the server must prefill.
@@ -65,6 +71,7 @@
         TimerId stallTimer;
     };
 
+    void onConnected(TimePoint now) override;
     Verdict onResponseStarted(const HttpResponseHead &head, TimePoint now) override;
     void onInterimResponse(const HttpResponseHead &head, TimePoint now) override;
     void onResponseData(std::string_view bytes, TimePoint now) override;
@@ -77,8 +84,8 @@
     PickRequest pickRequest(TimePoint now) const;
     /// Adds to the body of a response that is not streamed.
     void collectBody(std::string_view bytes, TimePoint now);
-    /// Applies what the backend server announced about itself in a response.
-    void applyNotices(const ResponseMetadata &metadata, TimePoint now);
+    /// Applies what a backend server announced about itself in a response.
+    void applyNotices(const InstanceId &backend, const ResponseMetadata &metadata, TimePoint now);
     /// Applies the rate limit that the backend server stated, or that it stated none. Only a
     /// complete head of a success can end a limit.
     void applyRateLimit(const ResponseMetadata &metadata, bool canEndLimit, TimePoint now);
@@ -90,6 +97,8 @@
     bool refuseCrashingRequest(TimePoint now);
     void logCrashingRefused(const char *event, const char *field, std::uint64_t hash,
                             TimePoint now);
+    /// Records that the backend server of the attempt was reached.
+    void recordReached();
     /// Records that the request was served.
     void recordServed(TimePoint now);
     /// Records that the connection was lost: the server may have ended because of the request.
@@ -100,10 +109,32 @@
     double unansweredTokens() const;
     int urgency() const;
     double tokenWeight() const;
+    int maxConnectFailures() const;
     bool openConnection(const Pick &pick, TimePoint now);
     void send(const Pick &pick, const PickRequest &requirements, TimePoint now);
     void logDispatch(const Pick &pick, TimePoint now);
 
+    /// Whether the request can be passed to another daemon.
+    bool mayRelay(TimePoint now) const;
+    /// Whether it should be, rather than be sent to a backend server.
+    bool shouldRelay(TimePoint now) const;
+    /// Passes the request to another daemon. Returns false if there is none.
+    bool relay(TimePoint now);
+    void sendToPeer(TimePoint now);
+    void onPeerResponseStarted(TimePoint now);
+    void handlePeerResponse(TimePoint now);
+    void onPeerLost(Delivery delivery, std::error_code error, TimePoint now);
+    static PeerOutcome peerOutcome(SendOutcome outcome);
+    void endRelay(PeerOutcome outcome, bool keepConnection, TimePoint now);
+    Duration relayStallLimit() const;
+    /// Fails a request of another daemon if this one does not reach the servers. Returns whether it
+    /// did.
+    bool declinesRelayed(TimePoint now);
+    /// Fails the request; if it came from another daemon, that one may try a third.
+    void decline(const char *cause, TimePoint now);
+    /// Adds what the daemon that passed the request on needs to know.
+    void addRelayResult(const InstanceId &backend, HttpFields &fields) const;
+
     double expectedEvents() const;
     bool escalate(TimePoint now);
     void logCascadeChoice(bool escalated, const std::string &smaller,
@@ -156,6 +187,10 @@
     std::set<InstanceId> m_unreachableBackends;
     int m_attemptCount = 0; ///< Attempts that may have reached a backend server.
     int m_connectFailures = 0;
+    std::set<InstanceId> m_triedPeers;
+    bool m_noPeerLeft = false;
+    bool m_relayAdmitted = false; ///< Counts in RelayAdmission.
+    bool m_declined = false; ///< Another daemon may serve the request that came from one.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     bool m_mayHaveRun = false;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderCrash.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -20,6 +20,7 @@
 
 bool RequestForwarder::refuseCrashingRequest(TimePoint now)
 {
+    m_context.pendingCrashes.settle(now);
     CrashTable &table = m_context.crashes;
     if (const auto part = table.refusedPart(m_accountHash, m_sharedParts, now)) {
         logCrashingRefused("prompt.refused", "part", *part, now);
@@ -52,7 +53,7 @@
 void RequestForwarder::recordServed(TimePoint now)
 {
     m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
-    m_context.crashes.withdrawCrashes(stableHash(m_request.id.value()));
+    m_context.pendingCrashes.withdraw(stableHash(m_request.id.value()));
 }
 
 void RequestForwarder::recordConnectionLost(TimePoint now)
@@ -66,9 +67,10 @@
     }
     // Without a head, the request may have waited for a slot: that says nothing of its parts.
     const auto parts = m_attempt.headReceived ? m_sharedParts : std::vector<std::uint64_t>();
-    m_context.crashes.recordCrash({stableHash(m_request.id.value()), m_attempt.server,
-                                   m_accountHash, parts, Duration::zero(), m_content},
-                                  now);
+    m_context.pendingCrashes.add(m_service, m_attempt.backend,
+                                 {stableHash(m_request.id.value()), m_attempt.server, m_accountHash,
+                                  parts, Duration::zero(), m_content},
+                                 now);
 }
 
 void RequestForwarder::logBrokenOff(TimePoint now)
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -19,6 +19,18 @@
 
 } // namespace
 
+void RequestForwarder::onConnected(TimePoint)
+{
+    if (!m_attempt.relayed) {
+        recordReached();
+    }
+}
+
+void RequestForwarder::recordReached()
+{
+    m_context.picker.onReached(m_attempt.backend, m_attempt.sentAt);
+}
+
 BackendResponseListener::Verdict RequestForwarder::onResponseStarted(const HttpResponseHead &head,
                                                                      TimePoint now)
 {
@@ -32,7 +44,16 @@
                             now);
         return Verdict::Skip;
     }
-    applyNotices(metadata, now);
+    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
+        && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
+    if (m_attempt.relayed) {
+        m_attempt.head = head;
+        m_attempt.metadata = std::move(metadata);
+        onPeerResponseStarted(now);
+        return Verdict::Accept;
+    }
+    recordReached();
+    applyNotices(m_attempt.backend, metadata, now);
     applyRateLimit(metadata, head.status < HttpStatus::FirstRedirect && metadata.hasSeal, now);
     if (metadata.load) {
         m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
@@ -44,8 +65,6 @@
     if (head.status < HttpStatus::FirstRedirect) {
         m_context.rolloutCounts.onAnswerBegun(m_attempt.ticket, now);
     }
-    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
-        && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
     m_attempt.head = head;
     m_attempt.metadata = std::move(metadata);
     if (m_attempt.streaming && !m_streamBegun) {
@@ -58,8 +77,9 @@
 void RequestForwarder::onInterimResponse(const HttpResponseHead &head, TimePoint now)
 {
     const ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
-    if (metadata.requestId.empty() || metadata.requestId == m_request.id.value()) {
-        applyNotices(metadata, now);
+    const bool own = metadata.requestId.empty() || metadata.requestId == m_request.id.value();
+    if (own && !m_attempt.relayed) {
+        applyNotices(m_attempt.backend, metadata, now);
         applyRateLimit(metadata, false, now);
     }
 }
@@ -91,22 +111,23 @@
     }
 }
 
-void RequestForwarder::applyNotices(const ResponseMetadata &metadata, TimePoint now)
+void RequestForwarder::applyNotices(const InstanceId &backend, const ResponseMetadata &metadata,
+                                    TimePoint now)
 {
-    if (metadata.leaving && m_context.picker.onLeaving(m_attempt.backend, now)) {
+    if (metadata.leaving && m_context.picker.onLeaving(backend, now)) {
         m_context.log.write(LogPriority::Notable,
                             LogLine("backend.leaving")
                                 .add("id", m_request.id.value())
-                                .add("backend", m_attempt.backend.value()),
+                                .add("backend", backend.value()),
                             now);
     }
     if (metadata.retryAfter) {
-        m_context.picker.onPauseRequested(m_attempt.backend, *metadata.retryAfter, now);
+        m_context.picker.onPauseRequested(backend, *metadata.retryAfter, now);
         const bool cut = *metadata.retryAfter > ServerNotices::LongestPause;
         m_context.log.write(LogPriority::Notable,
                             LogLine("backend.pause")
                                 .add("id", m_request.id.value())
-                                .add("backend", m_attempt.backend.value())
+                                .add("backend", backend.value())
                                 .add("pause_ms", *metadata.retryAfter)
                                 .add("cut", cut ? "yes" : "no"),
                             now);
@@ -160,6 +181,10 @@
 
 void RequestForwarder::handlePlainResponse(TimePoint now)
 {
+    if (m_attempt.relayed) {
+        handlePeerResponse(now);
+        return;
+    }
     const int status = m_attempt.head.status;
     if (m_attempt.metadata.notExecuted) {
         endAttempt(status == HttpStatus::Misdirected ? SendOutcome::Misdirected
@@ -199,6 +224,10 @@
 
 void RequestForwarder::onConnectionLost(Delivery delivery, std::error_code error, TimePoint now)
 {
+    if (m_attempt.relayed) {
+        onPeerLost(delivery, error, now);
+        return;
+    }
     m_context.log.write(LogPriority::Notable,
                         LogLine("link.lost")
                             .add("id", m_request.id.value())
@@ -215,8 +244,8 @@
         --m_attemptCount;
         m_unreachableBackends.insert(m_attempt.backend);
         endAttempt(silent ? SendOutcome::Silent : SendOutcome::Unreachable, false, now);
-        if (++m_connectFailures >= MaxConnectFailures) {
-            fail("no connection to a backend server", now);
+        if (++m_connectFailures >= maxConnectFailures() && !mayRelay(now)) {
+            decline("no connection to a backend server", now);
         } else {
             dispatch(now);
         }
@@ -240,6 +269,7 @@
     HttpFields fields = m_attempt.head.fields;
     removeConnectionFields(fields);
     fields.remove("Content-Length");
+    addRelayResult(m_attempt.backend, fields);
     m_firstByteAt = now;
     finish(m_attempt.head.status, "served", now);
     m_writer.sendResponse(m_attempt.head.status, m_attempt.head.reason, std::move(fields),
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -41,18 +41,23 @@
     if (bytes.empty()) {
         return;
     }
-    m_context.rolloutCounts.onEvents(m_attempt.ticket, m_attempt.relayedEvents - relayedBefore,
-                                     now);
+    if (!m_attempt.relayed) {
+        m_context.rolloutCounts.onEvents(m_attempt.ticket, m_attempt.relayedEvents - relayedBefore,
+                                         now);
+    }
     if (!m_streamBegun) {
         m_streamBegun = true;
         m_firstByteAt = now;
         HttpFields fields = m_attempt.head.fields;
         removeConnectionFields(fields);
         fields.remove("Content-Length");
+        addRelayResult(m_attempt.backend, fields);
         m_writer.beginStream(m_attempt.head.status, m_attempt.head.reason, std::move(fields));
     } else {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-        m_context.models.onGap(m_model, now - m_lastEventAt, now);
+        if (!m_attempt.relayed) {
+            m_context.models.onGap(m_model, now - m_lastEventAt, now);
+        }
     }
     m_lastEventAt = now;
     m_writer.writeStream(bytes);
@@ -64,12 +69,16 @@
 void RequestForwarder::handleStreamEnd(TimePoint now)
 {
     if (!m_attempt.splitter.atBoundary() || !m_streamBegun) {
-        recordConnectionLost(now);
+        if (!m_attempt.relayed) {
+            recordConnectionLost(now);
+        }
         endAttempt(SendOutcome::Broken, false, now);
         retryOrFail("the event stream ended early", now);
         return;
     }
-    recordServed(now);
+    if (!m_attempt.relayed) {
+        recordServed(now);
+    }
     endAttempt(SendOutcome::Served, true, now);
     finish(m_attempt.head.status, "served", now);
     m_writer.endStream(now);
@@ -104,7 +113,8 @@
     if (!useful) {
         return;
     }
-    m_attempt.stallTimer = m_context.loop.at(now + stallLimit(), [this](TimePoint currentTime) {
+    const Duration limit = m_attempt.relayed ? relayStallLimit() : stallLimit();
+    m_attempt.stallTimer = m_context.loop.at(now + limit, [this](TimePoint currentTime) {
         m_attempt.stallTimer = TimerId();
         onStall(currentTime);
     });
@@ -116,6 +126,7 @@
         return;
     }
     m_mayHaveRun = true;
+    m_attemptCount += m_attempt.relayed && !m_attempt.headReceived ? 1 : 0;
     endAttempt(SendOutcome::Broken, false, now);
     dispatch(now);
 }
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -8,6 +8,7 @@
 #include "Base/Endpoint.h"
 #include "Base/Ids.h"
 #include "Base/Time.h"
+#include "Forward/RelayFields.h"
 #include "Net/HttpHead.h"
 
 namespace lycheearch {
@@ -34,6 +35,7 @@
     std::optional<std::int64_t> expectedTokens; ///< The caller's estimate of the output tokens.
     std::vector<PromptPart> prompt;
     std::optional<std::int64_t> lastEventId; ///< The stream resumes after it.
+    std::optional<RelayedRequest> relayed; ///< Set if another daemon passed the request on.
 };
 
 /// Header values that the router sets for one attempt at a backend server.
@@ -83,6 +85,9 @@
     virtual DecodedRequest decodeRequest(HttpRequestHead head) const = 0;
     virtual HttpRequestHead encodeRequest(const DecodedRequest &request,
                                           const DispatchOptions &options) const = 0;
+    /// The request as another daemon gets it: with the caller's API key and the time that is left.
+    virtual HttpRequestHead encodeRelay(const DecodedRequest &request, Duration timeLeft,
+                                        std::optional<std::int64_t> lastEventId) const = 0;
     virtual ResponseMetadata decodeResponse(const HttpResponseHead &head) const = 0;
 };
 
--- /dev/null
+++ b/Source/Routing/PendingCrashes.cpp
@@ -0,0 +1,71 @@
+#include "Routing/PendingCrashes.h"
+
+#include <set>
+
+namespace lycheearch {
+
+namespace {
+
+/// A loss that nothing decides counts as a crash after this time: no other request was sent.
+constexpr Duration DecisionTime = 1s;
+constexpr std::size_t MaxLosses = 512;
+
+} // namespace
+
+PendingCrashes::PendingCrashes(CrashTable &table, const ServiceReach &reach)
+    : m_table(table)
+    , m_reach(reach)
+{
+}
+
+void PendingCrashes::add(const ServiceId &service, const InstanceId &server, RequestCrash crash,
+                         TimePoint now)
+{
+    if (m_losses.size() >= MaxLosses) {
+        m_losses.erase(m_losses.begin());
+    }
+    m_losses.push_back({service, server, std::move(crash), now});
+    settle(now);
+}
+
+void PendingCrashes::withdraw(std::uint64_t request)
+{
+    std::erase_if(m_losses, [&](const Loss &loss) {
+        return loss.crash.parts.empty() && loss.crash.request == request;
+    });
+    m_table.withdrawCrashes(request);
+}
+
+void PendingCrashes::settle(TimePoint now)
+{
+    std::erase_if(m_losses, [&](const Loss &loss) { return settle(loss, now); });
+}
+
+bool PendingCrashes::settle(const Loss &loss, TimePoint now)
+{
+    if (m_reach.reachedAnother(loss.service, loss.server, loss.at)) {
+        m_table.recordCrash(loss.crash, loss.at);
+        return true;
+    }
+    if (m_reach.cutOff(loss.service)) {
+        return true;
+    }
+    if (now - loss.at < DecisionTime) {
+        return false;
+    }
+    m_table.recordCrash(loss.crash, loss.at);
+    return true;
+}
+
+std::size_t PendingCrashes::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
+{
+    std::set<std::uint64_t> servers;
+    for (const Loss &loss : m_losses) {
+        if (loss.crash.account == account && loss.crash.content == content) {
+            servers.insert(loss.crash.server);
+        }
+    }
+    return servers.size() + m_table.serversEndedUnder(account, content);
+}
+
+} // namespace lycheearch
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -24,7 +24,9 @@
         , picker(self.instance, self.dataCentre)
         , client(loop, self.instance, self.dataCentre, state.view, state.follower, clock,
                  [](const InstanceId &, const char *) {})
-        , exchange(loop, self.dataCentre, state.view, state.follower, client, picker, table, clock)
+        , peers(self.instance, self.dataCentre)
+        , exchange(loop, self.instance, self.dataCentre, state.view, state.follower, client, picker,
+                   peers, table, pendingCrashes, clock)
     {
         std::error_code error;
         server = std::make_unique<FeedServer>(
@@ -54,7 +56,9 @@
     TestDaemon state;
     BackendPicker picker;
     CrashTable table;
+    PendingCrashes pendingCrashes{table, picker.reach()};
     FeedClient client;
+    PeerSelector peers;
     LoadExchange exchange;
     std::unique_ptr<FeedServer> server;
 };
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -135,9 +135,13 @@
         , connections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , retries({0.9, 10s, 10})
         , log("test", STDERR_FILENO, 0, clock)
-        , context{loop,       view,           picker,  connections, headerCodec, retries,
-                  rollouts,   models,         crashes, returns,     stop,        bounds,
-                  bodyBudget, responseBudget, log,     metrics}
+        , peerConnections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
+        , peers(InstanceId("self"), DataCentreId("here"))
+        , context{loop,           view,           picker,   connections,
+                  headerCodec,    retries,        rollouts, models,
+                  crashes,        pendingCrashes, peers,    peerConnections,
+                  relayAdmission, returns,        stop,     bounds,
+                  bodyBudget,     responseBudget, log,      metrics}
     {
     }
 
@@ -188,8 +192,8 @@
     {
         std::error_code error;
         if (!server) {
-            server =
-                std::make_unique<CallerServer>(context, Endpoint{"127.0.0.1", firstPort}, error);
+            server = std::make_unique<CallerServer>(context, RequestOrigin::Caller,
+                                                    Endpoint{"127.0.0.1", firstPort}, error);
             cr_assert_not(error, "%s", error.message().c_str());
         }
         Caller caller(*this);
@@ -291,6 +295,10 @@
     RolloutCounts rollouts;
     ModelCascade models;
     CrashTable crashes;
+    PendingCrashes pendingCrashes{crashes, picker.reach()};
+    BackendHttpConnectionPool peerConnections;
+    PeerSelector peers;
+    RelayAdmission relayAdmission;
     ReturnSchedule returns;
     ShutdownPolicy stop;
     RouterBounds bounds;
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -106,7 +106,7 @@
         : address(0);
     file << "instance: " << name << "\ndata_centre: " << dataCentre << "\nlisten: " << address(1)
          << "readiness_listen: " << address(2) << "metrics_listen: " << address(3)
-         << "feed_listen: " << address(4) << "store: " << store
+         << "feed_listen: " << address(4) << "relay_listen: " << address(5) << "store: " << store
          << "bounds:\n  grace_s: 4\n  retry_ratio: 0.9\n  retry_slack: 50\n";
 }
 
