A stream that can't be resumed ends; no second response follows in it

Callers got the head of an error response in the middle of a stream that had begun (MIXED), if the server that should have resumed it answered with an error of its own, or if the daemon that a request was passed to failed to resume it.

Cause: sendBackendResponse() did not look whether a stream had begun.

--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -135,7 +135,12 @@
     if (!isRefusal(m_attempt.head, m_attempt.metadata)) {
         m_mayHaveRun = true;
         endRelay(PeerOutcome::Answered, true, now);
-        sendBackendResponse(now);
+        if (m_streamBegun) {
+            retryOrFail("the daemon that the request was passed to could not resume the stream",
+                        now);
+        } else {
+            sendBackendResponse(now);
+        }
         return;
     }
     const bool declined = m_attempt.relayResult.declined;
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -266,6 +266,10 @@
 
 void RequestForwarder::sendBackendResponse(TimePoint now)
 {
+    if (m_streamBegun) {
+        fail("a stream could not be resumed", now);
+        return;
+    }
     HttpFields fields = m_attempt.head.fields;
     removeConnectionFields(fields);
     fields.remove("Content-Length");
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -173,6 +173,21 @@
         return *backends.back();
     }
 
+    /// Adds a daemon that requests can be passed to.
+    ScriptedBackend &addPeer(ScriptedBackend::Script script)
+    {
+        const auto number = static_cast<std::uint16_t>(peerDaemons.size());
+        peerDaemons.push_back(std::make_unique<ScriptedBackend>(
+            loop, "p" + std::to_string(number), static_cast<std::uint16_t>(firstPort + 9 + number),
+            std::move(script)));
+        std::vector<MemberRegistered> members;
+        for (const auto &peer : peerDaemons) {
+            members.push_back({InstanceId(peer->id), DataCentreId("here"), {}, 0, peer->address});
+        }
+        peers.setMembers(std::move(members));
+        return *peerDaemons.back();
+    }
+
     void reportBackend(const std::string &id, const Endpoint &address)
     {
         BackendEntry report;
@@ -192,7 +207,7 @@
     {
         std::error_code error;
         if (!server) {
-            server = std::make_unique<CallerServer>(context, RequestOrigin::Caller,
+            server = std::make_unique<CallerServer>(context, origin,
                                                     Endpoint{"127.0.0.1", firstPort}, error);
             cr_assert_not(error, "%s", error.message().c_str());
         }
@@ -308,7 +323,9 @@
     Metrics metrics;
     ForwardContext context;
     CallerLimits limits;
+    RequestOrigin origin = RequestOrigin::Caller; ///< Of the requests that call() sends.
     std::vector<std::unique_ptr<ScriptedBackend>> backends;
+    std::vector<std::unique_ptr<ScriptedBackend>> peerDaemons;
     std::unique_ptr<CallerServer> server;
     Caller *currentCaller = nullptr;
 
--- a/Tests/Forward/testRequestForwarder.cpp
+++ b/Tests/Forward/testRequestForwarder.cpp
@@ -526,3 +526,24 @@
     cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST"))), 200);
     cr_expect_eq(harness.responseBudget.reservedBytes(), 0);
 }
+
+Test(requestForwarder, a_stream_that_another_server_rejects_ends_without_a_second_response,
+     .timeout = 20)
+{
+    ForwardHarness harness;
+    harness.publishRoute(route(RouteKind::EventStream, 3));
+    const auto script = [](Connection &connection, const std::string &request) {
+        if (contains(request, "Last-Event-Id: 1")) {
+            connection.send(ForwardHarness::sealedResponse(404, "gone"));
+            return;
+        }
+        connection.send(streamHead() + serializeChunk(event(1)));
+        connection.socket.shutdownSending();
+    };
+    harness.addBackend(script);
+    harness.addBackend(script);
+    const std::string response = harness.call(ForwardHarness::request("POST", "", "b"));
+    cr_expect(contains(response, event(1)));
+    cr_expect_eq(response.find("HTTP/1.1"), response.rfind("HTTP/1.1"));
+    cr_expect_not(response.ends_with("0\r\n\r\n"));
+}
