A request that crashes servers is found while all servers of its service are down

Test that failed before: pendingCrashes::a_request_that_ends_all_servers_of_its_service_is_known_as_the_cause.

--- a/Source/Daemon/ReachProber.cpp
+++ b/Source/Daemon/ReachProber.cpp
@@ -27,10 +27,11 @@
     void close() { m_socket.close(); }
 
 private:
-    void onConnected(TimePoint) override
+    void onConnected(TimePoint now) override
     {
         m_owner.m_picker.onReached(m_server, m_begunAt);
         end();
+        m_owner.m_onReached(now);
     }
     void onBytes(std::string_view, TimePoint) override { }
     void onEnd(TimePoint) override { end(); }
@@ -48,10 +49,12 @@
     StreamSocket m_socket;
 };
 
-ReachProber::ReachProber(EventLoop &loop, const FleetView &view, BackendPicker &picker)
+ReachProber::ReachProber(EventLoop &loop, const FleetView &view, BackendPicker &picker,
+                         ReachedCallback onReached)
     : m_loop(loop)
     , m_view(view)
     , m_picker(picker)
+    , m_onReached(std::move(onReached))
 {
 }
 
@@ -71,6 +74,18 @@
 void ReachProber::step(TimePoint now)
 {
     m_timer = TimerId();
+    expire(now);
+    const std::vector<ServiceId> services = m_picker.reach().cutOffServices();
+    for (const ServiceId &service : services) {
+        probe(service, now);
+    }
+    if (!services.empty() || !m_probes.empty()) {
+        start();
+    }
+}
+
+void ReachProber::expire(TimePoint now)
+{
     std::erase_if(m_probes, [&](const std::shared_ptr<Probe> &probe) {
         if (probe->expired(now)) {
             probe->close();
@@ -79,26 +94,60 @@
         }
         return false;
     });
-    const std::vector<ServiceId> services = m_picker.reach().cutOffServices();
-    for (const ServiceId &service : services) {
-        probe(service, now);
+}
+
+const BackendState *ReachProber::otherServer(const InstanceId &server)
+{
+    const BackendState *lost = m_view.backend(server);
+    const BackendState *first = nullptr;
+    const BackendState *next = nullptr;
+    bool differs = false;
+    for (const auto &[id, state] : m_view.backends()) {
+        const bool otherService = lost == nullptr || state.report.service != lost->report.service;
+        if (id == server || state.draining || (differs && !otherService)) {
+            continue;
+        }
+        if (otherService && !differs) {
+            differs = true;
+            first = nullptr;
+            next = nullptr;
+        }
+        first = first == nullptr ? &state : first;
+        next = next == nullptr && id > m_lastOther ? &state : next;
     }
-    if (!services.empty() || !m_probes.empty()) {
-        start();
+    return next == nullptr ? first : next;
+}
+
+void ReachProber::probeAnother(const InstanceId &server, TimePoint now)
+{
+    expire(now);
+    const BackendState *other = m_probes.empty() ? otherServer(server) : nullptr;
+    if (other == nullptr) {
+        return;
     }
+    m_lastOther = other->report.id;
+    connect(other->report.id, now);
+    start();
 }
 
 void ReachProber::probe(const ServiceId &service, TimePoint now)
 {
     const auto server = m_picker.reach().nextProbe(service, m_picker.serversOf(service));
-    const BackendState *state = server ? m_view.backend(*server) : nullptr;
+    if (server) {
+        connect(*server, now);
+    }
+}
+
+void ReachProber::connect(const InstanceId &server, TimePoint now)
+{
+    const BackendState *state = m_view.backend(server);
     if (state == nullptr) {
         return;
     }
     std::error_code error;
     const int fd = connectTcp(state->report.address, error);
     if (fd >= 0) {
-        m_probes.push_back(std::make_shared<Probe>(*this, *server, fd, now));
+        m_probes.push_back(std::make_shared<Probe>(*this, server, fd, now));
     }
 }
 
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -50,7 +50,8 @@
     , m_connections(m_loop, ConnectionLimits)
     , m_peerConnections(m_loop, ConnectionLimits)
     , m_peers(m_settings.instance, m_settings.dataCentre)
-    , m_reachProber(m_loop, m_view, m_picker)
+    , m_reachProber(m_loop, m_view, m_picker,
+                    [this](TimePoint now) { m_pendingCrashes.settle(now); })
     , m_retries(FleetLimits::initialRetryBounds(m_settings.bounds))
     , m_fleetLimits(m_view, m_settings.instance, m_settings.bounds, m_picker, m_retries, m_clock)
     , m_pendingCrashes(m_crashes, m_picker.reach())
@@ -93,6 +94,8 @@
     m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
         onReachChanged(service, reached, m_loop.now());
     });
+    m_pendingCrashes.onUndecided(
+        [this](const InstanceId &server) { m_reachProber.probeAnother(server, m_loop.now()); });
 }
 
 RouterDaemon::~RouterDaemon() = default;
--- a/Source/Routing/PendingCrashes.cpp
+++ b/Source/Routing/PendingCrashes.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// A loss that nothing decides counts as a crash after this time: no other request was sent.
+/// After this time a loss is decided, whether or not a server was reached.
 constexpr Duration DecisionTime = 1s;
 constexpr std::size_t MaxLosses = 512;
 
@@ -25,7 +25,9 @@
         m_losses.erase(m_losses.begin());
     }
     m_losses.push_back({service, server, std::move(crash), now});
-    settle(now);
+    if (m_onUndecided) {
+        m_onUndecided(server);
+    }
 }
 
 void PendingCrashes::withdraw(std::uint64_t request)
@@ -43,17 +45,13 @@
 
 bool PendingCrashes::settle(const Loss &loss, TimePoint now)
 {
-    if (m_reach.reachedAnother(loss.service, loss.server, loss.at)) {
-        m_table.recordCrash(loss.crash, loss.at);
-        return true;
-    }
-    if (m_reach.cutOff(loss.service)) {
-        return true;
-    }
-    if (now - loss.at < DecisionTime) {
+    const bool linksWork = m_reach.reachedAnother(loss.server, loss.at);
+    if (!linksWork && now - loss.at < DecisionTime) {
         return false;
     }
-    m_table.recordCrash(loss.crash, loss.at);
+    if (linksWork || !m_reach.cutOff(loss.service)) {
+        m_table.recordCrash(loss.crash, loss.at);
+    }
     return true;
 }
 
--- a/Source/Routing/ServiceReach.cpp
+++ b/Source/Routing/ServiceReach.cpp
@@ -66,8 +66,12 @@
 bool ServiceReach::onReached(const ServiceId &service, const InstanceId &server, TimePoint begunAt)
 {
     Service &state = m_services[service];
-    TimePoint &reachedAt = state.reachedAt[server];
-    reachedAt = std::max(reachedAt, begunAt);
+    if (begunAt >= m_lastSuccess.begunAt) {
+        if (m_lastSuccess.server != server) {
+            m_lastSuccessOfAnother = m_lastSuccess;
+        }
+        m_lastSuccess = {server, begunAt};
+    }
     std::erase_if(state.failures, [&](const auto &entry) { return entry.second.at <= begunAt; });
     if (!state.cutOff || begunAt < state.cutOffSince) {
         return false;
@@ -99,21 +103,16 @@
     return services;
 }
 
-bool ServiceReach::reachedAnother(const ServiceId &service, const InstanceId &server,
-                                  TimePoint since) const
+bool ServiceReach::reachedAnother(const InstanceId &server, TimePoint since) const
 {
-    const auto found = m_services.find(service);
-    return found != m_services.end()
-        && std::any_of(
-               found->second.reachedAt.begin(), found->second.reachedAt.end(),
-               [&](const auto &entry) { return entry.first != server && entry.second > since; });
+    const Success &success =
+        m_lastSuccess.server == server ? m_lastSuccessOfAnother : m_lastSuccess;
+    return success.begunAt > since;
 }
 
 std::optional<InstanceId> ServiceReach::nextProbe(const ServiceId &service, const Servers &servers)
 {
     Service &state = m_services[service];
-    std::erase_if(state.reachedAt,
-                  [&](const auto &entry) { return !servers.contains(entry.first); });
     if (!state.cutOff || servers.empty()) {
         return std::nullopt;
     }
--- a/Source/Routing/ServiceReach.h
+++ b/Source/Routing/ServiceReach.h
@@ -42,8 +42,9 @@
     bool cutOff(const ServiceId &service) const;
     /// All services that are cut off.
     std::vector<ServiceId> cutOffServices() const;
-    /// Whether a server other than \p server was reached by an attempt that began after \p since.
-    bool reachedAnother(const ServiceId &service, const InstanceId &server, TimePoint since) const;
+    /// Whether a server other than \p server, of any service, was reached by an attempt that began
+    /// after \p since.
+    bool reachedAnother(const InstanceId &server, TimePoint since) const;
     /// The server to connect to in order to find out whether the service is reached again; each
     /// call names another one. std::nullopt if there is none or the service is not cut off.
     std::optional<InstanceId> nextProbe(const ServiceId &service, const Servers &servers);
@@ -58,7 +59,6 @@
     struct Service
     {
         std::map<InstanceId, Failure> failures; ///< Since the last success.
-        std::map<InstanceId, TimePoint> reachedAt; ///< Latest begin of a successful attempt.
         bool cutOff = false;
         TimePoint cutOffSince;
         std::size_t servers = 0; ///< Of the service, when it was cut off.
@@ -69,7 +69,16 @@
     static bool meansCutOff(const std::map<InstanceId, Failure> &failures, const Servers &servers);
     void notify(const ServiceId &service, bool reached) const;
 
+    /// A server that was reached.
+    struct Success
+    {
+        InstanceId server;
+        TimePoint begunAt; ///< Begin of the latest successful attempt.
+    };
+
     std::map<ServiceId, Service> m_services;
+    Success m_lastSuccess;
+    Success m_lastSuccessOfAnother; ///< Of another server than the last one.
     ChangeCallback m_onChange;
 };
 
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -138,3 +138,28 @@
         }
     }
 }
+
+Test(loadExchange, all_daemons_learn_which_ones_are_cut_off_from_a_service, .timeout = 20)
+{
+    const ServiceId service("s");
+    ExchangingFleet fleet;
+    std::vector<MemberRegistered> members;
+    for (const char *name : {"here-1", "here-2", "there-1", "there-2"}) {
+        members.push_back({InstanceId(name), DataCentreId("d"), {}, 0, Endpoint{"127.0.0.1", 1}});
+    }
+    for (const auto &daemon : fleet.daemons) {
+        daemon->peers.setMembers(members);
+    }
+    ServiceReach &reach = fleet.daemons[1]->picker.reach();
+    reach.onConnectFailed(service, InstanceId("b"), {{InstanceId("b"), DataCentreId("here")}},
+                          fleet.clock.now());
+    fleet.run(1500ms);
+    const std::set<InstanceId> others{InstanceId("here-1"), InstanceId("there-1"),
+                                      InstanceId("there-2")};
+    for (const auto &daemon : fleet.daemons) {
+        cr_expect_not(daemon->peers.choose(service, others, 1, fleet.clock.now()));
+    }
+    reach.onReached(service, InstanceId("b"), fleet.clock.now());
+    fleet.run(1500ms);
+    cr_expect(fleet.daemons[3]->peers.choose(service, others, 1, fleet.clock.now()));
+}
