Brittle servers get no more than they surely have room for

Servers that say Server-Brittle fall over when they have to reject more than so many requests a second; nothing read the field, and daemons that learn of each other's requests late overfill a server together.

BrittleServerShare divides the slots of each brittle server among the daemons: all together can't have more requests there than it has slots. Where a service has fewer slots than there are daemons, they take turns at a rate that falls with a rejection. What does not fit is refused at once, not run.

--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -71,9 +71,9 @@
                             : std::vector<CutOffDaemon>{{m_self, services}};
 }
 
-void LoadExchange::applyRateLimits(const std::vector<RateLimitNotice> &notices, TimePoint now)
+void LoadExchange::applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now)
 {
-    for (const RateLimitNotice &notice : notices) {
+    for (const LimitsNotice &notice : notices) {
         m_picker.rateLimiter().notices().apply(notice, now);
     }
 }
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -43,7 +43,7 @@
     };
 
     void step(TimePoint now);
-    void applyRateLimits(const std::vector<RateLimitNotice> &notices, TimePoint now);
+    void applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now);
     void aggregateLoads(TimePoint now);
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
     void onTotalLoad(const FeedLoad &total, TimePoint now);
@@ -68,7 +68,7 @@
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
     CrashEvidence m_evidenceToForward; ///< From other data centres, to followers.
-    std::vector<RateLimitNotice> m_rateLimitsToForward; ///< From other data centres, to followers.
+    std::vector<LimitsNotice> m_rateLimitsToForward; ///< From other data centres, to followers.
     std::map<DataCentreId, std::unique_ptr<LoadSender>> m_senders;
     TimerId m_timer;
 };
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -182,20 +182,27 @@
     return evidence;
 }
 
-void writeRateLimit(wire::FeedRateLimit::Builder builder, const RateLimitNotice &notice)
+void writeRateLimit(wire::FeedRateLimit::Builder builder, const LimitsNotice &notice)
 {
     builder.setBackend(notice.server.id.value());
     builder.setStartedAt(notice.server.startedAt);
     builder.setLimited(notice.perSecond.has_value());
     builder.setPerSecond(notice.perSecond.value_or(0));
     builder.setAge(notice.age.count());
+    builder.setBrittle(notice.maxRejections.has_value());
+    builder.setMaxRejections(notice.maxRejections.value_or(0));
+    builder.setRejected(notice.rejectionAge.has_value());
+    builder.setRejectionAge(notice.rejectionAge.value_or(Duration::zero()).count());
 }
 
-RateLimitNotice readRateLimit(wire::FeedRateLimit::Reader reader)
+LimitsNotice readRateLimit(wire::FeedRateLimit::Reader reader)
 {
     return {{InstanceId(reader.getBackend().cStr()), reader.getStartedAt()},
             reader.getLimited() ? std::optional(reader.getPerSecond()) : std::nullopt,
-            Duration(reader.getAge())};
+            Duration(reader.getAge()),
+            reader.getBrittle() ? std::optional(reader.getMaxRejections()) : std::nullopt,
+            reader.getRejected() ? std::optional(Duration(reader.getRejectionAge()))
+                                 : std::nullopt};
 }
 
 void writeCutOff(wire::FeedCutOff::Builder builder, const CutOffDaemon &entry)
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -53,7 +53,7 @@
     /// Entries that are new or that must be published again before they expire.
     std::vector<PromptCacheEntry> promptCacheEntries;
     CrashEvidence crashEvidence;
-    std::vector<RateLimitNotice> rateLimits; ///< That servers named since the last message.
+    std::vector<LimitsNotice> rateLimits; ///< That servers named since the last message.
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
 };
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -44,7 +44,7 @@
     /// Returns and clears what the followers told about prompts that crash servers.
     CrashEvidence takeCrashEvidence() { return std::exchange(m_crashEvidence, {}); }
     /// Returns and clears the rate limits that servers named to the followers.
-    std::vector<RateLimitNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
+    std::vector<LimitsNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
 
 private:
     class FeedConnection;
@@ -65,7 +65,7 @@
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     CrashEvidence m_crashEvidence;
-    std::vector<RateLimitNotice> m_rateLimits;
+    std::vector<LimitsNotice> m_rateLimits;
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -89,6 +89,8 @@
     /// Applies the rate limit that the backend server stated, or that it stated none. Only a
     /// complete head of a success can end a limit.
     void applyRateLimit(const ResponseMetadata &metadata, bool canEndLimit, TimePoint now);
+    /// Applies what the backend server stated on the rejections that it bears, in the same way.
+    void applyBrittle(const ResponseMetadata &metadata, bool canEnd, TimePoint now);
     /// Time after which the caller may repeat the refused request.
     Duration retryAfter(const PickRequest &requirements, PickFault fault, TimePoint now) const;
     /// Hashes what may crash servers: the parts of the prompt and the whole request.
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -54,7 +54,9 @@
     }
     recordReached();
     applyNotices(m_attempt.backend, metadata, now);
-    applyRateLimit(metadata, head.status < HttpStatus::FirstRedirect && metadata.hasSeal, now);
+    const bool canEndLimits = head.status < HttpStatus::FirstRedirect && metadata.hasSeal;
+    applyRateLimit(metadata, canEndLimits, now);
+    applyBrittle(metadata, canEndLimits, now);
     if (metadata.load) {
         m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
                                         metadata.load->waiting, now);
@@ -81,6 +83,7 @@
     if (own && !m_attempt.relayed) {
         applyNotices(m_attempt.backend, metadata, now);
         applyRateLimit(metadata, false, now);
+        applyBrittle(metadata, false, now);
     }
 }
 
@@ -111,6 +114,32 @@
     }
 }
 
+void RequestForwarder::applyBrittle(const ResponseMetadata &metadata, bool canEnd, TimePoint now)
+{
+    if (!metadata.unreadableMaxRejections.empty()) {
+        m_context.log.write(LogPriority::Notable,
+                            LogLine("backend.brittle_unreadable")
+                                .add("id", m_request.id.value())
+                                .add("backend", m_attempt.backend.value())
+                                .add("text", metadata.unreadableMaxRejections),
+                            now);
+        return;
+    }
+    if (!metadata.maxRejections && !canEnd) {
+        return;
+    }
+    if (m_context.picker.onBrittle(m_attempt.backend, metadata.maxRejections, now)) {
+        m_context.log.write(
+            LogPriority::Notable,
+            LogLine("backend.brittle")
+                .add("id", m_request.id.value())
+                .add("backend", m_attempt.backend.value())
+                .add("max_rejections",
+                     metadata.maxRejections ? std::to_string(*metadata.maxRejections) : "none"),
+            now);
+    }
+}
+
 void RequestForwarder::applyNotices(const InstanceId &backend, const ResponseMetadata &metadata,
                                     TimePoint now)
 {
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -73,6 +73,11 @@
     std::optional<double> rateLimit;
     /// The text of a rate limit that is not a decimal number; empty otherwise.
     std::string unreadableRateLimit;
+    /// Rejections per second for want of room that the backend server bears, if it says that it
+    /// ends beyond them; never negative.
+    std::optional<double> maxRejections;
+    /// The text of that number if it is not a decimal number; empty otherwise.
+    std::string unreadableMaxRejections;
     /// With status 503: how long the backend server wants no requests from this daemon.
     std::optional<Duration> retryAfter;
 };
--- a/Source/Forward/SendOutcomes.cpp
+++ b/Source/Forward/SendOutcomes.cpp
@@ -57,6 +57,8 @@
         return "the data centres of the backend servers do not respond";
     case PickFault::AllRateLimited:
         return "the backend servers are at the rate limits that they named";
+    case PickFault::AllFull:
+        return "the backend servers are brittle and may have no room";
     case PickFault::AllPaused:
         return "the backend servers asked for a pause";
     case PickFault::None:
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -84,6 +84,8 @@
         return PickFault::AllCold;
     case SendPermission::RateLimited:
         return PickFault::AllRateLimited;
+    case SendPermission::Full:
+        return PickFault::AllFull;
     case SendPermission::Allowed:
         break;
     }
@@ -168,12 +170,16 @@
             fault = PickFault::AllSilent;
             continue;
         }
-        const SendPermission permission = m_rateLimiter.permission(state, now);
+        const double load = loadOf(health, state, now);
+        const ServerLoad requests{health.inFlight, load * std::max(1, state.report.slots)};
+        const SendPermission permission = m_rateLimiter.permission(state, requests, now);
         if (permission != SendPermission::Allowed) {
             fault = faultOf(permission);
             continue;
         }
-        candidates.push_back({&state, &health, loadOf(health, state, now),
+        const double ownLoad =
+            static_cast<double>(health.inFlight) / std::max(1, state.report.slots);
+        candidates.push_back({&state, &health, m_rateLimiter.takesTurns(state) ? ownLoad : load,
                               state.report.dataCentre == m_ownDataCentre,
                               isExcluded(id, health, now)});
     }
@@ -451,6 +457,7 @@
         break;
     }
     case SendOutcome::Overloaded:
+        m_rateLimiter.notices().onRejected(runOf(id), now);
         health.excludedUntil = now + InitialExclusion / 4;
         break;
     case SendOutcome::Cancelled:
@@ -489,6 +496,12 @@
     return m_rateLimiter.notices().onRateLimit(runOf(id), perSecond, now);
 }
 
+bool BackendPicker::onBrittle(const InstanceId &id, std::optional<double> maxRejections,
+                              TimePoint now)
+{
+    return m_rateLimiter.notices().onBrittle(runOf(id), maxRejections, now);
+}
+
 RoomForecast BackendPicker::roomForecast(const PickRequest &request, const FleetView &view,
                                          TimePoint now) const
 {
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -77,6 +77,7 @@
     AllCold, ///< Servers remain, but they are cold and at their rate limit.
     AllPaused, ///< Servers remain, but they asked for a pause.
     AllRateLimited, ///< Servers remain, but they named rate limits that are used up.
+    AllFull, ///< Servers remain, but they are brittle and may have no room.
     AllSilent, ///< Servers remain, but in data centres that are excluded as unresponsive.
 };
 
@@ -120,6 +121,9 @@
     /// Records the rate limit that a server stated in a response, or that it stated none. Returns
     /// whether the limit in force has changed.
     bool onRateLimit(const InstanceId &id, std::optional<double> perSecond, TimePoint now);
+    /// Records how many rejections a server says that it bears, or that it did not say so. Returns
+    /// whether that has changed.
+    bool onBrittle(const InstanceId &id, std::optional<double> maxRejections, TimePoint now);
     /// When servers that are held back have room for the request.
     RoomForecast roomForecast(const PickRequest &request, const FleetView &view,
                               TimePoint now) const;
--- a/Source/Routing/BackendRateLimiter.cpp
+++ b/Source/Routing/BackendRateLimiter.cpp
@@ -22,7 +22,8 @@
 {
 }
 
-SendPermission BackendRateLimiter::permission(const BackendState &state, TimePoint now) const
+SendPermission BackendRateLimiter::permission(const BackendState &state, const ServerLoad &load,
+                                              TimePoint now) const
 {
     const ServerRun server{state.report.id, state.report.startedAt};
     if (m_notices.pauseLeft(server, now) > Duration::zero()) {
@@ -35,9 +36,45 @@
     if (limit && !turnsOf(server, *limit).usableTurn(sendsTo(server.id).lastTurn, now)) {
         return SendPermission::RateLimited;
     }
+    if (m_notices.maxRejections(server) && !brittleHasRoom(state, load, now)) {
+        return SendPermission::Full;
+    }
     return SendPermission::Allowed;
 }
 
+bool BackendRateLimiter::brittleHasRoom(const BackendState &state, const ServerLoad &load,
+                                        TimePoint now) const
+{
+    const ServerRun server{state.report.id, state.report.startedAt};
+    const TimePoint rejectedAt = m_notices.lastRejection(server);
+    const bool rejected = rejectedAt != TimePoint();
+    const Duration sinceRejection = rejected ? now - rejectedAt : Duration::max();
+    if (sinceRejection < BrittleServerShare::RejectionPause) {
+        return false;
+    }
+    const BrittleServerShare share = brittleShare(state);
+    if (share.dividesSlots()) {
+        return load.own < share.ownSlots() && load.all < state.report.slots;
+    }
+    const BrittleServerShare::TurnRate rate = share.turnRate(sinceRejection);
+    const TimePoint lastTurn = sendsTo(server.id).lastTurn;
+    const TimePoint usedUntil = rejected ? std::max(lastTurn, rejectedAt + rate.since) : lastTurn;
+    return load.own == 0 && turnsOf(server, rate.perSecond).usableTurn(usedUntil, now);
+}
+
+bool BackendRateLimiter::takesTurns(const BackendState &state) const
+{
+    return m_notices.maxRejections({state.report.id, state.report.startedAt}).has_value()
+        && !brittleShare(state).dividesSlots();
+}
+
+BrittleServerShare BackendRateLimiter::brittleShare(const BackendState &state) const
+{
+    const auto slots = m_serviceSlots.find(state.report.service);
+    return {stableHash("slots/" + state.report.id.value()), state.report.slots,
+            slots == m_serviceSlots.end() ? 0 : slots->second, m_position};
+}
+
 TimePoint BackendRateLimiter::nextTurn(const ServerRun &server, double perSecond,
                                        TimePoint now) const
 {
@@ -51,12 +88,12 @@
     if (sends.recent.size() > MaxRecordedSends) {
         sends.recent.pop_front();
     }
-    const std::optional<double> limit = m_notices.rateLimit(server);
-    if (!limit) {
-        return;
-    }
-    if (const auto turn = turnsOf(server, *limit).usableTurn(sends.lastTurn, now)) {
-        sends.lastTurn = *turn;
+    if (const auto limit = m_notices.rateLimit(server)) {
+        if (const auto turn = turnsOf(server, *limit).usableTurn(sends.lastTurn, now)) {
+            sends.lastTurn = *turn;
+        }
+    } else if (m_notices.maxRejections(server)) {
+        sends.lastTurn = now;
     }
 }
 
--- a/Source/Routing/BackendRateLimiter.h
+++ b/Source/Routing/BackendRateLimiter.h
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "Fleet/FleetView.h"
+#include "Routing/BrittleServerShare.h"
 #include "Routing/RateLimitTurns.h"
 #include "Routing/ServerNotices.h"
 
@@ -23,17 +24,33 @@
     Paused, ///< The server asked for a pause.
     Cold, ///< The server is in cold start, and this daemon has used its share of the rate limit.
     RateLimited, ///< The server named a rate limit, and it is not this daemon's turn.
+    Full, ///< The server is brittle, and it is not sure that it has room.
+};
+
+/// Requests in flight at a server, as far as this daemon knows.
+struct ServerLoad
+{
+    int own = 0; ///< Of this daemon.
+    double all = 0; ///< Of all daemons.
 };
 
 /// Decides how many requests this daemon may send to each run of a backend server: the strictest of
-/// the pause and the rate limit that the server announced and of the rate limit in cold start. It
-/// answers the load of many daemons before a server that accepts few requests in all.
+/// the pause, the rate limit and the brittleness that the server announced and of the rate limit in
+/// cold start. It answers the load of many daemons before a server that accepts few requests in
+/// all.
+///
+/// A brittle server must hardly ever reject a request: each daemon keeps to its BrittleServerShare,
+/// and one rejection closes the server to all for a while.
 class BackendRateLimiter
 {
 public:
     explicit BackendRateLimiter(const InstanceId &self);
 
-    SendPermission permission(const BackendState &state, TimePoint now) const;
+    SendPermission permission(const BackendState &state, const ServerLoad &load,
+                              TimePoint now) const;
+    /// Whether the daemons take turns at the server because it is brittle. Their loads are then too
+    /// short-lived to choose by, and would draw all of them to the same server.
+    bool takesTurns(const BackendState &state) const;
     /// Records that a request was sent to the server, whatever it is: a first attempt, a retry, a
     /// larger model or a resumed stream.
     void onSent(const ServerRun &server, TimePoint now);
@@ -45,6 +62,8 @@
     {
         m_coldLimits[service] = limits;
     }
+    /// Sets the slots of all servers of each service.
+    void setServiceSlots(std::map<ServiceId, int> slots) { m_serviceSlots = std::move(slots); }
     void setPosition(const FleetPosition &position) { m_position = position; }
     const FleetPosition &position() const { return m_position; }
     ServerNotices &notices() { return m_notices; }
@@ -62,6 +81,8 @@
 
     const Sends &sendsTo(const InstanceId &id) const;
     RateLimitTurns turnsOf(const ServerRun &server, double perSecond) const;
+    BrittleServerShare brittleShare(const BackendState &state) const;
+    bool brittleHasRoom(const BackendState &state, const ServerLoad &load, TimePoint now) const;
     bool coldRateAllows(const BackendState &state, TimePoint now) const;
     /// Whether this daemon may send to a cold server now. Used if \p daemonRate, each daemon's
     /// share of the rate limit, is below one request per second: daemons then send in periodic
@@ -72,6 +93,7 @@
     FleetPosition m_position;
     ServerNotices m_notices;
     std::map<ServiceId, ColdLimits> m_coldLimits;
+    std::map<ServiceId, int> m_serviceSlots;
     std::map<InstanceId, Sends> m_sends;
 };
 
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -9,8 +9,17 @@
 /// Notices are kept this long, also while the server is missing from the registry: its entry may
 /// come back.
 constexpr Duration NoticeLifetime = 600s;
-/// Time between two messages to the other daemons about the rate limit of one server.
-constexpr Duration RateLimitPublishPeriod = 1s;
+/// Time between two messages to the other daemons about the limits of one server, unless they
+/// changed.
+constexpr Duration LimitsPublishPeriod = 1s;
+
+std::optional<Duration> newestAge(std::optional<Duration> left, std::optional<Duration> right)
+{
+    if (!left || !right) {
+        return left ? left : right;
+    }
+    return std::min(*left, *right);
+}
 
 bool sameRun(std::int64_t left, std::int64_t right)
 {
@@ -19,17 +28,22 @@
 
 } // namespace
 
-void addNewest(std::vector<RateLimitNotice> &sum, const std::vector<RateLimitNotice> &notices)
+void addNewest(std::vector<LimitsNotice> &sum, const std::vector<LimitsNotice> &notices)
 {
-    for (const RateLimitNotice &notice : notices) {
-        const auto known = std::find_if(sum.begin(), sum.end(), [&](const RateLimitNotice &other) {
+    for (const LimitsNotice &notice : notices) {
+        const auto known = std::find_if(sum.begin(), sum.end(), [&](const LimitsNotice &other) {
             return other.server.id == notice.server.id;
         });
         if (known == sum.end()) {
             sum.push_back(notice);
-        } else if (notice.age < known->age) {
+            continue;
+        }
+        const std::optional<Duration> rejectionAge =
+            newestAge(known->rejectionAge, notice.rejectionAge);
+        if (notice.age < known->age) {
             *known = notice;
         }
+        known->rejectionAge = rejectionAge;
     }
 }
 
@@ -78,15 +92,46 @@
     Notice &notice = noticeOf(server, now);
     const bool changed = notice.rateLimit != perSecond;
     notice.rateLimit = perSecond;
-    notice.rateLimitSaidAt = now;
-    notice.rateLimitUnpublished = true;
+    noteStatement(notice, changed, now);
+    return changed;
+}
+
+void ServerNotices::noteStatement(Notice &notice, bool changed, TimePoint now)
+{
+    notice.limitsSaidAt = now;
+    notice.limitsUnpublished = true;
     if (changed) {
-        notice.rateLimitPublishedAt = TimePoint();
+        notice.limitsPublishedAt = TimePoint();
+    }
+}
+
+bool ServerNotices::onBrittle(const ServerRun &server, std::optional<double> maxRejections,
+                              TimePoint now)
+{
+    const Notice *known = find(server);
+    if (!maxRejections && (known == nullptr || !known->maxRejections)) {
+        return false;
     }
+    Notice &notice = noticeOf(server, now);
+    const bool changed = notice.maxRejections != maxRejections;
+    notice.maxRejections = maxRejections;
+    noteStatement(notice, changed, now);
     return changed;
 }
 
-void ServerNotices::apply(const RateLimitNotice &reported, TimePoint now)
+void ServerNotices::onRejected(const ServerRun &server, TimePoint now)
+{
+    const Notice *known = find(server);
+    if (known == nullptr || !known->maxRejections) {
+        return;
+    }
+    Notice &notice = noticeOf(server, now);
+    notice.rejectedAt = now;
+    notice.limitsUnpublished = true;
+    notice.limitsPublishedAt = TimePoint();
+}
+
+void ServerNotices::apply(const LimitsNotice &reported, TimePoint now)
 {
     const TimePoint saidAt = now - std::max(reported.age, Duration::zero());
     const auto found = m_notices.find(reported.server.id);
@@ -96,22 +141,31 @@
         return;
     }
     Notice &notice = noticeOf(reported.server, now);
-    if (saidAt > notice.rateLimitSaidAt) {
+    if (saidAt > notice.limitsSaidAt) {
         notice.rateLimit = reported.perSecond;
-        notice.rateLimitSaidAt = saidAt;
+        notice.maxRejections = reported.maxRejections;
+        notice.limitsSaidAt = saidAt;
+    }
+    if (reported.rejectionAge) {
+        const TimePoint rejectedAt = now - std::max(*reported.rejectionAge, Duration::zero());
+        notice.rejectedAt = std::max(notice.rejectedAt, rejectedAt);
     }
 }
 
-std::vector<RateLimitNotice> ServerNotices::takeUnpublished(TimePoint now)
+std::vector<LimitsNotice> ServerNotices::takeUnpublished(TimePoint now)
 {
-    std::vector<RateLimitNotice> unpublished;
+    std::vector<LimitsNotice> unpublished;
     for (auto &[id, notice] : m_notices) {
-        if (notice.rateLimitUnpublished
-            && now - notice.rateLimitPublishedAt >= RateLimitPublishPeriod) {
-            notice.rateLimitUnpublished = false;
-            notice.rateLimitPublishedAt = now;
-            unpublished.push_back(
-                {{id, notice.startedAt}, notice.rateLimit, now - notice.rateLimitSaidAt});
+        if (notice.limitsUnpublished && now - notice.limitsPublishedAt >= LimitsPublishPeriod) {
+            notice.limitsUnpublished = false;
+            notice.limitsPublishedAt = now;
+            unpublished.push_back({{id, notice.startedAt},
+                                   notice.rateLimit,
+                                   now - notice.limitsSaidAt,
+                                   notice.maxRejections,
+                                   notice.rejectedAt == TimePoint()
+                                       ? std::nullopt
+                                       : std::optional(now - notice.rejectedAt)});
         }
     }
     return unpublished;
@@ -136,6 +190,18 @@
     return notice == nullptr ? std::nullopt : notice->rateLimit;
 }
 
+std::optional<double> ServerNotices::maxRejections(const ServerRun &server) const
+{
+    const Notice *notice = find(server);
+    return notice == nullptr ? std::nullopt : notice->maxRejections;
+}
+
+TimePoint ServerNotices::lastRejection(const ServerRun &server) const
+{
+    const Notice *notice = find(server);
+    return notice == nullptr ? TimePoint() : notice->rejectedAt;
+}
+
 std::vector<InstanceId> ServerNotices::leavingServers() const
 {
     std::vector<InstanceId> servers;
--- a/Tests/Forward/testServerRateLimit.cpp
+++ b/Tests/Forward/testServerRateLimit.cpp
@@ -49,3 +49,26 @@
               limited.requests.size());
     cr_expect_gt(other.requests.size(), 0);
 }
+
+Test(requestForwarder, a_brittle_server_that_rejected_a_request_gets_none_for_a_while,
+     .timeout = 20)
+{
+    ForwardHarness harness;
+    harness.publishRoute(route(2));
+    bool full = false;
+    ScriptedBackend &brittle = harness.addBackend([&](Connection &connection, const std::string &) {
+        const std::string fields = full ? "Server-Brittle: 1\r\nNot-Executed: 1\r\n"
+                                        : "Server-Brittle: 1\r\nResponse-Seal: seal\r\n";
+        connection.send(ForwardHarness::response(full ? 503 : 200, fields, ""));
+    });
+    harness.addBackend(serveWith("Server-Brittle: nonsense\r\n"));
+    for (int i = 0; i < 10; ++i) {
+        cr_expect_eq(call(harness), 200);
+    }
+    full = true;
+    const std::size_t before = brittle.requests.size();
+    for (int i = 0; i < 20; ++i) {
+        cr_expect_eq(call(harness), 200);
+    }
+    cr_expect_eq(brittle.requests.size() - before, 1);
+}
--- a/Tests/Routing/testBackendRateLimiter.cpp
+++ b/Tests/Routing/testBackendRateLimiter.cpp
@@ -108,7 +108,7 @@
     void request(std::size_t daemon, double perSecond)
     {
         BackendRateLimiter &limiter = m_daemons[daemon];
-        if (limiter.permission(*m_view.backend(Limited), m_now) != SendPermission::Allowed) {
+        if (limiter.permission(*m_view.backend(Limited), {}, m_now) != SendPermission::Allowed) {
             return;
         }
         limiter.onSent(limitedRun(), m_now);
@@ -128,13 +128,13 @@
             return;
         }
         m_passedOnAt = m_now;
-        std::vector<RateLimitNotice> news;
+        std::vector<LimitsNotice> news;
         for (BackendRateLimiter &daemon : m_daemons) {
             const auto told = daemon.notices().takeUnpublished(m_now);
             news.insert(news.end(), told.begin(), told.end());
         }
         for (BackendRateLimiter &daemon : m_daemons) {
-            for (const RateLimitNotice &notice : news) {
+            for (const LimitsNotice &notice : news) {
                 daemon.notices().apply(notice, m_now);
             }
         }
@@ -261,7 +261,8 @@
         limiter.notices().onRateLimit(limitedRun(), perSecond, Start);
         bool allowed = false;
         for (TimePoint now = Start; now < Start + 15s; now += 100ms) {
-            allowed |= limiter.permission(*view.backend(Limited), now) == SendPermission::Allowed;
+            allowed |=
+                limiter.permission(*view.backend(Limited), {}, now) == SendPermission::Allowed;
         }
         cr_expect(allowed, "%g", perSecond);
     }
@@ -273,10 +274,10 @@
     BackendRateLimiter limiter(InstanceId("d"));
     limiter.setPosition({0, 200, ClockOffset});
     limiter.notices().onRateLimit(limitedRun(), 0.1, Start);
-    cr_expect(limiter.permission(*view.backend(Limited), Start) == SendPermission::RateLimited);
+    cr_expect(limiter.permission(*view.backend(Limited), {}, Start) == SendPermission::RateLimited);
     BackendState restarted = *view.backend(Limited);
     restarted.report.startedAt = 2000;
-    cr_expect(limiter.permission(restarted, Start) == SendPermission::Allowed);
+    cr_expect(limiter.permission(restarted, {}, Start) == SendPermission::Allowed);
 }
 
 Test(backendRateLimiter, the_strictest_of_pause_and_limit_holds)
@@ -285,8 +286,9 @@
     BackendRateLimiter limiter(InstanceId("d"));
     limiter.setPosition({0, 1, ClockOffset});
     limiter.notices().onRateLimit(limitedRun(), 1000, Start);
-    cr_expect(limiter.permission(*view.backend(Limited), Start) == SendPermission::Allowed);
+    cr_expect(limiter.permission(*view.backend(Limited), {}, Start) == SendPermission::Allowed);
     limiter.notices().onPauseRequested(limitedRun(), 5s, Start);
-    cr_expect(limiter.permission(*view.backend(Limited), Start + 4s) == SendPermission::Paused);
-    cr_expect(limiter.permission(*view.backend(Limited), Start + 6s) == SendPermission::Allowed);
+    cr_expect(limiter.permission(*view.backend(Limited), {}, Start + 4s) == SendPermission::Paused);
+    cr_expect(limiter.permission(*view.backend(Limited), {}, Start + 6s)
+              == SendPermission::Allowed);
 }
--- a/Tests/Routing/testServerNotices.cpp
+++ b/Tests/Routing/testServerNotices.cpp
@@ -102,10 +102,31 @@
     notices.apply({Other, 1, Duration::zero()}, Start);
     const auto first = notices.takeUnpublished(Start + 100ms);
     cr_assert_eq(first.size(), 1);
-    cr_expect(first.front() == (RateLimitNotice{First, 2, 100ms}));
+    cr_expect(first.front() == (LimitsNotice{First, 2, 100ms}));
     notices.onRateLimit(First, 2, Start + 200ms);
     cr_expect(notices.takeUnpublished(Start + 300ms).empty());
     cr_expect_eq(notices.takeUnpublished(Start + 1200ms).size(), 1);
     notices.onRateLimit(First, 1, Start + 1300ms);
     cr_expect_eq(notices.takeUnpublished(Start + 1400ms).size(), 1);
 }
+
+Test(serverNotices, brittleness_and_rejections_reach_the_other_daemons_and_end_with_the_run)
+{
+    ServerNotices told;
+    told.onRejected(First, Start);
+    cr_expect(told.lastRejection(First) == TimePoint(), "not brittle");
+    cr_expect(told.onBrittle(First, 2, Start));
+    cr_expect_not(told.onBrittle(First, 2, Start + 10ms));
+    told.takeUnpublished(Start + 20ms);
+    told.onRejected(First, Start + 100ms);
+    const auto news = told.takeUnpublished(Start + 200ms);
+    cr_assert_eq(news.size(), 1);
+    ServerNotices other;
+    other.apply(news.front(), Start + 300ms);
+    cr_expect_eq(other.maxRejections(First).value_or(0), 2);
+    cr_expect(other.lastRejection(First) == Start + 200ms);
+    cr_expect_not(other.maxRejections(Restarted));
+    cr_expect(other.onBrittle(First, std::nullopt, Start + 1s));
+    cr_expect_not(other.maxRejections(First));
+    cr_expect_not(other.onBrittle(First, std::nullopt, Start + 1s));
+}
