--- a/Source/Routing/PeerSelector.cpp
+++ b/Source/Routing/PeerSelector.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-void PeerSelector::setCutOff(std::vector<CutOffDaemon> daemons, TimePoint now)
+void PeerSelector::setCutOff(const std::vector<CutOffDaemon> &daemons, TimePoint now)
 {
     m_cutOff.clear();
     for (const CutOffDaemon &entry : daemons) {
--- a/Source/Routing/PeerSelector.h
+++ b/Source/Routing/PeerSelector.h
@@ -48,7 +48,7 @@
     void onSent(const InstanceId &peer);
     void onEnded(const InstanceId &peer, PeerOutcome outcome, TimePoint now);
     /// Sets which daemons are cut off from servers, this one included.
-    void setCutOff(std::vector<CutOffDaemon> daemons, TimePoint now);
+    void setCutOff(const std::vector<CutOffDaemon> &daemons, TimePoint now);
 
 private:
     struct Peer
--- a/Source/Tool/RequestTrace.cpp
+++ b/Source/Tool/RequestTrace.cpp
@@ -42,8 +42,8 @@
 /// Whether a line is about the daemon as a whole rather than one request or server.
 bool isDaemonEvent(const ParsedLogLine &line)
 {
-    static const std::set<std::string> prefixes = {"process",     "store",   "feed",    "config",
-                                                   "data_centre", "rollout", "settings"};
+    static const std::set<std::string> prefixes = {"process",     "store",   "feed",     "config",
+                                                   "data_centre", "rollout", "settings", "reach"};
     return prefixes.contains(line.event.substr(0, line.event.find('.')));
 }
 
