--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -222,8 +222,7 @@
         const int daemons = m_context.picker.rateLimiter().position().daemons;
         return m_context.returnSchedule.next(m_service, forecast.limitedRate / daemons, now);
     }
-    const Duration pause =
-        fault == PickFault::AllFull ? DefaultRetryAfter : forecast.shortestPause;
+    const Duration pause = fault == PickFault::AllFull ? DefaultRetryAfter : forecast.shortestPause;
     if (pause <= Duration::zero()) {
         return DefaultRetryAfter;
     }
