--- a/Tests/Forward/testRequestForwarder.cpp
+++ b/Tests/Forward/testRequestForwarder.cpp
@@ -547,3 +547,30 @@
     cr_expect_eq(response.find("HTTP/1.1"), response.rfind("HTTP/1.1"));
     cr_expect_not(response.ends_with("0\r\n\r\n"));
 }
+
+Test(requestForwarder, a_server_that_is_silent_for_a_second_loses_no_request_and_stays_in_use,
+     .timeout = 20)
+{
+    ForwardHarness harness;
+    Route patient = route(RouteKind::NonIdempotent, 1);
+    patient.timeout = 2s;
+    harness.publishRoute(patient);
+    int late = 0;
+    const auto script = [&](Connection &connection, const std::string &request) {
+        const bool isLate = late-- > 0;
+        harness.loop.at(harness.loop.now() + (isLate ? Duration(1200ms) : Duration(1ms)),
+                        [&connection](TimePoint) { serve(connection, ""); });
+    };
+    harness.addBackend(script);
+    harness.addBackend(script);
+    for (int i = 0; i < 4; ++i) {
+        late = 1;
+        cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST", "", "b"))), 200);
+        cr_expect_eq(statusOf(harness.call(ForwardHarness::request("POST", "", "b"))), 200);
+    }
+    cr_expect_eq(harness.received(), 8);
+    cr_expect(harness.picker.reach().cutOffServices().empty());
+    for (const auto &[id, load] : harness.picker.ownLoads(harness.loop.now())) {
+        cr_expect_eq(load.unreachable, 0);
+    }
+}
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -58,3 +58,13 @@
     options.firstPort = 22600;
     expectNoViolation(options);
 }
+
+Test(soak, brittle_servers_do_not_fall_over, .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 5;
+    options.brittle = true;
+    options.callersPerDaemon = 12;
+    options.firstPort = 22200;
+    expectNoViolation(options);
+}
--- a/Utilities/Soak/GuaranteeChecker.cpp
+++ b/Utilities/Soak/GuaranteeChecker.cpp
@@ -26,6 +26,11 @@
 constexpr double CutFailureSlack = 10;
 constexpr double CutFailureShare = 1.0 / 50;
 
+/// Falls of brittle servers from some time on after they first said so.
+constexpr Duration BrittleLearningTime = 3s;
+constexpr int MaxFalls = 2;
+constexpr double MaxFallsPerServer = 0.1;
+
 struct ServedCount
 {
     int sent = 0;
@@ -152,6 +157,27 @@
     }
 }
 
+void GuaranteeChecker::beginBrittle(TimePoint now)
+{
+    if (m_brittleSince == TimePoint()) {
+        m_brittleSince = now;
+        m_falls = 0;
+    }
+}
+
+void GuaranteeChecker::onFall(const std::string &, TimePoint now)
+{
+    m_falls += now - m_brittleSince > BrittleLearningTime ? 1 : 0;
+}
+
+void GuaranteeChecker::endBrittle(int servers)
+{
+    if (m_brittleSince != TimePoint() && m_falls > MaxFalls + MaxFallsPerServer * servers) {
+        addViolation("brittle servers fell over " + std::to_string(m_falls) + " times");
+    }
+    m_brittleSince = TimePoint();
+}
+
 void GuaranteeChecker::checkCutOff(const std::vector<std::string> &prefixes, TimePoint cutAt,
                                    TimePoint restoredAt)
 {
--- a/Utilities/Soak/GuaranteeChecker.h
+++ b/Utilities/Soak/GuaranteeChecker.h
@@ -45,6 +45,12 @@
     /// A backend server names a rate limit from now on, in requests per second of all daemons.
     void beginRateLimit(const std::string &server, double perSecond, TimePoint now);
     void endRateLimit(const std::string &server) { m_rateLimits.erase(server); }
+    /// The backend servers of the service are brittle from now on until endBrittle().
+    void beginBrittle(TimePoint now);
+    /// A brittle server fell over.
+    void onFall(const std::string &server, TimePoint now);
+    /// Checks how often the \p servers of the service fell over while they were brittle.
+    void endBrittle(int servers);
     /// Checks what the callers of daemons that were cut off from all backend servers got, from some
     /// time after \p cutAt until \p restoredAt. The ids of their requests begin with one of
     /// \p prefixes. They must be served nearly as often as those of the other daemons.
@@ -89,6 +95,8 @@
     int m_crashes = 0; ///< Servers that ended under the crashing request.
     TimePoint m_thirdCrashAt;
     int m_laterCrashes = 0;
+    TimePoint m_brittleSince; ///< Unset if the servers are not brittle.
+    int m_falls = 0;
     std::map<std::string, TimePoint> m_requestsForbiddenFrom;
     TimePoint m_timeLimitsSuspendedUntil;
     std::vector<std::string> m_violations;
--- a/Utilities/Soak/SimulatedBackend.cpp
+++ b/Utilities/Soak/SimulatedBackend.cpp
@@ -1,5 +1,8 @@
 #include "SimulatedBackend.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace lycheearch::soak {
@@ -8,6 +11,7 @@
 
 constexpr int Ok = 200;
 constexpr int Misdirected = 421;
+constexpr int Unavailable = 503;
 constexpr Duration EventInterval = 15ms;
 constexpr int MaxWorkMs = 30;
 
@@ -36,13 +40,15 @@
     return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
 }
 
-SimulatedBackend::SimulatedBackend(EventLoop &loop, const Endpoint &listen, SimulatedStore &store,
-                                   GuaranteeChecker &checker, std::mt19937_64 &random)
+SimulatedBackend::SimulatedBackend(EventLoop &loop, const Endpoint &listen, int slots,
+                                   SimulatedStore &store, GuaranteeChecker &checker,
+                                   std::mt19937_64 &random)
     : m_loop(loop)
     , m_address(listen)
     , m_store(store)
     , m_checker(checker)
     , m_random(random)
+    , m_slots(slots)
 {
     addLink(listen.host);
     start();
@@ -75,7 +81,7 @@
 void SimulatedBackend::restoreLink(std::size_t link)
 {
     m_servers[link]->resume();
-    if (m_running) {
+    if (m_started) {
         m_servers[link]->open();
     }
 }
@@ -85,7 +91,7 @@
     for (const auto &server : m_servers) {
         server->open();
     }
-    m_running = true;
+    m_started = true;
     m_id = "i-" + std::to_string(m_address.port) + "-" + std::to_string(++m_startCount);
     m_sequence = 0;
     m_rateLimit.reset();
@@ -104,6 +110,40 @@
     m_checker.endRateLimit(m_id);
 }
 
+void SimulatedBackend::becomeBrittle(int maxRejections)
+{
+    m_maxRejections = maxRejections;
+    m_checker.beginBrittle(m_loop.now());
+}
+
+void SimulatedBackend::reject(const Connection &connection, const std::string &id)
+{
+    const TimePoint now = m_loop.now();
+    HttpFields fields = answerFields(id);
+    fields.remove("Response-Seal");
+    fields.add("Not-Executed", "1");
+    connection->reply(Unavailable, fields, "");
+    m_rejections.push_back(now);
+    while (now - m_rejections.front() > Duration(1s)) {
+        m_rejections.pop_front();
+    }
+    if (std::cmp_greater(m_rejections.size(), *m_maxRejections)) {
+        m_rejections.clear();
+        m_checker.onFall(m_id, now);
+        crash();
+        restartLater();
+    }
+}
+
+void SimulatedBackend::restartLater()
+{
+    m_loop.at(m_loop.now() + RestartTime, [this](TimePoint) {
+        if (!isRunning()) {
+            start();
+        }
+    });
+}
+
 HttpFields SimulatedBackend::answerFields(const std::string &id) const
 {
     HttpFields fields;
@@ -112,6 +152,9 @@
     if (m_rateLimit) {
         fields.add("Server-Limit", std::to_string(*m_rateLimit));
     }
+    if (m_maxRejections) {
+        fields.add("Server-Brittle", std::to_string(*m_maxRejections));
+    }
     return fields;
 }
 
@@ -120,7 +163,7 @@
     for (const auto &server : m_servers) {
         server->closeAll();
     }
-    m_running = false;
+    m_started = false;
     m_store.appendRecord("keyed.servers", m_id, "");
 }
 
@@ -140,7 +183,7 @@
     m_registeredState = state;
     const nlohmann::json entry = {{"Service", "s"},      {"Address", m_address.text()},
                                   {"Zone", "here"},      {"Version", "v1"},
-                                  {"Slots", 16},         {"State", state},
+                                  {"Slots", m_slots},    {"State", state},
                                   {"ColdMs", 0},         {"Sequence", ++m_sequence},
                                   {"born", m_startCount}};
     m_store.appendRecord("keyed.servers", m_id, entry.dump());
@@ -154,6 +197,10 @@
         connection->reply(Misdirected, {}, "");
         return;
     }
+    if (m_maxRejections && m_running >= BrittleSlots) {
+        reject(connection, id);
+        return;
+    }
     m_checker.onRun(id, field(head, "Tenant"), m_id, m_loop.now());
     if (head.fields.find("Api-Key") != nullptr) {
         m_checker.addViolation("the caller's API key was forwarded to a backend server: " + id);
@@ -162,11 +209,7 @@
         m_loop.at(m_loop.now() + CrashDelay, [this, run = m_id](TimePoint) {
             if (isRunning() && run == m_id) {
                 crash();
-                m_loop.at(m_loop.now() + RestartTime, [this](TimePoint) {
-                    if (!isRunning()) {
-                        start();
-                    }
-                });
+                restartLater();
             }
         });
         return;
@@ -184,7 +227,9 @@
     const bool breakAnswer =
         std::uniform_real_distribution<double>(0, 1)(m_random) < m_brokenAnswerShare;
     const auto work = std::chrono::milliseconds(m_random() % MaxWorkMs);
-    m_loop.at(m_loop.now() + work, [=](TimePoint) {
+    ++m_running;
+    m_loop.at(m_loop.now() + work, [=, this](TimePoint) {
+        --m_running;
         if (connection->closed()) {
             return;
         }
@@ -201,6 +246,9 @@
     HttpFields fields = answerFields(id);
     fields.add("Transfer-Encoding", "chunked");
     connection->send(serializeResponseHead(Ok, "OK", fields));
+    ++m_running;
+    m_loop.at(m_loop.now() + EventInterval * std::max(1, EventsPerStream - from + 1),
+              [this](TimePoint) { --m_running; });
     for (int number = from; number <= EventsPerStream; ++number) {
         m_loop.at(m_loop.now() + EventInterval * (number - from + 1), [=, this](TimePoint) {
             if (connection->closed()) {
--- a/Utilities/Soak/SimulatedBackend.h
+++ b/Utilities/Soak/SimulatedBackend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
@@ -17,7 +18,7 @@
 class SimulatedBackend
 {
 public:
-    SimulatedBackend(EventLoop &loop, const Endpoint &listen, SimulatedStore &store,
+    SimulatedBackend(EventLoop &loop, const Endpoint &listen, int slots, SimulatedStore &store,
                      GuaranteeChecker &checker, std::mt19937_64 &random);
 
     /// Also listens on another host, for one daemon only. Returns the number of this link.
@@ -39,8 +40,12 @@
     /// Names a rate limit in all answers until endRateLimit() or the next start.
     void nameRateLimit(double perSecond);
     void endRateLimit();
+    /// Says in all answers that it bears so many rejections per second, takes no more than
+    /// BrittleSlots requests at a time and falls over beyond it, until endBrittle().
+    void becomeBrittle(int maxRejections);
+    void endBrittle() { m_maxRejections.reset(); }
     bool namesRateLimit() const { return m_rateLimit.has_value(); }
-    bool isRunning() const { return m_running; }
+    bool isRunning() const { return m_started; }
     /// Sets the share of answers, from 0 to 1, whose connection closes before the answer is
     /// complete. For a stream, a quarter of it applies to each event.
     void setBrokenAnswerShare(double share) { m_brokenAnswerShare = share; }
@@ -61,15 +66,25 @@
     GuaranteeChecker &m_checker;
     std::mt19937_64 &m_random;
     std::vector<std::unique_ptr<AsyncServer>> m_servers; ///< One for each link.
-    bool m_running = false;
+    bool m_started = false;
     std::string m_id;
     const char *m_registeredState = "ready";
     int m_startCount = 0;
     int m_sequence = 0;
     double m_brokenAnswerShare = 0;
+    void restartLater();
+    /// Rejects a request. Falls over if it was one too many.
+    void reject(const Connection &connection, const std::string &id);
+
     std::optional<double> m_rateLimit; ///< Requests per second.
+    std::optional<int> m_maxRejections; ///< Per second, of a brittle server.
+    std::deque<TimePoint> m_rejections; ///< Of the last second.
+    int m_running = 0; ///< Requests.
+    int m_slots; ///< As registered.
 };
 
+/// Requests that a server takes at a time while it is brittle.
+constexpr int BrittleSlots = 6;
 /// Body of a request that ends the server that runs it.
 extern const std::string CrashingBody;
 /// Number of events in each stream.
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int UsualSlots = 16; ///< Of a backend server.
 constexpr Duration StartupTime = 1500ms;
 /// From the end of the faults to the start of the fault-free phase.
 constexpr Duration SettleTime = 4s;
@@ -50,8 +51,9 @@
     m_store = std::make_unique<SimulatedStore>(m_loop, port(0));
     publishConfig();
     for (int i = 0; i < m_options.backends; ++i) {
-        m_backends.push_back(std::make_unique<SimulatedBackend>(m_loop, port(10 + i), *m_store,
-                                                                m_checker, m_random));
+        m_backends.push_back(std::make_unique<SimulatedBackend>(
+            m_loop, port(10 + i), m_options.brittle ? BrittleSlots : UsualSlots, *m_store,
+            m_checker, m_random));
     }
     if (m_options.linkCuts) {
         m_linkCuts =
@@ -171,6 +173,10 @@
         injectRateLimit();
         return;
     }
+    if (m_options.brittle) {
+        makeServersBrittle();
+        return;
+    }
     if (m_linkCuts) {
         if (m_random() % 4 == 0) {
             m_linkCuts->silenceServers(now);
@@ -348,6 +354,26 @@
     runAfter(limitTime, [&backend] { backend.endRateLimit(); });
 }
 
+void Soak::makeServersBrittle()
+{
+    constexpr Duration brittleTime = 7s;
+    constexpr int maxRejections = 4;
+    const int perSecond = 1 + static_cast<int>(m_random() % maxRejections);
+    logFault("the backend servers bear " + std::to_string(perSecond) + " rejections a second");
+    for (const auto &backend : m_backends) {
+        backend->becomeBrittle(perSecond);
+    }
+    runAfter(brittleTime, [this] { endBrittle(); });
+}
+
+void Soak::endBrittle()
+{
+    for (const auto &backend : m_backends) {
+        backend->endBrittle();
+    }
+    m_checker.endBrittle(static_cast<int>(m_backends.size()));
+}
+
 void Soak::endAllFaults()
 {
     logFault("all faults end");
@@ -355,6 +381,7 @@
     if (m_linkCuts) {
         m_linkCuts->endAll();
     }
+    endBrittle();
     for (const auto &daemon : m_daemons) {
         daemon->storeProxy->setState(trial::LinkState::Open);
         if (daemon->suspended) {
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -29,6 +29,8 @@
     /// The only faults: daemons lose their links to all backend servers, and servers fall silent
     /// for about a second. Each daemon is in a data centre of its own and reads the store itself.
     bool linkCuts = false;
+    /// The only fault: the backend servers are brittle for some seconds, under more callers.
+    bool brittle = false;
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
     std::string workFolder;
@@ -75,6 +77,9 @@
     void runStoreDrill();
     void injectBackendFault(TimePoint now);
     void injectRateLimit();
+    /// All backend servers are brittle for some seconds.
+    void makeServersBrittle();
+    void endBrittle();
     void runAfter(Duration delay, std::function<void()> action);
     void endAllFaults();
     void logFault(const std::string &what);
--- a/Utilities/Soak/main.cpp
+++ b/Utilities/Soak/main.cpp
@@ -26,6 +26,11 @@
                  "Instead of other faults, servers name rate limits and a request crashes them");
     app.add_flag("--link-cuts", options.linkCuts,
                  "Instead of other faults, daemons lose their links to all backend servers");
+    app.add_flag(
+        "--brittle", options.brittle,
+        "Instead of other faults, servers fall over if they must reject too many requests");
+    app.add_option("--callers", options.callersPerDaemon, "Callers of each daemon")
+        ->check(CLI::Range(1, 60));
     app.add_option("--daemons", options.daemons, "Daemons")->check(CLI::Range(1, 60));
     app.add_option("--runners", options.backends, "Number of backend servers")
         ->check(CLI::Range(1, 60));
