Brittle servers: slots are dealt over the servers of the service; room is left; single servers end a cut

A tenth of the slots stays free, since a new connection may hold one for a moment.

A cut of which only one server is reached again ends after four successes: the others may have stopped.

--- a/Source/Daemon/FleetLimits.cpp
+++ b/Source/Daemon/FleetLimits.cpp
@@ -1,7 +1,6 @@
 #include "Daemon/FleetLimits.h"
 
 #include <algorithm>
-#include <map>
 
 #include "Feed/FeedOrder.h"
 
@@ -65,11 +64,7 @@
     FleetPosition position = fleetPosition(m_view.members(), m_self, MinAssumedDaemons, wallMs);
     position.clockOffset = m_clock.wallTime().time_since_epoch() - m_clock.now().time_since_epoch();
     m_picker.rateLimiter().setPosition(position);
-    std::map<ServiceId, int> slots;
-    for (const auto &[id, state] : m_view.backends()) {
-        slots[state.report.service] += state.draining ? 0 : state.report.slots;
-    }
-    m_picker.rateLimiter().setServiceSlots(std::move(slots));
+    m_picker.rateLimiter().setServers(m_view);
     const auto table = m_view.table();
     if (!table) {
         return;
--- a/Source/Routing/BackendRateLimiter.cpp
+++ b/Source/Routing/BackendRateLimiter.cpp
@@ -53,13 +53,17 @@
         return false;
     }
     const BrittleServerShare share = brittleShare(state);
-    if (share.dividesSlots()) {
-        return load.own < share.ownSlots() && load.all < state.report.slots;
+    if (share.dividesSlots() && load.own < share.ownSlots()) {
+        return load.all < state.report.slots;
+    }
+    const auto rate = share.turnRate(sinceRejection);
+    const bool busy = share.dividesSlots() ? load.all > state.report.slots / 2.0 : load.own > 0;
+    if (!rate || busy) {
+        return false;
     }
-    const BrittleServerShare::TurnRate rate = share.turnRate(sinceRejection);
     const TimePoint lastTurn = sendsTo(server.id).lastTurn;
-    const TimePoint usedUntil = rejected ? std::max(lastTurn, rejectedAt + rate.since) : lastTurn;
-    return load.own == 0 && turnsOf(server, rate.perSecond).usableTurn(usedUntil, now);
+    const TimePoint usedUntil = rejected ? std::max(lastTurn, rejectedAt + rate->since) : lastTurn;
+    return turnsOf(server, rate->perSecond).usableTurn(usedUntil, now).has_value();
 }
 
 bool BackendRateLimiter::takesTurns(const BackendState &state) const
@@ -70,9 +74,21 @@
 
 BrittleServerShare BackendRateLimiter::brittleShare(const BackendState &state) const
 {
-    const auto slots = m_serviceSlots.find(state.report.service);
-    return {stableHash("slots/" + state.report.id.value()), state.report.slots,
-            slots == m_serviceSlots.end() ? 0 : slots->second, m_position};
+    const auto total = m_serviceSlots.find(state.report.service);
+    const auto before = m_slotsBefore.find(state.report.id);
+    return {before == m_slotsBefore.end() ? 0 : before->second, state.report.slots,
+            total == m_serviceSlots.end() ? 0 : total->second, m_position};
+}
+
+void BackendRateLimiter::setServers(const FleetView &view)
+{
+    m_serviceSlots.clear();
+    m_slotsBefore.clear();
+    for (const auto &[id, state] : view.backends()) {
+        int &slots = m_serviceSlots[state.report.service];
+        m_slotsBefore[id] = slots;
+        slots += state.draining ? 0 : BrittleServerShare::usableSlots(state.report.slots);
+    }
 }
 
 TimePoint BackendRateLimiter::nextTurn(const ServerRun &server, double perSecond,
--- a/Source/Routing/BackendRateLimiter.h
+++ b/Source/Routing/BackendRateLimiter.h
@@ -62,8 +62,8 @@
     {
         m_coldLimits[service] = limits;
     }
-    /// Sets the slots of all servers of each service.
-    void setServiceSlots(std::map<ServiceId, int> slots) { m_serviceSlots = std::move(slots); }
+    /// Sets the servers among which the daemons divide the slots of brittle ones.
+    void setServers(const FleetView &view);
     void setPosition(const FleetPosition &position) { m_position = position; }
     const FleetPosition &position() const { return m_position; }
     ServerNotices &notices() { return m_notices; }
@@ -93,7 +93,8 @@
     FleetPosition m_position;
     ServerNotices m_notices;
     std::map<ServiceId, ColdLimits> m_coldLimits;
-    std::map<ServiceId, int> m_serviceSlots;
+    std::map<ServiceId, int> m_serviceSlots; ///< Usable ones of all servers.
+    std::map<InstanceId, int> m_slotsBefore; ///< Of the servers of the service before this one.
     std::map<InstanceId, Sends> m_sends;
 };
 
--- a/Source/Routing/BrittleServerShare.cpp
+++ b/Source/Routing/BrittleServerShare.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 
-#include "Base/Hash.h"
-
 namespace lycheearch {
 
 namespace {
 
+/// Part of the slots that is used: a new connection may hold a slot for a moment.
+constexpr double UsableShare = 0.9;
+
 /// Requests per second and slot, from some time after the last rejection on.
 struct RateStep
 {
@@ -16,13 +17,21 @@
 };
 
 constexpr RateStep RateSteps[] = {{6s, 16}, {3s, 8}, {BrittleServerShare::RejectionPause, 4}};
+/// The same beyond the slots that belong to the daemons, if each has few of them.
+constexpr RateStep ExtraRate{10s, 1};
+constexpr int FewSlots = 4; ///< For each daemon.
 
 } // namespace
 
-BrittleServerShare::BrittleServerShare(std::uint64_t seed, int slots, int serviceSlots,
+int BrittleServerShare::usableSlots(int slots)
+{
+    return std::max(1, static_cast<int>(slots * UsableShare));
+}
+
+BrittleServerShare::BrittleServerShare(int slotsBefore, int slots, int serviceSlots,
                                        const FleetPosition &position)
-    : m_seed(seed)
-    , m_slots(std::max(1, slots))
+    : m_slotsBefore(slotsBefore)
+    , m_slots(usableSlots(slots))
     , m_serviceSlots(std::max(m_slots, serviceSlots))
     , m_position(position)
 {
@@ -30,23 +39,27 @@
 
 int BrittleServerShare::ownSlots() const
 {
-    // The slots lie evenly on a ring of the daemons that begins at first.
-    const std::int64_t daemons = std::max(1, m_position.daemons);
-    const auto first =
-        static_cast<std::int64_t>(mixBits(m_seed) % static_cast<std::uint64_t>(daemons));
-    const std::int64_t place = (m_position.rank - first + daemons) % daemons;
-    const auto slotsBefore = [&](std::int64_t end) {
-        return (end * m_slots + daemons - 1) / daemons;
+    // The slots of all servers are dealt to the daemons in turn.
+    const int daemons = std::max(1, m_position.daemons);
+    const auto dealtBefore = [&](int slot) {
+        return (slot - m_position.rank + daemons - 1) / daemons;
     };
-    return static_cast<int>(slotsBefore(place + 1) - slotsBefore(place));
+    return dealtBefore(m_slotsBefore + m_slots + daemons) - dealtBefore(m_slotsBefore + daemons);
 }
 
-BrittleServerShare::TurnRate BrittleServerShare::turnRate(Duration sinceRejection) const
+std::optional<BrittleServerShare::TurnRate>
+BrittleServerShare::turnRate(Duration sinceRejection) const
 {
+    if (dividesSlots()) {
+        const bool few = m_serviceSlots < FewSlots * m_position.daemons;
+        return !few || sinceRejection < ExtraRate.since
+            ? std::nullopt
+            : std::optional(TurnRate{ExtraRate.perSlot * m_slots, ExtraRate.since});
+    }
     const auto *step =
         std::find_if(std::begin(RateSteps), std::end(RateSteps) - 1,
                      [&](const RateStep &candidate) { return sinceRejection >= candidate.since; });
-    return {step->perSlot * m_slots, step->since};
+    return TurnRate{step->perSlot * m_slots, step->since};
 }
 
 } // namespace lycheearch
--- a/Source/Routing/BrittleServerShare.h
+++ b/Source/Routing/BrittleServerShare.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>
+#include <optional>
 
 #include "Base/Time.h"
 #include "Routing/RateLimitTurns.h"
@@ -11,18 +11,21 @@
 /// of any daemon. The daemons learn of each other's requests too late to keep to the sum of them.
 ///
 /// If the service has at least one slot for each daemon, each slot of a server belongs to one
-/// daemon: all daemons together can't have more requests there than it has slots. The slots of each
-/// server begin at another daemon, so that all daemons have about as many in all.
+/// daemon: all daemons together can't have more requests there than it has slots. If each daemon
+/// has few, it may send a little beyond them in turn while at most half of them are taken, so that
+/// uneven traffic is served.
 ///
-/// With fewer slots, most daemons would have none. There they take turns, at a rate that follows
-/// from the slots and from the time since the last rejection.
+/// With fewer slots, some daemons would have none. There they take turns only, at a rate that
+/// follows from the slots and from the time since the last rejection.
 class BrittleServerShare
 {
 public:
-    /// \p seed gives each server its own order of the daemons, \p slots are those of the server,
-    /// \p serviceSlots those of all servers of the service.
-    BrittleServerShare(std::uint64_t seed, int slots, int serviceSlots,
-                       const FleetPosition &position);
+    /// Slots of a server that are used, of \p slots.
+    static int usableSlots(int slots);
+
+    /// \p slotsBefore are the usable slots of the servers of the service before this one, in an
+    /// order that all daemons compute alike, \p serviceSlots those of all of them.
+    BrittleServerShare(int slotsBefore, int slots, int serviceSlots, const FleetPosition &position);
 
     /// Whether each slot belongs to one daemon.
     bool dividesSlots() const { return m_serviceSlots >= m_position.daemons; }
@@ -38,12 +41,12 @@
     /// How long the server gets no requests after it has rejected one.
     static constexpr Duration RejectionPause = 1200ms;
 
-    /// The rate of turns if not dividesSlots(). \p sinceRejection is the time since the server last
-    /// rejected a request, at least RejectionPause.
-    TurnRate turnRate(Duration sinceRejection) const;
+    /// The rate of turns; std::nullopt if there are none now. \p sinceRejection is the time since
+    /// the server last rejected a request, at least RejectionPause.
+    std::optional<TurnRate> turnRate(Duration sinceRejection) const;
 
 private:
-    std::uint64_t m_seed;
+    int m_slotsBefore;
     int m_slots;
     int m_serviceSlots;
     FleetPosition m_position;
--- a/Source/Routing/ServiceReach.cpp
+++ b/Source/Routing/ServiceReach.cpp
@@ -14,6 +14,8 @@
 constexpr Duration FailureLifetime = 5s;
 /// Distinct servers that must be reached again before requests are sent directly.
 constexpr std::size_t ServersReachedAgain = 2;
+/// The same if only one server is reached: the others may have stopped.
+constexpr int SuccessesOfOneServer = 4;
 
 } // namespace
 
@@ -60,6 +62,7 @@
     state.cutOffSince = now;
     state.servers = servers.size();
     state.reachedAgain.clear();
+    state.successes = 0;
     notify(service, false);
 }
 
@@ -77,7 +80,9 @@
         return false;
     }
     state.reachedAgain.insert(server);
-    if (state.reachedAgain.size() < std::min(ServersReachedAgain, state.servers)) {
+    ++state.successes;
+    if (state.reachedAgain.size() < std::min(ServersReachedAgain, state.servers)
+        && state.successes < SuccessesOfOneServer) {
         return false;
     }
     state.cutOff = false;
--- a/Source/Routing/ServiceReach.h
+++ b/Source/Routing/ServiceReach.h
@@ -63,6 +63,7 @@
         TimePoint cutOffSince;
         std::size_t servers = 0; ///< Of the service, when it was cut off.
         std::set<InstanceId> reachedAgain; ///< Since then.
+        int successes = 0; ///< Since then.
         InstanceId lastProbe;
     };
 
--- a/Tests/Routing/testBrittleServers.cpp
+++ b/Tests/Routing/testBrittleServers.cpp
@@ -40,7 +40,6 @@
         for (int i = 0; i < load.daemons; ++i) {
             m_pickers.emplace_back(InstanceId("d" + std::to_string(i)), DataCentreId("here"));
             m_pickers.back().rateLimiter().setPosition({i, load.daemons, Duration::zero()});
-            m_pickers.back().rateLimiter().setServiceSlots({{Service, load.servers * load.slots}});
             m_pickers.back().setDaemons(load.daemons);
         }
         for (int i = 0; i < load.servers; ++i) {
@@ -52,6 +51,9 @@
             report.slots = load.slots;
             m_view.apply({Offset(0), BackendReported{report}}, Start);
         }
+        for (BackendPicker &picker : m_pickers) {
+            picker.rateLimiter().setServers(m_view);
+        }
     }
 
     void run(Duration time)
--- a/Tests/Routing/testServiceReach.cpp
+++ b/Tests/Routing/testServiceReach.cpp
@@ -91,6 +91,15 @@
     cr_expect_not(reach.cutOff(Desk));
 }
 
+Test(serviceReach, a_single_server_that_is_reached_again_and_again_ends_a_cut)
+{
+    ServiceReach reach = failing(3, 3);
+    for (int i = 1; i < 4; ++i) {
+        cr_expect_not(reach.onReached(Desk, server(1), Start + 1s * i));
+    }
+    cr_expect(reach.onReached(Desk, server(1), Start + 4s));
+}
+
 Test(serviceReach, failures_that_are_far_apart_are_no_cut)
 {
     ServiceReach reach;
