--- a/review/StandIns/Runner.cpp
+++ b/review/StandIns/Runner.cpp
@@ -39,16 +39,32 @@
     m_loop.cancel(m_timer);
 }
 
+void Runner::crash()
+{
+    m_loop.cancel(m_timer);
+    m_server->closeAll();
+    m_record.write("runner " + m_entry.id + " crashes");
+}
+
+void Runner::restart(Duration coldTime)
+{
+    m_startedAt = wallMilliseconds(SystemClock());
+    m_sequence = 0;
+    m_coldUntil = m_loop.now() + coldTime;
+    m_server->open();
+    m_record.write("runner " + m_entry.id + " starts again, cold for "
+                   + std::to_string(toMilliseconds(coldTime)) + " ms");
+    registerEntry();
+}
+
 void Runner::registerEntry()
 {
-    const nlohmann::json entry = {{"Service", m_entry.service},
-                                  {"Address", m_entry.address.text()},
-                                  {"Zone", m_entry.zone},
-                                  {"Version", "v1"},
-                                  {"Slots", m_entry.slots},
-                                  {"State", "ready"},
-                                  {"ColdMs", 0},
-                                  {"Sequence", ++m_sequence},
+    const TimePoint now = m_loop.now();
+    const std::int64_t coldMs = isCold(now) ? toMilliseconds(m_coldUntil - now) : 0;
+    const nlohmann::json entry = {{"Service", m_entry.service}, {"Address", m_entry.address.text()},
+                                  {"Zone", m_entry.zone},       {"Version", "v1"},
+                                  {"Slots", m_entry.slots},     {"State", "ready"},
+                                  {"ColdMs", coldMs},           {"Sequence", ++m_sequence},
                                   {"born", m_startedAt}};
     m_store.appendRecord("keyed.servers", m_entry.id, entry.dump());
     m_timer = m_loop.at(m_loop.now() + HeartbeatPeriod, [this](TimePoint) { registerEntry(); });
--- a/review/StandIns/Runner.h
+++ b/review/StandIns/Runner.h
@@ -47,6 +47,12 @@
     soak::AsyncServer &server() { return *m_server; }
     /// Number of the request among those that this runner ran, from 1 on.
     int count() const { return m_count; }
+    /// Closes all connections and refuses new ones, like a process that was killed. Its entry
+    /// stays.
+    void crash();
+    /// Starts again under the same id, and is cold for \p coldTime. Registers at once.
+    void restart(Duration coldTime);
+    bool isCold(TimePoint now) const { return now < m_coldUntil; }
     /// The fields that every answer to a request has that was run.
     static HttpFields answerFields(const ReceivedRequest &request);
 
@@ -62,6 +68,7 @@
     Handler m_handler;
     std::unique_ptr<soak::AsyncServer> m_server;
     std::int64_t m_startedAt;
+    TimePoint m_coldUntil;
     int m_sequence = 0;
     int m_count = 0;
     TimerId m_timer;
