--- a/review/StandIns/Deployment.cpp
+++ b/review/StandIns/Deployment.cpp
@@ -118,12 +118,12 @@
 }
 
 Runner &Deployment::addRunner(const std::string &service, const std::string &zone,
-                              Runner::Handler handler)
+                              Runner::Handler handler, int slots)
 {
     const std::string id = "i-" + std::to_string(m_runners.size() + 1);
-    m_runners.push_back(std::make_unique<Runner>(m_loop, *m_store, m_record,
-                                                 RunnerEntry{id, service, zone, freeAddress()},
-                                                 std::move(handler)));
+    m_runners.push_back(std::make_unique<Runner>(
+        m_loop, *m_store, m_record, RunnerEntry{id, service, zone, freeAddress(), slots},
+        std::move(handler)));
     return *m_runners.back();
 }
 
--- a/review/StandIns/Deployment.h
+++ b/review/StandIns/Deployment.h
@@ -59,7 +59,8 @@
     /// A free address at the host of the store and the runners.
     Endpoint freeAddress() const;
     void publishConfig(const nlohmann::json &routes, const nlohmann::json &services);
-    Runner &addRunner(const std::string &service, const std::string &zone, Runner::Handler handler);
+    Runner &addRunner(const std::string &service, const std::string &zone, Runner::Handler handler,
+                      int slots = 16);
     /// Starts a daemon. If \p store is given, the daemon reaches the store there.
     DaemonNode &addDaemon(const std::string &zone);
     /// Runs the event loop until all daemons report that they are ready. Returns false if they are
