--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the program of a case: run-case.sh FOLDER. Exit status: 1 the rule was broken, 0 it held, 2
-# the case could not run.
+# Runs the program of a case: run-case.sh FOLDER TROUBLE. With TROUBLE 0, the disruption is left out.
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u
 folder=$(cd "$1" && pwd)
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -11,7 +11,7 @@
 fi
 work=$(mktemp -d)
 cd "$root" || exit 2
-"$program" "$root" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
+"$program" "$root" "$work" "$folder/record.txt" "$2" &
 case_id=$!
 trap 'kill -TERM "$case_id" 2>/dev/null' TERM INT
 wait "$case_id"
