--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -361,16 +361,37 @@
 
 void RequestForwarder::retryOrFail(const char *cause, TimePoint now)
 {
-    if (!mayRetry(now)) {
-        fail(cause, now);
-        return;
-    }
-    if (!m_context.retryBudget.tryWithdraw(m_service, now)) {
+    const bool may = mayRetry(now);
+    const bool retries = may && m_context.retryBudget.tryWithdraw(m_service, now);
+    logRetryDecision(cause, may, retries, now);
+    if (may && !retries) {
         m_context.metrics.count("lycheearch_retries_denied_total");
+    }
+    if (retries) {
+        dispatch(now);
+    } else {
         fail(cause, now);
-        return;
     }
-    dispatch(now);
+}
+
+void RequestForwarder::logRetryDecision(const char *cause, bool may, bool retries, TimePoint now)
+{
+    m_context.log.write(
+        LogPriority::Notable,
+        LogLine("retry.decided")
+            .add("id", m_request.id.value())
+            .add("cause", cause)
+            .add("retries", retries ? "yes" : "no")
+            .add("budget_denied", may && !retries ? "yes" : "no")
+            .add("may_have_run", m_mayHaveRun ? "yes" : "no")
+            .add("retryable", m_route->retryable() ? "yes" : "no")
+            .add("sends", m_attemptCount)
+            .add("max_sends", m_route->maxAttempts)
+            .add("servers_ended",
+                 static_cast<std::int64_t>(
+                     m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_content)))
+            .add("left_ms", m_deadline - now),
+        now);
 }
 
 void RequestForwarder::onDeadline(TimePoint now)
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -149,6 +149,8 @@
     void endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now);
     void retryOrFail(const char *cause, TimePoint now);
     bool mayRetry(TimePoint now) const;
+    /// \p may: all but the retry budget allows a retry.
+    void logRetryDecision(const char *cause, bool may, bool retries, TimePoint now);
 
     void startStallTimer(TimePoint now);
     Duration stallLimit() const;
