A stream that broke off inside an event is not run again

Cause: 'may have run' was a flag that every end of an attempt had to set. handleStreamEnd and the end for an event that is too large did not, so the request counted as not run: it was retried, or refused with 503. Evidence: retry.decided of all broken streams has may_have_run=no retryable=no.

Change: ExecutionState. An attempt counts as executed once it is sent, until it is proven that it was not. Why this works: an end that nobody thought of has no proof, so it cannot permit a retry.

--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -284,6 +284,7 @@
     }
     ++m_attemptCount;
     m_inAttempt = true;
+    m_execution.onSent();
     m_attempt.sentAt = now;
     m_context.picker.onSent(pick, requirements, now);
     m_attempt.ticket = m_context.rolloutCounts.onSent(m_service, m_attempt.version, now);
@@ -353,10 +354,9 @@
 
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
-    const bool safe = m_route->retryable() || !m_mayHaveRun;
     const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_content);
-    return safe && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
-        && m_deadline - now > MinTimeForRetry;
+    return m_execution.maySendAgain(m_route->retryable()) && m_attemptCount < m_route->maxAttempts
+        && ended < MaxServersEnded && m_deadline - now > MinTimeForRetry;
 }
 
 void RequestForwarder::retryOrFail(const char *cause, TimePoint now)
@@ -383,7 +383,7 @@
             .add("cause", cause)
             .add("retries", retries ? "yes" : "no")
             .add("budget_denied", may && !retries ? "yes" : "no")
-            .add("may_have_run", m_mayHaveRun ? "yes" : "no")
+            .add("may_have_run", m_execution.mayHaveRun() ? "yes" : "no")
             .add("retryable", m_route->retryable() ? "yes" : "no")
             .add("sends", m_attemptCount)
             .add("max_sends", m_route->maxAttempts)
@@ -397,7 +397,6 @@
 void RequestForwarder::onDeadline(TimePoint now)
 {
     if (m_inAttempt) {
-        m_mayHaveRun = true;
         endAttempt(SendOutcome::Broken, false, now);
     }
     fail("timeout", now);
@@ -423,8 +422,8 @@
                               m_errorBody, now);
         return;
     }
-    m_declined = m_declined && !m_mayHaveRun;
-    if (!m_mayHaveRun) {
+    m_declined = m_declined && !m_execution.mayHaveRun();
+    if (!m_execution.mayHaveRun()) {
         sendLocalResponse(HttpStatus::Unavailable, cause, now, m_retryAfter);
         return;
     }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -11,6 +11,7 @@
 #include "Forward/ForwardContext.h"
 #include "Forward/RelayFields.h"
 #include "Forward/ResponseWriter.h"
+#include "Routing/ExecutionState.h"
 
 namespace lycheearch {
 
@@ -196,7 +197,7 @@
     bool m_relayAdmitted = false; ///< Counts in RelayAdmission.
     bool m_declined = false; ///< Another daemon may serve the request that came from one.
     Duration m_retryAfter; ///< Retry-After of a refusal.
-    bool m_mayHaveRun = false;
+    ExecutionState m_execution;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
     /// status implies that the request was not executed is not kept.
     std::optional<HttpResponseHead> m_errorHead;
--- a/Source/Forward/RequestForwarderModel.cpp
+++ b/Source/Forward/RequestForwarderModel.cpp
@@ -98,7 +98,6 @@
         setModel(smaller);
         return false;
     }
-    m_mayHaveRun = true;
     // The connection is on the call stack, so it must not be closed here.
     m_context.loop.defer([this] {
         if (m_inAttempt && m_attempt.discarded && !m_finished) {
--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -39,9 +39,9 @@
 
 bool RequestForwarder::mayRelay(TimePoint now) const
 {
-    const bool safe = m_route->retryable() || !m_mayHaveRun;
-    return !m_request.relayed && !m_noPeerLeft && safe && m_triedPeers.size() < MaxPeersPerRequest
-        && m_attemptCount < m_route->maxAttempts && now < m_deadline;
+    return !m_request.relayed && !m_noPeerLeft && m_execution.maySendAgain(m_route->retryable())
+        && m_triedPeers.size() < MaxPeersPerRequest && m_attemptCount < m_route->maxAttempts
+        && now < m_deadline;
 }
 
 bool RequestForwarder::shouldRelay(TimePoint now) const
@@ -93,6 +93,7 @@
                                   m_table->version()},
                    head.fields);
     m_inAttempt = true;
+    m_execution.onSent();
     m_attempt.sentAt = now;
     m_context.peers.onSent(m_attempt.backend);
     m_context.metrics.count("lycheearch_requests_relayed_total");
@@ -133,7 +134,6 @@
 void RequestForwarder::handlePeerResponse(TimePoint now)
 {
     if (!isRefusal(m_attempt.head, m_attempt.metadata)) {
-        m_mayHaveRun = true;
         endRelay(PeerOutcome::Answered, true, now);
         if (m_streamBegun) {
             retryOrFail("the daemon that the request was passed to could not resume the stream",
@@ -143,6 +143,7 @@
         }
         return;
     }
+    m_execution.onProvenNotExecuted();
     const bool declined = m_attempt.relayResult.declined;
     m_retryAfter = m_attempt.metadata.retryAfter.value_or(m_retryAfter);
     m_context.log.write(LogPriority::Notable,
@@ -172,10 +173,10 @@
                         now);
     endRelay(PeerOutcome::Lost, false, now);
     if (delivery == Delivery::NotSent) {
+        m_execution.onProvenNotExecuted();
         dispatch(now);
         return;
     }
-    m_mayHaveRun = true;
     m_attemptCount += m_attempt.headReceived ? 0 : 1;
     retryOrFail("connection to the daemon that the request was passed to lost", now);
 }
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -184,7 +184,6 @@
 void RequestForwarder::collectBody(std::string_view bytes, TimePoint now)
 {
     if (!m_context.responseBudget.tryReserve(bytes.size())) {
-        m_mayHaveRun = true;
         endAttempt(SendOutcome::Broken, false, now);
         retryOrFail("memory limit for response bodies reached", now);
         return;
@@ -216,6 +215,7 @@
     }
     const int status = m_attempt.head.status;
     if (m_attempt.metadata.notExecuted) {
+        m_execution.onProvenNotExecuted();
         endAttempt(status == HttpStatus::Misdirected ? SendOutcome::Misdirected
                                                      : SendOutcome::Overloaded,
                    true, now);
@@ -224,7 +224,6 @@
                     now);
         return;
     }
-    m_mayHaveRun = true;
     if (status < HttpStatus::FirstRedirect) {
         const bool complete =
             m_attempt.metadata.hasSeal && m_attempt.head.fields.find("Content-Encoding") == nullptr;
@@ -272,6 +271,7 @@
     const bool silent = error == std::errc::timed_out;
     if (delivery == Delivery::NotSent) {
         --m_attemptCount;
+        m_execution.onProvenNotExecuted();
         m_unreachableBackends.insert(m_attempt.backend);
         endAttempt(silent ? SendOutcome::Silent : SendOutcome::Unreachable, false, now);
         if (++m_connectFailures >= maxConnectFailures() && !mayRelay(now)) {
@@ -281,7 +281,6 @@
         }
         return;
     }
-    m_mayHaveRun = true;
     if (!silent) {
         recordConnectionLost(now);
     }
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -125,7 +125,6 @@
     if (!mayRetry(now) || !m_context.retryBudget.tryWithdraw(m_service, now)) {
         return;
     }
-    m_mayHaveRun = true;
     m_attemptCount += m_attempt.relayed && !m_attempt.headReceived ? 1 : 0;
     endAttempt(SendOutcome::Broken, false, now);
     dispatch(now);
