A request that crashes servers is recognised though its prompt parts are new each time

Cause: the hash by which a repeated request is recognised had all parts of the prompt, so each arrival was another request. Evidence: one body in 41 lines of lost connections, no content in more than 2.

Change: RequestIdentity has wider hashes, and RequestFamilies condemns what stays the same if no whole request explains the crashes and nobody served it. Whole requests are decided first, as before.

requestForwarder::a_crashing_request_is_refused_although_its_last_prompt_part_is_new_each_time failed before (shown with the families left out, which is the old identity).

--- a/Source/Daemon/CrashVerdictAgent.cpp
+++ b/Source/Daemon/CrashVerdictAgent.cpp
@@ -9,6 +9,21 @@
 
 constexpr Duration StepPeriod = 500ms;
 
+const char *kindName(CrashTable::SuspectKind kind)
+{
+    switch (kind) {
+    case CrashTable::SuspectKind::Part:
+        return "part";
+    case CrashTable::SuspectKind::Request:
+        return "request";
+    case CrashTable::SuspectKind::Family:
+        return "family";
+    case CrashTable::SuspectKind::Learned:
+        break;
+    }
+    return "learned";
+}
+
 } // namespace
 
 CrashVerdictAgent::CrashVerdictAgent(EventLoop &loop, FleetStore &store, const RecordCodec &codec,
@@ -51,8 +66,7 @@
                     LogLine("prompt.condemned")
                         .add("part", hashText(verdict.key.hash))
                         .add("account", hashText(verdict.key.account))
-                        .add("whole_request", verdict.wholeRequest ? "yes" : "no")
-                        .add("learned", verdict.learned ? "yes" : "no")
+                        .add("kind", kindName(verdict.kind))
                         .add("servers", static_cast<std::int64_t>(verdict.servers))
                         .add("requests", static_cast<std::int64_t>(verdict.requests))
                         .add("all_servers", static_cast<std::int64_t>(verdict.allServers))
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -144,11 +144,16 @@
         crashes[i].setServer(crash.server);
         crashes[i].setAccount(crash.account);
         crashes[i].setAge(crash.age.count());
-        crashes[i].setContent(crash.content);
+        crashes[i].setContent(crash.identity.content);
         auto parts = crashes[i].initParts(static_cast<unsigned>(crash.parts.size()));
         for (unsigned j = 0; j < parts.size(); ++j) {
             parts.set(j, crash.parts[j]);
         }
+        const std::vector<std::uint64_t> &families = crash.identity.families;
+        auto familyList = crashes[i].initFamilies(static_cast<unsigned>(families.size()));
+        for (unsigned j = 0; j < familyList.size(); ++j) {
+            familyList.set(j, families[j]);
+        }
     }
     auto successes = builder.initSuccesses(static_cast<unsigned>(evidence.successes.size()));
     for (unsigned i = 0; i < successes.size(); ++i) {
@@ -164,8 +169,12 @@
 {
     CrashEvidence evidence;
     for (const auto entry : reader.getCrashes()) {
-        RequestCrash crash{entry.getRequest(),       entry.getServer(), entry.getAccount(), {},
-                           Duration(entry.getAge()), entry.getContent()};
+        RequestCrash crash{entry.getRequest(),       entry.getServer(),
+                           entry.getAccount(),       {},
+                           Duration(entry.getAge()), {entry.getContent(), {}}};
+        for (const std::uint64_t family : entry.getFamilies()) {
+            crash.identity.families.push_back(family);
+        }
         for (const std::uint64_t part : entry.getParts()) {
             crash.parts.push_back(part);
         }
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -64,6 +64,7 @@
   parts @3 :List(UInt64);
   age @4 :Int64;               # Microseconds since the connection was lost.
   content @5 :UInt64;          # 0 from daemons that don't know it.
+  families @6 :List(UInt64);   # Narrowest first; empty from daemons that don't know them.
 }
 
 struct FeedPromptPart {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9da51a5073c2edab, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9da51a5073c2edab, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -926,6 +926,9 @@
 
   inline  ::uint64_t getContent() const;
 
+  inline bool hasFamilies() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFamilies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -977,6 +980,14 @@
   inline  ::uint64_t getContent();
   inline void setContent( ::uint64_t value);
 
+  inline bool hasFamilies();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFamilies();
+  inline void setFamilies( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFamilies(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFamilies(unsigned int size);
+  inline void adoptFamilies(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFamilies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2503,6 +2514,44 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FeedPromptCrash::Reader::hasFamilies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedPromptCrash::Builder::hasFamilies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FeedPromptCrash::Reader::getFamilies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedPromptCrash::Builder::getFamilies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedPromptCrash::Builder::setFamilies( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void FeedPromptCrash::Builder::setFamilies(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FeedPromptCrash::Builder::initFamilies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedPromptCrash::Builder::adoptFamilies(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FeedPromptCrash::Builder::disownFamilies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t FeedPromptPart::Reader::getAccount() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -354,7 +354,7 @@
 
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
-    const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_content);
+    const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity);
     return m_execution.maySendAgain(m_route->retryable()) && m_attemptCount < m_route->maxAttempts
         && ended < MaxServersEnded && m_deadline - now > MinTimeForRetry;
 }
@@ -389,7 +389,7 @@
             .add("max_sends", m_route->maxAttempts)
             .add("servers_ended",
                  static_cast<std::int64_t>(
-                     m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_content)))
+                     m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity)))
             .add("left_ms", m_deadline - now),
         now);
 }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -180,8 +180,7 @@
     bool m_runsModels = false;
     std::uint64_t m_accountHash = 0;
     std::vector<std::uint64_t> m_sharedParts; ///< Hashes of the prompt's parts but the last.
-    /// Hash of what stays the same when the request comes again: method, path, prompt and body.
-    std::uint64_t m_content = 0;
+    RequestIdentity m_identity; ///< What stays the same when the request comes again.
 
     TimePoint m_receivedAt;
     TimePoint m_deadline;
--- a/Source/Forward/RequestForwarderCrash.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -11,11 +11,11 @@
     for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
         m_sharedParts.push_back(stableHash(m_request.prompt[i].id));
     }
-    std::string line = m_request.head.method + " " + m_request.head.target;
+    std::vector<std::string> parts;
     for (const PromptPart &part : m_request.prompt) {
-        line += " " + part.id;
+        parts.push_back(part.id);
     }
-    m_content = mixBits(stableHash(line) ^ mixBits(stableHash(m_body)));
+    m_identity = requestIdentity(m_request.head.method, m_request.head.target, parts, m_body);
 }
 
 bool RequestForwarder::refuseCrashingRequest(TimePoint now)
@@ -29,8 +29,8 @@
         fail("a part of the prompt crashes backend servers", now);
         return true;
     }
-    if (table.refusesRequest(m_accountHash, m_content, now)) {
-        logCrashingRefused("crash.refused", "content", m_content, now);
+    if (table.refusesRequest(m_accountHash, m_identity, now)) {
+        logCrashingRefused("crash.refused", "content", m_identity.content, now);
         m_context.metrics.count("lycheearch_crashing_requests_refused_total");
         m_retryAfter = CondemnedTable::Lifetime;
         fail("the request crashes backend servers", now);
@@ -52,7 +52,7 @@
 
 void RequestForwarder::recordServed(TimePoint now)
 {
-    m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+    m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_identity, now);
     m_context.pendingCrashes.withdraw(stableHash(m_request.id.value()));
 }
 
@@ -62,14 +62,14 @@
         logBrokenOff(now);
     }
     if (m_attempt.headReceived && now - m_attempt.headAt >= CrashTable::CrashWindow) {
-        m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_content, now);
+        m_context.crashes.recordSuccess(m_accountHash, m_sharedParts, m_identity, now);
         return;
     }
     // Without a head, the request may have waited for a slot: that says nothing of its parts.
     const auto parts = m_attempt.headReceived ? m_sharedParts : std::vector<std::uint64_t>();
     m_context.pendingCrashes.add(m_service, m_attempt.backend,
                                  {stableHash(m_request.id.value()), m_attempt.server, m_accountHash,
-                                  parts, Duration::zero(), m_content},
+                                  parts, Duration::zero(), m_identity},
                                  now);
 }
 
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -263,7 +263,7 @@
                             .add("sent", delivery == Delivery::NotSent ? "no" : "maybe")
                             .add("fresh", m_attempt.newConnection ? "yes" : "no")
                             .add("account", m_account.value())
-                            .add("content", hashText(m_content))
+                            .add("content", hashText(m_identity.content))
                             .add("body", hashText(stableHash(m_body)))
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
--- a/Source/Routing/CondemnedTable.cpp
+++ b/Source/Routing/CondemnedTable.cpp
@@ -63,12 +63,19 @@
         && (found->second.size() >= AccountsForAll || found->second.contains(account));
 }
 
-bool CondemnedTable::refusesRequest(std::uint64_t account, std::uint64_t content) const
+bool CondemnedTable::refusesRequest(std::uint64_t account, std::uint64_t hash) const
 {
-    const auto found = m_accountsOf.find(content);
+    const auto found = m_accountsOf.find(hash);
     return found != m_accountsOf.end() && found->second.contains(account);
 }
 
+bool CondemnedTable::refusesRequest(std::uint64_t account, const RequestIdentity &identity) const
+{
+    return refusesRequest(account, identity.content)
+        || std::any_of(identity.families.begin(), identity.families.end(),
+                       [&](std::uint64_t family) { return refusesRequest(account, family); });
+}
+
 std::vector<CondemnedSuspect> CondemnedTable::all(TimePoint now) const
 {
     std::vector<CondemnedSuspect> suspects;
--- a/Source/Routing/CrashEvidence.h
+++ b/Source/Routing/CrashEvidence.h
@@ -5,15 +5,16 @@
 #include <vector>
 
 #include "Base/Time.h"
+#include "Routing/RequestIdentity.h"
 
 namespace lycheearch {
 
-/// What may crash servers: a part of the prompts of one client account, or a whole request of it.
-/// All are hashes, since their texts are only compared.
+/// What may crash servers: a part of the prompts of one client account, a whole request of it, or a
+/// family of its requests. All are hashes, since their texts are only compared.
 struct SuspectKey
 {
     std::uint64_t account = 0;
-    std::uint64_t hash = 0; ///< Of the part, or of the content of a whole request.
+    std::uint64_t hash = 0; ///< Of the part, the content or the family.
 
     auto operator<=>(const SuspectKey &) const = default;
 };
@@ -29,9 +30,7 @@
     /// request may have waited for a slot.
     std::vector<std::uint64_t> parts;
     Duration age{}; ///< Time since the connection was lost.
-    /// Hash of the method, path, prompt and body, which stay the same when the request comes again;
-    /// 0 if not known.
-    std::uint64_t content = 0;
+    RequestIdentity identity;
 
     bool operator==(const RequestCrash &) const = default;
 };
@@ -45,7 +44,7 @@
     bool operator==(const SuspectSuccess &) const = default;
 };
 
-/// A part, or the content of a request, that is condemned: requests with it are refused.
+/// A part, a content or a family that is condemned: requests with it are refused.
 struct CondemnedSuspect
 {
     SuspectKey key;
--- a/Source/Routing/CrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -12,7 +12,7 @@
 constexpr Duration CrashLifetime = 60s;
 constexpr std::size_t MaxCrashes = 512;
 /// Own successes remembered in each of two generations.
-constexpr std::size_t MaxOwnSuccesses = 8192;
+constexpr std::size_t MaxOwnSuccesses = 12'288;
 /// Successes of suspects, above which those are forgotten that are no suspects any more.
 constexpr std::size_t MaxSuspectSuccesses = 4096;
 
@@ -44,6 +44,21 @@
     return mixBits(key.account ^ mixBits(key.hash));
 }
 
+/// The content, if it is known, and the families.
+std::vector<std::uint64_t> hashesOf(const RequestIdentity &identity)
+{
+    std::vector<std::uint64_t> hashes = identity.families;
+    if (identity.content != 0) {
+        hashes.push_back(identity.content);
+    }
+    return hashes;
+}
+
+bool includes(const std::vector<std::uint64_t> &hashes, std::uint64_t hash)
+{
+    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+}
+
 } // namespace
 
 void CrashTable::recordCrash(RequestCrash crash, TimePoint now)
@@ -64,8 +79,8 @@
     for (const std::uint64_t part : crash.report.parts) {
         noteOwnSuccess({crash.report.account, part});
     }
-    if (crash.report.content != 0) {
-        noteOwnSuccess({crash.report.account, crash.report.content});
+    for (const std::uint64_t hash : hashesOf(crash.report.identity)) {
+        noteOwnSuccess({crash.report.account, hash});
     }
     ++m_crashCounts[crash.report.account];
     m_crashes.push_back(std::move(crash));
@@ -120,23 +135,34 @@
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
         const RequestCrash &report = crash.report;
         return report.account == key.account
-            && (report.content == key.hash
-                || std::find(report.parts.begin(), report.parts.end(), key.hash)
-                    != report.parts.end());
+            && (includes(hashesOf(report.identity), key.hash) || includes(report.parts, key.hash));
     });
 }
 
-std::size_t CrashTable::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
+std::size_t CrashTable::serversEndedUnder(std::uint64_t account,
+                                          const RequestIdentity &identity) const
 {
-    const std::optional<TimePoint> success = lastSuccess({account, content});
-    std::set<std::uint64_t> servers;
+    std::map<std::uint64_t, std::set<std::uint64_t>> serversOf;
+    const std::optional<TimePoint> success = lastSuccess({account, identity.content});
     for (const Crash &crash : m_crashes) {
-        const bool same = crash.report.account == account && crash.report.content == content;
-        if (same && (!success || *success < crash.at)) {
-            servers.insert(crash.report.server);
+        const RequestIdentity &other = crash.report.identity;
+        if (crash.report.account != account) {
+            continue;
+        }
+        if (other.content == identity.content && (!success || *success < crash.at)) {
+            serversOf[identity.content].insert(crash.report.server);
+        }
+        for (const std::uint64_t family : identity.families) {
+            if (includes(other.families, family) && !lastSuccess({account, family})) {
+                serversOf[family].insert(crash.report.server);
+            }
         }
     }
-    return servers.size();
+    std::size_t most = 0;
+    for (const auto &[hash, servers] : serversOf) {
+        most = std::max(most, servers.size());
+    }
+    return most;
 }
 
 void CrashTable::noteOwnSuccess(const SuspectKey &key)
@@ -154,12 +180,10 @@
 }
 
 void CrashTable::recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
-                               std::uint64_t content, TimePoint now)
+                               const RequestIdentity &identity, TimePoint now)
 {
-    std::vector<std::uint64_t> served = parts;
-    if (content != 0) {
-        served.push_back(content);
-    }
+    std::vector<std::uint64_t> served = hashesOf(identity);
+    served.insert(served.end(), parts.begin(), parts.end());
     for (const std::uint64_t part : served) {
         const SuspectKey key{account, part};
         if (m_ownSuccesses.size() >= MaxOwnSuccesses) {
@@ -193,7 +217,6 @@
     if (m_condemned.add(part, now)) {
         Verdict verdict;
         verdict.key = part.key;
-        verdict.learned = true;
         m_verdicts.push_back(verdict);
     }
 }
@@ -240,10 +263,11 @@
     return found == parts.end() ? std::nullopt : std::optional(*found);
 }
 
-bool CrashTable::refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now)
+bool CrashTable::refusesRequest(std::uint64_t account, const RequestIdentity &identity,
+                                TimePoint now)
 {
     evaluate(now);
-    return m_condemned.refusesRequest(account, content);
+    return m_condemned.refusesRequest(account, identity);
 }
 
 bool CrashTable::explainedByPart(const RequestCrash &crash) const
@@ -270,33 +294,94 @@
         const std::size_t allServers = serversEnded(suspect->first, suspect->last);
         m_condemned.add({suspect->key, Duration::zero()}, now);
         m_verdicts.push_back({suspect->key, suspect->servers.size(), suspect->requests.size(),
-                              allServers, suspect->served, false, false});
+                              allServers, suspect->served, SuspectKind::Part});
     }
-    for (const RequestSuspects::Suspect &suspect : requestSuspects(now).convicted()) {
+    condemnRequests(now);
+}
+
+void CrashTable::condemnRequests(TimePoint now)
+{
+    const RequestFamilies families = requestFamilies(now);
+    for (const RequestSuspects::Suspect &suspect : requestSuspects(families, now).convicted()) {
         m_condemned.add({suspect.key, Duration::zero()}, now);
         m_verdicts.push_back({suspect.key, suspect.servers.size(), suspect.arrivals.size(), 0,
-                              suspect.served, true, false});
+                              suspect.served, SuspectKind::Request});
+    }
+    // What the verdicts above explain is no evidence against families.
+    for (const RequestFamilies::Suspect &family : requestFamilies(now).convicted()) {
+        m_condemned.add({family.key, Duration::zero()}, now);
+        m_verdicts.push_back({family.key, family.servers().size(), family.serversOf.size(), 0,
+                              false, SuspectKind::Family});
     }
 }
 
-RequestSuspects CrashTable::requestSuspects(TimePoint now) const
+bool CrashTable::isEvidence(const Crash &crash, const std::set<std::uint64_t> &endedByParts,
+                            TimePoint now) const
 {
-    const std::set<std::uint64_t> explained = serversEndedByParts();
-    RequestSuspects suspects;
+    return crash.report.identity.content != 0 && now - crash.receivedAt >= ObjectionTime
+        && !endedByParts.contains(crash.report.server);
+}
+
+bool CrashTable::acquitted(const SuspectKey &key, TimePoint crashedAt, TimePoint now) const
+{
+    const std::optional<TimePoint> success = lastSuccess(key);
+    return success && (*success >= crashedAt || now - *success < MinTimeSinceSuccess);
+}
+
+RequestSuspects CrashTable::requestSuspects(const RequestFamilies &families, TimePoint now) const
+{
+    const std::set<std::uint64_t> endedByParts = serversEndedByParts();
+    const std::map<std::uint64_t, std::size_t> endedByFamilies = families.serversOfCondemned();
+    std::map<SuspectKey, std::vector<const Crash *>> crashesOf;
+    std::map<SuspectKey, std::set<std::uint64_t>> serversOf;
     for (const Crash &crash : m_crashes) {
-        const SuspectKey key{crash.report.account, crash.report.content};
-        const std::optional<TimePoint> success = lastSuccess(key);
-        const bool acquitted =
-            success && (*success >= crash.at || now - *success < MinTimeSinceSuccess);
-        if (key.hash != 0 && !acquitted && now - crash.receivedAt >= ObjectionTime
-            && !explained.contains(crash.report.server)) {
-            suspects.add(crash.report, success.has_value(),
-                         m_condemned.refusesRequest(key.account, key.hash));
+        const SuspectKey key{crash.report.account, crash.report.identity.content};
+        if (isEvidence(crash, endedByParts, now) && !acquitted(key, crash.at, now)) {
+            crashesOf[key].push_back(&crash);
+            serversOf[key].insert(crash.report.server);
+        }
+    }
+    RequestSuspects suspects;
+    for (const auto &[key, crashes] : crashesOf) {
+        for (const Crash *crash : crashes) {
+            const auto byFamily = endedByFamilies.find(crash->report.server);
+            if (byFamily == endedByFamilies.end() || byFamily->second <= serversOf[key].size()) {
+                suspects.add(crash->report, lastSuccess(key).has_value(),
+                             m_condemned.refusesRequest(key.account, key.hash));
+            }
         }
     }
     return suspects;
 }
 
+RequestFamilies CrashTable::requestFamilies(TimePoint now) const
+{
+    const std::set<std::uint64_t> endedByParts = serversEndedByParts();
+    RequestFamilies families;
+    for (const Crash &crash : m_crashes) {
+        const RequestCrash &report = crash.report;
+        const RequestIdentity &identity = report.identity;
+        if (!isEvidence(crash, endedByParts, now)) {
+            continue;
+        }
+        families.addEnded(report.server, crash.at);
+        if (!acquitted({report.account, identity.content}, crash.at, now)) {
+            families.addRequest(report);
+        }
+        if (m_condemned.refusesRequest(report.account, identity.content)) {
+            continue;
+        }
+        for (std::size_t width = 0; width < identity.families.size(); ++width) {
+            const SuspectKey key{report.account, identity.families[width]};
+            if (!lastSuccess(key)) {
+                families.add(report, width, m_condemned.refusesRequest(key.account, key.hash),
+                             crash.at);
+            }
+        }
+    }
+    return families;
+}
+
 std::optional<CrashTable::Suspect> CrashTable::worstSuspect(TimePoint now) const
 {
     std::optional<Suspect> worst;
@@ -331,14 +416,14 @@
     const std::set<std::uint64_t> endedByParts = serversEndedByParts();
     std::set<std::uint64_t> endedByRequests;
     for (const Crash &crash : m_crashes) {
-        if (m_condemned.refusesRequest(crash.report.account, crash.report.content)) {
+        if (m_condemned.refusesRequest(crash.report.account, crash.report.identity)) {
             endedByRequests.insert(crash.report.server);
         }
     }
     std::map<SuspectKey, Suspect> found;
     for (const Crash &crash : m_crashes) {
         const RequestCrash &report = crash.report;
-        const bool cause = m_condemned.refusesRequest(report.account, report.content);
+        const bool cause = m_condemned.refusesRequest(report.account, report.identity);
         if (endedByParts.contains(report.server)
             || (!cause && endedByRequests.contains(report.server))
             || now - crash.receivedAt < ObjectionTime) {
@@ -368,7 +453,7 @@
     suspect.first = std::min(suspect.first, crash.at);
     suspect.last = std::max(suspect.last, crash.at);
     suspect.servers.insert(crash.report.server);
-    const std::uint64_t content = crash.report.content;
+    const std::uint64_t content = crash.report.identity.content;
     suspect.requests.insert(content != 0 ? content : crash.report.request);
 }
 
--- a/Source/Routing/CrashTable.h
+++ b/Source/Routing/CrashTable.h
@@ -9,6 +9,7 @@
 
 #include "Routing/CondemnedTable.h"
 #include "Routing/CrashEvidence.h"
+#include "Routing/RequestFamilies.h"
 #include "Routing/RequestSuspects.h"
 
 namespace lycheearch {
@@ -31,15 +32,19 @@
 ///   parts of its prompt.
 ///
 /// A whole request is the narrowest suspect, see RequestSuspects: a wrong verdict hits only its
-/// repetitions. It is refused to its account only. A part is condemned for one client account. If
-/// the parts of several accounts are condemned, it is refused to all: so a single account can't
-/// have the prompts of another one refused.
+/// repetitions. A request that differs a little each time it comes is found by what stays the same,
+/// see RequestFamilies. Both are refused to their account only. A part is condemned for one client
+/// account. If the parts of several accounts are condemned, it is refused to all: so a single
+/// account can't have the prompts of another one refused.
 class CrashTable
 {
 public:
     /// An answer that breaks off later after its begin, or not at all, counts as served.
     static constexpr Duration CrashWindow = 2s;
 
+    /// What a decision is about. It is not known, nor are its counts, if another daemon decided.
+    enum class SuspectKind { Part, Request, Family, Learned };
+
     /// A decision, for the log.
     struct Verdict
     {
@@ -48,15 +53,14 @@
         std::size_t requests = 0; ///< Under which they ended.
         std::size_t allServers = 0; ///< That ended in the same time under any request.
         bool served = false; ///< Whether the part had been served before.
-        bool wholeRequest = false; ///< Or a part of prompts; not known if learned.
-        bool learned = false; ///< From another daemon, so that the counts above are not known.
+        SuspectKind kind = SuspectKind::Learned;
     };
 
     /// Records an answer of this daemon that broke off; its age is ignored.
     void recordCrash(RequestCrash crash, TimePoint now);
     /// Records an answer of this daemon that was served.
     void recordSuccess(std::uint64_t account, const std::vector<std::uint64_t> &parts,
-                       std::uint64_t content, TimePoint now);
+                       const RequestIdentity &identity, TimePoint now);
     /// Withdraws the crashes without an answer of a request of this daemon that was served after
     /// all: it only ran beside the cause.
     void withdrawCrashes(std::uint64_t request);
@@ -71,11 +75,11 @@
     /// The part because of which a request must not be sent to a server, if any.
     std::optional<std::uint64_t>
     refusedPart(std::uint64_t account, const std::vector<std::uint64_t> &parts, TimePoint now);
-    /// Whether a request of the account with this content must not be sent to a server.
-    bool refusesRequest(std::uint64_t account, std::uint64_t content, TimePoint now);
-    /// Number of servers that ended under the request since it was last served, as far as known.
-    /// Each further attempt may cost one more.
-    std::size_t serversEndedUnder(std::uint64_t account, std::uint64_t content) const;
+    /// Whether a request of the account with this identity must not be sent to a server.
+    bool refusesRequest(std::uint64_t account, const RequestIdentity &identity, TimePoint now);
+    /// Number of servers that ended under the request since it was last served, or under a family
+    /// of it that was never served, as far as known. Each further attempt may cost one more.
+    std::size_t serversEndedUnder(std::uint64_t account, const RequestIdentity &identity) const;
     /// Decides on the parts under suspicion.
     void evaluate(TimePoint now);
     /// Returns and clears the decisions since the last call.
@@ -124,11 +128,17 @@
     bool convicts(const Suspect &suspect, TimePoint now) const;
     std::size_t serversEnded(TimePoint from, TimePoint to) const;
     std::optional<Suspect> worstSuspect(TimePoint now) const;
-    /// The evidence against whole requests.
-    RequestSuspects requestSuspects(TimePoint now) const;
+    /// The evidence against whole requests, beside that against families.
+    RequestSuspects requestSuspects(const RequestFamilies &families, TimePoint now) const;
+    RequestFamilies requestFamilies(TimePoint now) const;
+    void condemnRequests(TimePoint now);
+    /// Whether the crash is old enough for objections, and no condemned part explains it.
+    bool isEvidence(const Crash &crash, const std::set<std::uint64_t> &endedByParts,
+                    TimePoint now) const;
+    bool acquitted(const SuspectKey &key, TimePoint crashedAt, TimePoint now) const;
     /// Servers whose end a condemned part explains.
     std::set<std::uint64_t> serversEndedByParts() const;
-    /// Whether a server ended under the part or the whole request.
+    /// Whether a server ended under the part, the whole request or the family.
     bool isSuspect(const SuspectKey &key) const;
     std::optional<TimePoint> lastSuccess(const SuspectKey &key) const;
     void noteOwnSuccess(const SuspectKey &key);
--- a/Source/Routing/PendingCrashes.cpp
+++ b/Source/Routing/PendingCrashes.cpp
@@ -55,15 +55,16 @@
     return true;
 }
 
-std::size_t PendingCrashes::serversEndedUnder(std::uint64_t account, std::uint64_t content) const
+std::size_t PendingCrashes::serversEndedUnder(std::uint64_t account,
+                                              const RequestIdentity &identity) const
 {
     std::set<std::uint64_t> servers;
     for (const Loss &loss : m_losses) {
-        if (loss.crash.account == account && loss.crash.content == content) {
+        if (loss.crash.account == account && loss.crash.identity.content == identity.content) {
             servers.insert(loss.crash.server);
         }
     }
-    return servers.size() + m_table.serversEndedUnder(account, content);
+    return servers.size() + m_table.serversEndedUnder(account, identity);
 }
 
 } // namespace lycheearch
--- a/Source/Routing/PendingCrashes.h
+++ b/Source/Routing/PendingCrashes.h
@@ -27,7 +27,7 @@
     /// Passes on or drops the losses that can be decided now.
     void settle(TimePoint now);
     /// Number of servers that ended under the request as far as known, undecided losses included.
-    std::size_t serversEndedUnder(std::uint64_t account, std::uint64_t content) const;
+    std::size_t serversEndedUnder(std::uint64_t account, const RequestIdentity &identity) const;
 
 private:
     struct Loss
--- a/Source/Routing/RequestSuspects.cpp
+++ b/Source/Routing/RequestSuspects.cpp
@@ -19,7 +19,7 @@
 
 void RequestSuspects::add(const RequestCrash &crash, bool served, bool condemned)
 {
-    const SuspectKey key{crash.account, crash.content};
+    const SuspectKey key{crash.account, crash.identity.content};
     Suspect &suspect = m_suspects[key];
     suspect.key = key;
     suspect.served = served;
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -44,7 +44,7 @@
         {{~std::uint64_t{0}, InstanceId("e1")}, {7, InstanceId("e2")}},
         {},
         {{{InstanceId("e1"), 1000}, 1.5, 3ms}, {{InstanceId("e2"), 0}, std::nullopt, 4ms}}};
-    load.crashEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms, 12}};
+    load.crashEvidence.crashes = {{1, 2, 3, {4, ~std::uint64_t{0}}, 5ms, {12, {13, 14}}}};
     load.crashEvidence.successes = {{{6, 7}, 8ms}};
     load.crashEvidence.condemned = {{{9, 10}, 11ms}};
     load.loads[InstanceId("e1")] = {{1, 2.5, 3}, 4, 1};
--- a/Tests/Forward/testCrashingRequests.cpp
+++ b/Tests/Forward/testCrashingRequests.cpp
@@ -35,11 +35,12 @@
     }
 
     /// Returns the status that the caller receives. Each arrival has a new id.
-    int call(const std::string &body)
+    int call(const std::string &body, const std::string &fields = "")
     {
         const std::string response = harness.call(
             "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: q" + std::to_string(m_calls++)
-            + "\r\nApi-Key: k\r\nTime-Budget-Ms: 2000\r\nConnection: close\r\nContent-Length: "
+            + "\r\n" + fields
+            + "Api-Key: k\r\nTime-Budget-Ms: 2000\r\nConnection: close\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body);
         return ForwardHarness::statusOf(response);
     }
@@ -79,3 +80,26 @@
     cr_expect_eq(fleet.call(CrashingBody), 502);
     cr_expect_eq(fleet.harness.received(), 2);
 }
+
+// Guards against a request that crashes servers each time it comes, with a last part of its own.
+Test(requestForwarder, a_crashing_request_is_refused_although_its_last_prompt_part_is_new_each_time,
+     .timeout = 30)
+{
+    CrashingServers fleet(RouteKind::Idempotent);
+    int part = 0;
+    const auto call = [&](const std::string &body) {
+        return fleet.call(body, "Prompt-Prefix: 5c1e:800,e" + std::to_string(++part) + ":250\r\n");
+    };
+    cr_expect_eq(call("sound"), 200);
+    for (int i = 0; i < 3; ++i) {
+        cr_expect_neq(call(CrashingBody), 200);
+        fleet.harness.runLoop(1100ms);
+    }
+    const std::size_t before = fleet.harness.received();
+    for (int i = 0; i < 3; ++i) {
+        cr_expect_eq(call(CrashingBody), 503);
+    }
+    cr_expect_eq(fleet.harness.received(), before);
+    cr_expect_eq(call("sound"), 200);
+    cr_expect_eq(call("another"), 200);
+}
--- a/Tests/Routing/testCrashTable.cpp
+++ b/Tests/Routing/testCrashTable.cpp
@@ -73,7 +73,7 @@
         fleet.exchange(now);
         for (const Running &answer : running) {
             if (answer.end <= now) {
-                fleet.tables[answer.daemon]->recordSuccess(Account, answer.parts, 0, now);
+                fleet.tables[answer.daemon]->recordSuccess(Account, answer.parts, {0}, now);
             }
         }
         std::erase_if(running, [&](const Running &answer) { return answer.end <= now; });
@@ -166,7 +166,7 @@
 Test(crashTable, a_daemon_objects_for_a_part_that_it_has_served)
 {
     CrashTable table;
-    table.recordSuccess(Account, {FirstPart}, 0, start());
+    table.recordSuccess(Account, {FirstPart}, {0}, start());
     CrashEvidence evidence;
     evidence.crashes = {crash(1, 1, {FirstPart, BadPart})};
     table.apply(evidence, start() + 1s);
@@ -179,7 +179,7 @@
 {
     CrashTable table;
     TimePoint now = start();
-    table.recordSuccess(Account, {BadPart}, 0, now);
+    table.recordSuccess(Account, {BadPart}, {0}, now);
     for (std::uint64_t i = 0; i < 8; ++i) {
         now += 1s;
         table.recordCrash(crash(i, i, {BadPart}), now);
@@ -249,7 +249,7 @@
 {
     CrashTable table;
     for (std::uint64_t i = 0; i < 100'000; ++i) {
-        table.recordSuccess(Account, {i}, i, start());
+        table.recordSuccess(Account, {i}, {i}, start());
         table.recordCrash(crash(i, i % 7, {i}), start());
     }
     cr_expect(table.takeUnpublished(start() + 1s).crashes.size() <= 512);
--- a/Tests/Routing/testServiceReach.cpp
+++ b/Tests/Routing/testServiceReach.cpp
@@ -126,16 +126,16 @@
     ServiceReach reach;
     PendingCrashes pending(table, reach);
     pending.add(Desk, server(0), crashOf(1, 1), Start);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 0);
-    cr_expect_eq(pending.serversEndedUnder(Account, Content), 1);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 0);
+    cr_expect_eq(pending.serversEndedUnder(Account, {Content}), 1);
     reach.onReached(Desk, server(0), Start + 1ms);
     reach.onReached(Engines, server(7), Start - 1ms);
     pending.settle(Start + 2ms);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 0);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 0);
     reach.onReached(Engines, server(7), Start + 2ms);
     pending.settle(Start + 3ms);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 1);
-    cr_expect_eq(pending.serversEndedUnder(Account, Content), 1);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 1);
+    cr_expect_eq(pending.serversEndedUnder(Account, {Content}), 1);
 }
 
 Test(pendingCrashes, connections_lost_with_all_servers_of_all_services_are_no_crashes)
@@ -147,7 +147,7 @@
         pending.add(Desk, server(static_cast<int>(i)), crashOf(i, i), Start);
     }
     pending.settle(Start + 2s);
-    cr_expect_eq(pending.serversEndedUnder(Account, Content), 0);
+    cr_expect_eq(pending.serversEndedUnder(Account, {Content}), 0);
 }
 
 Test(pendingCrashes, a_request_that_ends_all_servers_of_its_service_is_known_as_the_cause)
@@ -163,7 +163,7 @@
     cr_expect(undecided == server(2));
     reach.onReached(Engines, InstanceId("engine"), Start + 5ms);
     pending.settle(Start + 6ms);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 3);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 3);
 }
 
 Test(pendingCrashes, a_lost_connection_that_nothing_explains_is_a_crash_after_a_while)
@@ -173,7 +173,7 @@
     PendingCrashes pending(table, reach);
     pending.add(Desk, server(0), crashOf(1, 1), Start);
     pending.settle(Start + 900ms);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 0);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 0);
     pending.settle(Start + 1100ms);
-    cr_expect_eq(table.serversEndedUnder(Account, Content), 1);
+    cr_expect_eq(table.serversEndedUnder(Account, {Content}), 1);
 }
