A refusal counts only if it is certain to answer the attempt under way

What callers would see (report of other operators): a server that writes an earlier refusal once more on a kept connection. Without an id it was taken for the refusal of the request under way, which then ran at a second server, or was refused as not executed while it ran. A success without an id reached the next caller.

Cause: an answer without an id was taken for the present one, on used connections too.

Change: it counts only on a connection on which nothing else was sent; elsewhere it is skipped, and the real answer may follow. A request without an id gets a connection of its own. A success marked as not executed proves nothing.

--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -233,13 +233,19 @@
     return pause + std::chrono::duration_cast<Duration>(pause * spreadPart * step / spreadSteps);
 }
 
+Duration RequestForwarder::maxIdle() const
+{
+    // Without an id, only a connection of its own tells which response belongs to the request.
+    return m_request.id.empty() ? Duration::zero()
+                                : m_context.connections.maxIdle(m_route->retryable());
+}
+
 bool RequestForwarder::openConnection(const Pick &pick, TimePoint now)
 {
     const BackendState *state = m_context.view.backend(pick.backend);
     std::error_code error;
-    const Duration maxIdle = m_context.connections.maxIdle(m_route->retryable());
     auto connection =
-        m_context.connections.acquire(pick.backend, state->report.address, maxIdle, now, error);
+        m_context.connections.acquire(pick.backend, state->report.address, maxIdle(), now, error);
     if (!connection) {
         m_unreachableBackends.insert(pick.backend);
         m_context.log.write(LogPriority::Notable,
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -24,7 +24,9 @@
 /// passed to another daemon.
 ///
 /// The statuses 408, 421, 429 and 503 tell the caller that the request was not executed. They are
-/// sent only if no attempt can have executed the request.
+/// sent only if no attempt can have executed the request. A refusal of a backend server counts as
+/// proof only if it is certain to answer the attempt under way: it names the request, or nothing
+/// else was ever sent on its connection.
 class RequestForwarder : public BackendResponseListener
 {
 public:
@@ -79,6 +81,11 @@
     void onResponseComplete(TimePoint now) override;
     void onConnectionLost(Delivery delivery, std::error_code error, TimePoint now) override;
 
+    /// Whether the response belongs to this request. One that does not may be an earlier response
+    /// that the server wrote once more.
+    bool isOwnResponse(const ResponseMetadata &metadata) const;
+    /// How long a connection to a backend server may have been idle to be used.
+    Duration maxIdle() const;
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -35,12 +35,14 @@
                                                                      TimePoint now)
 {
     ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
-    if (!metadata.requestId.empty() && metadata.requestId != m_request.id.value()) {
+    if (!isOwnResponse(metadata)) {
         m_context.log.write(LogPriority::Notable,
                             LogLine("answer.foreign")
                                 .add("id", m_request.id.value())
                                 .add("backend", m_attempt.backend.value())
-                                .add("answer_id", metadata.requestId),
+                                .add("answer_id", metadata.requestId)
+                                .add("status", head.status)
+                                .add("fresh", m_attempt.newConnection ? "yes" : "no"),
                             now);
         return Verdict::Skip;
     }
@@ -76,6 +78,16 @@
     return Verdict::Accept;
 }
 
+bool RequestForwarder::isOwnResponse(const ResponseMetadata &metadata) const
+{
+    if (!metadata.requestId.empty()) {
+        return metadata.requestId == m_request.id.value();
+    }
+    // Without an id, a response on a used connection may be a repetition of an earlier one. A
+    // response of another daemon itself has no id; its connections carry no such repetitions.
+    return m_attempt.newConnection || m_attempt.relayed;
+}
+
 void RequestForwarder::onInterimResponse(const HttpResponseHead &head, TimePoint now)
 {
     const ResponseMetadata metadata = m_context.headerCodec.decodeResponse(head);
@@ -214,7 +226,8 @@
         return;
     }
     const int status = m_attempt.head.status;
-    if (m_attempt.metadata.notExecuted) {
+    // A success that is marked as not executed contradicts itself and proves nothing.
+    if (m_attempt.metadata.notExecuted && status >= HttpStatus::FirstRedirect) {
         m_execution.onProvenNotExecuted();
         endAttempt(status == HttpStatus::Misdirected ? SendOutcome::Misdirected
                                                      : SendOutcome::Overloaded,
