A response that is given up with its last bytes no longer ends the daemon

What callers would see: the process ends (signal 11) when a server's body exceeds the memory budget, or one event its limit, with the bytes that complete the answer.

Cause: BackendHttpConnection::feed completed the message for a listener that had given it up during the same call of the parser. Evidence: valgrind, read at address 0 in completeResponse.

Both tests abortedResponse/* ended by signal 11 before.

--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -111,6 +111,9 @@
     m_now = now;
     while (m_listener != nullptr) {
         m_parser->feed(m_input);
+        if (m_listener == nullptr) {
+            return; // The listener gave up the response while it received part of it.
+        }
         if (m_parser->parseError() != HttpParseError::None) {
             m_socket.close();
             reportConnectionLoss(std::make_error_code(std::errc::protocol_error), now);
