Only what goes on with a stream becomes part of it

What callers would see (report of other operators): after a break, text of another answer in the middle of their stream, or a stream that ends as if complete.

Cause: a response counted as the stream's by status and seal, any event without a known id was passed on, and the end of any such answer completed a stream that had begun.

Change: StreamContinuity decides what follows and what completes. Anything else ends the attempt; then another server goes on or the caller's connection is closed without the last chunk.

--- a/Source/Forward/EventSplitter.cpp
+++ b/Source/Forward/EventSplitter.cpp
@@ -25,6 +25,20 @@
     return std::nullopt;
 }
 
+/// Whether each line of the event is a comment, which begins with a colon.
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+            return false;
+        }
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return true;
+}
+
 /// The length of the first event, including the blank line that ends it, or npos.
 std::size_t endOfEvent(std::string_view text)
 {
@@ -53,6 +67,7 @@
         StreamEvent event;
         event.bytes = m_pending.substr(consumed, length);
         event.id = parseEventId(event.bytes);
+        event.comment = isComment(event.bytes);
         events.push_back(std::move(event));
         consumed += length;
     }
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -42,7 +42,7 @@
     , m_table(context.view.table())
     , m_receivedAt(receivedAt)
     , m_retryAfter(DefaultRetryAfter)
-    , m_lastEventId(m_request.lastEventId)
+    , m_stream(m_request.lastEventId)
 {
     if (m_request.relayed) {
         m_attemptCount = m_request.relayed->attempts;
@@ -275,7 +275,7 @@
     options.account = m_account;
     options.timeLeft = m_deadline - now;
     options.model = m_model;
-    options.lastEventId = m_lastEventId;
+    options.lastEventId = m_stream.lastEventId();
     if (pick.copyFrom) {
         options.cacheSource = m_context.view.backend(*pick.copyFrom)->report.address;
     }
@@ -361,8 +361,9 @@
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity);
-    return m_execution.maySendAgain(m_route->retryable()) && m_attemptCount < m_route->maxAttempts
-        && ended < MaxServersEnded && m_deadline - now > MinTimeForRetry;
+    return m_execution.maySendAgain(m_route->retryable()) && m_stream.canContinue()
+        && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
+        && m_deadline - now > MinTimeForRetry;
 }
 
 void RequestForwarder::retryOrFail(const char *cause, TimePoint now)
@@ -413,7 +414,7 @@
     if (m_finished) {
         return;
     }
-    if (m_streamBegun) {
+    if (m_stream.begun()) {
         finish(0, cause, now);
         m_writer.abortResponse(now);
         return;
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -11,6 +11,7 @@
 #include "Forward/ForwardContext.h"
 #include "Forward/RelayFields.h"
 #include "Forward/ResponseWriter.h"
+#include "Forward/StreamContinuity.h"
 #include "Routing/ExecutionState.h"
 
 namespace lycheearch {
@@ -90,6 +91,8 @@
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
     PickRequest pickRequest(TimePoint now) const;
+    /// Whether the response begins a stream, or goes on with the one that has begun.
+    bool isStream(const HttpResponseHead &head, const ResponseMetadata &metadata);
     /// Adds to the body of a response that is not streamed.
     void collectBody(std::string_view bytes, TimePoint now);
     /// Applies what a backend server announced about itself in a response.
@@ -154,6 +157,8 @@
     void handlePlainResponse(TimePoint now);
     void handleStreamEnd(TimePoint now);
     void relayEvents(const std::vector<StreamEvent> &events, TimePoint now);
+    /// Sends events to the caller. \p begun: the stream had begun before them.
+    void relayBytes(const std::string &bytes, bool begun, int eventCount, TimePoint now);
     void endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now);
     void retryOrFail(const char *cause, TimePoint now);
     bool mayRetry(TimePoint now) const;
@@ -208,8 +213,7 @@
     /// status implies that the request was not executed is not kept.
     std::optional<HttpResponseHead> m_errorHead;
     std::string m_errorBody;
-    bool m_streamBegun = false;
-    std::optional<std::int64_t> m_lastEventId;
+    StreamContinuity m_stream;
     std::int64_t m_eventCount = 0;
     TimePoint m_firstByteAt;
     Duration m_longestGap{};
--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -82,7 +82,7 @@
 void RequestForwarder::sendToPeer(TimePoint now)
 {
     HttpRequestHead head =
-        m_context.headerCodec.encodeRelay(m_request, m_deadline - now, m_lastEventId);
+        m_context.headerCodec.encodeRelay(m_request, m_deadline - now, m_stream.lastEventId());
     removeConnectionFields(head.fields);
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
@@ -135,7 +135,7 @@
 {
     if (!isRefusal(m_attempt.head, m_attempt.metadata)) {
         endRelay(PeerOutcome::Answered, true, now);
-        if (m_streamBegun) {
+        if (m_stream.begun()) {
             retryOrFail("the daemon that the request was passed to could not resume the stream",
                         now);
         } else {
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -46,8 +46,7 @@
                             now);
         return Verdict::Skip;
     }
-    m_attempt.streaming = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
-        && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
+    m_attempt.streaming = isStream(head, metadata);
     if (m_attempt.relayed) {
         m_attempt.head = head;
         m_attempt.metadata = std::move(metadata);
@@ -71,13 +70,20 @@
     }
     m_attempt.head = head;
     m_attempt.metadata = std::move(metadata);
-    if (m_attempt.streaming && !m_streamBegun) {
+    if (m_attempt.streaming && !m_stream.begun()) {
         m_context.models.onFirstEvent(m_model, m_attempt.workTokens, now - m_attempt.sentAt, now);
         m_attempt.discarded = escalate(now);
     }
     return Verdict::Accept;
 }
 
+bool RequestForwarder::isStream(const HttpResponseHead &head, const ResponseMetadata &metadata)
+{
+    const bool stream = m_route->kind == RouteKind::EventStream && head.status == HttpStatus::Ok
+        && metadata.hasSeal && head.fields.find("Content-Encoding") == nullptr;
+    return stream && m_stream.beginAttempt(head);
+}
+
 bool RequestForwarder::isOwnResponse(const ResponseMetadata &metadata) const
 {
     if (!metadata.requestId.empty()) {
@@ -237,6 +243,11 @@
                     now);
         return;
     }
+    if (m_stream.begun() && status < HttpStatus::FirstServerError) {
+        endAttempt(SendOutcome::Broken, true, now);
+        retryOrFail("the response does not go on with the stream", now);
+        return;
+    }
     if (status < HttpStatus::FirstRedirect) {
         const bool complete =
             m_attempt.metadata.hasSeal && m_attempt.head.fields.find("Content-Encoding") == nullptr;
@@ -308,7 +319,7 @@
 
 void RequestForwarder::sendBackendResponse(TimePoint now)
 {
-    if (m_streamBegun) {
+    if (m_stream.begun()) {
         fail("a stream could not be resumed", now);
         return;
     }
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -24,13 +24,17 @@
 void RequestForwarder::relayEvents(const std::vector<StreamEvent> &events, TimePoint now)
 {
     std::string bytes;
+    const bool begun = m_stream.begun();
     const int relayedBefore = m_attempt.relayedEvents;
+    bool misplaced = false;
     for (const StreamEvent &event : events) {
-        if (event.id && m_lastEventId && *event.id <= *m_lastEventId) {
-            continue; // Already relayed from an earlier attempt.
+        const StreamContinuity::EventUse use = m_stream.use(event);
+        misplaced = use == StreamContinuity::EventUse::Misplaced;
+        if (misplaced) {
+            break;
         }
-        if (event.id) {
-            m_lastEventId = event.id;
+        if (use == StreamContinuity::EventUse::Skip) {
+            continue;
         }
         bytes.append(event.bytes);
         ++m_eventCount;
@@ -38,15 +42,22 @@
             m_attempt.firstEventAt = now;
         }
     }
-    if (bytes.empty()) {
-        return;
+    if (!bytes.empty()) {
+        relayBytes(bytes, begun, m_attempt.relayedEvents - relayedBefore, now);
+    }
+    if (misplaced && !m_finished) {
+        endAttempt(SendOutcome::Broken, false, now);
+        retryOrFail("an event does not follow the events before it", now);
     }
+}
+
+void RequestForwarder::relayBytes(const std::string &bytes, bool begun, int eventCount,
+                                  TimePoint now)
+{
     if (!m_attempt.relayed) {
-        m_context.rolloutCounts.onEvents(m_attempt.ticket, m_attempt.relayedEvents - relayedBefore,
-                                         now);
+        m_context.rolloutCounts.onEvents(m_attempt.ticket, eventCount, now);
     }
-    if (!m_streamBegun) {
-        m_streamBegun = true;
+    if (!begun) {
         m_firstByteAt = now;
         HttpFields fields = m_attempt.head.fields;
         removeConnectionFields(fields);
@@ -68,7 +79,8 @@
 
 void RequestForwarder::handleStreamEnd(TimePoint now)
 {
-    if (!m_attempt.splitter.atBoundary() || !m_streamBegun) {
+    const bool endMarked = !m_attempt.head.isCloseDelimited();
+    if (!m_attempt.splitter.atBoundary() || !m_stream.completes(endMarked)) {
         if (!m_attempt.relayed) {
             recordConnectionLost(now);
         }
@@ -100,7 +112,7 @@
     if (m_route->kind != RouteKind::EventStream) {
         return m_route->latencyObjective * PlainStallFactor;
     }
-    if (!m_streamBegun) {
+    if (!m_stream.begun()) {
         return m_route->latencyObjective * FirstEventStallFactor;
     }
     return std::max(MinStreamStall, m_route->gapObjective * StreamStallFactor);
