Odd entries of another writer: depth, numbers, addresses, keys and listings are bounded

What callers would see (report of other operators): daemons that end or stop following the list of servers. Not shown: no entry ended the daemon. Shown: an entry without an offset made every listing fail; a key with a zero byte was cut in the feed, so that followers took it for another server's; numbers out of range, deep nesting and addresses without a route were accepted.

Cause: bytes became values in several places with bounds of their own or none.

All of foreignRecords/* and logStoreClient/* failed before.

--- a/Source/Base/Endpoint.cpp
+++ b/Source/Base/Endpoint.cpp
@@ -1,8 +1,8 @@
 #include "Base/Endpoint.h"
 
-#include <Poco/Exception.h>
+#include <charconv>
+
 #include <Poco/Net/IPAddress.h>
-#include <Poco/NumberParser.h>
 
 namespace lycheearch {
 
@@ -12,16 +12,19 @@
     if (colon == std::string::npos) {
         return std::nullopt;
     }
-    unsigned port = 0;
-    Poco::Net::IPAddress address;
-    const bool numeric = Poco::NumberParser::tryParseUnsigned(text.substr(colon + 1), port);
-    if (!numeric || port == 0 || port > UINT16_MAX) {
+    // Digits only: other parsers accept signs, spaces and more.
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error != std::errc() || last != end || port == 0) {
         return std::nullopt;
     }
-    if (!Poco::Net::IPAddress::tryParse(text.substr(0, colon), address)) {
+    Poco::Net::IPAddress address;
+    if (!Poco::Net::IPAddress::tryParse(text.substr(0, colon), address)
+        || address.family() != Poco::Net::AddressFamily::IPv4) {
         return std::nullopt;
     }
-    return Endpoint{address.toString(), static_cast<std::uint16_t>(port)};
+    return Endpoint{address.toString(), port};
 }
 
 } // namespace lycheearch
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -74,7 +74,7 @@
     for (unsigned i = 0; i < records.size(); ++i) {
         const RawRecord &record = page.page.records[i];
         records[i].setOffset(record.offset.value());
-        records[i].setKey(record.key.c_str());
+        records[i].setKey(kj::StringPtr(record.key.c_str(), record.key.size()));
         records[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte *>(record.value.data()),
                                          record.value.size()));
     }
@@ -92,7 +92,9 @@
     page.page.era = StoreEra(reader.getEraPlusOne() - 1);
     for (const auto record : reader.getRecords()) {
         const auto value = record.getValue().asChars();
-        page.page.records.push_back({Offset(record.getOffset()), record.getKey().cStr(),
+        const auto key = record.getKey();
+        page.page.records.push_back({Offset(record.getOffset()),
+                                     std::string(key.begin(), key.size()),
                                      std::string(value.begin(), value.size())});
     }
     return page;
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -1,6 +1,6 @@
 #include "Fleet/OwnRecords.h"
 
-#include <nlohmann/json.hpp>
+#include "Fleet/RecordJson.h"
 
 namespace lycheearch {
 
@@ -13,6 +13,10 @@
 constexpr std::string_view StagePrefix = "stage/";
 constexpr std::string_view CondemnedPrefix = "condemned/";
 
+constexpr IntegerRange AgeMilliseconds{0, 1'000'000'000'000};
+/// Until the year 9999, and as far before 1970: the clock of the daemon that wrote it may be wrong.
+constexpr IntegerRange UnixMilliseconds{-253'402'300'799'999, 253'402'300'799'999};
+
 /// The buckets that are not empty: index, observed, waiting.
 Json delaysToJson(const DelayHistogram &delays)
 {
@@ -87,7 +91,7 @@
     if (value.contains("relay")) {
         member.relay = Endpoint::parse(value.at("relay").get<std::string>());
     }
-    member.registeredAt = value.at("registered_ms").get<std::int64_t>();
+    member.registeredAt = requireInteger(value, "registered_ms", UnixMilliseconds);
     return member;
 }
 
@@ -99,7 +103,7 @@
         collected.orderAges.push_back(
             {ServiceId(entry.at("service").get<std::string>()),
              VersionId(entry.at("target").get<std::string>()),
-             std::chrono::milliseconds(entry.at("age_ms").get<std::int64_t>())});
+             std::chrono::milliseconds(requireInteger(entry, "age_ms", AgeMilliseconds))});
     }
     for (const Json &entry : value.at("evidence")) {
         RolloutEvidence evidence;
@@ -132,7 +136,7 @@
     PromptPartCondemned condemned;
     condemned.key.account = value.at("account").get<std::uint64_t>();
     condemned.key.hash = value.at("part").get<std::uint64_t>();
-    condemned.condemnedAt = value.at("condemned_ms").get<std::int64_t>();
+    condemned.condemnedAt = requireInteger(value, "condemned_ms", UnixMilliseconds);
     if (record.key != condemnedName(condemned.key)) {
         return UnreadableRecord{record.key, "at key: expected " + condemnedName(condemned.key)};
     }
@@ -159,7 +163,7 @@
     if (record.value.empty()) {
         return UnreadableRecord{record.key, "the key was deleted"};
     }
-    const Json value = Json::parse(record.value);
+    const Json value = parseRecordJson(record.value);
     if (record.key.starts_with(MemberPrefix)) {
         return decodeMember(record, value);
     }
