A failure says 'not run' only if none of its attempts may have run

What callers would see, at the chat-completions daemon: run=not_run for an idempotent call or a generation that was lost at one server and refused by the next.

runState::a_call_that_was_lost_once_is_not_reported_as_not_run and ...a_generation_... failed before.

--- a/Source/Base/Error.cpp
+++ b/Source/Base/Error.cpp
@@ -85,6 +85,14 @@
     return {static_cast<int>(code), lycheearchCategory()};
 }
 
+RunState gravest(RunState left, RunState right)
+{
+    if (left == RunState::Ran || right == RunState::Ran) {
+        return RunState::Ran;
+    }
+    return left == RunState::Unknown ? left : right;
+}
+
 const char *runStateName(RunState state)
 {
     switch (state) {
--- a/Source/Base/Error.h
+++ b/Source/Base/Error.h
@@ -50,6 +50,9 @@
 /// a retry is safe.
 enum class RunState { NotRun, Ran, Unknown };
 const char *runStateName(RunState state);
+/// Whether a request was executed, of which two attempts ended so: a request of which one attempt
+/// ran has run, whatever became of the other.
+RunState gravest(RunState left, RunState right);
 
 /// An error with its cause and what the caller needs to decide on a retry.
 struct Failure
--- a/Source/Request/GenerationRunner.cpp
+++ b/Source/Request/GenerationRunner.cpp
@@ -49,6 +49,7 @@
     DeltaSink *sink = nullptr;
     Generation generation;
     std::set<InstanceId> excluded;
+    RunState run = RunState::NotRun; ///< Of all attempts so far.
 };
 
 GenerationRunner::GenerationRunner(ModelEngine &engine, BackendAdmission &admission,
@@ -95,7 +96,6 @@
 bool GenerationRunner::attempt(const RequestContext &context, Progress &progress)
 {
     Generation &generation = progress.generation;
-    const bool started = generation.tokens.value() > 0;
     const bool inSession = context.sessionVersion.has_value();
     AdmissionRequest admissionRequest{{progress.version, {}, context.request.session.value()},
                                       context.priority,
@@ -106,7 +106,7 @@
     const auto grant = m_admission.acquire(admissionRequest);
     if (!grant.ok()) {
         generation.failure = grant.failure();
-        generation.failure->run = started ? RunState::Ran : RunState::NotRun;
+        generation.failure->run = progress.run;
         return false;
     }
     const TimePoint now = m_clock.now();
@@ -117,7 +117,7 @@
         m_admission.release(grant.value(), BackendResult::Cancelled, {});
         generation.failure =
             denied ? denied : makeFailure(Errc::BackendBroken, "the permit expired");
-        generation.failure->run = started ? RunState::Ran : RunState::NotRun;
+        generation.failure->run = progress.run;
         return !denied;
     }
     const EngineRequest request{
@@ -130,6 +130,12 @@
     generation.tokens = outcome.generated;
     generation.cancelled = outcome.cancelled;
     generation.failure = outcome.failure;
+    if (generation.failure) {
+        const bool started = generation.tokens.value() > 0;
+        const RunState latest = started ? RunState::Ran : generation.failure->run;
+        progress.run = gravest(progress.run, latest);
+        generation.failure->run = progress.run;
+    }
     recordAttempt(context, progress.version, grant.value(),
                   outcome.failure ? outcome.failure->message
                                   : (outcome.cancelled ? "cancelled" : "complete"));
--- a/Source/Request/ServiceRunner.cpp
+++ b/Source/Request/ServiceRunner.cpp
@@ -15,6 +15,13 @@
 constexpr Duration MinHedgeDelay = 100ms;
 constexpr Duration HedgeDrainPollInterval = 10ms;
 
+/// The failure, after another attempt at the same call that ended as \p earlier.
+Failure withRunState(Failure failure, RunState earlier)
+{
+    failure.run = gravest(earlier, failure.run);
+    return failure;
+}
+
 } // namespace
 
 /// Collects the results of a call and its hedge: the first success, or the last failure.
@@ -25,6 +32,9 @@
     {
         std::lock_guard lock(m_mutex);
         ++m_finished;
+        if (m_response && !m_response->ok() && !response.ok()) {
+            response = withRunState(response.failure(), m_response->failure().run);
+        }
         if (!m_response || !m_response->ok()) {
             m_response = std::move(response);
         }
@@ -126,12 +136,15 @@
 {
     std::set<InstanceId> excluded;
     Attempt last{makeFailure(Errc::NoBackend, "not tried"), {}};
+    RunState run = RunState::NotRun;
     for (int count = 0; count < MaxAttempts; ++count) {
         last = sendOnce(context, excluded);
         if (last.response.ok()) {
             return last.response;
         }
-        const Failure &failure = last.response.failure();
+        const Failure failure = withRunState(last.response.failure(), run);
+        run = failure.run;
+        last.response = failure;
         const bool mayRetry = failure.run == RunState::NotRun || context.operation.idempotent;
         const bool backendFault = failure.code == Errc::BackendBroken
             || failure.code == Errc::BackendOverloaded || failure.code == Errc::BackendFailed;
