--- a/Tests/Fleet/testForeignRecords.cpp
+++ b/Tests/Fleet/testForeignRecords.cpp
@@ -169,8 +169,8 @@
         if (const auto *reported = std::get_if<BackendReported>(&record)) {
             const BackendEntry &report = reported->report;
             cr_expect(report.slots >= 1 && report.slots <= 65'536, "%s", text.c_str());
-            cr_expect(report.coldFor >= Duration::zero() && report.coldFor <= Duration(86'400s), "%s",
-                      text.c_str());
+            cr_expect(report.coldFor >= Duration::zero() && report.coldFor <= Duration(86'400s),
+                      "%s", text.c_str());
             cr_expect(report.sequence >= 0 && report.startedAt >= 0, "%s", text.c_str());
             cr_expect_neq(report.address.port, 0);
         }
