--- a/Source/Routing/RequestFamilies.cpp
+++ b/Source/Routing/RequestFamilies.cpp
@@ -174,19 +174,19 @@
 
 bool RequestFamilies::hasRival(const Suspect &suspect, const Servers &servers) const
 {
-    const bool request =
-        std::any_of(m_serversOfRequests.begin(), m_serversOfRequests.end(), [&](const auto &entry) {
-            const auto &[key, ended] = entry;
-            const bool own =
-                key.account == suspect.key.account && suspect.serversOf.contains(key.hash);
-            return !own && std::all_of(servers.begin(), servers.end(), [&](std::uint64_t server) {
-                return ended.contains(server);
-            });
+    const auto lostOnAll = [&](const auto &entry) {
+        const SuspectKey &key = entry.first;
+        const bool own = key.account == suspect.key.account && suspect.serversOf.contains(key.hash);
+        return !own && std::all_of(servers.begin(), servers.end(), [&](std::uint64_t server) {
+            return entry.second.contains(server);
         });
-    return request || std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &entry) {
-               const Suspect &other = entry.second;
-               return !includesContents(other, suspect) && includesAll(other.requestsOf, servers);
-           });
+    };
+    const auto unrelatedOnAll = [&](const auto &entry) {
+        const Suspect &other = entry.second;
+        return !includesContents(other, suspect) && includesAll(other.requestsOf, servers);
+    };
+    return std::any_of(m_serversOfRequests.begin(), m_serversOfRequests.end(), lostOnAll)
+        || std::any_of(m_suspects.begin(), m_suspects.end(), unrelatedOnAll);
 }
 
 } // namespace lycheearch
