--- a/Source/Routing/CrashTable.cpp
+++ b/Source/Routing/CrashTable.cpp
@@ -354,10 +354,29 @@
     return suspects;
 }
 
+std::set<SuspectKey> CrashTable::familiesLostOften() const
+{
+    std::unordered_map<std::uint64_t, std::size_t> lost;
+    std::set<SuspectKey> often;
+    for (const Crash &crash : m_crashes) {
+        for (const std::uint64_t family : crash.report.identity.families) {
+            const SuspectKey key{crash.report.account, family};
+            if (++lost[hashOf(key)] == RequestFamilies::MinServers) {
+                often.insert(key);
+            }
+        }
+    }
+    return often;
+}
+
 RequestFamilies CrashTable::requestFamilies(TimePoint now) const
 {
-    const std::set<std::uint64_t> endedByParts = serversEndedByParts();
     RequestFamilies families;
+    const std::set<SuspectKey> candidates = familiesLostOften();
+    if (candidates.empty()) {
+        return families;
+    }
+    const std::set<std::uint64_t> endedByParts = serversEndedByParts();
     for (const Crash &crash : m_crashes) {
         const RequestCrash &report = crash.report;
         const RequestIdentity &identity = report.identity;
@@ -373,7 +392,7 @@
         }
         for (std::size_t width = 0; width < identity.families.size(); ++width) {
             const SuspectKey key{report.account, identity.families[width]};
-            if (!lastSuccess(key)) {
+            if (candidates.contains(key) && !lastSuccess(key)) {
                 families.add(report, width, m_condemned.refusesRequest(key.account, key.hash),
                              crash.at);
             }
--- a/Source/Routing/CrashTable.h
+++ b/Source/Routing/CrashTable.h
@@ -131,6 +131,9 @@
     /// The evidence against whole requests, beside that against families.
     RequestSuspects requestSuspects(const RequestFamilies &families, TimePoint now) const;
     RequestFamilies requestFamilies(TimePoint now) const;
+    /// The families under which enough connections were lost for a verdict. Most requests have
+    /// families of their own, which would only cost time.
+    std::set<SuspectKey> familiesLostOften() const;
     void condemnRequests(TimePoint now);
     /// Whether the crash is old enough for objections, and no condemned part explains it.
     bool isEvidence(const Crash &crash, const std::set<std::uint64_t> &endedByParts,
--- a/Source/Routing/RequestFamilies.cpp
+++ b/Source/Routing/RequestFamilies.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Distinct servers that must have ended under a family.
-constexpr std::size_t MinServers = 3;
 /// Servers after which a family is condemned although others explain its crashes as well.
 constexpr std::size_t MinServersOfRivals = 5;
 /// Distinct contents that must have come; one alone is judged as a whole request.
--- a/Source/Routing/RequestFamilies.h
+++ b/Source/Routing/RequestFamilies.h
@@ -24,6 +24,9 @@
 class RequestFamilies
 {
 public:
+    /// Distinct servers that must have ended under a family.
+    static constexpr std::size_t MinServers = 3;
+
     /// The evidence against one family.
     struct Suspect
     {
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -20,6 +20,8 @@
 /// Time after which a draining backend server must not receive requests: the default of the router
 /// daemon's setting bounds.drain_ms.
 constexpr Duration DrainTimeLimit = 2s;
+/// From SIGTERM until a daemon has ended.
+constexpr Duration StopTime = 4500ms;
 /// Time limits are not checked until this long after a fault.
 constexpr Duration FaultRecoveryTime = 3s;
 
@@ -62,6 +64,8 @@
     }
     for (int i = 0; i < m_options.daemons; ++i) {
         auto daemon = std::make_unique<Daemon>();
+        daemon->buildFolder = m_options.replacedBuildFolder.empty() ? m_options.buildFolder
+                                                                    : m_options.replacedBuildFolder;
         daemon->storeProxy =
             std::make_unique<trial::FaultProxy>(port(100 + 10 * i).port, port(0).port);
         m_daemons.push_back(std::move(daemon));
@@ -116,7 +120,7 @@
 {
     daemon.suspended = false;
     daemon.process = std::make_unique<trial::ChildProcess>(
-        std::vector<std::string>{m_options.buildFolder + "/Source/lycheearchd", "--platform",
+        std::vector<std::string>{daemon.buildFolder + "/Source/lycheearchd", "--platform",
                                  "--config", daemon.settingsPath},
         daemon.logPath);
 }
@@ -136,6 +140,9 @@
         }
     });
     scheduleFaults(m_startTime + StartupTime);
+    if (!m_options.replacedBuildFolder.empty()) {
+        scheduleReplacements();
+    }
     const Duration faultsEnd = StartupTime + m_options.faultDuration;
     const Duration faultFreeFrom = faultsEnd + SettleTime;
     runAfter(faultsEnd, [this] { endAllFaults(); });
@@ -167,6 +174,31 @@
     }
 }
 
+void Soak::scheduleReplacements()
+{
+    // The last one is replaced in the second half, so that both builds run beside each other.
+    const Duration period = m_options.faultDuration * 2 / (3 * m_options.daemons);
+    for (int i = 0; i < m_options.daemons; ++i) {
+        runAfter(StartupTime + period * (i + 1),
+                 [this, i] { replaceBuild(*m_daemons[static_cast<std::size_t>(i)]); });
+    }
+}
+
+void Soak::replaceBuild(Daemon &daemon)
+{
+    logFault("replace (SIGTERM) " + daemon.settingsPath);
+    m_checker.suspendTimeLimits(m_loop.now() + StopTime + FaultRecoveryTime);
+    daemon.buildFolder = m_options.buildFolder;
+    if (daemon.process->running() && !daemon.suspended) {
+        daemon.process->signal(SIGTERM);
+    }
+    runAfter(StopTime, [this, &daemon] {
+        if (!daemon.process->running()) {
+            startDaemon(daemon);
+        }
+    });
+}
+
 void Soak::injectFault(TimePoint now)
 {
     if (m_options.limitsAndCrashes) {
@@ -219,7 +251,7 @@
     case 1:
         logFault("terminate (SIGTERM) " + daemon.settingsPath);
         daemon.process->signal(SIGTERM);
-        runAfter(4500ms, restart);
+        runAfter(StopTime, restart);
         break;
     case 2:
         logFault("pause (SIGSTOP) " + daemon.settingsPath);
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -33,6 +33,9 @@
     bool brittle = false;
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
+    /// If set, the daemons start from this build, and are replaced by those of buildFolder one
+    /// after the other, beside the other faults.
+    std::string replacedBuildFolder;
     std::string workFolder;
 };
 
@@ -60,6 +63,7 @@
     {
         std::string settingsPath;
         std::string logPath;
+        std::string buildFolder; ///< Of the program that is started next.
         std::unique_ptr<trial::FaultProxy> storeProxy;
         std::unique_ptr<trial::ChildProcess> process;
         bool suspended = false; ///< By SIGSTOP.
@@ -69,6 +73,9 @@
     void writeSettings(int number);
     void startDaemon(Daemon &daemon);
     void scheduleFaults(TimePoint from);
+    /// Replaces the daemons of SoakOptions::replacedBuildFolder one after the other.
+    void scheduleReplacements();
+    void replaceBuild(Daemon &daemon);
     void injectFault(TimePoint now);
     void injectDaemonFault(TimePoint now);
     void injectStoreFault(TimePoint now);
--- a/Utilities/Soak/main.cpp
+++ b/Utilities/Soak/main.cpp
@@ -16,6 +16,9 @@
     int seconds = 15;
     CLI::App app("Runs daemons under random faults and checks the documented guarantees.");
     app.add_option("--build", options.buildFolder, "Build folder")->required();
+    app.add_option("--replaced-build", options.replacedBuildFolder,
+                   "Build folder of the daemons at the start; those of --build replace them one "
+                   "after the other");
     app.add_option("--work", options.workFolder, "Folder for generated settings and logs")
         ->required();
     app.add_option("--seed", firstSeed, "First seed");
