--- a/Source/Forward/EventSplitter.h
+++ b/Source/Forward/EventSplitter.h
@@ -13,8 +13,8 @@
 {
     std::string bytes; ///< Including the blank line that ends it.
     std::optional<std::int64_t> id;
-    bool comment =
-        false; ///< All lines are comments, which servers send to keep a connection alive.
+    /// All lines are comments, which servers send to keep a connection alive.
+    bool comment = false;
 };
 
 /// Splits the bytes of a server-sent event stream into complete events.
