--- a/Tests/Fleet/testForeignRecords.cpp
+++ b/Tests/Fleet/testForeignRecords.cpp
@@ -137,6 +137,7 @@
     cr_expect_not(isUnreadable(decode(Topic::Backends, "i-1", entryWith("Slots", "4096"))));
 }
 
+// Guards against a server in use that no connection can be opened to.
 Test(foreignRecords, an_address_that_is_no_ip_and_port_makes_an_entry_unreadable)
 {
     for (const char *address :
@@ -149,6 +150,8 @@
     }
 }
 
+// Guards against values out of range, whatever another writer left, and against harm to sound
+// entries.
 Test(foreignRecords, generated_entries_are_refused_or_within_range_and_the_others_hold,
      .timeout = 60)
 {
--- a/Tests/Fleet/testLogStoreClient.cpp
+++ b/Tests/Fleet/testLogStoreClient.cpp
@@ -108,6 +108,7 @@
     cr_expect_eq(read.value->records.at(1).offset.value(), 1);
 }
 
+// Guards against a feed that cuts a key, so that followers take the entry for another server's.
 Test(logStoreClient, the_feed_keeps_keys_with_zero_bytes_apart)
 {
     FeedPage page;
--- a/Tests/Forward/testAbortedResponse.cpp
+++ b/Tests/Forward/testAbortedResponse.cpp
@@ -28,6 +28,7 @@
     cr_expect_eq(ForwardHarness::statusOf(harness.call(request)), 200);
 }
 
+// Guards against the same end of the daemon by one event that exceeds its limit.
 Test(abortedResponse, an_event_that_is_too_large_with_the_last_byte_ends_only_its_request,
      .timeout = 20)
 {
--- a/Tests/Forward/testResumedStream.cpp
+++ b/Tests/Forward/testResumedStream.cpp
@@ -109,7 +109,8 @@
     }
 }
 
-/// The response of a fleet in which whoever gets the request first plays \p first.
+/// The response of a fleet whose server of the first attempt plays \p first, and the others \p
+/// others.
 std::string responseOf(const Script &first, const Script &others)
 {
     ForwardHarness harness;
@@ -152,6 +153,7 @@
     }
 }
 
+// Guards against text of a broken answer that stays in the stream when another server goes on.
 Test(resumedStream, a_run_that_goes_on_where_the_stream_broke_off_completes_it, .timeout = 60)
 {
     const std::vector<Script> continuations = {
--- a/Tests/Routing/testCrashingRequests.cpp
+++ b/Tests/Routing/testCrashingRequests.cpp
@@ -342,6 +342,7 @@
     expectStopped("new last part", traffic);
 }
 
+// Guards against the same when the parts that it shares with others are new, too.
 Test(crashingRequests, a_request_all_of_whose_prompt_parts_are_new_each_time_is_refused_in_time)
 {
     Traffic traffic;
--- a/Tests/Routing/testExecutionState.cpp
+++ b/Tests/Routing/testExecutionState.cpp
@@ -11,7 +11,7 @@
     cr_expect(state.maySendAgain(false));
 }
 
-// Guards against an end of an attempt that nobody thought of: without proof, it may have run.
+// Guards against a second run after an end of an attempt that the code does not handle by itself.
 Test(executionState, an_attempt_counts_as_executed_without_proof_of_the_contrary)
 {
     ExecutionState state;
