Rollout evidence counts from the order, not from the start of the daemon

Cause: RolloutCounts counted answers since the start of the process. The first share and the canary share follow from a request rate, which was computed as these answers over the time since the order. The longer the daemons had been running, the smaller were the shares.

Change: the counts of a service begin anew when its order is read, and evidence says how long after the order that was. The same cause on related paths: outcomes before the order were the baseline of the comparison, answers of a target that had served before hid its later failures and used up its permitted share, and the expected number of requests began with a jump when the first evidence came. Daemons of the last landing don't say when they began to count; they are taken to get as many requests as the others.

Test: rolloutAgent/the_canary_share_does_not_depend_on_how_long_the_daemons_have_been_running failed before with shares of 0.031 (50 s) and 0.0005 (one hour) instead of 0.128.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -18,8 +18,8 @@
 
 RolloutAgent::RolloutAgent(EventLoop &loop, InstanceId self, FleetStore &store,
                            const RecordCodec &codec, const FleetView &view, FleetFollower &follower,
-                           FeedClient &feed, const RolloutCounts &counts,
-                           ExposureLimit exposureLimit, StructuredLog &log)
+                           FeedClient &feed, RolloutCounts &counts, ExposureLimit exposureLimit,
+                           StructuredLog &log)
     : m_loop(loop)
     , m_self(std::move(self))
     , m_store(store)
@@ -53,7 +53,11 @@
 void RolloutAgent::step(TimePoint now)
 {
     m_timer = m_loop.at(now + StepPeriod, [this](TimePoint currentTime) { step(currentTime); });
-    if (!m_follower.synced() || m_view.rollouts().empty()) {
+    if (!m_follower.synced()) {
+        return;
+    }
+    m_counts.followOrders(m_view, now);
+    if (m_view.rollouts().empty()) {
         return;
     }
     if (rolloutUnderWay(m_view)) {
@@ -174,6 +178,7 @@
                     .add("target", order.target.value())
                     .add("ordered_ms", age)
                     .add("daemons", totals.daemons)
+                    .add("requests_per_second", totals.requestRate(age))
                     .add("target_good", totals.target.good)
                     .add("target_bad", totals.target.bad)
                     .add("other_good", totals.other.good)
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -27,7 +27,7 @@
 public:
     RolloutAgent(EventLoop &loop, InstanceId self, FleetStore &store, const RecordCodec &codec,
                  const FleetView &view, FleetFollower &follower, FeedClient &feed,
-                 const RolloutCounts &counts, ExposureLimit exposureLimit, StructuredLog &log);
+                 RolloutCounts &counts, ExposureLimit exposureLimit, StructuredLog &log);
     ~RolloutAgent();
 
     void start();
@@ -74,7 +74,7 @@
     const FleetView &m_view;
     FleetFollower &m_follower;
     FeedClient &m_feed;
-    const RolloutCounts &m_counts;
+    RolloutCounts &m_counts;
     StructuredLog &m_log;
     RolloutController m_controller;
     std::map<InstanceId, std::vector<RolloutEvidence>> m_evidenceByDaemon;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -111,6 +111,8 @@
         list[i].setStage(evidence.stage);
         writeCounts(list[i].initTargetCounts(), evidence.targetCounts);
         writeCounts(list[i].initOtherCounts(), evidence.otherCounts);
+        list[i].setCountedAfterPlusOne(
+            evidence.countedAfter ? toMilliseconds(*evidence.countedAfter) + 1 : 0);
     }
 }
 
@@ -125,6 +127,9 @@
         evidence.stage = entry.getStage();
         evidence.targetCounts = readCounts(entry.getTargetCounts());
         evidence.otherCounts = readCounts(entry.getOtherCounts());
+        if (entry.getCountedAfterPlusOne() > 0) {
+            evidence.countedAfter = std::chrono::milliseconds(entry.getCountedAfterPlusOne() - 1);
+        }
         message.evidence.push_back(std::move(evidence));
     }
     return message;
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -42,6 +42,8 @@
   stage @3 :Int32;
   targetCounts @4 :FeedCounts;
   otherCounts @5 :FeedCounts;
+  countedAfterPlusOne @6 :Int64;    # Milliseconds from the order until the daemon began to count,
+                                    # plus one; 0 from daemons whose counts go back to their start.
 }
 
 struct FeedLoadEntry {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -89,7 +89,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b2d7e464cd2eea93, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b2d7e464cd2eea93, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -609,6 +609,8 @@
   inline bool hasOtherCounts() const;
   inline  ::lycheearch::wire::FeedCounts::Reader getOtherCounts() const;
 
+  inline  ::int64_t getCountedAfterPlusOne() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -675,6 +677,9 @@
   inline void adoptOtherCounts(::capnp::Orphan< ::lycheearch::wire::FeedCounts>&& value);
   inline ::capnp::Orphan< ::lycheearch::wire::FeedCounts> disownOtherCounts();
 
+  inline  ::int64_t getCountedAfterPlusOne();
+  inline void setCountedAfterPlusOne( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2244,6 +2249,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FeedEvidence::Reader::getCountedAfterPlusOne() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedEvidence::Builder::getCountedAfterPlusOne() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedEvidence::Builder::setCountedAfterPlusOne( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedLoadEntry::Reader::hasBackend() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -113,7 +113,7 @@
     bool operator==(const VersionCounts &) const = default;
 };
 
-/// Request outcomes that one daemon counted since its start for a service with a rollout order.
+/// Request outcomes that one daemon counted for a service since it read a rollout order of it.
 struct RolloutEvidence
 {
     InstanceId daemon;
@@ -122,6 +122,12 @@
     int stage = 0; ///< Stage that the daemon applied.
     VersionCounts targetCounts;
     VersionCounts otherCounts; ///< All versions but the target.
+    /// From the order until the daemon began to count. std::nullopt from older daemons, whose
+    /// counts go back to their start.
+    std::optional<Duration> countedAfter;
+
+    /// Requests to all versions.
+    std::int64_t sent() const { return targetCounts.sent + otherCounts.sent; }
 
     bool operator==(const RolloutEvidence &) const = default;
 };
--- a/Source/Fleet/OwnRecords.cpp
+++ b/Source/Fleet/OwnRecords.cpp
@@ -51,6 +51,17 @@
                         delaysToJson(counts.answerDelays)});
 }
 
+Json toJson(const RolloutEvidence &evidence)
+{
+    Json entry = {{"daemon", evidence.daemon.value()},    {"service", evidence.service.value()},
+                  {"target", evidence.target.value()},    {"stage", evidence.stage},
+                  {"new", toJson(evidence.targetCounts)}, {"old", toJson(evidence.otherCounts)}};
+    if (evidence.countedAfter) {
+        entry["counted_after_ms"] = toMilliseconds(*evidence.countedAfter);
+    }
+    return entry;
+}
+
 VersionCounts countsFrom(const Json &value)
 {
     VersionCounts counts;
@@ -113,6 +124,10 @@
         evidence.stage = entry.at("stage").get<int>();
         evidence.targetCounts = countsFrom(entry.at("new"));
         evidence.otherCounts = countsFrom(entry.at("old"));
+        if (entry.contains("counted_after_ms")) {
+            evidence.countedAfter = std::chrono::milliseconds(
+                requireInteger(entry, "counted_after_ms", AgeMilliseconds));
+        }
         collected.evidence.push_back(std::move(evidence));
     }
     return collected;
@@ -193,12 +208,7 @@
     if (const auto *collected = std::get_if<EvidenceCollected>(&record)) {
         Json entries = Json::array();
         for (const RolloutEvidence &evidence : collected->evidence) {
-            entries.push_back({{"daemon", evidence.daemon.value()},
-                               {"service", evidence.service.value()},
-                               {"target", evidence.target.value()},
-                               {"stage", evidence.stage},
-                               {"new", toJson(evidence.targetCounts)},
-                               {"old", toJson(evidence.otherCounts)}});
+            entries.push_back(toJson(evidence));
         }
         Json orders = Json::array();
         for (const RolloutOrderAge &order : collected->orderAges) {
--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -35,6 +35,8 @@
 
 /// Age of the oldest sample from which the present request rate is computed.
 constexpr Duration RateWindow = 3s;
+/// Shorter times count as this one when a rate is computed from them.
+constexpr Duration MinRateSpan = 1200ms;
 
 double seconds(Duration duration)
 {
@@ -78,6 +80,9 @@
     for (const auto &[daemon, evidence] : newest) {
         totals.target = totals.target + evidence->targetCounts;
         totals.other = totals.other + evidence->otherCounts;
+        if (evidence->countedAfter) {
+            totals.counted.push_back({evidence->sent(), *evidence->countedAfter});
+        }
         totals.lowestStage =
             totals.daemons == 0 ? evidence->stage : std::min(totals.lowestStage, evidence->stage);
         ++totals.daemons;
@@ -85,6 +90,19 @@
     return totals;
 }
 
+double RolloutTotals::requestRate(Duration age) const
+{
+    if (counted.empty()) {
+        return 0;
+    }
+    double rate = 0;
+    for (const CountedRequests &daemon : counted) {
+        const Duration span = std::max(MinRateSpan, age - daemon.countedAfter);
+        rate += static_cast<double>(daemon.requests) / seconds(span);
+    }
+    return rate * daemons / static_cast<double>(counted.size());
+}
+
 RolloutController::RolloutController(ExposureLimit limit)
     : m_limit(limit)
 {
@@ -121,7 +139,6 @@
     if (observation.target != order.target) {
         observation = Observation();
         observation.target = order.target;
-        observation.first = {now, totals.sent()};
     }
     if (observation.stage != stage.stage) {
         if (observation.changeDueSince != TimePoint()) {
@@ -166,7 +183,7 @@
         return std::nullopt;
     }
     if (next == FirstRolloutStage) {
-        const double rate = static_cast<double>(totals.other.answers()) / seconds(elapsed);
+        const double rate = totals.requestRate(elapsed);
         stage.firstShare = firstRolloutShare(rate);
         stage.canaryShare = canaryShare(rate, order.finishWithin, m_limit.share);
     }
@@ -203,20 +220,21 @@
     // Two changes are left, the last stage and the completion.
     const Duration needed = 2 * observation.changeDelay + MinLastStageDuration + CompletionReserve;
     const Duration longest = fromSeconds(MaxLastStageFraction * seconds(order.finishWithin));
-    const Duration permitted = std::min(permittedLead(order, totals, observation), longest);
+    const Duration permitted =
+        std::min(permittedLead(order, totals, elapsed, observation), longest);
     return remaining <= std::max(needed, permitted);
 }
 
 Duration RolloutController::permittedLead(const RolloutOrdered &order, const RolloutTotals &totals,
-                                          const Observation &observation) const
+                                          Duration elapsed, const Observation &observation) const
 {
-    const auto rateSince = [&](const RequestSample &start) {
-        const RequestSample &latest = observation.recent.back();
-        const double period = std::max(seconds(latest.at - start.at), seconds(MinStageDuration));
-        return static_cast<double>(latest.requests - start.requests) / period;
-    };
-    const double meanRate = rateSince(observation.first);
-    const double presentRate = std::max(meanRate, rateSince(observation.recent.front()));
+    const RequestSample &oldest = observation.recent.front();
+    const RequestSample &latest = observation.recent.back();
+    const Duration period = std::max(MinRateSpan, latest.at - oldest.at);
+    const double recentRate =
+        static_cast<double>(latest.requests - oldest.requests) / seconds(period);
+    const double meanRate = totals.requestRate(elapsed);
+    const double presentRate = std::max(meanRate, recentRate);
     if (presentRate <= 0) {
         return fromSeconds(PlannedPart * m_limit.share * seconds(order.finishWithin));
     }
--- a/Source/Routing/RolloutController.h
+++ b/Source/Routing/RolloutController.h
@@ -10,6 +10,13 @@
 
 namespace lycheearch {
 
+/// Requests that one daemon counted, and how long after the order it began to count.
+struct CountedRequests
+{
+    std::int64_t requests = 0;
+    Duration countedAfter{};
+};
+
 /// Sum of the evidence that all daemons reported for one rollout.
 struct RolloutTotals
 {
@@ -17,9 +24,14 @@
     VersionCounts other; ///< All other versions of the service.
     int lowestStage = 0; ///< Lowest stage that a reporting daemon applies; 0 if none reports.
     int daemons = 0; ///< Number of daemons that report.
+    /// The daemons that say when they began to count.
+    std::vector<CountedRequests> counted;
 
     /// Requests to all versions.
     std::int64_t sent() const { return target.sent + other.sent; }
+    /// Mean requests per second to all versions since an order of this age. Daemons that don't say
+    /// when they began to count are taken to get as many as the others.
+    double requestRate(Duration age) const;
 };
 
 /// Adds up the newest evidence of each daemon: of several copies, the one with the most answers. A
@@ -79,7 +91,6 @@
         TimePoint stageSince; ///< When this daemon first observed it.
         TimePoint changeDueSince; ///< When a change of the stage became due; unset if none is.
         Duration changeDelay{}; ///< From the time a change is due until it is observed.
-        RequestSample first;
         std::deque<RequestSample> recent; ///< Oldest first.
     };
 
@@ -101,7 +112,7 @@
     /// Time before the deadline from which the target can serve all requests without exceeding its
     /// permitted share.
     Duration permittedLead(const RolloutOrdered &order, const RolloutTotals &totals,
-                           const Observation &observation) const;
+                           Duration elapsed, const Observation &observation) const;
 
     ExposureLimit m_limit;
     std::map<ServiceId, Observation> m_observations;
--- a/Source/Routing/RolloutCounts.cpp
+++ b/Source/Routing/RolloutCounts.cpp
@@ -79,17 +79,52 @@
     }
 }
 
+void RolloutCounts::followOrders(const FleetView &view, TimePoint now)
+{
+    std::erase_if(m_orders,
+                  [&](const auto &entry) { return !view.rollouts().contains(entry.first); });
+    for (const auto &[service, order] : view.rollouts()) {
+        if (!follows(order)) {
+            m_orders[service] = {order.target, now};
+            restart(service);
+        }
+    }
+}
+
+bool RolloutCounts::follows(const RolloutOrdered &order) const
+{
+    const auto found = m_orders.find(order.service);
+    return found != m_orders.end() && found->second.target == order.target;
+}
+
+void RolloutCounts::restart(const ServiceId &service)
+{
+    std::map<VersionId, VersionCounts> &counts = m_counts[service];
+    counts.clear();
+    for (const auto &[ticket, request] : m_inFlight) {
+        if (request.service == service) {
+            ++counts[request.version].inFlight;
+        }
+    }
+}
+
 std::vector<RolloutEvidence> RolloutCounts::evidence(const InstanceId &self, const FleetView &view,
                                                      TimePoint now) const
 {
     std::vector<RolloutEvidence> all;
     for (const auto &[service, order] : view.rollouts()) {
+        if (!follows(order)) {
+            continue;
+        }
         RolloutEvidence evidence;
         evidence.daemon = self;
         evidence.service = service;
         evidence.target = order.target;
         const auto stage = view.stages().find(service);
         evidence.stage = stage == view.stages().end() ? 0 : stage->second.stage;
+        const TimePoint followedSince = m_orders.at(service).followedSince;
+        const TimePoint orderedAt = view.orderedAt(service, order.target).value_or(followedSince);
+        evidence.countedAfter = std::max(Duration::zero(), followedSince - orderedAt);
         if (const auto versions = m_counts.find(service); versions != m_counts.end()) {
             for (const auto &[version, counts] : versions->second) {
                 VersionCounts &side =
--- a/Tests/Daemon/testRolloutAgent.cpp
+++ b/Tests/Daemon/testRolloutAgent.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <random>
+
 #include "Daemon/RolloutAgent.h"
 #include "Fleet/ContentStore.h"
 #include "ManualLoop.h"
@@ -13,6 +15,8 @@
 
 const ServiceId Service("s");
 const VersionId Target("v2");
+const VersionId Present("v1");
+constexpr double ExposeShare = 0.15;
 
 struct IgnoringObserver : FleetObserver
 {
@@ -27,19 +31,37 @@
 /// A daemon that reads the store and decides on rollouts, with a clock that the test advances.
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(bool ordered = true)
         : loop(clock)
         , store(loop)
         , follower(loop, store, codec, view, observer, {500ms, 200ms, 1s, 300ms, 300ms, 300ms})
         , feed(loop, InstanceId("d"), DataCentreId("here"), view, follower, clock,
                [](const InstanceId &, const char *) {})
         , log("test", STDERR_FILENO, 0, clock)
-        , agent(loop, InstanceId("d"), store, codec, view, follower, feed, counts, {0.15, 30}, log)
+        , agent(loop, InstanceId("d"), store, codec, view, follower, feed, counts,
+                {ExposeShare, 30}, log)
     {
         store.add(Topic::Operator,
                   {Offset(), "config", R"({"Version":1,"Routes":[],"Services":[]})"});
+        if (ordered) {
+            order("v2", 24);
+        }
+    }
+
+    void order(const std::string &target, int finishWithinSeconds)
+    {
         store.add(Topic::Operator,
-                  {Offset(), "rollout/s", R"({"Service":"s","Target":"v2","FinishByS":24})"});
+                  {Offset(), "rollout/s",
+                   R"({"Service":"s","Target":")" + target + R"(","FinishByS":)"
+                       + std::to_string(finishWithinSeconds) + "}"});
+    }
+
+    void addServer(const std::string &id, const std::string &version)
+    {
+        store.add(Topic::Backends,
+                  {Offset(), id,
+                   R"({"Service":"s","Address":"10.0.0.1:80","Zone":"here","Version":")" + version
+                       + R"(","Slots":6,"State":"ready","ColdMs":0,"Sequence":1,"born":1000})"});
     }
 
     void runFor(Duration span) { runLoopFor(clock, loop, span); }
@@ -85,8 +107,82 @@
     RolloutAgent agent;
 };
 
+/// The traffic of a service at a steady rate. A version fails in its share of the requests.
+class Traffic
+{
+public:
+    static constexpr int RequestsPerSecond = 18;
+    static constexpr Duration AnswerTime = 15ms;
+
+    Traffic(Fixture &fixture, unsigned seed)
+        : m_fixture(fixture)
+        , m_random(seed)
+    {
+    }
+
+    void setFailingShare(const VersionId &version, double share) { m_failing[version] = share; }
+
+    /// Counts the requests of a span before the order, without running the daemon meanwhile.
+    void countEarlier(Duration span)
+    {
+        const auto requests = RequestsPerSecond * (span / Duration(1s));
+        for (std::int64_t i = 0; i < requests; ++i) {
+            sendRequest(Present);
+        }
+    }
+
+    /// Sends requests while the daemon runs.
+    void run(Duration span)
+    {
+        const TimePoint end = m_fixture.clock.time + span;
+        while (m_fixture.clock.time < end) {
+            m_fixture.runFor(Duration(1s) / RequestsPerSecond);
+            const std::uint64_t session = m_random() << 32 | m_random();
+            const VersionRule rule =
+                rolloutRule(Service, session, m_fixture.view, ExposeShare, m_fixture.clock.time);
+            sendRequest(rule.allows(Target) ? Target : Present);
+        }
+    }
+
+private:
+    void sendRequest(const VersionId &version)
+    {
+        const TimePoint now = m_fixture.clock.time;
+        const bool good = m_unit(m_random) >= m_failing[version];
+        const auto ticket = m_fixture.counts.onSent(Service, version, now);
+        m_fixture.counts.onAnswerBegun(ticket, now + AnswerTime);
+        m_fixture.counts.onEnded(ticket, good, AnswerTime, now + AnswerTime);
+    }
+
+    Fixture &m_fixture;
+    std::mt19937_64 m_random;
+    std::uniform_real_distribution<double> m_unit{0, 1};
+    std::map<VersionId, double> m_failing;
+};
+
 } // namespace
 
+// A bad version got nearly no requests before it was completed if the daemons had been running for
+// a while when its rollout was ordered: all earlier requests counted as traffic since the order.
+Test(rolloutAgent, the_canary_share_does_not_depend_on_how_long_the_daemons_have_been_running)
+{
+    for (const Duration uptime : {Duration(2s), Duration(50s), Duration(3600s)}) {
+        Fixture fixture(false);
+        fixture.addServer("i-1", "v1");
+        fixture.addServer("i-2", "v2");
+        fixture.start();
+        Traffic traffic(fixture, 1);
+        traffic.countEarlier(uptime);
+        fixture.order("v2", 16);
+        traffic.run(10s);
+        const auto stage = fixture.storedStage();
+        const double expected = canaryShare(Traffic::RequestsPerSecond, 16s, ExposeShare);
+        cr_assert(stage);
+        cr_expect_float_eq(stage->canaryShare, expected, 0.01, "up for %lld s: %g",
+                           static_cast<long long>(uptime / Duration(1s)), stage->canaryShare);
+    }
+}
+
 Test(rolloutAgent, a_rollback_that_the_store_lost_is_written_again_once)
 {
     Fixture fixture;
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -38,6 +38,7 @@
     evidence.evidence = {
         {InstanceId("d"), ServiceId("s"), VersionId("v"), 2, {1, 2, 3, 4, 5}, {6, 7, 8, 9, 10}}};
     evidence.evidence[0].otherCounts.answerDelays.addWaiting(3s);
+    evidence.evidence[0].countedAfter = 400ms;
     FeedLoad load{
         DataCentreId("here"),
         {},
--- a/Tests/Fleet/testRecordCodec.cpp
+++ b/Tests/Fleet/testRecordCodec.cpp
@@ -126,6 +126,8 @@
                            {6, 7, 8, 9.5, 10}}};
     collected.evidence[0].targetCounts.answerDelays.addObserved(90ms);
     collected.evidence[0].targetCounts.answerDelays.addWaiting(5s);
+    collected.evidence.push_back(collected.evidence[0]);
+    collected.evidence[1].countedAfter = 400ms;
     collected.orderAges = {{ServiceId("s"), VersionId("v2"), 4500ms}};
     const FleetRecord decodedEvidence = codec.decode(Topic::Own, codec.encode(collected));
     cr_expect(std::get<EvidenceCollected>(decodedEvidence).evidence == collected.evidence);
--- a/Tests/Routing/testDelayHistogram.cpp
+++ b/Tests/Routing/testDelayHistogram.cpp
@@ -45,6 +45,7 @@
     view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, TimePoint());
     constexpr double median = 0.15;
     const TimePoint start = TimePoint() + 100s;
+    counts.followOrders(view, start);
     sendRequests(counts, Old, 300, median, 4s, start, random);
     sendRequests(counts, New, requests, median * slowFactor, 4s, start, random);
     const RolloutEvidence evidence = counts.evidence(InstanceId("d"), view, start + 4s).front();
@@ -84,6 +85,7 @@
     FleetView view;
     const TimePoint start = TimePoint() + 100s;
     view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, start);
+    counts.followOrders(view, start);
     const RolloutCounts::Ticket ticket = counts.onSent(Service, New, start);
     counts.onAnswerBegun(ticket, start + 1s);
     counts.onEvents(ticket, 2, start + 1s);
@@ -103,6 +105,7 @@
     FleetView view;
     const TimePoint start = TimePoint() + 100s;
     view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, start);
+    counts.followOrders(view, start);
     const RolloutCounts::Ticket ticket = counts.onSent(Service, New, start);
     const auto early = counts.evidence(InstanceId("d"), view, start + 1s).front().targetCounts;
     const auto late = counts.evidence(InstanceId("d"), view, start + 4s).front().targetCounts;
@@ -112,3 +115,50 @@
     const auto ended = counts.evidence(InstanceId("d"), view, start + 9s).front().targetCounts;
     cr_expect(ended.answerDelays == late.answerDelays);
 }
+
+// The answers of versions that ran before a rollout was ordered hid those that followed.
+Test(rolloutCounts, outcomes_before_an_order_are_no_evidence)
+{
+    RolloutCounts counts;
+    FleetView view;
+    const TimePoint start = TimePoint() + 100s;
+    for (int i = 0; i < 100; ++i) {
+        counts.onEnded(counts.onSent(Service, New, start), true, Duration(20ms), start);
+        counts.onEnded(counts.onSent(Service, Old, start), false, std::nullopt, start);
+    }
+    const RolloutCounts::Ticket underWay = counts.onSent(Service, Old, start);
+    view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, start + 1s);
+    cr_expect(counts.evidence(InstanceId("d"), view, start + 1s).empty());
+    counts.followOrders(view, start + 2s);
+    const RolloutEvidence before = counts.evidence(InstanceId("d"), view, start + 2s).front();
+    cr_expect_eq(before.targetCounts.answers() + before.otherCounts.answers(), 0);
+    cr_expect_eq(before.sent(), 0);
+    cr_expect_eq(before.otherCounts.inFlight, 1);
+    cr_expect(before.countedAfter == Duration(1s));
+
+    counts.onEnded(underWay, true, Duration(20ms), start + 3s);
+    counts.onEnded(counts.onSent(Service, New, start + 3s), false, std::nullopt, start + 3s);
+    counts.followOrders(view, start + 4s);
+    const RolloutEvidence after = counts.evidence(InstanceId("d"), view, start + 4s).front();
+    cr_expect_eq(after.otherCounts.good, 1);
+    cr_expect_eq(after.otherCounts.inFlight, 0);
+    cr_expect_eq(after.targetCounts.bad, 1);
+    cr_expect(after.countedAfter == Duration(1s));
+}
+
+Test(rolloutCounts, an_order_that_is_given_again_is_counted_anew)
+{
+    RolloutCounts counts;
+    FleetView view;
+    const TimePoint start = TimePoint() + 100s;
+    view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, start);
+    counts.followOrders(view, start);
+    counts.onEnded(counts.onSent(Service, New, start), false, std::nullopt, start);
+    view.apply({Offset(1), RolloutWithdrawn{Service}}, start + 1s);
+    counts.followOrders(view, start + 1s);
+    view.apply({Offset(2), RolloutOrdered{Service, New, 15s}}, start + 60s);
+    counts.followOrders(view, start + 60s);
+    const RolloutEvidence evidence = counts.evidence(InstanceId("d"), view, start + 60s).front();
+    cr_expect_eq(evidence.targetCounts.answers(), 0);
+    cr_expect(evidence.countedAfter == Duration::zero());
+}
--- a/Tests/Routing/testRolloutController.cpp
+++ b/Tests/Routing/testRolloutController.cpp
@@ -32,6 +32,7 @@
     result.other.sent = otherGood + otherBad;
     result.lowestStage = LastRolloutStage;
     result.daemons = 1;
+    result.counted = {{result.sent(), Duration::zero()}};
     return result;
 }
 
@@ -80,6 +81,7 @@
             }
             counts.lowestStage = stage ? stage->stage : 0;
             counts.daemons = 1;
+            counts.counted = {{counts.sent(), Duration::zero()}};
             // Evidence is reported every two seconds.
             if (now - reportedAt >= 2s) {
                 reportedCounts = counts;
@@ -367,3 +369,26 @@
     cr_expect(next->condemned);
     cr_expect_not(next->complete);
 }
+
+// Daemons of an older build count since their own start. Their counts must not pass for the traffic
+// since the order.
+Test(rolloutController, daemons_that_count_from_their_start_do_not_raise_the_request_rate)
+{
+    const auto evidenceOf = [](const char *daemon, std::int64_t sent,
+                               std::optional<Duration> countedAfter) {
+        RolloutEvidence evidence{InstanceId(daemon), Service, New};
+        evidence.otherCounts.sent = sent;
+        evidence.otherCounts.good = sent;
+        evidence.countedAfter = countedAfter;
+        return evidence;
+    };
+    std::map<InstanceId, EvidenceCollected> collected;
+    collected[InstanceId("x")] = {InstanceId("x"),
+                                  {evidenceOf("old", 60'000, std::nullopt),
+                                   evidenceOf("new", 16, Duration::zero()),
+                                   evidenceOf("restarted", 8, Duration(2s))},
+                                  {}};
+    const RolloutTotals sum = rolloutTotals(Service, New, collected);
+    cr_expect_float_eq(sum.requestRate(4s), 1.5 * (4 + 4), 1e-9, "%g", sum.requestRate(4s));
+    cr_expect_eq(RolloutTotals().requestRate(4s), 0);
+}
--- a/Tests/Routing/testVersionComparison.cpp
+++ b/Tests/Routing/testVersionComparison.cpp
@@ -26,6 +26,7 @@
     RolloutCounts counts;
     FleetView view;
     view.apply({Offset(0), RolloutOrdered{service, version, 24s}}, TimePoint());
+    counts.followOrders(view, TimePoint());
     for (const Duration latency : latencies) {
         const RolloutCounts::Ticket ticket = counts.onSent(service, version, TimePoint());
         counts.onEnded(ticket, true, latency, TimePoint());
