A request without an answer at its deadline is no failure of its version

Cause: a request that reached its deadline without an answer, or whose server gave up at that moment (504), counted as a bad answer of the version. Some requests take longer than their route allows, whatever the version.

Change: such a request counts with its wait, as a request in flight does. A version that never answers is found by these waits. Answers that have begun and are cut off, resets, errors and an early 504 count as before.

--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -338,8 +338,8 @@
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
-    m_context.rolloutCounts.onEnded(m_attempt.ticket, versionSuccess(outcome), latencySample(now),
-                                    now);
+    m_context.rolloutCounts.onEnded(m_attempt.ticket, versionOutcome(outcome, now),
+                                    latencySample(now), now);
     m_triedBackends.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
         m_context.log.write(LogPriority::Notable,
@@ -358,6 +358,17 @@
     }
 }
 
+std::optional<bool> RequestForwarder::versionOutcome(SendOutcome outcome, TimePoint now) const
+{
+    const bool gaveUp =
+        outcome == SendOutcome::ServerFailed && m_attempt.head.status == HttpStatus::GatewayTimeout;
+    const bool unanswered = outcome == SendOutcome::Broken && !m_attempt.headReceived;
+    if ((gaveUp || unanswered) && m_deadline - now <= MinTimeForRetry) {
+        return std::nullopt;
+    }
+    return versionSuccess(outcome);
+}
+
 bool RequestForwarder::mayRetry(TimePoint now) const
 {
     const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity);
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -118,6 +118,10 @@
     void recordConnectionLost(TimePoint now);
     /// Logs an answer that broke off after its head, with the parts of the prompt.
     void logBrokenOff(TimePoint now);
+    /// Whether the attempt says that the server's version works; std::nullopt if it says nothing,
+    /// as one that reaches the deadline without an answer: its wait is evidence, but the deadline
+    /// is the caller's.
+    std::optional<bool> versionOutcome(SendOutcome outcome, TimePoint now) const;
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
     int urgency() const;
--- a/Tests/Routing/testDelayHistogram.cpp
+++ b/Tests/Routing/testDelayHistogram.cpp
@@ -162,3 +162,25 @@
     cr_expect_eq(evidence.targetCounts.answers(), 0);
     cr_expect(evidence.countedAfter == Duration::zero());
 }
+
+Test(versionComparison, a_version_that_never_answers_is_found_by_its_waits)
+{
+    constexpr Duration timeLimit = 400ms;
+    RolloutCounts counts;
+    FleetView view;
+    const TimePoint start = TimePoint() + 100s;
+    view.apply({Offset(0), RolloutOrdered{Service, New, 15s}}, start);
+    counts.followOrders(view, start);
+    for (int i = 0; i < 100; ++i) {
+        const RolloutCounts::Ticket ticket = counts.onSent(Service, Old, start);
+        counts.onAnswerBegun(ticket, start + 20ms);
+        counts.onEnded(ticket, true, Duration(20ms), start + 20ms);
+    }
+    for (int i = 0; i < 6; ++i) {
+        const RolloutCounts::Ticket ticket = counts.onSent(Service, New, start);
+        counts.onEnded(ticket, std::nullopt, std::nullopt, start + timeLimit);
+    }
+    const RolloutEvidence evidence = counts.evidence(InstanceId("d"), view, start + 1s).front();
+    cr_expect(compareVersions(evidence.targetCounts, evidence.otherCounts)
+              == VersionVerdict::Worse);
+}
