A retry after a failure is no evidence on a version

Cause: a request that fails at any server of any version was counted once for each attempt.

Change: after an attempt that counts as a failure, further attempts of the same request say nothing about versions. Attempts after a refusal or a failed connection count as before.

Test: rolloutEvidence/a_request_that_fails_at_every_server_counts_once failed before (3 instead of 1).

--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -339,8 +339,9 @@
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
-    m_context.rolloutCounts.onEnded(m_attempt.ticket, versionOutcome(outcome, now),
-                                    latencySample(now), now);
+    const std::optional<bool> worked = versionOutcome(outcome, now);
+    m_context.rolloutCounts.onEnded(m_attempt.ticket, worked, latencySample(now), now);
+    m_failedBefore = m_failedBefore || worked == false;
     m_triedBackends.insert(m_attempt.backend);
     if (outcome != SendOutcome::Served) {
         m_context.log.write(LogPriority::Notable,
@@ -364,7 +365,8 @@
     const bool gaveUp =
         outcome == SendOutcome::ServerFailed && m_attempt.head.status == HttpStatus::GatewayTimeout;
     const bool unanswered = outcome == SendOutcome::Broken && !m_attempt.headReceived;
-    if ((gaveUp || unanswered) && m_deadline - now <= MinTimeForRetry) {
+    const bool atDeadline = m_deadline - now <= MinTimeForRetry;
+    if (m_failedBefore || (atDeadline && (gaveUp || unanswered))) {
         return std::nullopt;
     }
     return versionSuccess(outcome);
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -118,9 +118,10 @@
     void recordConnectionLost(TimePoint now);
     /// Logs an answer that broke off after its head, with the parts of the prompt.
     void logBrokenOff(TimePoint now);
-    /// Whether the attempt says that the server's version works; std::nullopt if it says nothing,
-    /// as one that reaches the deadline without an answer: its wait is evidence, but the deadline
-    /// is the caller's.
+    /// Whether the attempt says that the server's version works; std::nullopt if it says nothing.
+    /// That is so for one that reaches the deadline without an answer: its wait is evidence, but
+    /// the deadline is the caller's. It is also so for a retry, since requests that failed before
+    /// fail more often than others, whatever the version.
     std::optional<bool> versionOutcome(SendOutcome outcome, TimePoint now) const;
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
@@ -191,6 +192,7 @@
     ServiceId m_service;
     std::string m_model;
     std::uint64_t m_sessionHash = 0;
+    bool m_failedBefore = false; ///< An attempt counted as a failure of its server's version.
     std::uint64_t m_affinity = 0;
     std::int64_t m_sharedTokens = 0; ///< Prompt tokens that other requests may share.
     bool m_runsModels = false;
--- a/Tests/Forward/testRolloutEvidence.cpp
+++ b/Tests/Forward/testRolloutEvidence.cpp
@@ -83,3 +83,33 @@
     rollout.call(ForwardHarness::request("POST", "", "b"));
     cr_expect_eq(rollout.counts().bad, 1);
 }
+
+// Requests that fail at any server, as a wrong account's, counted once for each attempt.
+Test(rolloutEvidence, a_request_that_fails_at_every_server_counts_once, .timeout = 20)
+{
+    OrderedRollout rollout;
+    rollout.publishRoute(route(RouteKind::Idempotent, 3));
+    rollout.addBackend(fail);
+    rollout.addBackend(fail);
+    rollout.addBackend(fail);
+    cr_expect_eq(statusOf(rollout.call(ForwardHarness::request("GET"))), 500);
+    cr_expect_eq(rollout.received(), 3);
+    const VersionCounts counts = rollout.counts();
+    cr_expect_eq(counts.sent, 3);
+    cr_expect_eq(counts.bad, 1);
+    cr_expect_eq(counts.inFlight, 0);
+}
+
+Test(rolloutEvidence, an_attempt_after_a_refusal_counts, .timeout = 20)
+{
+    OrderedRollout rollout;
+    rollout.publishRoute(route(RouteKind::Idempotent, 3));
+    int sends = 0;
+    const auto script = [&](Connection &connection, const std::string &request) {
+        ++sends == 1 ? refuse(connection, request) : serve(connection, request);
+    };
+    rollout.addBackend(script);
+    rollout.addBackend(script);
+    cr_expect_eq(statusOf(rollout.call(ForwardHarness::request("GET"))), 200);
+    cr_expect_eq(rollout.counts().good, 1);
+}
