A version that is doubtful when its deadline has come is condemned

Change: at the deadline, a target whose failures are improbable at 0.02 (if it failed as often as the others) is condemned; until then it goes on and gets more requests. docs/design/rollouts.md gives the reason: a good version that is condemned costs another order, a bad one that completes costs the service, and there is no way back.

Test: rolloutController/a_version_that_is_doubtful_at_the_deadline_is_condemned failed before (it completed).

--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -165,7 +165,7 @@
     // At the deadline, a good version that is condemned costs another order; a bad one that
     // completes costs the service.
     const bool doubted =
-        verdict == VersionVerdict::Suspicious && deadlineNear(order, elapsed, observation);
+        verdict != VersionVerdict::Unremarkable && deadlineNear(order, elapsed, observation);
     if (stage.stage > 0 && (verdict == VersionVerdict::Worse || doubted)) {
         stage.condemned = true;
         return stage;
--- a/Source/Routing/VersionComparison.cpp
+++ b/Source/Routing/VersionComparison.cpp
@@ -14,9 +14,10 @@
 constexpr double MinShareExcess = 0.05;
 /// Standard errors by which the failure shares of a worse target differ.
 constexpr double MinZScore = 3.0;
-/// A suspicious target has at least this many failures with a smaller probability than this, if it
-/// fails as often as the other versions.
+/// A suspicious or doubtful target has at least as many failures with a smaller probability than
+/// this, if it fails as often as the other versions.
 constexpr double SuspiciousProbability = 0.002;
+constexpr double DoubtfulProbability = 0.02;
 /// Failure share that is assumed of the other versions at least.
 constexpr double MinBaselineShare = 0.01;
 
@@ -71,14 +72,16 @@
     return excess > MinShareExcess && excess / standardError > MinZScore;
 }
 
-bool failsSuspiciously(const VersionCounts &target, const VersionCounts &other)
+/// Probability that the target has so many failures if it fails as often as the other versions; 1
+/// if they are too few to say anything.
+double failureProbability(const VersionCounts &target, const VersionCounts &other)
 {
     if (target.bad < MinBadAnswersSuspicious
         || badShare(target) - badShare(other) <= MinShareExcess) {
-        return false;
+        return 1;
     }
     const double baseline = std::max(MinBaselineShare, badShare(other));
-    return binomialTail(target.answers(), target.bad, baseline) < SuspiciousProbability;
+    return binomialTail(target.answers(), target.bad, baseline);
 }
 
 double meanLogLatency(const VersionCounts &counts)
@@ -121,9 +124,12 @@
     if (failsMoreOften(target, other) || takesLonger(target, other) || slowness > WorseSlowness) {
         return VersionVerdict::Worse;
     }
-    return failsSuspiciously(target, other) || slowness > SuspiciousSlowness
-        ? VersionVerdict::Suspicious
-        : VersionVerdict::Unremarkable;
+    const double probability = failureProbability(target, other);
+    if (probability < SuspiciousProbability || slowness > SuspiciousSlowness) {
+        return VersionVerdict::Suspicious;
+    }
+    return probability < DoubtfulProbability ? VersionVerdict::Doubtful
+                                             : VersionVerdict::Unremarkable;
 }
 
 } // namespace lycheearch
--- a/Source/Routing/VersionComparison.h
+++ b/Source/Routing/VersionComparison.h
@@ -7,6 +7,8 @@
 /// What the outcomes of two versions say about the newer one.
 enum class VersionVerdict {
     Unremarkable, ///< No sign that it is worse.
+    Doubtful, ///< Fails more often; may be chance, but decides if there is no time for more
+              ///< evidence.
     Suspicious, ///< Signs of failures or slowness, too few to be sure.
     Worse, ///< Fails more often, or takes longer, by more than chance explains.
 };
--- a/Tests/Routing/testRolloutController.cpp
+++ b/Tests/Routing/testRolloutController.cpp
@@ -252,6 +252,29 @@
     }
 }
 
+// Signs of failures that were too weak to stop a version before its deadline let it complete there.
+Test(rolloutController, a_version_that_is_doubtful_at_the_deadline_is_condemned)
+{
+    const RolloutTotals doubtful = totals(22, 5, 285, 15);
+    cr_assert(compareVersions(doubtful.target, doubtful.other) == VersionVerdict::Doubtful);
+    const RolloutStage last{Service, New, LastRolloutStage, 0.05, false, false, 0.1};
+    RolloutController atDeadline({ExposeShare, ExposeSlack});
+    const auto next =
+        atDeadline.decide(Order, Start, last, doubtful, 3, Start + Order.finishWithin - 500ms);
+    cr_assert(next);
+    cr_expect(next->condemned);
+    cr_expect_not(next->complete);
+
+    // Earlier, it goes on and gets more requests.
+    const RolloutStage canary{Service, New, LastRolloutStage - 1, 0.05, false, false, 0.1};
+    RolloutController before({ExposeShare, ExposeSlack});
+    cr_expect_not(before.decide(Order, Start, canary, doubtful, 3, Start + 15s).has_value());
+    const auto later = before.decide(Order, Start, canary, doubtful, 3, Start + 22900ms);
+    cr_assert(later);
+    cr_expect_eq(later->stage, LastRolloutStage);
+    cr_expect_not(later->condemned);
+}
+
 Test(rolloutController, another_controller_resumes_from_the_stored_stage)
 {
     RolloutSimulation simulation([](double, double) { return 0.02; });
