A Connection field can't remove fields that the router sets or the other end needs

Cause: the data path first set the router's fields and then removed every field that the caller's Connection names, the router's among them. On related paths: a request that is passed on to another daemon lost its API key, id and remaining time (answered 401 there); a request lost Host, Model, Prompt-Prefix and other fields that must arrive as they were sent; a server's Connection removed Response-Seal, id and content type from answers, streams and errors.

Nothing else in the path touches these fields.

Change: fields that Connection names are removed where a request is decoded, before the router sets its own. Fields for the recipient of the message stay whatever Connection lists (RFC 9110, 7.6.1); the adapter names them. Fields of answers for callers come from one function of the adapter instead of three copies.

--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -284,7 +284,6 @@
         options.enginePriority = std::clamp(m_priority, 0, LowestEnginePriority);
     }
     HttpRequestHead head = m_context.headerCodec.encodeRequest(m_request, options);
-    removeConnectionFields(head.fields);
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
         head.fields.add("Content-Length", std::to_string(m_body.size()));
@@ -434,9 +433,7 @@
         return;
     }
     if (m_errorHead) {
-        HttpFields fields = m_errorHead->fields;
-        removeConnectionFields(fields);
-        fields.remove("Content-Length");
+        HttpFields fields = m_context.headerCodec.callerFields(*m_errorHead);
         addRelayResult(m_attempt.backend, fields);
         finish(m_errorHead->status, "error response of the backend server", now);
         m_writer.sendResponse(m_errorHead->status, m_errorHead->reason, std::move(fields),
--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -83,7 +83,6 @@
 {
     HttpRequestHead head =
         m_context.headerCodec.encodeRelay(m_request, m_deadline - now, m_stream.lastEventId());
-    removeConnectionFields(head.fields);
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
         head.fields.add("Content-Length", std::to_string(m_body.size()));
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -323,9 +323,7 @@
         fail("a stream could not be resumed", now);
         return;
     }
-    HttpFields fields = m_attempt.head.fields;
-    removeConnectionFields(fields);
-    fields.remove("Content-Length");
+    HttpFields fields = m_context.headerCodec.callerFields(m_attempt.head);
     addRelayResult(m_attempt.backend, fields);
     m_firstByteAt = now;
     finish(m_attempt.head.status, "served", now);
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -59,9 +59,7 @@
     }
     if (!begun) {
         m_firstByteAt = now;
-        HttpFields fields = m_attempt.head.fields;
-        removeConnectionFields(fields);
-        fields.remove("Content-Length");
+        HttpFields fields = m_context.headerCodec.callerFields(m_attempt.head);
         addRelayResult(m_attempt.backend, fields);
         m_writer.beginStream(m_attempt.head.status, m_attempt.head.reason, std::move(fields));
     } else {
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -24,7 +24,8 @@
 /// A request of a caller, decoded from its header fields.
 struct DecodedRequest
 {
-    HttpRequestHead head; ///< As received, without the fields that only the router may set.
+    /// As received, without hop-by-hop fields and those that only the router may set.
+    HttpRequestHead head;
     std::string host;
     RequestId id;
     std::string apiKey;
@@ -94,6 +95,9 @@
     virtual HttpRequestHead encodeRelay(const DecodedRequest &request, Duration timeLeft,
                                         std::optional<std::int64_t> lastEventId) const = 0;
     virtual ResponseMetadata decodeResponse(const HttpResponseHead &head) const = 0;
+    /// Fields of a response as the caller gets them: without hop-by-hop fields and the length,
+    /// which belong to the connection to the backend server.
+    virtual HttpFields callerFields(const HttpResponseHead &head) const = 0;
 };
 
 } // namespace lycheearch
--- a/Source/Net/HttpHead.cpp
+++ b/Source/Net/HttpHead.cpp
@@ -114,7 +114,7 @@
         && status != HttpStatus::NotModified;
 }
 
-void removeConnectionFields(HttpFields &fields)
+void removeConnectionFields(HttpFields &fields, std::span<const std::string_view> endToEnd)
 {
     static constexpr std::array<std::string_view, 9> standard = {
         "connection",          "keep-alive", "proxy-connection",  "te",    "trailer",
@@ -127,7 +127,12 @@
         }
     }
     for (const std::string &name : nominated) {
-        fields.remove(name);
+        const bool kept =
+            std::any_of(endToEnd.begin(), endToEnd.end(),
+                        [&](std::string_view other) { return equalIgnoringCase(name, other); });
+        if (!kept) {
+            fields.remove(name);
+        }
     }
     for (const std::string_view name : standard) {
         fields.remove(name);
--- a/Source/Net/HttpHead.h
+++ b/Source/Net/HttpHead.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,7 +70,9 @@
 };
 
 /// Removes the hop-by-hop fields: the standard ones and those listed in the Connection field.
-void removeConnectionFields(HttpFields &fields);
+/// Fields named in \p endToEnd stay even if they are listed there: they are for the recipient of
+/// the message, so that a sender may not list them (RFC 9110, 7.6.1).
+void removeConnectionFields(HttpFields &fields, std::span<const std::string_view> endToEnd);
 
 /// The start line, the header fields and the blank line after them.
 std::string serializeRequestHead(const HttpRequestHead &head);
--- a/Tests/Net/testHttpParser.cpp
+++ b/Tests/Net/testHttpParser.cpp
@@ -180,7 +180,7 @@
     fields.add("Keep-Alive", "timeout=5");
     fields.add("TE", "trailers");
     fields.add("X-Kept", "1");
-    removeConnectionFields(fields);
+    removeConnectionFields(fields, {});
     cr_expect_eq(fields.all().size(), 1);
     cr_expect_str_eq(fields.all()[0].name.c_str(), "X-Kept");
 }
