A stream that breaks off is reset for callers that get it without chunks

What callers would have seen: an HTTP/1.0 caller gets a stream without chunks, which ends with its connection. If the stream broke off, its connection was closed in the same way as after a whole one.

Change: such a connection is reset instead. Callers of HTTP/1.1 see the missing last chunk, as before.

Tests: cutResponses/a_stream_that_breaks_off_is_reset_for_callers_without_chunks failed before.

--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -198,6 +198,7 @@
     if (m_draining || !m_chunkedResponse) {
         m_keepAlive = false;
     }
+    m_endsWithConnection = !m_chunkedResponse;
     if (m_chunkedResponse) {
         fields.add("Transfer-Encoding", "chunked");
     }
@@ -217,6 +218,7 @@
     if (m_chunkedResponse) {
         m_socket.send(LastChunk);
     }
+    m_endsWithConnection = false;
     if (m_draining) {
         m_keepAlive = false;
     }
@@ -277,7 +279,11 @@
     }
     m_state = State::Closed;
     m_context.loop.cancel(m_timer);
-    m_socket.close();
+    if (m_endsWithConnection) {
+        m_socket.abort();
+    } else {
+        m_socket.close();
+    }
     m_onClosed(*this);
 }
 
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -89,6 +89,7 @@
     TimePoint m_now;
     bool m_keepAlive = true;
     bool m_chunkedResponse = true;
+    bool m_endsWithConnection = false; ///< A response that ends with the connection has begun.
     bool m_bodyless = false;
     bool m_draining = false;
 };
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -74,6 +74,15 @@
     m_fd = -1;
 }
 
+void StreamSocket::abort()
+{
+    if (m_fd >= 0) {
+        const linger withoutDelay{1, 0};
+        ::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &withoutDelay, sizeof(withoutDelay));
+    }
+    close();
+}
+
 void StreamSocket::onReady(std::uint32_t events, TimePoint now)
 {
     if (!m_connected) {
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -43,6 +43,9 @@
     void setReading(bool reading);
     /// Closes the descriptor. The listener is not called again.
     void close();
+    /// Closes the descriptor with a reset (RST) and drops queued bytes, so that the peer can't take
+    /// what it has received for whole. The listener is not called again.
+    void abort();
 
     bool isOpen() const { return m_fd >= 0; }
     bool connected() const { return m_connected; }
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -126,6 +126,9 @@
 class ForwardHarness
 {
 public:
+    /// How a caller's connection ended.
+    enum class ConnectionEnd { Open, Closed, Reset };
+
     /// Tests run in parallel, each in its own process, so each uses its own port range.
     const std::uint16_t firstPort = static_cast<std::uint16_t>(10'000 + getpid() % 500 * 16);
 
@@ -211,6 +214,7 @@
                                                     Endpoint{"127.0.0.1", firstPort}, error);
             cr_assert_not(error, "%s", error.message().c_str());
         }
+        callerEnd = ConnectionEnd::Open;
         Caller caller(*this);
         caller.socket.send(bytes);
         currentCaller = &caller;
@@ -292,8 +296,16 @@
             return connectTcp({"127.0.0.1", port}, error);
         }
         void onBytes(std::string_view bytes, TimePoint) override { received.append(bytes); }
-        void onEnd(TimePoint) override { m_harness.loop.stop(); }
-        void onError(std::error_code, TimePoint) override { m_harness.loop.stop(); }
+        void onEnd(TimePoint) override
+        {
+            m_harness.callerEnd = ConnectionEnd::Closed;
+            m_harness.loop.stop();
+        }
+        void onError(std::error_code, TimePoint) override
+        {
+            m_harness.callerEnd = ConnectionEnd::Reset;
+            m_harness.loop.stop();
+        }
 
         ForwardHarness &m_harness;
         StreamSocket socket;
@@ -328,6 +340,7 @@
     std::vector<std::unique_ptr<ScriptedBackend>> peerDaemons;
     std::unique_ptr<CallerServer> server;
     Caller *currentCaller = nullptr;
+    ConnectionEnd callerEnd = ConnectionEnd::Open; ///< Of the last call.
 
 private:
     int m_version = 0;
