A stop of a daemon cuts off no request that may not be repeated, and leaves none without an answer

Report of other operators: in a planned stop, requests that came late in the grace period were taken and passed on, and cut off without an answer at its end, among them requests that may not be repeated. Shown: in the first 2.5 s of a stop every request was admitted, whatever its deadline, also where the grace period is hardly longer; and at the end of the grace period each request in flight lost its connection.

Where it can't happen: a grace period of 8 s with deadlines below 7.7 s, as in all deployments at hand; after 2.5 s only requests whose deadline comes before the end are admitted.

Change: a request that may outlast the grace period is admitted only if it is retryable, and only in the first third of the period (at most 2.5 s); others are refused at once (503, not run). Requests that are in flight 300 ms before the end are answered then: 502 if they may have run, 503 if not; streams that have begun are cut off. The process exits 100 ms later, so that the answers are sent.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -248,12 +248,16 @@
             server->stopListening();
         }
     }
-    const bool drained = callerConnections() == 0 && elapsed >= StopListeningDelay;
-    if (drained || m_shutdownPolicy.mustTerminate(now)) {
+    if (m_shutdownPolicy.mustTerminate(now)) {
+        m_callerServer->stopListening();
         m_callerServer->terminateAll(now);
         if (m_relayServer) {
+            m_relayServer->stopListening();
             m_relayServer->terminateAll(now);
         }
+    }
+    const bool drained = callerConnections() == 0 && elapsed >= StopListeningDelay;
+    if (drained || m_shutdownPolicy.mustExit(now)) {
         m_loop.stop();
         return;
     }
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -62,6 +62,18 @@
 }
 
 void CallerConnection::terminate(TimePoint now)
+{
+    if (m_state != State::Serving) {
+        close(now);
+        return;
+    }
+    m_keepAlive = false;
+    if (m_forwarder) {
+        m_forwarder->giveUp("the process must exit", now);
+    }
+}
+
+void CallerConnection::cancel(TimePoint now)
 {
     if (m_forwarder) {
         m_forwarder->cancel(now);
@@ -262,12 +274,12 @@
 
 void CallerConnection::onEnd(TimePoint now)
 {
-    terminate(now);
+    cancel(now);
 }
 
 void CallerConnection::onError(std::error_code, TimePoint now)
 {
-    terminate(now);
+    cancel(now);
 }
 
 void CallerConnection::onSendQueueEmpty(TimePoint) { }
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -34,7 +34,8 @@
     void drain();
     /// Closes the connection if no request is in progress.
     void closeIfIdle(TimePoint now);
-    /// Cancels a request in progress and closes the connection.
+    /// Answers a request in progress at once and closes the connection, for example when the
+    /// process must exit.
     void terminate(TimePoint now);
     bool idle() const { return m_state == State::Waiting && m_input.empty(); }
 
@@ -67,6 +68,8 @@
     void rejectRequest(int status, const char *cause, TimePoint now);
     void finishResponse(TimePoint now);
     void linger(TimePoint now);
+    /// Cancels a request in progress, whose caller has gone, and closes the connection.
+    void cancel(TimePoint now);
     void close(TimePoint now);
     void startTimer(Duration limit, TimePoint now);
     void onTimer(TimePoint now);
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -26,7 +26,7 @@
     void stopListening();
     /// Closes the connections on which no request is in progress.
     void closeIdle(TimePoint now);
-    /// Cancels all requests and closes all connections.
+    /// Answers all requests at once and closes all connections.
     void terminateAll(TimePoint now);
     std::size_t connections() const { return m_connections.size(); }
 
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -92,8 +92,9 @@
     if (!authenticate(now)) {
         return false;
     }
-    if (!m_context.shutdownPolicy.admits(
-            std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout), now)) {
+    const Duration timeLimit =
+        std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
+    if (!m_context.shutdownPolicy.admits(timeLimit, m_route->retryable(), now)) {
         m_declined = true;
         sendLocalResponse(HttpStatus::Unavailable, "the process is stopping", now,
                           StoppingRetryAfter);
@@ -118,8 +119,6 @@
     }
     hashContent();
     setModel(m_context.models.first(*m_route));
-    const Duration timeLimit =
-        std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_receivedAt + timeLimit;
     m_deadlineTimer = m_context.loop.at(m_deadline, [this](TimePoint currentTime) {
         m_deadlineTimer = TimerId();
@@ -474,6 +473,17 @@
     finish(0, "cancelled: the caller disconnected or the daemon stopped", now);
 }
 
+void RequestForwarder::giveUp(const char *cause, TimePoint now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (m_inAttempt) {
+        endAttempt(SendOutcome::Cancelled, false, now);
+    }
+    fail(cause, now);
+}
+
 void RequestForwarder::finish(int status, const char *cause, TimePoint now)
 {
     m_finished = true;
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -39,6 +39,9 @@
     void start(TimePoint now);
     /// Cancels the request, for example when the caller has disconnected. Sends no response.
     void cancel(TimePoint now);
+    /// Ends the request now, with the response that its outcome so far allows. A stream that has
+    /// begun is cut off.
+    void giveUp(const char *cause, TimePoint now);
     bool finished() const { return m_finished; }
 
 private:
--- a/Source/Routing/ShutdownPolicy.h
+++ b/Source/Routing/ShutdownPolicy.h
@@ -15,10 +15,14 @@
     bool stopping() const { return m_stopping; }
     /// Time since the shutdown began.
     Duration elapsed(TimePoint now) const { return now - m_beganAt; }
-    /// Whether a request that may take up to \p maxDuration is still admitted.
-    bool admits(Duration maxDuration, TimePoint now) const;
+    /// Whether a request that may take up to \p maxDuration is still admitted. One that may outlast
+    /// the grace period is admitted early in it only, and only if it is \p retryable: it would be
+    /// terminated while it may have been executed.
+    bool admits(Duration maxDuration, bool retryable, TimePoint now) const;
     /// Whether the remaining requests must be terminated, since the grace period is about to end.
     bool mustTerminate(TimePoint now) const;
+    /// Whether the process must exit now, once terminated requests had the time to send a response.
+    bool mustExit(TimePoint now) const;
 
 private:
     bool m_stopping = false;
--- a/Tests/Routing/testRouterPolicies.cpp
+++ b/Tests/Routing/testRouterPolicies.cpp
@@ -175,14 +175,29 @@
 Test(shutdownPolicy, a_stopping_daemon_admits_requests_that_can_finish_in_time)
 {
     ShutdownPolicy policy;
-    cr_expect(policy.admits(60s, Start));
+    cr_expect(policy.admits(60s, true, Start));
     policy.begin(8s, Start);
-    cr_expect(policy.admits(60s, Start + 1s));
-    cr_expect_not(policy.admits(8s, Start + 3s));
-    cr_expect(policy.admits(800ms, Start + 3s));
-    cr_expect_not(policy.admits(800ms, Start + 7500ms));
+    cr_expect(policy.admits(60s, true, Start + 1s));
+    cr_expect_not(policy.admits(8s, true, Start + 3s));
+    cr_expect(policy.admits(800ms, false, Start + 3s));
+    cr_expect_not(policy.admits(800ms, true, Start + 7500ms));
     cr_expect_not(policy.mustTerminate(Start + 7s));
     cr_expect(policy.mustTerminate(Start + 7800ms));
+    cr_expect_not(policy.mustExit(Start + 7700ms));
+    cr_expect(policy.mustExit(Start + 7900ms));
+}
+
+Test(shutdownPolicy, a_request_that_may_outlast_the_stop_is_admitted_only_if_it_can_be_repeated)
+{
+    for (const Duration grace : {Duration(2s), Duration(4s), Duration(8s), Duration(60s)}) {
+        ShutdownPolicy policy;
+        policy.begin(grace, Start);
+        for (Duration since = Duration::zero(); since < grace; since += 100ms) {
+            cr_expect_not(policy.admits(grace, false, Start + since));
+            cr_expect(policy.admits(grace, true, Start + since)
+                      == (since < Duration(2500ms) && since * 3 < grace));
+        }
+    }
 }
 
 Test(decayingRatio, an_old_estimate_decays_to_the_default_without_observations)
