Terms of a deployment reach the router; message fields for server speeds and for the use of services by accounts

Cause: parts that only some deployments call for need a switch in their settings. The terms stand in the settings file as the platform names them; platform/ translates them into DeploymentTraits, and unknown terms are ignored. The new message fields are optional; daemons without them ignore them.

--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -99,6 +99,10 @@
         reader.integer({"memory_mb", "Memory limit of the process, in MiB"}, {16, 1'000'000}, 128);
     settings.routineLogLines = static_cast<int>(reader.integer(
         {"routine_log_lines", "Log lines per second for successful requests"}, {0, 100'000}, 20));
+    settings.terms = reader.text({"terms",
+                                  "Terms of the deployment in the platform's words, separated by "
+                                  "commas; terms that are not known are ignored"},
+                                 "");
     reader.section({"bounds", "Limits that apply to all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
     reader.reportUnknownKeys();
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -26,6 +26,15 @@
     double coldRateSlack = 0; ///< Requests per second beyond that limit.
 };
 
+/// Properties of a deployment that switch parts of the router on.
+struct DeploymentTraits
+{
+    /// Callers compete for the capacity of the servers, and both may read slowly.
+    bool scarceCapacity = false;
+
+    bool operator==(const DeploymentTraits &) const = default;
+};
+
 /// Settings of a router daemon, which keeps its state in a log store.
 struct RouterSettings
 {
@@ -41,6 +50,9 @@
     Endpoint store;
     std::int64_t memoryMegabytes = 0; ///< Memory limit of the process, in MiB.
     int routineLogLines = 0; ///< Per second, for successful requests.
+    /// Terms of the deployment in the platform's words, separated by commas.
+    std::string terms;
+    DeploymentTraits traits; ///< Derived from the terms.
     RouterBounds bounds;
 };
 
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -33,7 +33,11 @@
 /// checks the settings.
 int runRouter(const std::string &path, bool checkOnly)
 {
-    const auto load = [path](Findings &findings) { return loadRouterSettings(path, findings); };
+    const auto load = [path](Findings &findings) {
+        RouterSettings settings = loadRouterSettings(path, findings);
+        settings.traits = platform::deploymentTraits(settings.terms);
+        return settings;
+    };
     Findings findings;
     RouterSettings settings = load(findings);
     if (!findings.empty()) {
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -98,6 +98,22 @@
   services @1 :List(Text);     # Services of which it reaches no server.
 }
 
+struct FeedServerSpeed {
+  backend @0 :Text;
+  startedAt @1 :Int64;         # Start of the server's run in Unix milliseconds; 0 if not known.
+  observedSeconds @2 :Float64; # Time that the server took for work since the last message.
+  expectedSeconds @3 :Float64; # Time that a server of usual speed takes for the same work.
+  hostSlowness @4 :Float64;    # How slow its host was at the last report, 1 is usual; 0: not known.
+  age @5 :Int64;               # Microseconds since that report.
+}
+
+struct FeedServiceUse {
+  service @0 :Text;
+  account @1 :UInt64;          # Hash of the client account.
+  inFlight @2 :Float64;        # Weighted work of its requests in flight.
+  refused @3 :Float64;         # Weighted work of its requests that found no room lately.
+}
+
 struct FeedLoad {
   dataCentre @0 :Text;         # Data centre whose loads are summed; empty: one follower's or all.
   entries @1 :List(FeedLoadEntry);
@@ -105,6 +121,8 @@
   promptEvidence @3 :FeedPromptEvidence;
   rateLimits @4 :List(FeedRateLimit);  # What servers said since the last message.
   cutOff @5 :List(FeedCutOff);  # All daemons that are cut off from servers now.
+  speeds @6 :List(FeedServerSpeed);  # Observed since the last message.
+  uses @7 :List(FeedServiceUse);     # All accounts with work in flight or refused.
 }
 
 struct FeedMessage {
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(8ddf46c8d9fd9d06);
 CAPNP_DECLARE_SCHEMA(97eaf0f27481c089);
 CAPNP_DECLARE_SCHEMA(9eb5332093a34fdc);
+CAPNP_DECLARE_SCHEMA(f605957cf3f10560);
+CAPNP_DECLARE_SCHEMA(fe24cb958431d270);
 CAPNP_DECLARE_SCHEMA(cdca46df75ae5cee);
 CAPNP_DECLARE_SCHEMA(a16fbdf97169f605);
 
@@ -201,6 +203,36 @@
   };
 };
 
+struct FeedServerSpeed {
+  FeedServerSpeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f605957cf3f10560, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeedServiceUse {
+  FeedServiceUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe24cb958431d270, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FeedLoad {
   FeedLoad() = delete;
 
@@ -209,7 +241,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1419,6 +1451,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class FeedServerSpeed::Reader {
+public:
+  typedef FeedServerSpeed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline double getObservedSeconds() const;
+
+  inline double getExpectedSeconds() const;
+
+  inline double getHostSlowness() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedServerSpeed::Builder {
+public:
+  typedef FeedServerSpeed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline double getObservedSeconds();
+  inline void setObservedSeconds(double value);
+
+  inline double getExpectedSeconds();
+  inline void setExpectedSeconds(double value);
+
+  inline double getHostSlowness();
+  inline void setHostSlowness(double value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedServerSpeed::Pipeline {
+public:
+  typedef FeedServerSpeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FeedServiceUse::Reader {
+public:
+  typedef FeedServiceUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getAccount() const;
+
+  inline double getInFlight() const;
+
+  inline double getRefused() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeedServiceUse::Builder {
+public:
+  typedef FeedServiceUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline double getInFlight();
+  inline void setInFlight(double value);
+
+  inline double getRefused();
+  inline void setRefused(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeedServiceUse::Pipeline {
+public:
+  typedef FeedServiceUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedLoad::Reader {
 public:
   typedef FeedLoad Reads;
@@ -1454,6 +1688,12 @@
   inline bool hasCutOff() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>::Reader getCutOff() const;
 
+  inline bool hasSpeeds() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1524,6 +1764,20 @@
   inline void adoptCutOff(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedCutOff,  ::capnp::Kind::STRUCT>> disownCutOff();
 
+  inline bool hasSpeeds();
+  inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Builder getSpeeds();
+  inline void setSpeeds( ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Builder initSpeeds(unsigned int size);
+  inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>> disownSpeeds();
+
+  inline bool hasUses();
+  inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>> disownUses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2933,6 +3187,186 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool FeedServerSpeed::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedServerSpeed::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedServerSpeed::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedServerSpeed::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedServerSpeed::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedServerSpeed::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedServerSpeed::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedServerSpeed::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t FeedServerSpeed::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedServerSpeed::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedServerSpeed::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedServerSpeed::Reader::getObservedSeconds() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedServerSpeed::Builder::getObservedSeconds() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedServerSpeed::Builder::setObservedSeconds(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedServerSpeed::Reader::getExpectedSeconds() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedServerSpeed::Builder::getExpectedSeconds() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedServerSpeed::Builder::setExpectedSeconds(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedServerSpeed::Reader::getHostSlowness() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedServerSpeed::Builder::getHostSlowness() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedServerSpeed::Builder::setHostSlowness(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FeedServerSpeed::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedServerSpeed::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FeedServerSpeed::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedServiceUse::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedServiceUse::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedServiceUse::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedServiceUse::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedServiceUse::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedServiceUse::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FeedServiceUse::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedServiceUse::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FeedServiceUse::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedServiceUse::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedServiceUse::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedServiceUse::Reader::getInFlight() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedServiceUse::Builder::getInFlight() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedServiceUse::Builder::setInFlight(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FeedServiceUse::Reader::getRefused() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double FeedServiceUse::Builder::getRefused() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedServiceUse::Builder::setRefused(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedLoad::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3142,6 +3576,74 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoad::Reader::hasSpeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasSpeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Reader FeedLoad::Reader::getSpeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::getSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setSpeeds( ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::initSpeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptSpeeds(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>> FeedLoad::Builder::disownSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServerSpeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool FeedLoad::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedLoad::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Reader FeedLoad::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void FeedLoad::Builder::setUses( ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Builder FeedLoad::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void FeedLoad::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>> FeedLoad::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
