--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -53,7 +53,9 @@
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
+    m_picker.applySpeeds(load.speeds, now);
     if (!m_follower.followingFeed()) {
+        m_speedsToForward.add(load.speeds, now);
         m_evidenceToForward.add(load.crashEvidence);
         addNewest(m_rateLimitsToForward, load.rateLimits);
     }
@@ -92,14 +94,17 @@
     m_entriesToForward.clear();
     m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
+    m_speedsToForward.clear();
     FeedLoad ownLoad{DataCentreId(),
                      m_picker.ownLoads(now),
                      m_picker.promptCacheIndex().takeUnpublished(),
                      m_crashes.takeUnpublished(now),
                      m_picker.rateLimiter().notices().takeUnpublished(now),
-                     ownCutOff()};
+                     ownCutOff(),
+                     m_picker.takeUnpublishedSpeeds(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
         || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
+        || !ownLoad.speeds.empty()
         || ownLoad.cutOff != m_lastSentCutOff;
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
@@ -116,7 +121,8 @@
                            m_server->takePromptCacheEntries(),
                            m_server->takeCrashEvidence(),
                            m_server->takeRateLimits(),
-                           m_server->followersCutOff()};
+                           m_server->followersCutOff(),
+                           m_server->takeSpeeds(now)};
     const std::vector<CutOffDaemon> cutOff = ownCutOff();
     ownDataCentre.cutOff.insert(ownDataCentre.cutOff.end(), cutOff.begin(), cutOff.end());
     addLoads(ownDataCentre.loads, ownLoad);
@@ -128,6 +134,7 @@
     ownDataCentre.crashEvidence.add(m_crashes.takeUnpublished(now));
     applyRateLimits(ownDataCentre.rateLimits, now);
     addNewest(ownDataCentre.rateLimits, m_picker.rateLimiter().notices().takeUnpublished(now));
+    addOwnSpeeds(ownDataCentre.speeds, now);
     sendToDataCentres(ownDataCentre, now);
     std::vector<CutOffDaemon> allCutOff = std::move(ownDataCentre.cutOff);
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
@@ -142,7 +149,8 @@
                    std::move(ownDataCentre.promptCacheEntries),
                    std::move(ownDataCentre.crashEvidence),
                    std::move(ownDataCentre.rateLimits),
-                   std::move(allCutOff)};
+                   std::move(allCutOff),
+                   m_speedsToForward.take(now)};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
@@ -153,6 +161,14 @@
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
 }
 
+void LoadExchange::addOwnSpeeds(std::vector<SpeedReport> &followerSpeeds, TimePoint now)
+{
+    m_picker.applySpeeds(followerSpeeds, now);
+    const std::vector<SpeedReport> own = m_picker.takeUnpublishedSpeeds(now);
+    followerSpeeds.insert(followerSpeeds.end(), own.begin(), own.end());
+    m_speedsToForward.add(followerSpeeds, now);
+}
+
 void LoadExchange::sendToDataCentres(const FeedLoad &load, TimePoint now)
 {
     const std::int64_t wallMs = wallMilliseconds(m_clock);
@@ -178,6 +194,7 @@
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
     m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
+    m_picker.applySpeeds(total.speeds, now);
     m_peers.setCutOff(total.cutOff, now);
 }
 
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -34,6 +34,9 @@
     void onRemoteLoad(const FeedLoad &load, TimePoint now);
 
 private:
+    /// Minimum time between two reports of the speed of one server to the followers.
+    static constexpr Duration SpeedForwardPeriod = 1s;
+
     /// The latest load report of another data centre.
     struct RemoteLoad
     {
@@ -44,6 +47,8 @@
 
     void step(TimePoint now);
     void applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now);
+    /// Adds what this daemon observed to what its followers did.
+    void addOwnSpeeds(std::vector<SpeedReport> &followerSpeeds, TimePoint now);
     void aggregateLoads(TimePoint now);
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
     void onTotalLoad(const FeedLoad &total, TimePoint now);
@@ -69,6 +74,7 @@
     std::vector<PromptCacheEntry> m_entriesToForward; ///< From other data centres, to followers.
     CrashEvidence m_evidenceToForward; ///< From other data centres, to followers.
     std::vector<LimitsNotice> m_rateLimitsToForward; ///< From other data centres, to followers.
+    SpeedReportSum m_speedsToForward{SpeedForwardPeriod}; ///< Of all data centres, to followers.
     std::map<DataCentreId, std::unique_ptr<LoadSender>> m_senders;
     TimerId m_timer;
 };
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -240,6 +240,26 @@
     return entry;
 }
 
+void writeSpeed(wire::FeedServerSpeed::Builder builder, const SpeedReport &report)
+{
+    builder.setBackend(report.server.id.value());
+    builder.setStartedAt(report.server.startedAt);
+    builder.setObservedSeconds(report.observedSeconds);
+    builder.setExpectedSeconds(report.expectedSeconds);
+    builder.setHostSlowness(report.hostSlowness.value_or(0));
+    builder.setAge(report.hostAge.count());
+}
+
+SpeedReport readSpeed(wire::FeedServerSpeed::Reader reader)
+{
+    const double hostSlowness = reader.getHostSlowness();
+    return {{InstanceId(reader.getBackend().cStr()), reader.getStartedAt()},
+            reader.getObservedSeconds(),
+            reader.getExpectedSeconds(),
+            hostSlowness == 0 ? std::nullopt : std::optional(hostSlowness),
+            Duration(reader.getAge())};
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -273,6 +293,10 @@
     for (unsigned j = 0; j < cutOff.size(); ++j) {
         writeCutOff(cutOff[j], message.cutOff[j]);
     }
+    auto speeds = builder.initSpeeds(static_cast<unsigned>(message.speeds.size()));
+    for (unsigned j = 0; j < speeds.size(); ++j) {
+        writeSpeed(speeds[j], message.speeds[j]);
+    }
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -300,6 +324,12 @@
     for (const auto entry : reader.getCutOff()) {
         message.cutOff.push_back(readCutOff(entry));
     }
+    for (const auto entry : reader.getSpeeds()) {
+        SpeedReport report = readSpeed(entry);
+        if (isSound(report)) {
+            message.speeds.push_back(std::move(report));
+        }
+    }
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -12,6 +12,7 @@
 #include "Routing/PeerSelector.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/ServerNotices.h"
+#include "Routing/ServerSpeeds.h"
 
 namespace lycheearch {
 
@@ -56,6 +57,7 @@
     std::vector<LimitsNotice> rateLimits; ///< That servers named since the last message.
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
+    std::vector<SpeedReport> speeds; ///< Observed since the last message.
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -90,6 +90,7 @@
             m_server.storePromptCacheEntries(load.promptCacheEntries);
             m_server.m_crashEvidence.add(load.crashEvidence);
             addNewest(m_server.m_rateLimits, load.rateLimits);
+            m_server.m_speeds.add(load.speeds, now);
         } else if (!load.dataCentre.empty()) {
             m_server.m_onLoad(load, now);
         }
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -45,6 +45,8 @@
     CrashEvidence takeCrashEvidence() { return std::exchange(m_crashEvidence, {}); }
     /// Returns and clears the rate limits that servers named to the followers.
     std::vector<LimitsNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
+    /// Returns and clears the speeds of servers that the followers observed.
+    std::vector<SpeedReport> takeSpeeds(TimePoint now) { return m_speeds.take(now); }
 
 private:
     class FeedConnection;
@@ -66,6 +68,7 @@
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     CrashEvidence m_crashEvidence;
     std::vector<LimitsNotice> m_rateLimits;
+    SpeedReportSum m_speeds{Duration::zero()};
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -263,6 +263,7 @@
     m_attempt.version = state->report.version;
     m_attempt.prefillTokens = pick.prefillTokens;
     m_attempt.workTokens = pick.workTokens();
+    m_attempt.slowness = pick.slowness;
     m_attempt.newConnection = connection->isNew();
     m_attempt.connection = std::move(connection);
     return true;
@@ -317,6 +318,7 @@
                             .add("load", pick.load)
                             .add("backlog", static_cast<std::int64_t>(pick.backlogTokens))
                             .add("read", static_cast<std::int64_t>(pick.prefillTokens))
+                            .add("slowness", pick.slowness)
                             .add("local", pick.local ? "yes" : "no")
                             .add("candidates", pick.candidates)
                             .add("model", m_model)
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -59,7 +59,9 @@
         std::uint64_t server = 0; ///< Hash of the server's id and start time.
         VersionId version;
         double prefillTokens = 0; ///< Weighted prompt tokens that the server must prefill.
-        double workTokens = 0; ///< prefillTokens plus the estimated backlog ahead of them.
+        /// prefillTokens plus the estimated backlog ahead of them, in tokens of a usual server.
+        double workTokens = 0;
+        double slowness = 1; ///< Of the server, as expected; included in workTokens.
         std::unique_ptr<BackendHttpConnection> connection;
         HttpResponseHead head;
         ResponseMetadata metadata;
@@ -130,6 +132,8 @@
     double unansweredTokens() const;
     int urgency() const;
     double tokenWeight() const;
+    /// Work that takes equally long at equal servers.
+    const std::string &speedKind() const { return m_model.empty() ? m_route->name : m_model; }
     int maxConnectFailures() const;
     bool openConnection(const Pick &pick, TimePoint now);
     void send(const Pick &pick, const PickRequest &requirements, TimePoint now);
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -1,6 +1,7 @@
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/SendOutcomes.h"
+#include "Forward/SpeedObservations.h"
 #include "Net/HttpStatus.h"
 
 // The part of RequestForwarder that receives responses: their heads and bodies, what a server
@@ -58,15 +59,17 @@
     const bool canEndLimits = head.status < HttpStatus::FirstRedirect && metadata.hasSeal;
     applyRateLimit(metadata, canEndLimits, now);
     applyBrittle(metadata, canEndLimits, now);
-    if (metadata.load) {
-        m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
-                                        metadata.load->waiting, now);
-    }
+    recordReportedLoad(m_context, m_request.id, m_attempt.backend, metadata, now);
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
     if (head.status < HttpStatus::FirstRedirect) {
         m_context.rolloutCounts.onAnswerBegun(m_attempt.ticket, now);
+        const double work = m_runsModels ? m_attempt.workTokens / m_attempt.slowness : 1;
+        recordAnswerBegun(m_context,
+                          {m_request.id, m_attempt.backend, speedKind(), work,
+                           now - m_attempt.sentAt},
+                          now);
     }
     m_attempt.head = head;
     m_attempt.metadata = std::move(metadata);
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Forward/RequestForwarder.h"
+#include "Forward/SpeedObservations.h"
 
 // The part of RequestForwarder that handles event streams and stalled responses.
 
@@ -66,6 +67,10 @@
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
         if (!m_attempt.relayed) {
             m_context.models.onGap(m_model, now - m_lastEventAt, now);
+            // The first gap of a resumed stream is not the server's.
+            if (m_attempt.relayedEvents > eventCount) {
+                recordGap(m_context, m_attempt.backend, speedKind(), now - m_lastEventAt, now);
+            }
         }
     }
     m_lastEventAt = now;
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -58,6 +58,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How long work takes on the server's host now, 1 is usual; std::nullopt if it is not told.
+    std::optional<double> hostSlowness;
 };
 
 /// Header values of a backend server's response.
@@ -67,6 +69,8 @@
     bool hasSeal = false; ///< Has the Response-Seal field; its value is not verified here.
     bool notExecuted = false; ///< The backend server did not execute the request and never will.
     std::optional<ReportedLoad> load;
+    /// The text of a load of which some figure can't be read; empty otherwise.
+    std::string unreadableLoad;
     std::optional<int> confidence; ///< The model's confidence in its response, 0 to 100.
     bool leaving = false; ///< The backend server is about to stop and wants no new requests.
     /// Requests per second that the backend server takes from all daemons together, if it names a
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 #include "Base/Hash.h"
 
@@ -120,7 +121,21 @@
         std::erase_if(candidates, isExcluded);
     }
     keepRotatedServers(request.versions, candidates);
-    return request.engine ? pickForPrompt(request, candidates, now) : pickLeastLoaded(candidates);
+    const bool speedsUsed = m_speeds.usedFor(request.service, now);
+    if (speedsUsed) {
+        setSpeeds(candidates, now);
+    }
+    return request.engine ? pickForPrompt(request, candidates, now)
+                          : pickLeastLoaded(candidates, speedsUsed);
+}
+
+void BackendPicker::setSpeeds(std::vector<Candidate> &candidates, TimePoint now) const
+{
+    for (Candidate &candidate : candidates) {
+        const ServerRun run{candidate.state->report.id, candidate.state->report.startedAt};
+        candidate.slowness = m_speeds.slowness(run, now);
+        candidate.lastingSlowness = m_speeds.lastingSlowness(run, now);
+    }
 }
 
 bool BackendPicker::matches(const BackendState &state, const PickRequest &request,
@@ -191,6 +206,8 @@
     if (health.startedAt != 0 && health.startedAt != state.report.startedAt) {
         m_promptCacheIndex.removeBackend(state.report.id);
     }
+    health.unreadableLoad =
+        health.unreadableLoad && health.startedAt == state.report.startedAt;
     health.startedAt = state.report.startedAt;
 }
 
@@ -203,12 +220,14 @@
                                     candidate.state->report.version,
                                     backlogTokens(candidate, request.urgency, request.service, now)
                                         + slotWaitCost(candidate),
-                                    candidate.local});
+                                    candidate.local, candidate.slowness,
+                                    candidate.lastingSlowness});
     }
     double totalBacklog = 0;
     for (const Candidate &candidate : candidates) {
-        totalBacklog += backlogTokens(candidate, UrgencyClassCount - 1, request.service, now)
-            + slotWaitCost(candidate);
+        totalBacklog += candidate.slowness
+            * (backlogTokens(candidate, UrgencyClassCount - 1, request.service, now)
+               + slotWaitCost(candidate));
     }
     const PromptChoice choice =
         m_placement.choose(request.prompt, promptCandidates, m_promptCacheIndex, now);
@@ -223,7 +242,8 @@
             sourceName(choice.source),
             choice.source == PromptSource::Copied
                 ? std::optional(candidates[choice.copyFrom].state->report.id)
-                : std::nullopt};
+                : std::nullopt,
+            best.slowness};
 }
 
 const BackendLoadShare *BackendPicker::otherDaemonsLoad(const InstanceId &id, TimePoint now) const
@@ -283,14 +303,18 @@
         && !answeredRecently;
 }
 
-Pick BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates)
+Pick BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates, bool speedsUsed)
 {
     const Candidate *best = nullptr;
     double bestCost = 0;
     std::uint64_t bestTie = 0;
     ++m_tieBreak;
     for (const Candidate &candidate : candidates) {
-        const double cost = candidate.load + (candidate.local ? 0 : RemotePenaltyLoad);
+        // With different speeds, the request's own share of the load counts as well.
+        const double ownLoad =
+            speedsUsed ? 1.0 / std::max(1, candidate.state->report.slots) : 0.0;
+        const double cost = (candidate.load + ownLoad) * candidate.slowness
+            + (candidate.local ? 0 : RemotePenaltyLoad);
         const std::uint64_t tie =
             mixBits(m_tieBreak ^ stableHash(candidate.state->report.id.value()));
         if (best == nullptr || cost < bestCost || (cost == bestCost && tie > bestTie)) {
@@ -307,7 +331,8 @@
             best->local,
             static_cast<int>(candidates.size()),
             "least",
-            std::nullopt};
+            std::nullopt,
+            best->slowness};
 }
 
 double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
@@ -480,6 +505,57 @@
     return {id, m_health[id].startedAt};
 }
 
+void BackendPicker::onHostReported(const InstanceId &id, double hostSlowness, TimePoint now)
+{
+    const auto place = m_places.find(id);
+    if (place != m_places.end()) {
+        m_speeds.onHostReported(place->second.service, runOf(id), hostSlowness, now);
+    }
+}
+
+bool BackendPicker::onUnreadableLoad(const InstanceId &id)
+{
+    return !std::exchange(m_health[id].unreadableLoad, true);
+}
+
+bool BackendPicker::speedsUsedFor(const InstanceId &id, TimePoint now) const
+{
+    const auto place = m_places.find(id);
+    return place != m_places.end() && m_speeds.usedFor(place->second.service, now);
+}
+
+bool BackendPicker::onAnswerBegun(const InstanceId &id, const std::string &kind, double work,
+                                  Duration latency, TimePoint now)
+{
+    return speedsUsedFor(id, now) && m_speeds.onAnswerBegun(runOf(id), kind, work, latency, now);
+}
+
+bool BackendPicker::onGap(const InstanceId &id, const std::string &kind, Duration gap,
+                          TimePoint now)
+{
+    return speedsUsedFor(id, now) && m_speeds.onGap(runOf(id), kind, gap, now);
+}
+
+SpeedChange BackendPicker::takeSpeedChange(const InstanceId &id, TimePoint now)
+{
+    return m_speeds.takeChange(runOf(id), now);
+}
+
+double BackendPicker::lastingSlowness(const InstanceId &id, TimePoint now)
+{
+    return m_speeds.lastingSlowness(runOf(id), now);
+}
+
+void BackendPicker::applySpeeds(const std::vector<SpeedReport> &reports, TimePoint now)
+{
+    for (const SpeedReport &report : reports) {
+        const auto place = m_places.find(report.server.id);
+        if (place != m_places.end()) {
+            m_speeds.apply(place->second.service, report, now);
+        }
+    }
+}
+
 bool BackendPicker::onLeaving(const InstanceId &id, TimePoint now)
 {
     return m_rateLimiter.notices().onLeaving(runOf(id), now);
@@ -548,6 +624,7 @@
 void BackendPicker::prune(const FleetView &view, TimePoint now)
 {
     m_rateLimiter.prune(view, now);
+    m_speeds.eraseIf([&](const InstanceId &id) { return view.backend(id) == nullptr; });
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -15,6 +15,7 @@
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptPlacement.h"
 #include "Routing/RolloutRule.h"
+#include "Routing/ServerSpeeds.h"
 #include "Routing/ServiceReach.h"
 
 namespace lycheearch {
@@ -50,15 +51,19 @@
     double load = 0; ///< Requests of all daemons per slot of the server.
     double backlogTokens = 0; ///< Weighted prompt tokens to prefill before this request.
     double prefillTokens = 0; ///< Weighted prompt tokens to prefill for this request.
-    /// Mean number of weighted prompt tokens to prefill at a candidate, all urgency classes summed.
+    /// Mean number of weighted prompt tokens to prefill at a candidate, all urgency classes summed,
+    /// in tokens of a usual server.
     double meanBacklog = 0;
     bool local = false; ///< In the data centre of this daemon.
     int candidates = 0;
     const char *reason = ""; ///< "cached", "copied", "read" or "least" (least loaded).
     std::optional<InstanceId> copyFrom; ///< Server from which the shared prefix is copied.
+    /// Time that the server takes for its work, relative to a usual one; 1 if it is not known.
+    double slowness = 1;
 
-    /// Weighted tokens to prefill before the first event of the answer.
-    double workTokens() const { return backlogTokens + prefillTokens; }
+    /// Weighted tokens that a usual server prefills in the time before the first event of the
+    /// answer.
+    double workTokens() const { return slowness * (backlogTokens + prefillTokens); }
 };
 
 /// When the servers of a service have room again, as far as they said so.
@@ -86,7 +91,8 @@
 /// and unreachable servers (exclusion with exponential backoff, ignored if it would leave no
 /// server), unresponsive data centres (excluded as a whole), services of which this daemon reaches
 /// no server (which then counts against no server), servers that BackendRateLimiter holds
-/// back, and servers that announced in their answers that they stop (never chosen).
+/// back, servers that announced in their answers that they stop (never chosen), and servers of
+/// different speed, if they say how slow their hosts are (ServerSpeeds).
 class BackendPicker
 {
 public:
@@ -114,6 +120,28 @@
     ServiceReach::Servers serversOf(const ServiceId &service) const;
     /// Records the running and waiting requests that a server reported with an answer.
     void onLoadReported(const InstanceId &id, int running, int waiting, TimePoint now);
+    /// Records how slow the host of a server is, 1 is usual, as reported with an answer.
+    void onHostReported(const InstanceId &id, double hostSlowness, TimePoint now);
+    /// Records that a server reported a load that can't be read. Returns false if this was known of
+    /// this run of the server.
+    bool onUnreadableLoad(const InstanceId &id);
+    /// Records the time to the beginning of an answer, or between two events of a stream, for work
+    /// of some kind. Returns whether it was counted; that is so only if the speeds of the service
+    /// are used.
+    bool onAnswerBegun(const InstanceId &id, const std::string &kind, double work, Duration latency,
+                       TimePoint now);
+    bool onGap(const InstanceId &id, const std::string &kind, Duration gap, TimePoint now);
+    /// Returns whether a server was just found to be slow for good, or no longer to be.
+    SpeedChange takeSpeedChange(const InstanceId &id, TimePoint now);
+    /// How much longer than usual a server takes for its work on average.
+    double lastingSlowness(const InstanceId &id, TimePoint now);
+    /// Adds what other daemons observed of servers that this daemon knows.
+    void applySpeeds(const std::vector<SpeedReport> &reports, TimePoint now);
+    /// The speeds that this daemon observed since the last call.
+    std::vector<SpeedReport> takeUnpublishedSpeeds(TimePoint now)
+    {
+        return m_speeds.takeUnpublished(now);
+    }
     /// Records that a server announced that it is about to stop. Returns false if this was known.
     bool onLeaving(const InstanceId &id, TimePoint now);
     /// Records that a server asked for no requests for a time.
@@ -157,6 +185,7 @@
         int samples = 0;
         bool connectionFailed = false; ///< Set by a failed connection, cleared by a valid answer.
         std::int64_t startedAt = 0;
+        bool unreadableLoad = false; ///< In this run.
     };
 
     /// Where a server is and what it provides.
@@ -181,6 +210,8 @@
         double load = 0;
         bool local = false;
         bool excluded = false;
+        double slowness = 1;
+        double lastingSlowness = 1;
     };
 
     /// Whether a server in the view may get the request, apart from its health and load.
@@ -192,11 +223,14 @@
                                              TimePoint now, PickFault &fault);
     /// Keeps the part of the candidates that a version rule allows in its present rotation.
     static void keepRotatedServers(const VersionRule &versions, std::vector<Candidate> &candidates);
+    /// Sets the expected speeds of the candidates.
+    void setSpeeds(std::vector<Candidate> &candidates, TimePoint now) const;
+    bool speedsUsedFor(const InstanceId &id, TimePoint now) const;
     Pick pickForPrompt(const PickRequest &request, const std::vector<Candidate> &candidates,
                        TimePoint now);
     /// Drops the cached prefixes of a server whose start time changed.
     void detectRestart(const BackendState &state, Health &health);
-    Pick pickLeastLoaded(const std::vector<Candidate> &candidates);
+    Pick pickLeastLoaded(const std::vector<Candidate> &candidates, bool speedsUsed);
     double backlogTokens(const Candidate &candidate, int urgency, const ServiceId &service,
                          TimePoint now) const;
     /// Cost of the expected wait for a slot, in prompt tokens.
@@ -215,6 +249,7 @@
     DataCentreId m_ownDataCentre;
     std::map<InstanceId, Health> m_health;
     BackendRateLimiter m_rateLimiter;
+    ServerSpeeds m_speeds;
     ServiceReach m_reach;
     std::map<InstanceId, Place> m_places;
     std::map<DataCentreId, DataCentreHealth> m_dataCentreHealth;
--- a/Source/Routing/DecayingRatio.h
+++ b/Source/Routing/DecayingRatio.h
@@ -16,6 +16,8 @@
 
     void add(double numerator, double denominator, TimePoint now);
     double value(TimePoint now) const;
+    /// Sum of the denominators that have not decayed, without the prior.
+    double weight(TimePoint now) const { return m_denominator * decayFactor(now); }
 
 private:
     double decayFactor(TimePoint now) const;
--- a/Source/Routing/PromptPlacement.cpp
+++ b/Source/Routing/PromptPlacement.cpp
@@ -29,6 +29,16 @@
 /// Up to this number of daemons, each daemon compares all servers. Above it, the share of the
 /// servers in the sample is inversely proportional to the number of daemons.
 constexpr double MaxDaemonsForFullComparison = 6;
+/// Steps of the logarithm to base 2 of the slowness by which prefixes are dealt to the servers.
+/// Coarse, since the estimates of the daemons differ.
+constexpr double SlownessStepsPerDoubling = 2;
+
+/// \p slowness, rounded so that the daemons agree on it; 1 is kept.
+double roundedSlowness(double slowness)
+{
+    return std::exp2(std::round(std::log2(slowness) * SlownessStepsPerDoubling)
+                     / SlownessStepsPerDoubling);
+}
 
 } // namespace
 
@@ -77,7 +87,8 @@
     const double unsharedWork =
         prefillWork(static_cast<double>(work.promptTokens) - shared, shared, work.tokenWeight);
     Cost cost;
-    cost.total = candidate.backlog + (candidate.local ? 0 : RemoteCostTokens);
+    cost.total = candidate.slowness * candidate.backlog + (candidate.slowness - 1) * unsharedWork
+        + (candidate.local ? 0 : RemoteCostTokens);
     if (std::find(holders.begin(), holders.end(), index) != holders.end()) {
         cost.source = PromptSource::Cached;
         cost.prefillTokens = unsharedWork;
@@ -85,8 +96,9 @@
     }
     const double prefixWork = prefillWork(shared, 0, work.tokenWeight);
     cost.prefillTokens = unsharedWork + prefixWork;
-    double sharedCost =
-        holders.empty() && rendezvousChoice ? 0 : prefixWork + CacheSpaceCostTokens * shared;
+    double sharedCost = holders.empty() && rendezvousChoice
+        ? (candidate.slowness - 1) * prefixWork
+        : candidate.slowness * prefixWork + CacheSpaceCostTokens * shared;
     for (const std::size_t holder : holders) {
         const bool sameDataCentre = candidates[holder].dataCentre == candidate.dataCentre;
         const double copyCost =
@@ -102,30 +114,46 @@
     return cost;
 }
 
+std::size_t PromptPlacement::rendezvousChoice(const PromptWork &work,
+                                              const std::vector<PromptCandidate> &candidates)
+{
+    // Weighted rendezvous hashing: an exponentially distributed time for each server, the rate of
+    // which is its speed. Of equal times, the greater hash wins.
+    std::size_t first = 0;
+    double shortestTime = std::numeric_limits<double>::infinity();
+    std::uint64_t topHash = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const std::uint64_t hash = mixBits(work.affinity ^ stableHash(candidates[i].id.value()));
+        const double uniform = std::ldexp(static_cast<double>(hash) + 1, -64);
+        const double time = -std::log(uniform) * roundedSlowness(candidates[i].lastingSlowness);
+        if (time < shortestTime || (time == shortestTime && hash > topHash)) {
+            first = i;
+            shortestTime = time;
+            topHash = hash;
+        }
+    }
+    return first;
+}
+
 PromptChoice PromptPlacement::choose(const PromptWork &work,
                                      const std::vector<PromptCandidate> &candidates,
                                      const PromptCacheIndex &cacheIndex, TimePoint now)
 {
     const bool hasSharedPrefix = work.affinity != 0;
     std::vector<std::size_t> holders;
-    std::size_t rendezvousChoice = candidates.size();
-    std::uint64_t topWeight = 0;
+    const std::size_t preferred =
+        hasSharedPrefix ? rendezvousChoice(work, candidates) : candidates.size();
     const std::vector<InstanceId> knownHolders =
         hasSharedPrefix ? cacheIndex.holders(work.affinity, now) : std::vector<InstanceId>();
     for (std::size_t i = 0; hasSharedPrefix && i < candidates.size(); ++i) {
-        const std::uint64_t weight = mixBits(work.affinity ^ stableHash(candidates[i].id.value()));
-        if (rendezvousChoice == candidates.size() || weight > topWeight) {
-            rendezvousChoice = i;
-            topWeight = weight;
-        }
         if (std::find(knownHolders.begin(), knownHolders.end(), candidates[i].id)
             != knownHolders.end()) {
             holders.push_back(i);
         }
     }
     std::vector<bool> compared = sampleCandidates(candidates.size());
-    if (rendezvousChoice < candidates.size()) {
-        compared[rendezvousChoice] = true;
+    if (preferred < candidates.size()) {
+        compared[preferred] = true;
     }
     for (const std::size_t holder : holders) {
         compared[holder] = true;
@@ -139,7 +167,7 @@
         if (!compared[i]) {
             continue;
         }
-        const Cost cost = costOf(work, candidates, i, holders, i == rendezvousChoice);
+        const Cost cost = costOf(work, candidates, i, holders, i == preferred);
         if (cost.total < bestCost) {
             best = {i, cost.source, cost.copyFrom, cost.prefillTokens};
             bestCost = cost.total;
--- a/Source/Routing/PromptPlacement.h
+++ b/Source/Routing/PromptPlacement.h
@@ -30,6 +30,8 @@
     VersionId version;
     double backlog = 0; ///< Weighted tokens that the server prefills before this request.
     bool local = false; ///< In the data centre of this daemon.
+    double slowness = 1; ///< Time that it takes now for a token, relative to a usual server.
+    double lastingSlowness = 1; ///< The same, on average over minutes.
 };
 
 /// How a server obtains the shared prefix of a prompt.
@@ -49,14 +51,15 @@
     double prefillTokens = 0;
 };
 
-/// Chooses the backend server with the lowest cost for a prompt. The cost is the sum of the
+/// Chooses the backend server with the lowest cost for a prompt: the expected time, in tokens of a
+/// server of usual speed, and a price for copies and distance. The cost is the sum of the
 /// server's backlog, the cost to obtain the shared prefix (cached, copied from another server or
 /// prefilled) and a penalty for another data centre. If no server has the prefix cached, the cost
-/// to obtain it is 0 for the server with the highest rendezvous weight, so that all daemons tend to
-/// choose the same one. Other servers without the prefix are compared only if they are in a random
+/// to obtain it is 0 for a usual server with the highest rendezvous weight, so that all daemons tend
+/// to choose the same one; slower servers have lower weights. Other servers without the prefix are compared only if they are in a random
 /// sample, which is smaller the more daemons there are. Handles hot prefixes (further servers get
-/// copies) and herding (many daemons sending to the server that the last load report showed as
-/// idle).
+/// copies), herding (many daemons sending to the server that the last load report showed as idle)
+/// and servers of different speed.
 class PromptPlacement
 {
 public:
@@ -78,6 +81,9 @@
         double total = 0;
     };
 
+    /// The candidate that all daemons prefer for the shared prefix, if there is one.
+    static std::size_t rendezvousChoice(const PromptWork &work,
+                                        const std::vector<PromptCandidate> &candidates);
     static Cost costOf(const PromptWork &work, const std::vector<PromptCandidate> &candidates,
                        std::size_t index, const std::vector<std::size_t> &holders,
                        bool rendezvousChoice);
--- a/Tests/Routing/testPromptPlacement.cpp
+++ b/Tests/Routing/testPromptPlacement.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <random>
 
+#include "Base/Hash.h"
 #include "Routing/PromptPlacement.h"
 
 using namespace lycheearch;
@@ -200,3 +201,73 @@
     const std::int64_t prefixes = fleet.prefilledSharedTokens() / 13'000;
     cr_expect(prefixes < 4 * 73, "%lld prefixes were prefilled", static_cast<long long>(prefixes));
 }
+
+Test(promptPlacement, a_server_that_is_slow_gets_less)
+{
+    auto candidates = servers(6);
+    PromptPlacement placement(InstanceId("self"));
+    const PromptCacheIndex emptyIndex;
+    const PromptWork work{0, 4'000, 0, 1};
+    for (PromptCandidate &candidate : candidates) {
+        candidate.local = true;
+        candidate.backlog = 4'000;
+        candidate.slowness = 2.4;
+    }
+    candidates[3].slowness = 1;
+    candidates[3].backlog = 12'000;
+    cr_expect_eq(placement.choose(work, candidates, emptyIndex, Start).candidate, 3);
+    candidates[3].backlog = 20'000;
+    cr_expect_neq(placement.choose(work, candidates, emptyIndex, Start).candidate, 3);
+}
+
+Test(promptPlacement, equal_servers_share_the_prefixes_in_the_same_way_at_any_speed)
+{
+    const auto usual = servers(60);
+    auto slow = usual;
+    for (PromptCandidate &candidate : slow) {
+        candidate.slowness = 1.7;
+        candidate.lastingSlowness = 1.7;
+    }
+    PromptPlacement one(InstanceId("one"));
+    PromptPlacement other(InstanceId("other"));
+    const PromptCacheIndex emptyIndex;
+    for (std::uint64_t affinity = 1; affinity < 200; ++affinity) {
+        std::size_t expected = 0;
+        std::uint64_t top = 0;
+        for (std::size_t i = 0; i < usual.size(); ++i) {
+            const std::uint64_t hash = mixBits(affinity ^ stableHash(usual[i].id.value()));
+            expected = hash > top ? i : expected;
+            top = std::max(top, hash);
+        }
+        const PromptWork work{affinity, 17'000, 13'000, 1};
+        cr_expect_eq(one.choose(work, usual, emptyIndex, Start).candidate, expected);
+        cr_expect_eq(other.choose(work, slow, emptyIndex, Start).candidate, expected);
+    }
+}
+
+Test(promptPlacement, faster_servers_get_more_prefixes_and_daemons_agree_on_them)
+{
+    auto one = servers(60);
+    auto other = one;
+    for (std::size_t i = 0; i < one.size(); ++i) {
+        const double slowness = i % 3 == 2 ? 1.7 : 0.7;
+        one[i].slowness = one[i].lastingSlowness = slowness;
+        other[i].slowness = other[i].lastingSlowness = 1.04 * slowness;
+    }
+    PromptPlacement first(InstanceId("one"));
+    PromptPlacement second(InstanceId("other"));
+    first.setDaemons(76);
+    second.setDaemons(76);
+    const PromptCacheIndex emptyIndex;
+    int atSlow = 0;
+    int agreed = 0;
+    for (std::uint64_t affinity = 1; affinity <= 600; ++affinity) {
+        const PromptWork work{affinity, 17'000, 13'000, 1};
+        const std::size_t chosen = first.choose(work, one, emptyIndex, Start).candidate;
+        atSlow += chosen % 3 == 2 ? 1 : 0;
+        agreed += second.choose(work, other, emptyIndex, Start).candidate == chosen ? 1 : 0;
+    }
+    // By speed, a third of the servers has 0.17 of the prefixes.
+    cr_expect(atSlow < 130, "%d of 600 at slow servers", atSlow);
+    cr_expect(agreed > 570, "%d of 600 agreed", agreed);
+}
