--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -139,6 +139,41 @@
     }
 }
 
+Test(loadExchange, the_speed_of_a_server_that_one_daemon_observed_reaches_all, .timeout = 20)
+{
+    const ServiceId service("s");
+    const InstanceId server("b");
+    ExchangingFleet fleet;
+    BackendEntry report;
+    report.id = server;
+    report.service = service;
+    report.startedAt = 1000;
+    report.slots = 6;
+    for (const auto &daemon : fleet.daemons) {
+        daemon->state.view.apply({Offset(0), BackendReported{report}}, fleet.clock.now());
+        PickRequest request;
+        request.service = service;
+        PickFault fault = PickFault::None;
+        cr_assert(daemon->picker.pick(request, daemon->state.view, fleet.clock.now(), fault));
+    }
+    for (const auto &teller : fleet.daemons) {
+        for (int i = 0; i < 20; ++i) {
+            teller->picker.onHostReported(server, 3, fleet.clock.now());
+        }
+        // One period to the source, one to the other data centre, and a second between two reports.
+        fleet.run(2500ms);
+        for (const auto &daemon : fleet.daemons) {
+            PickRequest request;
+            request.service = service;
+            PickFault fault = PickFault::None;
+            const auto pick =
+                daemon->picker.pick(request, daemon->state.view, fleet.clock.now(), fault);
+            cr_assert(pick);
+            cr_expect(pick->slowness > 1.1, "%g", pick->slowness);
+        }
+    }
+}
+
 Test(loadExchange, all_daemons_learn_which_ones_are_cut_off_from_a_service, .timeout = 20)
 {
     const ServiceId service("s");
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <functional>
+#include <limits>
 #include <random>
 
 #include "Feed/FeedHarness.h"
@@ -49,6 +50,8 @@
     load.crashEvidence.successes = {{{6, 7}, 8ms}};
     load.crashEvidence.condemned = {{{9, 10}, 11ms}};
     load.loads[InstanceId("e1")] = {{1, 2.5, 3}, 4, 1};
+    load.speeds = {{{InstanceId("e1"), 1000}, 1.5, 0.5, 2.5, 6ms},
+                   {{InstanceId("e2"), 0}, 1, 2, std::nullopt, Duration::zero()}};
     const std::string bytes = encodeFeedFrame(FeedSubscribe{InstanceId("me")})
         + encodeFeedFrame(FeedPage{Topic::Backends, true, page})
         + encodeFeedFrame(FeedHeartbeat{Duration(5ms)}) + encodeFeedFrame(FeedHeartbeat{})
@@ -68,10 +71,29 @@
         cr_expect(received.dataCentre == load.dataCentre && received.loads == load.loads
                   && received.promptCacheEntries == load.promptCacheEntries
                   && received.crashEvidence == load.crashEvidence
-                  && received.rateLimits == load.rateLimits);
+                  && received.rateLimits == load.rateLimits
+                  && received.speeds == load.speeds);
     }
 }
 
+Test(feed, speeds_that_are_no_sound_figures_are_left_out)
+{
+    constexpr double noNumber = std::numeric_limits<double>::quiet_NaN();
+    const ServerRun server{InstanceId("e1"), 1000};
+    FeedLoad load;
+    load.speeds = {{server, noNumber, 1, std::nullopt, Duration::zero()},
+                   {server, 1, 1e300, std::nullopt, Duration::zero()},
+                   {server, -1, 1, std::nullopt, Duration::zero()},
+                   {server, 1, 1, noNumber, Duration::zero()},
+                   {server, 1, 1, -2.5, Duration::zero()},
+                   {server, 1, 1, 2.5, Duration::min()},
+                   {server, 1, 1, 2.5, Duration::zero()}};
+    const std::string bytes = encodeFeedFrame(load);
+    const auto received = std::get<FeedLoad>(readAll(bytes, bytes.size()).at(0)).speeds;
+    cr_assert_eq(received.size(), 1);
+    cr_expect(received[0] == load.speeds.back());
+}
+
 Test(feed, a_large_page_is_compressed)
 {
     RecordPage page;
