--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -77,6 +77,25 @@
     return bounds;
 }
 
+HedgeSettings readHedging(YamlReader &reader)
+{
+    constexpr Range<double> share{0, 1};
+    constexpr Range<double> seconds{1, 600};
+    HedgeSettings hedging;
+    hedging.maxShare =
+        reader.real({"max_share",
+                     "Requests of a service that may be sent to a second server because their "
+                     "answer is late, as a share of all in the window, all daemons together; 0: "
+                     "none"},
+                    share, 0);
+    hedging.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        reader.real({"window_s", "Window of max_share, in seconds"}, seconds, 10)));
+    hedging.reserveShare = reader.real(
+        {"reserve_share", "Part of the retry budget that stays for retries after failures"}, share,
+        0.5);
+    return hedging;
+}
+
 RouterSettings readSettings(YamlReader &reader)
 {
     RouterSettings settings;
@@ -105,6 +124,8 @@
                                  "");
     reader.section({"bounds", "Limits that apply to all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
+    reader.section({"hedging", "Late requests that are sent to a second server"},
+                   [&](YamlReader &section) { settings.hedging = readHedging(section); });
     reader.reportUnknownKeys();
     return settings;
 }
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -35,6 +35,14 @@
     bool operator==(const DeploymentTraits &) const = default;
 };
 
+/// Limits on requests that are sent to a second server because their answer is late.
+struct HedgeSettings
+{
+    double maxShare = 0; ///< Of a service's requests in the window; 0: off.
+    Duration window = 10s; ///< Length of the sliding window.
+    double reserveShare = 0.5; ///< Part of the retry budget that stays for retries.
+};
+
 /// Settings of a router daemon, which keeps its state in a log store.
 struct RouterSettings
 {
@@ -54,6 +62,7 @@
     std::string terms;
     DeploymentTraits traits; ///< Derived from the terms.
     RouterBounds bounds;
+    HedgeSettings hedging;
 };
 
 /// Loads and validates a settings file. Adds all errors to \p findings; the result is only valid if
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,6 +57,7 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
+    , m_hedging(m_settings.instance, m_retries)
     , m_context{m_loop,
                 m_view,
                 m_picker,
@@ -76,7 +77,8 @@
                 m_bodyBudget,
                 m_responseBudget,
                 m_log,
-                m_metrics}
+                m_metrics,
+                m_hedging}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -91,6 +93,8 @@
                      [this](TimePoint now) { scheduleMemberRead(now); })
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
+    m_hedging.setSettings(m_settings.hedging);
+    m_hedging.setTraits(m_settings.traits);
     m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
         onReachChanged(service, reached, m_loop.now());
     });
@@ -213,6 +217,8 @@
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
         || newSettings.dataCentre != m_settings.dataCentre;
     m_settings.bounds = newSettings.bounds;
+    m_settings.hedging = newSettings.hedging;
+    m_hedging.setSettings(m_settings.hedging);
     m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -107,6 +107,7 @@
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget;
+    Hedging m_hedging;
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -11,6 +11,7 @@
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
+#include "Routing/Hedging.h"
 #include "Routing/ModelCascade.h"
 #include "Routing/PeerSelector.h"
 #include "Routing/PendingCrashes.h"
@@ -44,6 +45,7 @@
     BodyBudget &responseBudget;
     StructuredLog &log;
     Metrics &metrics;
+    Hedging &hedging;
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -54,6 +54,7 @@
 {
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_attempt.stallTimer);
+    endLatenessWatch(SendOutcome::Cancelled, m_context.loop.now());
 }
 
 void RequestForwarder::start(TimePoint now)
@@ -127,6 +128,7 @@
     if (!m_request.relayed) {
         // The daemon that the caller sent it to has counted it.
         m_context.retryBudget.onRequest(m_service, now);
+        m_context.hedging.onRequest(m_service, now);
     }
     return true;
 }
@@ -295,6 +297,7 @@
     m_attempt.ticket = m_context.rolloutCounts.onSent(m_service, m_attempt.version, now);
     logDispatch(pick, now);
     startStallTimer(now);
+    watchLateness(now);
     m_attempt.connection->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this,
                                now);
 }
@@ -336,6 +339,7 @@
     m_context.responseBudget.release(m_attempt.reservedBytes);
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
+    endLatenessWatch(outcome, now);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
     const std::optional<bool> worked = versionOutcome(outcome, now);
     m_context.rolloutCounts.onEnded(m_attempt.ticket, worked, latencySample(now), now);
@@ -364,7 +368,10 @@
         outcome == SendOutcome::ServerFailed && m_attempt.head.status == HttpStatus::GatewayTimeout;
     const bool unanswered = outcome == SendOutcome::Broken && !m_attempt.headReceived;
     const bool atDeadline = m_deadline - now <= MinTimeForRetry;
-    if (m_failedBefore || (atDeadline && (gaveUp || unanswered))) {
+    const bool brieflyHung = outcome == SendOutcome::Hung
+        && m_context.hedging.unansweredMoves().silence(m_attempt.backend, now)
+            < m_route->latencyObjective;
+    if (m_failedBefore || brieflyHung || (atDeadline && (gaveUp || unanswered))) {
         return std::nullopt;
     }
     return versionSuccess(outcome);
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -13,6 +13,7 @@
 #include "Forward/ResponseWriter.h"
 #include "Forward/StreamContinuity.h"
 #include "Routing/ExecutionState.h"
+#include "Routing/HedgePolicy.h"
 
 namespace lycheearch {
 
@@ -76,6 +77,9 @@
         TimePoint firstEventAt;
         int relayedEvents = 0; ///< Number of events sent to the caller.
         TimerId stallTimer;
+        TimerId lateTimer;
+        LatencyTracker::Ticket latency = 0; ///< Until the first event or the whole answer.
+        std::optional<UsualLatency> usual; ///< Latency of such requests when it was sent.
     };
 
     void onConnected(TimePoint now) override;
@@ -123,8 +127,10 @@
     void logBrokenOff(TimePoint now);
     /// Whether the attempt says that the server's version works; std::nullopt if it says nothing.
     /// That is so for one that reaches the deadline without an answer: its wait is evidence, but
-    /// the deadline is the caller's. It is also so for a retry, since requests that failed before
-    /// fail more often than others, whatever the version.
+    /// the deadline is the caller's. It is so for one that was sent elsewhere because it was late,
+    /// unless its server gave no answer at all for the time of the latency objective. It is also so
+    /// for a retry, since requests that failed before fail more often than others, whatever the
+    /// version.
     std::optional<bool> versionOutcome(SendOutcome outcome, TimePoint now) const;
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
@@ -178,6 +184,19 @@
     void onStall(TimePoint now);
     void onDeadline(TimePoint now);
 
+    LatencyKind latencyKind() const;
+    /// Measures the latency of the attempt, and decides on it again when it is late.
+    void watchLateness(TimePoint now);
+    /// The answer of the attempt came, or its first event.
+    void recordAnswered(TimePoint now);
+    void endLatenessWatch(SendOutcome outcome, TimePoint now);
+    void startLateTimer(TimePoint at);
+    /// Sends the request to another server if nothing speaks against it.
+    void onLate(TimePoint now);
+    HedgeInput hedgeInput(TimePoint now) const;
+    HedgeRefusal refusesHedge(TimePoint now);
+    void logMove(const char *event, TimePoint now);
+
     void sendBackendResponse(TimePoint now);
     void fail(const char *cause, TimePoint now);
     void sendLocalResponse(int status, const char *cause, TimePoint now,
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -58,6 +58,7 @@
         m_context.rolloutCounts.onEvents(m_attempt.ticket, eventCount, now);
     }
     if (!begun) {
+        recordAnswered(now);
         m_firstByteAt = now;
         HttpFields fields = m_context.headerCodec.callerFields(m_attempt.head);
         addRelayResult(m_attempt.backend, fields);
--- a/Source/Forward/SendOutcomes.cpp
+++ b/Source/Forward/SendOutcomes.cpp
@@ -21,6 +21,10 @@
         return "overloaded";
     case SendOutcome::Misdirected:
         return "misdirected";
+    case SendOutcome::Moved:
+        return "moved";
+    case SendOutcome::Hung:
+        return "hung";
     case SendOutcome::Cancelled:
         break;
     }
@@ -35,11 +39,13 @@
     case SendOutcome::ServerFailed:
     case SendOutcome::Broken:
     case SendOutcome::Reset:
+    case SendOutcome::Hung:
         return false;
     case SendOutcome::Unreachable:
     case SendOutcome::Silent:
     case SendOutcome::Overloaded:
     case SendOutcome::Misdirected:
+    case SendOutcome::Moved:
     case SendOutcome::Cancelled:
         break;
     }
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -412,12 +412,12 @@
     Health &health = m_health[id];
     subtractTokens(health.unanswered, urgency, unansweredTokens);
     health.inFlight = std::max(0, health.inFlight - 1);
-    if (outcome == SendOutcome::Cancelled) {
+    if (outcome == SendOutcome::Cancelled || outcome == SendOutcome::Moved) {
         return;
     }
     const bool failed = outcome == SendOutcome::ServerFailed || outcome == SendOutcome::Broken
         || outcome == SendOutcome::Reset || outcome == SendOutcome::Unreachable
-        || outcome == SendOutcome::Silent;
+        || outcome == SendOutcome::Silent || outcome == SendOutcome::Hung;
     health.failureRate += FailureRateSmoothing * ((failed ? 1.0 : 0.0) - health.failureRate);
     ++health.samples;
     if (outcome == SendOutcome::Unreachable || outcome == SendOutcome::Silent) {
@@ -439,6 +439,9 @@
         health.connectionFailed = true;
         exclude(health, now);
         break;
+    case SendOutcome::Hung:
+        exclude(health, now);
+        break;
     case SendOutcome::Broken:
     case SendOutcome::ServerFailed: {
         double total = 0;
@@ -460,6 +463,7 @@
         m_rateLimiter.notices().onRejected(runOf(id), now);
         health.excludedUntil = now + InitialExclusion / 4;
         break;
+    case SendOutcome::Moved:
     case SendOutcome::Cancelled:
         break;
     }
@@ -522,6 +526,25 @@
     return forecast;
 }
 
+double BackendPicker::serviceLoad(const PickRequest &request, const FleetView &view,
+                                  TimePoint now) const
+{
+    double requests = 0;
+    int slots = 0;
+    for (const auto &[id, state] : view.backends()) {
+        const auto health = m_health.find(id);
+        const bool known = health != m_health.end();
+        if (!matches(state, request, view) || (known && isExcluded(id, health->second, now))
+            || isDataCentreExcluded(state.report.dataCentre, now)) {
+            continue;
+        }
+        const int ownSlots = std::max(1, state.report.slots);
+        requests += known ? loadOf(health->second, state, now) * ownSlots : 0;
+        slots += ownSlots;
+    }
+    return slots == 0 ? 1 : requests / slots;
+}
+
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
 {
     BackendLoads loads;
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -29,6 +29,8 @@
     Silent, ///< The host did not answer: connect timeout, or the connection stopped responding.
     Overloaded, ///< The server rejected the request because it was full.
     Misdirected, ///< Another server now has the address.
+    Moved, ///< Sent elsewhere because the answer was late; says nothing about the server.
+    Hung, ///< The same, and the server had given no answer since another such request.
     Cancelled, ///< Cancelled by the caller or this daemon; says nothing about the server.
 };
 
@@ -127,6 +129,8 @@
     /// When servers that are held back have room for the request.
     RoomForecast roomForecast(const PickRequest &request, const FleetView &view,
                               TimePoint now) const;
+    /// Requests of all daemons per slot at the usable servers that match the request.
+    double serviceLoad(const PickRequest &request, const FleetView &view, TimePoint now) const;
     /// Load that this daemon puts on the servers.
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
--- /dev/null
+++ b/Source/Routing/UnansweredMoves.cpp
@@ -0,0 +1,31 @@
+#include "Routing/UnansweredMoves.h"
+
+#include <algorithm>
+
+namespace lycheearch {
+
+namespace {
+
+constexpr int MovesOfHangingServer = 2;
+/// Servers that are remembered; more only if servers come and go.
+constexpr std::size_t MaxServers = 10'000;
+
+} // namespace
+
+bool UnansweredMoves::onMoved(const InstanceId &server, TimePoint sentAt)
+{
+    if (m_silences.size() >= MaxServers) {
+        m_silences.clear();
+    }
+    Silence &silence = m_silences[server];
+    silence.since = silence.moves == 0 ? sentAt : std::min(silence.since, sentAt);
+    return ++silence.moves >= MovesOfHangingServer;
+}
+
+Duration UnansweredMoves::silence(const InstanceId &server, TimePoint now) const
+{
+    const auto found = m_silences.find(server);
+    return found == m_silences.end() ? Duration::zero() : now - found->second.since;
+}
+
+} // namespace lycheearch
--- /dev/null
+++ b/Source/Routing/UnansweredMoves.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+
+#include "Base/Ids.h"
+#include "Base/Time.h"
+
+namespace lycheearch {
+
+/// Tells a server that hangs from one with a queue, by the requests that were taken from it because
+/// their answers were late: a server that gave no answer between two such requests hangs.
+class UnansweredMoves
+{
+public:
+    /// Records that a request, sent at \p sentAt, was taken from the server without an answer.
+    /// Returns whether the server hangs.
+    bool onMoved(const InstanceId &server, TimePoint sentAt);
+    /// Records an answer of the server.
+    void onAnswered(const InstanceId &server) { m_silences.erase(server); }
+    /// Time since the first of the requests without an answer was sent; zero if there is none.
+    Duration silence(const InstanceId &server, TimePoint now) const;
+
+private:
+    struct Silence
+    {
+        int moves = 0;
+        TimePoint since;
+    };
+
+    std::map<InstanceId, Silence> m_silences;
+};
+
+} // namespace lycheearch
--- a/Source/Routing/WindowedRetryBudget.cpp
+++ b/Source/Routing/WindowedRetryBudget.cpp
@@ -34,19 +34,25 @@
     ++currentInterval(service, now).requests;
 }
 
-bool WindowedRetryBudget::tryWithdraw(const ServiceId &service, TimePoint now)
+bool WindowedRetryBudget::allows(const ServiceId &service, TimePoint now, double reserveShare)
 {
-    Interval &current = currentInterval(service, now);
+    currentInterval(service, now);
     int requests = 0;
     int retries = 0;
     for (const Interval &interval : m_intervals[service]) {
         requests += interval.requests;
         retries += interval.retries;
     }
-    if (retries + 1 > m_bounds.ratio * RatioSafetyFactor * requests + m_bounds.slack) {
+    const double budget = m_bounds.ratio * RatioSafetyFactor * requests + m_bounds.slack;
+    return retries + 1 <= budget * (1 - reserveShare);
+}
+
+bool WindowedRetryBudget::tryWithdraw(const ServiceId &service, TimePoint now, double reserveShare)
+{
+    if (!allows(service, now, reserveShare)) {
         return false;
     }
-    ++current.retries;
+    ++currentInterval(service, now).retries;
     return true;
 }
 
--- a/Source/Routing/WindowedRetryBudget.h
+++ b/Source/Routing/WindowedRetryBudget.h
@@ -27,8 +27,10 @@
     void setBounds(RetryBounds bounds) { m_bounds = bounds; }
     /// Records a request for the service.
     void onRequest(const ServiceId &service, TimePoint now);
+    /// Whether one more retry is left when \p reserveShare of the budget is kept for others.
+    bool allows(const ServiceId &service, TimePoint now, double reserveShare = 0);
     /// Takes one retry from the budget. Returns false if the window allows no more.
-    bool tryWithdraw(const ServiceId &service, TimePoint now);
+    bool tryWithdraw(const ServiceId &service, TimePoint now, double reserveShare = 0);
 
 private:
     /// Counts of one interval of the window.
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -144,7 +144,8 @@
                   headerCodec,    retries,        rollouts, models,
                   crashes,        pendingCrashes, peers,    peerConnections,
                   relayAdmission, returns,        stop,     bounds,
-                  bodyBudget,     responseBudget, log,      metrics}
+                  bodyBudget,     responseBudget, log,      metrics,
+                  hedging}
     {
     }
 
@@ -333,6 +334,7 @@
     BodyBudget responseBudget{256UL * 1024};
     StructuredLog log;
     Metrics metrics;
+    Hedging hedging{InstanceId("self"), retries};
     ForwardContext context;
     CallerLimits limits;
     RequestOrigin origin = RequestOrigin::Caller; ///< Of the requests that call() sends.
--- /dev/null
+++ b/Tests/Forward/testLateStreams.cpp
@@ -0,0 +1,169 @@
+#include "Forward/ForwardScripts.h"
+
+// Streams that a server never begins are sent to another server once they are later than usual,
+// where the settings and the deployment call for it.
+
+using namespace lycheearch;
+
+namespace {
+
+constexpr Duration Objective = 1s;
+
+Route streamRoute(int attempts = 3)
+{
+    Route newRoute = route(RouteKind::EventStream, attempts);
+    newRoute.timeout = 2s;
+    newRoute.latencyObjective = Objective;
+    newRoute.gapObjective = Objective;
+    return newRoute;
+}
+
+void stream(Connection &connection, const std::string &)
+{
+    connection.send(streamHead() + serializeChunk(event(1)) + std::string(LastChunk));
+}
+
+void hang(Connection &, const std::string &) { }
+
+void switchOn(ForwardHarness &harness)
+{
+    HedgeSettings settings;
+    settings.maxShare = 0.5;
+    settings.reserveShare = 0.1;
+    harness.hedging.setSettings(settings);
+    DeploymentTraits traits;
+    traits.scarceCapacity = true;
+    harness.hedging.setTraits(traits);
+}
+
+/// A fleet of which one server hangs and the others answer at once. Answers are known to take \p
+/// usual.
+struct LateFleet
+{
+    explicit LateFleet(Duration usual, const Route &published = streamRoute())
+    {
+        harness.publishRoute(published);
+        hanging = &harness.addBackend(hang);
+        harness.addBackend(stream);
+        harness.addBackend(stream);
+        const TimePoint now = harness.loop.now();
+        for (int i = 0; i < 50; ++i) {
+            LatencyTracker &latencies = harness.hedging.latencies();
+            latencies.onAnswered(latencies.onSent({"r", ServiceId("s"), "", 0}, 1s, now - usual),
+                                 now);
+            harness.retries.onRequest(ServiceId("s"), now);
+        }
+    }
+
+    /// Calls until a request is sent to the hanging server, and returns that response.
+    std::string callHanging(const std::string &request = ForwardHarness::request("POST"))
+    {
+        std::string response;
+        const std::size_t before = hanging->requests.size();
+        for (int i = 0; i < 40 && hanging->requests.size() == before; ++i) {
+            const TimePoint begin = harness.loop.now();
+            response = harness.call(request);
+            took = harness.loop.now() - begin;
+        }
+        cr_assert(hanging->requests.size() > before);
+        return response;
+    }
+
+    ForwardHarness harness;
+    ScriptedBackend *hanging = nullptr;
+    Duration took{};
+};
+
+} // namespace
+
+Test(lateStreams, a_stream_that_a_server_never_begins_is_begun_by_another_within_the_objective)
+{
+    LateFleet fleet(20ms);
+    switchOn(fleet.harness);
+    const std::string response = fleet.callHanging();
+    cr_expect(contains(response, "data: d1"), "%s", response.c_str());
+    cr_expect(fleet.took < Objective / 2, "%lld ms",
+              static_cast<long long>(toMilliseconds(fleet.took)));
+    cr_expect_eq(fleet.hanging->closed, 1, "the connection of the late attempt is closed");
+    cr_expect_eq(fleet.harness.metrics.value("lycheearch_hedge_moves_total"), 1);
+}
+
+Test(lateStreams, nothing_changes_without_a_share_or_a_deployment_that_calls_for_it)
+{
+    for (const bool share : {false, true}) {
+        LateFleet fleet(20ms);
+        HedgeSettings settings;
+        settings.maxShare = share ? 0.5 : 0;
+        fleet.harness.hedging.setSettings(settings);
+        DeploymentTraits traits;
+        traits.scarceCapacity = !share;
+        fleet.harness.hedging.setTraits(traits);
+        fleet.callHanging();
+        cr_expect(fleet.took >= 2 * Objective - 100ms, "%lld ms",
+                  static_cast<long long>(toMilliseconds(fleet.took)));
+    }
+}
+
+Test(lateStreams, a_stream_stays_if_streams_usually_take_longer)
+{
+    LateFleet fleet(900ms);
+    switchOn(fleet.harness);
+    fleet.callHanging();
+    cr_expect(fleet.took > Objective);
+}
+
+Test(lateStreams, a_request_that_may_not_be_repeated_is_sent_once)
+{
+    Route once = streamRoute();
+    once.resumable = false;
+    LateFleet fleet(20ms, once);
+    switchOn(fleet.harness);
+    const std::size_t before = fleet.harness.received();
+    fleet.callHanging();
+    cr_expect_eq(fleet.hanging->requests.size(), 1);
+    cr_expect(fleet.took >= 2 * Objective - 100ms);
+    cr_expect_eq(fleet.harness.metrics.value("lycheearch_hedge_moves_total"), 0);
+    cr_expect(fleet.harness.received() > before);
+}
+
+Test(lateStreams, a_stream_stays_if_no_other_server_has_a_free_place)
+{
+    LateFleet fleet(20ms);
+    switchOn(fleet.harness);
+    BackendLoads loads;
+    loads[InstanceId("b1")].requests = 40;
+    loads[InstanceId("b2")].requests = 40;
+    fleet.harness.picker.setOtherDaemonsLoads(loads, fleet.harness.loop.now());
+    const TimePoint begin = fleet.harness.loop.now();
+    fleet.harness.call(ForwardHarness::request("POST"), 700ms);
+    cr_expect(fleet.harness.loop.now() - begin >= 600ms);
+    cr_expect_eq(fleet.hanging->requests.size(), 1);
+    cr_expect_eq(fleet.harness.received(), 1);
+}
+
+Test(lateStreams, a_server_that_lets_two_streams_wait_without_an_answer_is_excluded)
+{
+    LateFleet fleet(20ms);
+    switchOn(fleet.harness);
+    fleet.callHanging();
+    fleet.callHanging();
+    const std::size_t before = fleet.hanging->requests.size();
+    for (int i = 0; i < 20; ++i) {
+        fleet.harness.call(ForwardHarness::request("POST"));
+    }
+    cr_expect_eq(fleet.hanging->requests.size(), before);
+}
+
+Test(lateStreams, a_caller_that_leaves_ends_the_attempt_and_nothing_is_sent_after_it)
+{
+    LateFleet fleet(20ms);
+    switchOn(fleet.harness);
+    for (auto &backend : fleet.harness.backends) {
+        backend->onRequest = hang;
+    }
+    fleet.harness.call(ForwardHarness::request("POST"), 150ms,
+                       [&] { fleet.harness.disconnectCaller(); });
+    const std::size_t before = fleet.harness.received();
+    fleet.harness.runLoop(1s);
+    cr_expect_eq(fleet.harness.received(), before);
+}
