--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -95,6 +95,9 @@
 {
     m_hedging.setSettings(m_settings.hedging);
     m_hedging.setTraits(m_settings.traits);
+    m_hedging.setServersShareHosts([this](const ServiceId &service) {
+        return m_picker.speedsUsedFor(service, m_loop.now());
+    });
     m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
         onReachChanged(service, reached, m_loop.now());
     });
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -139,6 +139,11 @@
     double lastingSlowness(const InstanceId &id, TimePoint now);
     /// Adds what other daemons observed of servers that this daemon knows.
     void applySpeeds(const std::vector<SpeedReport> &reports, TimePoint now);
+    /// Whether servers of the service reported lately how slow their hosts are.
+    bool speedsUsedFor(const ServiceId &service, TimePoint now) const
+    {
+        return m_speeds.usedFor(service, now);
+    }
     /// The speeds that this daemon observed since the last call.
     std::vector<SpeedReport> takeUnpublishedSpeeds(TimePoint now)
     {
