--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -103,8 +103,7 @@
                      ownCutOff(),
                      m_picker.takeUnpublishedSpeeds(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
-        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
-        || !ownLoad.speeds.empty()
+        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty() || !ownLoad.speeds.empty()
         || ownLoad.cutOff != m_lastSentCutOff;
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -66,10 +66,9 @@
     if (head.status < HttpStatus::FirstRedirect) {
         m_context.rolloutCounts.onAnswerBegun(m_attempt.ticket, now);
         const double work = m_runsModels ? m_attempt.workTokens / m_attempt.slowness : 1;
-        recordAnswerBegun(m_context,
-                          {m_request.id, m_attempt.backend, speedKind(), work,
-                           now - m_attempt.sentAt},
-                          now);
+        recordAnswerBegun(
+            m_context, {m_request.id, m_attempt.backend, speedKind(), work, now - m_attempt.sentAt},
+            now);
     }
     m_attempt.head = head;
     m_attempt.metadata = std::move(metadata);
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -206,8 +206,7 @@
     if (health.startedAt != 0 && health.startedAt != state.report.startedAt) {
         m_promptCacheIndex.removeBackend(state.report.id);
     }
-    health.unreadableLoad =
-        health.unreadableLoad && health.startedAt == state.report.startedAt;
+    health.unreadableLoad = health.unreadableLoad && health.startedAt == state.report.startedAt;
     health.startedAt = state.report.startedAt;
 }
 
@@ -311,8 +310,7 @@
     ++m_tieBreak;
     for (const Candidate &candidate : candidates) {
         // With different speeds, the request's own share of the load counts as well.
-        const double ownLoad =
-            speedsUsed ? 1.0 / std::max(1, candidate.state->report.slots) : 0.0;
+        const double ownLoad = speedsUsed ? 1.0 / std::max(1, candidate.state->report.slots) : 0.0;
         const double cost = (candidate.load + ownLoad) * candidate.slowness
             + (candidate.local ? 0 : RemotePenaltyLoad);
         const std::uint64_t tie =
--- a/Source/Routing/PromptPlacement.cpp
+++ b/Source/Routing/PromptPlacement.cpp
@@ -29,6 +29,10 @@
 /// Up to this number of daemons, each daemon compares all servers. Above it, the share of the
 /// servers in the sample is inversely proportional to the number of daemons.
 constexpr double MaxDaemonsForFullComparison = 6;
+/// Weight of the time that a server needs for the unshared part of the prompt itself, relative to a
+/// usual server. Less than 1: the queues of the faster servers are longer than the daemons know,
+/// and work for slower ones is work that others don't wait for.
+constexpr double OwnWorkWeight = 0.1;
 /// Steps of the logarithm to base 2 of the slowness by which prefixes are dealt to the servers.
 /// Coarse, since the estimates of the daemons differ.
 constexpr double SlownessStepsPerDoubling = 2;
@@ -87,7 +91,8 @@
     const double unsharedWork =
         prefillWork(static_cast<double>(work.promptTokens) - shared, shared, work.tokenWeight);
     Cost cost;
-    cost.total = candidate.slowness * candidate.backlog + (candidate.slowness - 1) * unsharedWork
+    cost.total = candidate.slowness * candidate.backlog
+        + OwnWorkWeight * (candidate.slowness - 1) * unsharedWork
         + (candidate.local ? 0 : RemoteCostTokens);
     if (std::find(holders.begin(), holders.end(), index) != holders.end()) {
         cost.source = PromptSource::Cached;
@@ -97,7 +102,7 @@
     const double prefixWork = prefillWork(shared, 0, work.tokenWeight);
     cost.prefillTokens = unsharedWork + prefixWork;
     double sharedCost = holders.empty() && rendezvousChoice
-        ? (candidate.slowness - 1) * prefixWork
+        ? 0
         : candidate.slowness * prefixWork + CacheSpaceCostTokens * shared;
     for (const std::size_t holder : holders) {
         const bool sameDataCentre = candidates[holder].dataCentre == candidate.dataCentre;
--- a/Source/Routing/PromptPlacement.h
+++ b/Source/Routing/PromptPlacement.h
@@ -55,11 +55,11 @@
 /// server of usual speed, and a price for copies and distance. The cost is the sum of the
 /// server's backlog, the cost to obtain the shared prefix (cached, copied from another server or
 /// prefilled) and a penalty for another data centre. If no server has the prefix cached, the cost
-/// to obtain it is 0 for a usual server with the highest rendezvous weight, so that all daemons tend
-/// to choose the same one; slower servers have lower weights. Other servers without the prefix are compared only if they are in a random
-/// sample, which is smaller the more daemons there are. Handles hot prefixes (further servers get
-/// copies), herding (many daemons sending to the server that the last load report showed as idle)
-/// and servers of different speed.
+/// to obtain it is 0 for the server with the highest rendezvous weight, so that all daemons
+/// tend to choose the same one; slower servers have lower weights. Other servers without the prefix
+/// are compared only if they are in a random sample, which is smaller the more daemons there are.
+/// Handles hot prefixes (further servers get copies), herding (many daemons sending to the server
+/// that the last load report showed as idle) and servers of different speed.
 class PromptPlacement
 {
 public:
--- a/Source/Routing/ServerSpeeds.cpp
+++ b/Source/Routing/ServerSpeeds.cpp
@@ -16,7 +16,7 @@
 constexpr Duration UsualTimeConstant = 30s;
 /// Work that the usual time must be known from before an observation is compared with it, relative
 /// to the work of that observation.
-constexpr double MinUsualObservations = 8;
+constexpr double MinUsualObservations = 20;
 /// Limit of the time of one observation relative to the usual time, in both directions: a stalled
 /// answer says little about the speed.
 constexpr double MaxObservedRatio = 8;
@@ -203,13 +203,14 @@
     const double observed = seconds(duration) / hostSlowness(*entry, now);
     const bool known = usual.weight(now) >= MinUsualObservations * work;
     const double perWork = known ? usual.value(now) : 0;
-    usual.add(observed, work, now);
+    // The usual time is that of a usual server, whichever servers this daemon happened to use.
+    usual.add(observed / lastingSlowness(*entry, now), work, now);
     if (perWork <= 0) {
         return false;
     }
     const double expected = weight * perWork * work;
-    const double counted = std::clamp(weight * observed, expected / MaxObservedRatio,
-                                      expected * MaxObservedRatio);
+    const double counted =
+        std::clamp(weight * observed, expected / MaxObservedRatio, expected * MaxObservedRatio);
     entry->lasting.add(counted, expected, now);
     entry->unpublished.observedSeconds += counted;
     entry->unpublished.expectedSeconds += expected;
--- a/Source/Routing/ServerSpeeds.h
+++ b/Source/Routing/ServerSpeeds.h
@@ -100,7 +100,8 @@
     SpeedChange takeChange(const ServerRun &server, TimePoint now);
 
     /// Drops the servers for which \p gone(id) is true.
-    template <typename Predicate> void eraseIf(Predicate gone)
+    template <typename Predicate>
+    void eraseIf(Predicate gone)
     {
         std::erase_if(m_entries, [&](const auto &entry) { return gone(entry.first); });
     }
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -71,8 +71,7 @@
         cr_expect(received.dataCentre == load.dataCentre && received.loads == load.loads
                   && received.promptCacheEntries == load.promptCacheEntries
                   && received.crashEvidence == load.crashEvidence
-                  && received.rateLimits == load.rateLimits
-                  && received.speeds == load.speeds);
+                  && received.rateLimits == load.rateLimits && received.speeds == load.speeds);
     }
 }
 
--- a/Tests/Forward/testReportedLoad.cpp
+++ b/Tests/Forward/testReportedLoad.cpp
@@ -41,18 +41,27 @@
         std::optional<double> hostSlowness;
         bool unreadable;
     };
-    const std::vector<Case> cases = {
-        {"3,1,8", true, std::nullopt, false},      {"3,1,8,250", true, 2.5, false},
-        {" 3 , 1 , 8 , 70 ", true, 0.7, false},    {"3,1,8,112.5", true, 1.125, false},
-        {"3,1,8,250,9", true, 2.5, false},         {"3,1,8,250,x,-1", true, 2.5, false},
-        {"3,1,8,", true, std::nullopt, false},     {"3,1,8,-250", true, std::nullopt, true},
-        {"3,1,8,fast", true, std::nullopt, true},  {"3,1,8,nan", true, std::nullopt, true},
-        {"3,1,8,inf", true, std::nullopt, true},   {"3,1,8,1e300", true, std::nullopt, true},
-        {"3,1,8,0", true, std::nullopt, true},     {"3,1,8,,5", true, std::nullopt, true},
-        {"3,1,8,250%", true, std::nullopt, true},  {"3,1", false, std::nullopt, true},
-        {"", false, std::nullopt, true},           {"3,1,-8,250", false, std::nullopt, true},
-        {"3,x,8,250", false, std::nullopt, true},  {"3.5,1,8", false, std::nullopt, true},
-        {"99999999999,1,8", false, std::nullopt, true}};
+    const std::vector<Case> cases = {{"3,1,8", true, std::nullopt, false},
+                                     {"3,1,8,250", true, 2.5, false},
+                                     {" 3 , 1 , 8 , 70 ", true, 0.7, false},
+                                     {"3,1,8,112.5", true, 1.125, false},
+                                     {"3,1,8,250,9", true, 2.5, false},
+                                     {"3,1,8,250,x,-1", true, 2.5, false},
+                                     {"3,1,8,", true, std::nullopt, false},
+                                     {"3,1,8,-250", true, std::nullopt, true},
+                                     {"3,1,8,fast", true, std::nullopt, true},
+                                     {"3,1,8,nan", true, std::nullopt, true},
+                                     {"3,1,8,inf", true, std::nullopt, true},
+                                     {"3,1,8,1e300", true, std::nullopt, true},
+                                     {"3,1,8,0", true, std::nullopt, true},
+                                     {"3,1,8,,5", true, std::nullopt, true},
+                                     {"3,1,8,250%", true, std::nullopt, true},
+                                     {"3,1", false, std::nullopt, true},
+                                     {"", false, std::nullopt, true},
+                                     {"3,1,-8,250", false, std::nullopt, true},
+                                     {"3,x,8,250", false, std::nullopt, true},
+                                     {"3.5,1,8", false, std::nullopt, true},
+                                     {"99999999999,1,8", false, std::nullopt, true}};
     for (const Case &one : cases) {
         const ResponseMetadata metadata = decode(one.text);
         cr_expect_eq(metadata.load.has_value(), one.counts, "%s", one.text);
--- a/Tests/Routing/testPromptPlacement.cpp
+++ b/Tests/Routing/testPromptPlacement.cpp
@@ -214,9 +214,9 @@
         candidate.slowness = 2.4;
     }
     candidates[3].slowness = 1;
-    candidates[3].backlog = 12'000;
+    candidates[3].backlog = 9'000;
     cr_expect_eq(placement.choose(work, candidates, emptyIndex, Start).candidate, 3);
-    candidates[3].backlog = 20'000;
+    candidates[3].backlog = 11'500;
     cr_expect_neq(placement.choose(work, candidates, emptyIndex, Start).candidate, 3);
 }
 
--- a/Tests/Routing/testServerSpeeds.cpp
+++ b/Tests/Routing/testServerSpeeds.cpp
@@ -140,13 +140,22 @@
     SpeedReportSum sum(Duration::zero());
     const TimePoint now = observe(speeds, 100);
     const double before = speeds.slowness(Slow, now);
-    const std::vector<SpeedReport> hostile = {
-        report(NoNumber, 1),    report(1, NoNumber),     report(1e300, 1e300),
-        report(-1, 1),          report(1, -1),           report(9, 1),
-        report(1, 0),           report(INFINITY, 1),     report(0, 0, NoNumber),
-        report(0, 0, -1),       report(0, 0, 1e300),     report(0, 0, 0.0),
-        report(0, 0, INFINITY), report(0, 0, 2.5, -1ms), report(0, 0, 2.5, Duration::max()),
-        report(0, 0, 2.5, Duration::min())};
+    const std::vector<SpeedReport> hostile = {report(NoNumber, 1),
+                                              report(1, NoNumber),
+                                              report(1e300, 1e300),
+                                              report(-1, 1),
+                                              report(1, -1),
+                                              report(9, 1),
+                                              report(1, 0),
+                                              report(INFINITY, 1),
+                                              report(0, 0, NoNumber),
+                                              report(0, 0, -1),
+                                              report(0, 0, 1e300),
+                                              report(0, 0, 0.0),
+                                              report(0, 0, INFINITY),
+                                              report(0, 0, 2.5, -1ms),
+                                              report(0, 0, 2.5, Duration::max()),
+                                              report(0, 0, 2.5, Duration::min())};
     for (const SpeedReport &one : hostile) {
         cr_expect_not(isSound(one));
         speeds.apply(Engines, one, now);
--- a/Tests/Routing/testSpeedsInFleet.cpp
+++ b/Tests/Routing/testSpeedsInFleet.cpp
@@ -71,8 +71,8 @@
             announce(m_engines.back(), i % 2 == 0 ? Here : There);
         }
         for (int i = 0; i < m_play.daemons; ++i) {
-            m_daemons.push_back(std::make_unique<BackendPicker>(
-                InstanceId("d" + std::to_string(i)), i % 2 == 0 ? Here : There));
+            m_daemons.push_back(std::make_unique<BackendPicker>(InstanceId("d" + std::to_string(i)),
+                                                                i % 2 == 0 ? Here : There));
             m_daemons.back()->setDaemons(m_play.daemons);
         }
         m_lastOwnLoads.resize(m_daemons.size());
@@ -212,8 +212,8 @@
         ++m_sentTo[index % 3];
         const bool cached = !engine.cached.insert(request.prompt.affinity).second;
         const double shared = cached ? 0 : pick->copyFrom ? 0.06 * 13'000 : 13'000;
-        engine.freeAt = endOf(engine, std::max(engine.freeAt, now),
-                              (4'000 + shared) / TokensPerSecond);
+        engine.freeAt =
+            endOf(engine, std::max(engine.freeAt, now), (4'000 + shared) / TokensPerSecond);
         at(engine.freeAt, [this, &daemon, &engine, pick = *pick, now](TimePoint first) {
             begin(daemon, engine, pick, now, first);
         });
@@ -297,29 +297,35 @@
     EngineFleet fleet(play);
     fleet.run();
     const Result result{fleet.quantile(0.5), fleet.quantile(0.99), fleet.late(2)};
-    cr_log_info("%d daemons, %s: p50 %.3f s, p99 %.3f s, after 2 s %.4f, sent %d %d %d, "
+    cr_log_info("%.0f/s, %d daemons, %s: p50 %.3f s, p99 %.3f s, after 2 s %.4f, sent %d %d %d, "
                 "%.0f entries/s",
-                play.daemons, play.reported ? "reported" : "not reported", result.p50, result.p99,
-                result.late, fleet.sentTo(0), fleet.sentTo(1), fleet.sentTo(2),
-                fleet.forwardedPerSecond());
+                play.requestsPerSecond, play.daemons, play.reported ? "reported" : "not reported",
+                result.p50, result.p99, result.late, fleet.sentTo(0), fleet.sentTo(1),
+                fleet.sentTo(2), fleet.forwardedPerSecond());
     return result;
 }
 
 } // namespace
 
-Test(speedsInFleet, answers_begin_sooner_with_engines_in_three_speeds, .timeout = 200)
+Test(speedsInFleet, fewer_answers_begin_late_with_engines_in_three_speeds, .timeout = 300)
 {
-    for (const int daemons : {8, 83, 300}) {
-        Play known;
-        known.daemons = daemons;
-        Play unknown = known;
-        unknown.reported = false;
-        const Result with = play(known);
-        const Result without = play(unknown);
-        cr_expect(with.p50 < without.p50, "%d daemons: %g, without %g", daemons, with.p50,
-                  without.p50);
-        cr_expect(with.p99 < 0.8 * without.p99, "%d daemons: %g, without %g", daemons, with.p99,
-                  without.p99);
+    for (const double requestsPerSecond : {150, 220}) {
+        for (const int daemons : {8, 83, 300}) {
+            Play known;
+            known.daemons = daemons;
+            known.requestsPerSecond = requestsPerSecond;
+            Play unknown = known;
+            unknown.reported = false;
+            const Result with = play(known);
+            const Result without = play(unknown);
+            cr_expect(with.p99 < 0.95 * without.p99, "%g/s, %d daemons: %g, without %g",
+                      requestsPerSecond, daemons, with.p99, without.p99);
+            cr_expect(with.late <= without.late, "%g/s, %d daemons: %g, without %g",
+                      requestsPerSecond, daemons, with.late, without.late);
+            // The faster engines are used more, so that half of the answers may wait longer.
+            cr_expect(with.p50 < 1.15 * without.p50, "%g/s, %d daemons: %g, without %g",
+                      requestsPerSecond, daemons, with.p50, without.p50);
+        }
     }
 }
 
@@ -339,18 +345,25 @@
     }
 }
 
-Test(speedsInFleet, estimates_converge_within_a_few_seconds, .timeout = 200)
+Test(speedsInFleet, estimates_converge_and_stay, .timeout = 300)
 {
+    // In truth, the ratio is 1.7 / 0.7 = 2.43. Of 300 daemons, each sends one request in two
+    // seconds.
     for (const int daemons : {8, 83, 300}) {
-        Play known;
-        known.daemons = daemons;
-        known.length = 8s;
-        EngineFleet fleet(known);
-        fleet.run();
-        // In truth, the ratio is 1.7 / 0.7 = 2.43.
-        const double ratio = fleet.estimatedRatio(0);
-        cr_log_info("%d daemons: ratio %.2f after 8 s", daemons, ratio);
-        cr_expect(ratio > 1.9 && ratio < 2.9, "%d daemons: %g", daemons, ratio);
+        for (const Duration length : {8s, 20s, 120s}) {
+            Play known;
+            known.daemons = daemons;
+            known.length = length;
+            EngineFleet fleet(known);
+            fleet.run();
+            const double ratio = fleet.estimatedRatio(0);
+            const double fast = fleet.estimate(0, 0);
+            cr_log_info("%d daemons: ratio %.2f after %lld s, first engine %.2f", daemons, ratio,
+                        static_cast<long long>(length / 1s), fast);
+            cr_expect(ratio > (length < 10s ? 1.7 : 1.9) && ratio < 2.9, "%d daemons: %g", daemons,
+                      ratio);
+            cr_expect(fast > 0.5 && fast < 1.1, "%d daemons: %g", daemons, fast);
+        }
     }
 }
 
