--- a/Source/Forward/RequestForwarderHedge.cpp
+++ b/Source/Forward/RequestForwarderHedge.cpp
@@ -152,6 +152,7 @@
             .add("samples", usual ? static_cast<std::int64_t>(usual->samples) : 0)
             .add("learned_from", usual ? usual->source : "none")
             .add("late_share", m_context.hedging.latencies().lateShare(m_service, now))
+            .add("budget_left", m_context.hedging.left(m_service, now))
             .add("work", static_cast<std::int64_t>(m_attempt.prefillTokens))
             .add("left_ms", m_deadline - now),
         now);
--- a/Source/Routing/HedgeBudget.h
+++ b/Source/Routing/HedgeBudget.h
@@ -1,20 +1,22 @@
 #pragma once
 
+#include <deque>
+#include <map>
 #include <string>
 
 #include "Base/Ids.h"
 #include "Base/Time.h"
-#include "Routing/WindowedRetryBudget.h"
 
 namespace lycheearch {
 
 /// Limits the requests that are sent a second time because their answer is late, to a share of the
 /// requests that this daemon received for a service within a sliding window. All daemons together
 /// keep to the share without messages: each one's allowance comes from its own requests. It answers
-/// many daemons with few requests each: an allowance below one is rounded by a threshold that
-/// differs by daemon and changes every EpochWindows windows, so that a daemon with an allowance of
-/// 0.1 has one in a tenth of the time. The sum of the rounded allowances is the sum of the
-/// allowances but for chance.
+/// many daemons with few requests each: an allowance is rounded by a threshold that differs by
+/// daemon and changes every EpochWindows windows, so that a daemon with an allowance of 0.1 has one
+/// in a tenth of the time. The sum of the rounded allowances is the sum of the allowances but for
+/// chance. An allowance never exceeds its mean over EpochWindows windows, or each daemon would use
+/// the moment in which it had the most requests.
 class HedgeBudget
 {
 public:
@@ -27,19 +29,34 @@
     void setLimit(double maxShare, Duration window);
     /// Records a request for the service.
     void onRequest(const ServiceId &service, TimePoint now);
-    /// Whether one more request may be sent a second time.
-    bool allows(const ServiceId &service, TimePoint now);
+    /// What is left of the allowance; 1 or more allows one more request to be sent a second time.
+    double left(const ServiceId &service, TimePoint now);
     /// Takes one from the allowance. Returns false if none is left.
     bool tryWithdraw(const ServiceId &service, TimePoint now);
 
 private:
-    /// Sets the threshold of the service for the present epoch.
-    void setThreshold(const ServiceId &service, TimePoint now);
+    /// Counts of a part of a window.
+    struct Interval
+    {
+        TimePoint start;
+        int requests = 0;
+        int sent = 0;
+    };
+
+    struct History
+    {
+        TimePoint since; ///< When the first request was counted.
+        std::deque<Interval> intervals; ///< Of EpochWindows windows, oldest first.
+    };
+
+    Interval &currentInterval(const ServiceId &service, TimePoint now);
+    /// By which the allowance is rounded up, from 0 to 1.
+    double threshold(const ServiceId &service, TimePoint now) const;
 
     std::string m_self;
     double m_maxShare = 0;
-    Duration m_length{};
-    WindowedRetryBudget m_window;
+    Duration m_window{};
+    std::map<ServiceId, History> m_histories;
 };
 
 } // namespace lycheearch
--- a/Source/Routing/Hedging.cpp
+++ b/Source/Routing/Hedging.cpp
@@ -29,7 +29,7 @@
 
 bool Hedging::allows(const ServiceId &service, TimePoint now)
 {
-    return enabled(service) && m_budget.allows(service, now)
+    return enabled(service) && m_budget.left(service, now) >= 1
         && m_retries.allows(service, now, m_settings.reserveShare);
 }
 
--- a/Source/Routing/Hedging.h
+++ b/Source/Routing/Hedging.h
@@ -34,6 +34,8 @@
     void onRequest(const ServiceId &service, TimePoint now);
     /// Whether the limits allow one more extra request.
     bool allows(const ServiceId &service, TimePoint now);
+    /// What is left of the hedge budget, in requests.
+    double left(const ServiceId &service, TimePoint now) { return m_budget.left(service, now); }
     /// Takes one extra request from the hedge budget and from the retry budget, of which
     /// HedgeSettings::reserveShare stays for retries. Returns false if either has none left.
     bool tryWithdraw(const ServiceId &service, TimePoint now);
--- a/Source/Routing/LatencyTracker.cpp
+++ b/Source/Routing/LatencyTracker.cpp
@@ -26,9 +26,9 @@
 constexpr double ForgottenSamples = 0.5; ///< Kinds with fewer are dropped when there are too many.
 /// Prompt work up to which the latency hardly depends on it.
 constexpr double SmallWorkTokens = 256;
-constexpr Duration LateShareLifetime = 5s;
+constexpr Duration LateShareLifetime = 3s;
 /// Requests in time that are assumed, so that the first late ones don't count as all.
-constexpr double LateSharePriorWeight = 8;
+constexpr double LateSharePriorWeight = 5;
 constexpr Duration OverdueCountLifetime = 100ms;
 
 double secondsOf(Duration duration)
--- a/Tests/Routing/testHedging.cpp
+++ b/Tests/Routing/testHedging.cpp
@@ -135,7 +135,11 @@
 Test(hedgePolicy, hardly_anything_is_sent_twice_when_all_servers_are_slow)
 {
     LatencyTracker tracker;
-    learn(tracker, kindOf("a"), 200ms, 300);
+    for (int i = 0; i < 300; ++i) {
+        const TimePoint now = Start - (300 - i) * Duration(200ms);
+        const Duration latency = 100ms + i % 10 * Duration(20ms);
+        tracker.onAnswered(tracker.onSent(kindOf("a"), 1s, now - latency), now);
+    }
     int moved = 0;
     int late = 0;
     std::vector<std::pair<LatencyTracker::Ticket, TimePoint>> waiting;
@@ -167,14 +171,16 @@
 {
     constexpr double share = 0.1;
     for (const int daemons : {8, 83, 300}) {
-        for (const bool uneven : {false, true}) {
-            std::mt19937 random(7);
+        for (const int play : {0, 1, 2, 3, 4, 5}) {
+            const bool uneven = play % 2 == 1;
+            const TimePoint playStart = Start + play * Duration(5000s);
+            std::mt19937 random(7U + static_cast<unsigned>(play));
             std::vector<HedgeBudget> budgets;
             std::vector<double> rates;
             for (int i = 0; i < daemons; ++i) {
                 budgets.emplace_back(InstanceId("d" + std::to_string(i)));
                 budgets.back().setLimit(share, 10s);
-                rates.push_back(!uneven ? 2 : i % 10 == 0 ? 16 : 0.2 + 0.1 * (i % 7));
+                rates.push_back(!uneven ? 0.5 : i % 10 == 0 ? 16 : 0.2 + 0.1 * (i % 7));
             }
             int requests = 0;
             int sent = 0;
@@ -182,7 +188,7 @@
             std::vector<bool> used(static_cast<std::size_t>(daemons));
             // Requests of 100 s without a late one, then all are late.
             for (int step = 0; step < 1100; ++step) {
-                const TimePoint now = Start + step * Duration(100ms);
+                const TimePoint now = playStart + step * Duration(100ms);
                 for (std::size_t i = 0; i < budgets.size(); ++i) {
                     if (std::bernoulli_distribution(rates[i] / 10)(random)) {
                         budgets[i].onRequest(Service, now);
