--- a/Source/Forward/RequestForwarderHedge.cpp
+++ b/Source/Forward/RequestForwarderHedge.cpp
@@ -57,10 +57,13 @@
 {
     m_context.loop.cancel(m_attempt.lateTimer);
     m_attempt.lateTimer = TimerId();
+    const bool moved = outcome == SendOutcome::Moved || outcome == SendOutcome::Hung;
+    if (m_attempt.headReceived && !moved) {
+        m_context.hedging.unansweredMoves().onAnswered(m_attempt.backend);
+    }
     if (outcome == SendOutcome::Served) {
         recordAnswered(now);
-    } else if (outcome == SendOutcome::Moved || outcome == SendOutcome::Hung
-               || outcome == SendOutcome::Broken) {
+    } else if (moved || outcome == SendOutcome::Broken) {
         m_context.hedging.latencies().onAbandoned(m_attempt.latency, now);
     } else {
         m_context.hedging.latencies().onCancelled(m_attempt.latency);
