Slow readers: backpressure to the backend server, bounded unread bytes (in work)

Cause: StreamSocket's send queue is unbounded and nothing rests reading from a server while its caller doesn't read. Change: RelayBackpressure, CallerReaders, ReadPause, SendQueue.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,6 +57,7 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
+    , m_readers(m_loop, m_responseBudget)
     , m_context{m_loop,
                 m_view,
                 m_picker,
@@ -75,6 +76,7 @@
                 m_settings.bounds,
                 m_bodyBudget,
                 m_responseBudget,
+                m_readers,
                 m_log,
                 m_metrics}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
@@ -327,6 +329,7 @@
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
+    response.body += m_readers.metricsText();
     return response;
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -106,7 +106,8 @@
     ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
-    BodyBudget m_responseBudget;
+    BodyBudget m_responseBudget; ///< Of responses, until their callers have read them.
+    CallerReaders m_readers;
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "Forward/BackendHttpConnection.h"
 
+#include <utility>
+
 namespace lycheearch {
 
 namespace {
@@ -9,6 +11,9 @@
 constexpr int FirstFinalStatus = 200;
 /// More interim responses (1xx) than this to one request are a protocol error.
 constexpr int MaxInterimResponses = 16;
+/// Larger bodies are written apart from their head, and not copied.
+constexpr std::size_t MaxJoinedBodyBytes = 16UL * 1024;
+constexpr int MaxUnsentBytes = 128 * 1024; ///< In the kernel.
 
 /// Reads the timeout parameter, in seconds, of a Keep-Alive field such as "timeout=5, max=100".
 std::optional<Duration> keepAliveTimeout(const HttpFields &fields)
@@ -40,6 +45,7 @@
         return nullptr;
     }
     setTcpOptions(fd, limits.liveness);
+    limitUnsentBytes(fd, MaxUnsentBytes);
     return std::make_unique<BackendHttpConnection>(loop, fd, limits);
 }
 
@@ -61,7 +67,7 @@
     m_loop.cancel(m_connectTimer);
 }
 
-void BackendHttpConnection::send(std::string_view bytes, bool bodyless,
+void BackendHttpConnection::send(std::string_view head, SharedBody body, bool bodyless,
                                  BackendResponseListener &listener, TimePoint now)
 {
     m_listener = &listener;
@@ -70,7 +76,12 @@
     m_input.clear();
     m_interimCount = 0;
     restartParser();
-    m_socket.send(bytes);
+    if (body && body->size() <= MaxJoinedBodyBytes) {
+        m_socket.send(std::string(head) + *body);
+        return;
+    }
+    m_socket.send(head);
+    m_socket.send(std::move(body));
 }
 
 void BackendHttpConnection::abort()
@@ -176,6 +187,7 @@
 {
     BackendResponseListener *listener = m_listener;
     m_listener = nullptr;
+    m_socket.holdReading(false);
     m_idleSince = now;
     ++m_responseCount;
     listener->onResponseComplete(now);
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -54,8 +54,11 @@
 
     /// Sends a request. \p listener receives the response. \p bodyless is set for a HEAD request,
     /// whose response has no body.
-    void send(std::string_view bytes, bool bodyless, BackendResponseListener &listener,
-              TimePoint now);
+    void send(std::string_view head, SharedBody body, bool bodyless,
+              BackendResponseListener &listener, TimePoint now);
+    /// Rests or goes on reading the response. The end of the connection shows only while it is
+    /// read.
+    void setReading(bool reading) { m_socket.holdReading(!reading); }
     /// Closes the connection. The listener is not called again.
     void abort();
 
--- a/Source/Forward/BodyBudget.h
+++ b/Source/Forward/BodyBudget.h
@@ -25,6 +25,7 @@
     }
     void release(std::size_t bytes) { m_reserved -= bytes; }
     std::size_t reservedBytes() const { return m_reserved; }
+    std::size_t limitBytes() const { return m_limit; }
 
 private:
     std::size_t m_limit;
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -1,4 +1,7 @@
 #include "Forward/CallerConnection.h"
+
+#include <utility>
+
 #include "Net/HttpStatus.h"
 
 namespace lycheearch {
@@ -11,6 +14,11 @@
 /// How long the caller may take to close the connection after the last response.
 constexpr Duration LingerTimeout = 1s;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
+/// Larger bodies are written apart from their head, and not copied.
+constexpr std::size_t MaxJoinedBodyBytes = 16UL * 1024;
+constexpr int MaxUnsentBytes = 128 * 1024; ///< In the kernel.
+/// The next request on a connection begins once no more than this is unread.
+constexpr std::size_t MaxUnreadBefore = 64UL * 1024;
 
 } // namespace
 
@@ -19,15 +27,18 @@
     : m_context(context)
     , m_origin(origin)
     , m_onClosed(std::move(onClosed))
+    , m_readerId(context.readers.newId())
     , m_socket(context.loop, fd, StreamSocket::Start::Connected, *this)
     , m_draining(draining)
 {
     setTcpOptions(fd, CallerLiveness);
+    limitUnsentBytes(fd, MaxUnsentBytes);
     startRequest(now);
 }
 
 CallerConnection::~CallerConnection()
 {
+    m_context.readers.remove(m_readerId);
     releaseBodyMemory();
     m_context.loop.cancel(m_timer);
 }
@@ -44,11 +55,17 @@
     m_state = State::Waiting;
     m_parser = std::make_unique<HttpRequestParser>(
         HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
-    m_body.clear();
-    releaseBodyMemory();
+    releaseRequest();
     startTimer(callerLimits.idleTimeout, now);
 }
 
+void CallerConnection::releaseRequest()
+{
+    m_forwarder.reset();
+    m_body = std::string();
+    releaseBodyMemory();
+}
+
 void CallerConnection::drain()
 {
     m_draining = true;
@@ -87,7 +104,7 @@
         return;
     }
     m_input.append(bytes);
-    if (m_state == State::Serving) {
+    if (m_state == State::Serving || (m_state == State::Waiting && !mayStartNext())) {
         if (m_input.size() > MaxPipelinedBytes) {
             m_socket.setReading(false);
         }
@@ -168,8 +185,10 @@
     if (m_origin == RequestOrigin::Daemon) {
         request.relayed = takeRelayedRequest(request.head.fields);
     }
-    m_forwarder = std::make_unique<RequestForwarder>(m_context, *this, std::move(request),
-                                                     std::move(m_body), now);
+    m_requestId = request.id.value();
+    m_forwarder = std::make_unique<RequestForwarder>(
+        m_context, *this, std::move(request),
+        std::make_shared<const std::string>(std::move(m_body)), now);
     m_body = std::string();
     m_forwarder->start(now);
 }
@@ -188,7 +207,7 @@
 }
 
 void CallerConnection::sendResponse(int status, std::string_view reason, HttpFields fields,
-                                    std::string_view body, TimePoint now)
+                                    std::string body, TimePoint now)
 {
     if (m_draining) {
         m_keepAlive = false;
@@ -197,11 +216,14 @@
     if (!m_keepAlive) {
         fields.add("Connection", "close");
     }
-    std::string bytes = serializeResponseHead(status, reason, fields);
-    if (!m_bodyless) {
-        bytes.append(body);
+    std::string head = serializeResponseHead(status, reason, fields);
+    if (m_bodyless || body.size() <= MaxJoinedBodyBytes) {
+        m_socket.send(head.append(m_bodyless ? std::string() : body));
+    } else {
+        m_socket.send(head);
+        m_socket.send(std::make_shared<const std::string>(std::move(body)));
     }
-    m_socket.send(bytes);
+    afterWrite(now);
     finishResponse(now);
 }
 
@@ -223,12 +245,14 @@
 void CallerConnection::writeStream(std::string_view bytes)
 {
     m_socket.send(m_chunkedResponse ? serializeChunk(bytes) : std::string(bytes));
+    afterWrite(m_context.loop.now());
 }
 
 void CallerConnection::endStream(TimePoint now)
 {
     if (m_chunkedResponse) {
         m_socket.send(LastChunk);
+        afterWrite(now);
     }
     m_endsWithConnection = false;
     if (m_draining) {
@@ -244,25 +268,32 @@
 
 void CallerConnection::finishResponse(TimePoint now)
 {
+    // The forwarder and the parser may be on the call stack.
     if (!m_keepAlive) {
         linger(now);
+        m_context.loop.defer([this] { releaseRequest(); });
         return;
     }
-    // The forwarder and the parser may be on the call stack.
     m_context.loop.defer([this] {
         if (m_state != State::Serving) {
             return;
         }
         const TimePoint currentTime = m_context.loop.now();
-        m_forwarder.reset();
         startRequest(currentTime);
-        m_socket.setReading(true);
-        if (!m_input.empty()) {
-            parse(currentTime);
+        if (mayStartNext()) {
+            startNext(currentTime);
         }
     });
 }
 
+void CallerConnection::startNext(TimePoint now)
+{
+    m_socket.setReading(true);
+    if (!m_input.empty()) {
+        parse(now);
+    }
+}
+
 void CallerConnection::linger(TimePoint now)
 {
     m_state = State::Lingering;
@@ -277,12 +308,77 @@
     cancel(now);
 }
 
-void CallerConnection::onError(std::error_code, TimePoint now)
+void CallerConnection::onError(std::error_code error, TimePoint now)
 {
+    if (error == std::errc::timed_out && m_context.readers.backpressure().contains(m_readerId)) {
+        logNotReading("TCP timeout", now);
+    }
     cancel(now);
 }
 
-void CallerConnection::onSendQueueEmpty(TimePoint) { }
+void CallerConnection::onSendProgress(TimePoint now)
+{
+    followReading(now);
+    if (m_state == State::Waiting && mayStartNext()) {
+        startNext(now);
+    }
+    if (m_socket.queuedBytes() == 0 && m_state == State::Waiting) {
+        startTimer(limits().idleTimeout, now);
+    } else if (m_socket.queuedBytes() == 0 && m_state == State::Lingering) {
+        startTimer(LingerTimeout, now);
+    }
+}
+
+bool CallerConnection::mayStartNext() const
+{
+    return m_socket.queuedBytes() <= MaxUnreadBefore;
+}
+
+UnreadBytes CallerConnection::unread() const
+{
+    return {m_socket.queuedBytes(), m_socket.takenBytes()};
+}
+
+void CallerConnection::afterWrite(TimePoint now)
+{
+    if (m_socket.queuedBytes() > 0) {
+        m_blocked = m_context.readers.update(m_readerId, *this, now) || m_blocked;
+    }
+}
+
+void CallerConnection::followReading(TimePoint now)
+{
+    const bool blocked = m_context.readers.update(m_readerId, *this, now);
+    const bool resumes = std::exchange(m_blocked, blocked) && !blocked;
+    if (resumes && m_state == State::Serving && m_forwarder) {
+        m_forwarder->onCallerReads(now);
+    }
+}
+
+void CallerConnection::endUnread(const char *why, TimePoint now)
+{
+    logNotReading(why, now);
+    m_context.readers.remove(m_readerId);
+    m_socket.abort();
+    // The forwarder may be on the call stack.
+    m_context.loop.defer([this] { cancel(m_context.loop.now()); });
+}
+
+void CallerConnection::logNotReading(const char *why, TimePoint now)
+{
+    const RelayBackpressure &backpressure = m_context.readers.backpressure();
+    m_context.metrics.count("lycheearch_callers_not_reading_total",
+                            std::string("why=\"") + why + "\"");
+    m_context.log.write(
+        LogPriority::Notable,
+        LogLine("caller.not_reading")
+            .add("id", m_requestId)
+            .add("why", why)
+            .add("queued", static_cast<std::int64_t>(backpressure.queuedBytes(m_readerId)))
+            .add("age_ms", backpressure.notReadFor(m_readerId, now))
+            .add("unread_in_all", static_cast<std::int64_t>(backpressure.unreadBytes())),
+        now);
+}
 
 void CallerConnection::close(TimePoint)
 {
@@ -291,11 +387,13 @@
     }
     m_state = State::Closed;
     m_context.loop.cancel(m_timer);
-    if (m_endsWithConnection) {
+    // Without a reset, a caller might take what it has received for whole.
+    if (m_endsWithConnection || m_socket.queuedBytes() > 0) {
         m_socket.abort();
     } else {
         m_socket.close();
     }
+    m_context.readers.remove(m_readerId);
     m_onClosed(*this);
 }
 
@@ -310,6 +408,12 @@
 
 void CallerConnection::onTimer(TimePoint now)
 {
+    const bool responded = m_state == State::Waiting || m_state == State::Lingering;
+    if (responded && m_socket.queuedBytes() > 0) {
+        // The caller is still reading. CallerReaders ends it if it doesn't.
+        startTimer(LingerTimeout, now);
+        return;
+    }
     switch (m_state) {
     case State::Waiting:
         linger(now);
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "Forward/CallerReaders.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/ResponseWriter.h"
 #include "Net/HttpParser.h"
@@ -18,8 +19,11 @@
 };
 
 /// One connection of a caller or of another daemon: reads requests one at a time and writes their
-/// responses.
-class CallerConnection : public StreamSocketListener, public HttpRequestSink, public ResponseWriter
+/// responses. A request that follows a response which the caller has not read is left for later.
+class CallerConnection : public StreamSocketListener,
+                         public HttpRequestSink,
+                         public ResponseWriter,
+                         public CallerReader
 {
 public:
     /// Called when the connection has closed. It may still be on the call stack, so it must be
@@ -51,22 +55,37 @@
     void onBytes(std::string_view bytes, TimePoint now) override;
     void onEnd(TimePoint now) override;
     void onError(std::error_code error, TimePoint now) override;
-    void onSendQueueEmpty(TimePoint now) override;
+    void onSendQueueEmpty(TimePoint now) override { onSendProgress(now); }
+    void onSendProgress(TimePoint now) override;
     void onRequestHead(HttpRequestHead head) override;
     void onRequestBody(std::string_view bytes) override;
 
-    void sendResponse(int status, std::string_view reason, HttpFields fields, std::string_view body,
+    void sendResponse(int status, std::string_view reason, HttpFields fields, std::string body,
                       TimePoint now) override;
     void beginStream(int status, std::string_view reason, HttpFields fields) override;
     void writeStream(std::string_view bytes) override;
+    bool callerBlocked() const override { return m_blocked; }
     void endStream(TimePoint now) override;
     void abortResponse(TimePoint now) override;
 
+    UnreadBytes unread() const override;
+    void followReading(TimePoint now) override;
+    void endUnread(const char *why, TimePoint now) override;
+
+    /// Applies what the caller leaves unread after a write.
+    void afterWrite(TimePoint now);
+    /// Whether so little is unread that the next request may begin.
+    bool mayStartNext() const;
+    void logNotReading(const char *why, TimePoint now);
     void startRequest(TimePoint now);
     void parse(TimePoint now);
     void serve(TimePoint now);
     void rejectRequest(int status, const char *cause, TimePoint now);
     void finishResponse(TimePoint now);
+    /// Drops the request, whose response is complete.
+    void releaseRequest();
+    /// Reads on, beginning with the requests that have been received already.
+    void startNext(TimePoint now);
     void linger(TimePoint now);
     /// Cancels a request in progress, whose caller has gone, and closes the connection.
     void cancel(TimePoint now);
@@ -79,6 +98,7 @@
     ForwardContext &m_context;
     RequestOrigin m_origin;
     ClosedCallback m_onClosed;
+    const RelayBackpressure::ReaderId m_readerId;
     StreamSocket m_socket;
     State m_state = State::Waiting;
     std::string m_input;
@@ -88,6 +108,8 @@
     std::size_t m_reservedBytes = 0; ///< Reserved in the memory budget for request bodies.
     bool m_bodyBudgetExceeded = false;
     std::unique_ptr<RequestForwarder> m_forwarder;
+    std::string m_requestId; ///< Of the latest request.
+    bool m_blocked = false; ///< Reading from the server of the request rests.
     TimerId m_timer;
     TimePoint m_now;
     bool m_keepAlive = true;
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -5,6 +5,7 @@
 #include "Fleet/FleetView.h"
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
+#include "Forward/CallerReaders.h"
 #include "Forward/RelayAdmission.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
@@ -42,6 +43,7 @@
     const RouterBounds &bounds;
     BodyBudget &bodyBudget; ///< Of requests.
     BodyBudget &responseBudget;
+    CallerReaders &readers;
     StructuredLog &log;
     Metrics &metrics;
 };
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(ForwardContext &context, ResponseWriter &writer,
-                                   DecodedRequest request, std::string body, TimePoint receivedAt)
+                                   DecodedRequest request, SharedBody body, TimePoint receivedAt)
     : m_context(context)
     , m_writer(writer)
     , m_request(std::move(request))
@@ -285,7 +285,7 @@
     HttpRequestHead head = m_context.headerCodec.encodeRequest(m_request, options);
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
-        head.fields.add("Content-Length", std::to_string(m_body.size()));
+        head.fields.add("Content-Length", std::to_string(m_body->size()));
     }
     ++m_attemptCount;
     m_inAttempt = true;
@@ -295,7 +295,7 @@
     m_attempt.ticket = m_context.rolloutCounts.onSent(m_service, m_attempt.version, now);
     logDispatch(pick, now);
     startStallTimer(now);
-    m_attempt.connection->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this,
+    m_attempt.connection->send(serializeRequestHead(head), m_body, head.method == "HEAD", *this,
                                now);
 }
 
@@ -416,7 +416,8 @@
 void RequestForwarder::onDeadline(TimePoint now)
 {
     if (m_inAttempt) {
-        endAttempt(SendOutcome::Broken, false, now);
+        const bool leftUnread = m_attempt.pause.explainsLoss();
+        endAttempt(leftUnread ? SendOutcome::Cancelled : SendOutcome::Broken, false, now);
     }
     fail("timeout", now);
 }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -9,6 +9,7 @@
 #include "Forward/BackendHttpConnection.h"
 #include "Forward/EventSplitter.h"
 #include "Forward/ForwardContext.h"
+#include "Forward/ReadPause.h"
 #include "Forward/RelayFields.h"
 #include "Forward/ResponseWriter.h"
 #include "Forward/StreamContinuity.h"
@@ -32,7 +33,7 @@
 {
 public:
     RequestForwarder(ForwardContext &context, ResponseWriter &writer, DecodedRequest request,
-                     std::string body, TimePoint receivedAt);
+                     SharedBody body, TimePoint receivedAt);
     ~RequestForwarder() override;
 
     /// Starts to forward the request. The response may be complete when this returns.
@@ -42,6 +43,8 @@
     /// Ends the request now, with the response that its outcome so far allows. A stream that has
     /// begun is cut off.
     void giveUp(const char *cause, TimePoint now);
+    /// The caller of a stream reads again, after ResponseWriter::callerBlocked() was true.
+    void onCallerReads(TimePoint now);
     bool finished() const { return m_finished; }
 
 private:
@@ -76,6 +79,7 @@
         TimePoint firstEventAt;
         int relayedEvents = 0; ///< Number of events sent to the caller.
         TimerId stallTimer;
+        ReadPause pause; ///< For the caller's sake.
     };
 
     void onConnected(TimePoint now) override;
@@ -173,6 +177,10 @@
     /// \p may: all but the retry budget allows a retry.
     void logRetryDecision(const char *cause, bool may, bool retries, TimePoint now);
 
+    /// After a write to the caller: rests reading from the server if the caller does not read.
+    void followCaller(TimePoint now);
+    /// The server cut off a response that remained unread.
+    void onUnreadCutOff(TimePoint now);
     void startStallTimer(TimePoint now);
     Duration stallLimit() const;
     void onStall(TimePoint now);
@@ -187,7 +195,7 @@
     ForwardContext &m_context;
     ResponseWriter &m_writer;
     DecodedRequest m_request;
-    std::string m_body;
+    SharedBody m_body;
     std::shared_ptr<const RoutingTable> m_table;
     const Route *m_route = nullptr;
     AccountId m_account;
--- a/Source/Forward/RequestForwarderCrash.cpp
+++ b/Source/Forward/RequestForwarderCrash.cpp
@@ -15,7 +15,7 @@
     for (const PromptPart &part : m_request.prompt) {
         parts.push_back(part.id);
     }
-    m_identity = requestIdentity(m_request.head.method, m_request.head.target, parts, m_body);
+    m_identity = requestIdentity(m_request.head.method, m_request.head.target, parts, *m_body);
 }
 
 bool RequestForwarder::refuseCrashingRequest(TimePoint now)
--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -85,7 +85,7 @@
         m_context.headerCodec.encodeRelay(m_request, m_deadline - now, m_stream.lastEventId());
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
-        head.fields.add("Content-Length", std::to_string(m_body.size()));
+        head.fields.add("Content-Length", std::to_string(m_body->size()));
     }
     addRelayFields(RelayedRequest{m_attemptCount,
                                   {m_triedBackends.begin(), m_triedBackends.end()},
@@ -110,7 +110,7 @@
             now);
     }
     startStallTimer(now);
-    m_attempt.connection->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this,
+    m_attempt.connection->send(serializeRequestHead(head), m_body, head.method == "HEAD", *this,
                                now);
 }
 
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -201,7 +201,7 @@
 
 void RequestForwarder::collectBody(std::string_view bytes, TimePoint now)
 {
-    if (!m_context.responseBudget.tryReserve(bytes.size())) {
+    if (!m_context.readers.reserve(bytes.size(), now)) {
         endAttempt(SendOutcome::Broken, false, now);
         retryOrFail("memory limit for response bodies reached", now);
         return;
@@ -276,6 +276,10 @@
 
 void RequestForwarder::onConnectionLost(Delivery delivery, std::error_code error, TimePoint now)
 {
+    if (m_attempt.pause.explainsLoss()) {
+        onUnreadCutOff(now);
+        return;
+    }
     if (m_attempt.relayed) {
         onPeerLost(delivery, error, now);
         return;
@@ -288,7 +292,7 @@
                             .add("fresh", m_attempt.newConnection ? "yes" : "no")
                             .add("account", m_account.value())
                             .add("content", hashText(m_identity.content))
-                            .add("body", hashText(stableHash(m_body)))
+                            .add("body", hashText(stableHash(*m_body)))
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
                         now);
@@ -328,7 +332,7 @@
     m_firstByteAt = now;
     finish(m_attempt.head.status, "served", now);
     m_writer.sendResponse(m_attempt.head.status, m_attempt.head.reason, std::move(fields),
-                          m_attempt.body, now);
+                          std::move(m_attempt.body), now);
 }
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -71,13 +71,17 @@
     m_lastEventAt = now;
     m_writer.writeStream(bytes);
     if (!m_finished) {
-        startStallTimer(now);
+        followCaller(now);
     }
 }
 
 void RequestForwarder::handleStreamEnd(TimePoint now)
 {
     const bool endMarked = !m_attempt.head.isCloseDelimited();
+    if (!endMarked && m_attempt.pause.explainsLoss()) {
+        onUnreadCutOff(now); // Its end may be the end of the stream, or of the server's patience.
+        return;
+    }
     if (!m_attempt.splitter.atBoundary() || !m_stream.completes(endMarked)) {
         if (!m_attempt.relayed) {
             recordConnectionLost(now);
@@ -99,7 +103,7 @@
     if (!m_attempt.streaming) {
         return now - m_attempt.sentAt;
     }
-    if (m_attempt.relayedEvents < 2) {
+    if (m_attempt.relayedEvents < 2 || m_attempt.pause.distortsTimes()) {
         return std::nullopt;
     }
     return (m_lastEventAt - m_attempt.firstEventAt) / (m_attempt.relayedEvents - 1);
--- a/Source/Forward/ResponseWriter.h
+++ b/Source/Forward/ResponseWriter.h
@@ -16,10 +16,12 @@
     virtual ~ResponseWriter() = default;
     /// Sends a complete response.
     virtual void sendResponse(int status, std::string_view reason, HttpFields fields,
-                              std::string_view body, TimePoint now) = 0;
+                              std::string body, TimePoint now) = 0;
     /// Starts a response whose body has an unknown length and follows in writeStream().
     virtual void beginStream(int status, std::string_view reason, HttpFields fields) = 0;
     virtual void writeStream(std::string_view bytes) = 0;
+    /// Whether the caller leaves so much unread that reading from its server must rest.
+    virtual bool callerBlocked() const = 0;
     /// Completes a streamed response.
     virtual void endStream(TimePoint now) = 0;
     /// Closes the connection, so that the caller can't take a partial response for a complete one.
--- a/Source/Net/Socket.cpp
+++ b/Source/Net/Socket.cpp
@@ -104,6 +104,11 @@
               static_cast<int>(toMilliseconds(liveness.userTimeout)));
 }
 
+void limitUnsentBytes(int fd, int bytes)
+{
+    setOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, bytes);
+}
+
 std::error_code socketError(int fd)
 {
     int value = 0;
--- a/Source/Net/Socket.h
+++ b/Source/Net/Socket.h
@@ -29,6 +29,10 @@
 /// Sets the keep-alive options, TCP_USER_TIMEOUT and TCP_NODELAY.
 void setTcpOptions(int fd, const Liveness &liveness);
 
+/// Bounds the bytes that the kernel accepts beyond those on their way to the peer
+/// (TCP_NOTSENT_LOWAT). What a slow peer leaves then waits in the process, which counts it.
+void limitUnsentBytes(int fd, int bytes);
+
 /// Returns and clears the pending error of a socket (SO_ERROR), for example after a connect.
 std::error_code socketError(int fd);
 
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -1,9 +1,12 @@
 #include "Net/StreamSocket.h"
 
+#include <algorithm>
 #include <array>
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,8 +17,6 @@
 namespace {
 
 constexpr std::size_t ReceiveBufferBytes = 32UL * 1024;
-/// Sent bytes are erased from the front of the queue once there are more than this.
-constexpr std::size_t CompactThresholdBytes = 64UL * 1024;
 
 bool wouldBlock(int error)
 {
@@ -43,8 +44,21 @@
     if (m_fd < 0) {
         return;
     }
+    if (m_connected && queuedBytes() == 0) {
+        bytes.remove_prefix(write(bytes));
+    }
     m_queue.append(bytes);
-    if (m_connected) {
+    updateInterest();
+}
+
+void StreamSocket::send(SharedBody body)
+{
+    if (m_fd < 0) {
+        return;
+    }
+    const bool first = queuedBytes() == 0;
+    m_queue.append(std::move(body));
+    if (m_connected && first) {
         flush();
     }
     updateInterest();
@@ -64,6 +78,21 @@
     updateInterest();
 }
 
+void StreamSocket::holdReading(bool hold)
+{
+    m_held = hold;
+    updateInterest();
+}
+
+std::uint64_t StreamSocket::takenBytes() const
+{
+    int unacknowledged = 0;
+    if (m_fd < 0 || ::ioctl(m_fd, SIOCOUTQ, &unacknowledged) != 0) {
+        return m_acceptedBytes;
+    }
+    return m_acceptedBytes - std::min<std::uint64_t>(m_acceptedBytes, unacknowledged);
+}
+
 void StreamSocket::close()
 {
     if (m_fd < 0) {
@@ -72,6 +101,7 @@
     m_loop.unwatch(m_fd);
     ::close(m_fd);
     m_fd = -1;
+    m_queue.clear();
 }
 
 void StreamSocket::abort()
@@ -90,13 +120,22 @@
         return;
     }
     if ((events & EPOLLOUT) != 0 && queuedBytes() > 0) {
+        const std::size_t before = queuedBytes();
         flush();
         updateInterest();
         if (queuedBytes() == 0 && !m_sendError) {
             m_listener.onSendQueueEmpty(now);
+        } else if (queuedBytes() < before) {
+            m_listener.onSendProgress(now);
         }
     }
-    if (m_fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    if (m_fd >= 0 && m_held) {
+        if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+            const std::error_code error = socketError(m_fd);
+            fail(error ? error : std::make_error_code(std::errc::connection_reset), now);
+            return;
+        }
+    } else if (m_fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
         receive(now);
     }
     if (m_fd >= 0 && m_sendError) {
@@ -141,26 +180,34 @@
 void StreamSocket::flush()
 {
     while (queuedBytes() > 0 && !m_sendError) {
+        const std::size_t tried = m_queue.front().size();
+        const std::size_t count = write(m_queue.front());
+        m_queue.consume(count);
+        if (count < tried) {
+            break;
+        }
+    }
+    if (queuedBytes() == 0 && m_shutdownRequested) {
+        ::shutdown(m_fd, SHUT_WR);
+    }
+}
+
+std::size_t StreamSocket::write(std::string_view bytes)
+{
+    std::size_t total = 0;
+    while (total < bytes.size() && !m_sendError) {
         const ssize_t count =
-            ::send(m_fd, m_queue.data() + m_sent, queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            ::send(m_fd, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count < 0) {
             if (!wouldBlock(errno)) {
                 m_sendError = {errno, std::generic_category()};
             }
             break;
         }
-        m_sent += static_cast<std::size_t>(count);
-    }
-    if (queuedBytes() == 0) {
-        m_queue.clear();
-        m_sent = 0;
-        if (m_shutdownRequested) {
-            ::shutdown(m_fd, SHUT_WR);
-        }
-    } else if (m_sent > CompactThresholdBytes) {
-        m_queue.erase(0, m_sent);
-        m_sent = 0;
+        total += static_cast<std::size_t>(count);
     }
+    m_acceptedBytes += total;
+    return total;
 }
 
 void StreamSocket::updateInterest()
@@ -172,7 +219,7 @@
     if (!m_connected || queuedBytes() > 0 || m_sendError) {
         events |= EPOLLOUT;
     }
-    if (m_connected && !m_endReceived) {
+    if (m_connected && !m_endReceived && !m_held) {
         events |= m_reading ? (EPOLLIN | EPOLLRDHUP) : EPOLLRDHUP;
     }
     m_loop.watch(m_fd, events, *this);
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <string>
+#include <cstdint>
 #include <string_view>
 #include <system_error>
 
 #include "Net/EventLoop.h"
+#include "Net/SendQueue.h"
 
 namespace lycheearch {
 
@@ -21,9 +22,12 @@
     virtual void onError(std::error_code error, TimePoint now) = 0;
     /// The kernel has accepted all queued bytes. Not called if it accepted them at the first try.
     virtual void onSendQueueEmpty(TimePoint now) { }
+    /// The kernel has accepted some of the queued bytes, but not all.
+    virtual void onSendProgress(TimePoint now) { }
 };
 
-/// A non-blocking TCP connection on the event loop, with an unbounded send queue.
+/// A non-blocking TCP connection on the event loop, with an unbounded send queue: whoever writes
+/// looks at queuedBytes().
 class StreamSocket : private IoHandler
 {
 public:
@@ -37,10 +41,16 @@
 
     /// Queues \p bytes and writes as much as the kernel accepts.
     void send(std::string_view bytes);
+    /// The same for a body, which isn't copied.
+    void send(SharedBody body);
     /// Shuts down the sending side (FIN) once the queue is empty.
     void shutdownSending();
     /// Pauses or resumes reading. While paused, the end of the connection is still detected.
     void setReading(bool reading);
+    /// Neither reads nor watches for the end of the incoming stream, so that the peer can't send more
+    /// than the kernel buffers. A failure of the connection is still reported, and unread bytes are
+    /// then lost.
+    void holdReading(bool hold);
     /// Closes the descriptor. The listener is not called again.
     void close();
     /// Closes the descriptor with a reset (RST) and drops queued bytes, so that the peer can't take
@@ -49,23 +59,28 @@
 
     bool isOpen() const { return m_fd >= 0; }
     bool connected() const { return m_connected; }
-    std::size_t queuedBytes() const { return m_queue.size() - m_sent; }
+    std::size_t queuedBytes() const { return m_queue.size(); }
+    /// Bytes in all whose receipt the peer's kernel has acknowledged.
+    std::uint64_t takenBytes() const;
 
 private:
     void onReady(std::uint32_t events, TimePoint now) override;
     void finishConnect(TimePoint now);
     void receive(TimePoint now);
     void flush();
+    /// Writes \p bytes. Returns how many the kernel accepted.
+    std::size_t write(std::string_view bytes);
     void updateInterest();
     void fail(std::error_code error, TimePoint now);
 
     EventLoop &m_loop;
     int m_fd;
     StreamSocketListener &m_listener;
-    std::string m_queue;
-    std::size_t m_sent = 0;
+    SendQueue m_queue;
+    std::uint64_t m_acceptedBytes = 0; ///< By the kernel, in all.
     bool m_connected;
     bool m_reading = true;
+    bool m_held = false; ///< By holdReading().
     bool m_endReceived = false;
     bool m_shutdownRequested = false;
     std::error_code m_sendError;
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -144,7 +144,8 @@
                   headerCodec,    retries,        rollouts, models,
                   crashes,        pendingCrashes, peers,    peerConnections,
                   relayAdmission, returns,        stop,     bounds,
-                  bodyBudget,     responseBudget, log,      metrics}
+                  bodyBudget,     responseBudget, readers,  log,
+                  metrics}
     {
     }
 
@@ -331,6 +332,7 @@
     RouterBounds bounds;
     BodyBudget bodyBudget{1024UL * 1024};
     BodyBudget responseBudget{256UL * 1024};
+    CallerReaders readers{loop, responseBudget};
     StructuredLog log;
     Metrics metrics;
     ForwardContext context;
