--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -14,6 +14,8 @@
 /// How long the caller may take to close the connection after the last response.
 constexpr Duration LingerTimeout = 1s;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
+/// A caller whose connection ends after it has taken nothing for so long counts as not reading.
+constexpr Duration ShortestNotReading = 2s;
 /// Larger bodies are written apart from their head, and not copied.
 constexpr std::size_t MaxJoinedBodyBytes = 16UL * 1024;
 constexpr int MaxUnsentBytes = 128 * 1024; ///< In the kernel.
@@ -306,9 +308,8 @@
 void CallerConnection::onEnd(TimePoint now)
 {
     // The kernel ends a connection whose peer takes nothing, and may report it as an end.
-    if (m_context.readers.backpressure().notReadFor(m_readerId, now)
-        >= CallerLiveness.userTimeout) {
-        logNotReading("TCP timeout", now);
+    if (m_context.readers.backpressure().notReadFor(m_readerId, now) >= ShortestNotReading) {
+        logNotReading("connection ended", now);
     }
     cancel(now);
 }
--- a/Tests/Forward/testSlowReaders.cpp
+++ b/Tests/Forward/testSlowReaders.cpp
@@ -287,7 +287,7 @@
         cr_expect(slow.reset && !slow.ended);
         const std::string name = "lycheearch_callers_not_reading_total";
         cr_expect_eq(harness.metrics.value(name, "why=\"no byte taken\"")
-                         + harness.metrics.value(name, "why=\"TCP timeout\""),
+                         + harness.metrics.value(name, "why=\"connection ended\""),
                      1);
     }
 }
