--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -58,27 +58,13 @@
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
     , m_hedging(m_settings.instance, m_retries)
-    , m_context{m_loop,
-                m_view,
-                m_picker,
-                m_connections,
-                headerCodec,
-                m_retries,
-                m_rolloutCounts,
-                m_modelCascade,
-                m_crashes,
-                m_pendingCrashes,
-                m_peers,
-                m_peerConnections,
-                m_relayAdmission,
-                m_returnSchedule,
-                m_shutdownPolicy,
-                m_settings.bounds,
-                m_bodyBudget,
-                m_responseBudget,
-                m_log,
-                m_metrics,
-                m_hedging}
+    , m_readers(m_loop, m_responseBudget)
+    , m_context{m_loop,           m_view,           m_picker,         m_connections,
+                headerCodec,      m_retries,        m_rolloutCounts,  m_modelCascade,
+                m_crashes,        m_pendingCrashes, m_peers,          m_peerConnections,
+                m_relayAdmission, m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
+                m_bodyBudget,     m_responseBudget, m_readers,        m_log,
+                m_metrics,        m_hedging}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -95,9 +81,8 @@
 {
     m_hedging.setSettings(m_settings.hedging);
     m_hedging.setTraits(m_settings.traits);
-    m_hedging.setServersShareHosts([this](const ServiceId &service) {
-        return m_picker.speedsUsedFor(service, m_loop.now());
-    });
+    m_hedging.setServersShareHosts(
+        [this](const ServiceId &service) { return m_picker.speedsUsedFor(service, m_loop.now()); });
     m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
         onReachChanged(service, reached, m_loop.now());
     });
@@ -336,6 +321,7 @@
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
+    response.body += m_readers.metricsText();
     return response;
 }
 
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -140,12 +140,10 @@
         , log("test", STDERR_FILENO, 0, clock)
         , peerConnections(loop, {400ms, {64 * 1024, 16 * 1024 * 1024}, {1s, 1s, 2, 2500ms}})
         , peers(InstanceId("self"), DataCentreId("here"))
-        , context{loop,           view,           picker,   connections,
-                  headerCodec,    retries,        rollouts, models,
-                  crashes,        pendingCrashes, peers,    peerConnections,
-                  relayAdmission, returns,        stop,     bounds,
-                  bodyBudget,     responseBudget, log,      metrics,
-                  hedging}
+        , context{loop,           view,    picker,  connections,    headerCodec, retries,
+                  rollouts,       models,  crashes, pendingCrashes, peers,       peerConnections,
+                  relayAdmission, returns, stop,    bounds,         bodyBudget,  responseBudget,
+                  readers,        log,     metrics, hedging}
     {
     }
 
@@ -332,6 +330,7 @@
     RouterBounds bounds;
     BodyBudget bodyBudget{1024UL * 1024};
     BodyBudget responseBudget{256UL * 1024};
+    CallerReaders readers{loop, responseBudget};
     StructuredLog log;
     Metrics metrics;
     Hedging hedging{InstanceId("self"), retries};
