--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -77,6 +77,50 @@
     return bounds;
 }
 
+void readAccountTerms(YamlReader &reader, CapacitySettings &capacity)
+{
+    constexpr Range<double> weights{0.01, 1000};
+    constexpr Range<double> caps{0.01, 1};
+    const AccountId account(reader.requiredText({"account", "Name of the client account"}));
+    AccountTerms terms;
+    terms.weight = reader.real(
+        {"weight", "Share of the account, relative to those of other accounts"}, weights, 1);
+    terms.cap = reader.real({"cap",
+                             "Largest part of a service's room that the account gets while others "
+                             "want it, as a fraction"},
+                            caps, 1);
+    if (!account.empty() && !capacity.accounts.emplace(account, terms).second) {
+        reader.report("account", "'" + account.value() + "' twice", "one entry for each account");
+    }
+}
+
+CapacitySettings readCapacity(YamlReader &reader, std::int64_t memoryMegabytes)
+{
+    constexpr std::int64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::int64_t memoryDivisor = 4;
+    CapacitySettings capacity;
+    capacity.longestWaitPart = reader.real(
+        {"longest_wait", "Longest wait for a place, as a part of the route's latency objective"},
+        {0, 1}, capacity.longestWaitPart);
+    capacity.queue.requests = static_cast<std::size_t>(
+        reader.integer({"queue_requests", "Requests that wait in this instance at a time"},
+                       {0, 100'000}, 256));
+    const std::int64_t queueMegabytes =
+        reader.integer({"queue_mb",
+                        "Size of the bodies of waiting requests, in MiB; at most a quarter of "
+                        "memory_mb"},
+                       {0, 100'000}, 4);
+    if (queueMegabytes > memoryMegabytes / memoryDivisor) {
+        reader.report("queue_mb", std::to_string(queueMegabytes),
+                      "at most a quarter of memory_mb, "
+                          + std::to_string(memoryMegabytes / memoryDivisor));
+    }
+    capacity.queue.bytes = static_cast<std::size_t>(queueMegabytes * bytesPerMegabyte);
+    reader.each({"accounts", "Terms of client accounts; others have a weight of 1 and no cap"},
+                [&](YamlReader &entry) { readAccountTerms(entry, capacity); });
+    return capacity;
+}
+
 RouterSettings readSettings(YamlReader &reader)
 {
     RouterSettings settings;
@@ -105,6 +149,10 @@
                                  "");
     reader.section({"bounds", "Limits that apply to all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
+    reader.section({"capacity", "How callers share scarce capacity, where the terms say that it is"},
+                   [&](YamlReader &section) {
+                       settings.capacity = readCapacity(section, settings.memoryMegabytes);
+                   });
     reader.reportUnknownKeys();
     return settings;
 }
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -7,6 +8,8 @@
 #include "Base/Findings.h"
 #include "Base/Ids.h"
 #include "Base/Time.h"
+#include "Routing/AdmissionQueue.h"
+#include "Routing/CapacityShares.h"
 
 namespace lycheearch {
 
@@ -35,6 +38,15 @@
     bool operator==(const DeploymentTraits &) const = default;
 };
 
+/// How callers share scarce capacity. Without effect elsewhere.
+struct CapacitySettings
+{
+    /// Longest wait for a place, as a part of the latency objective.
+    double longestWaitPart = 0.5;
+    AdmissionQueueLimits queue;
+    std::map<AccountId, AccountTerms> accounts; ///< Others have the usual terms.
+};
+
 /// Settings of a router daemon, which keeps its state in a log store.
 struct RouterSettings
 {
@@ -54,6 +66,7 @@
     std::string terms;
     DeploymentTraits traits; ///< Derived from the terms.
     RouterBounds bounds;
+    CapacitySettings capacity;
 };
 
 /// Loads and validates a settings file. Adds all errors to \p findings; the result is only valid if
--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -49,7 +49,7 @@
 
 void LoadExchange::onRemoteLoad(const FeedLoad &load, TimePoint now)
 {
-    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, now};
+    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, load.uses, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
@@ -71,6 +71,18 @@
                             : std::vector<CutOffDaemon>{{m_self, services}};
 }
 
+ServiceUses LoadExchange::ownUses(TimePoint now) const
+{
+    return m_shares == nullptr ? ServiceUses() : m_shares->ownUses(now);
+}
+
+void LoadExchange::setOtherDaemonsUses(ServiceUses uses, TimePoint now)
+{
+    if (m_shares != nullptr) {
+        m_shares->setOtherDaemonsUses(std::move(uses), now);
+    }
+}
+
 void LoadExchange::applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now)
 {
     for (const LimitsNotice &notice : notices) {
@@ -97,13 +109,15 @@
                      m_picker.promptCacheIndex().takeUnpublished(),
                      m_crashes.takeUnpublished(now),
                      m_picker.rateLimiter().notices().takeUnpublished(now),
-                     ownCutOff()};
+                     ownCutOff(),
+                     ownUses(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
         || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
-        || ownLoad.cutOff != m_lastSentCutOff;
+        || ownLoad.cutOff != m_lastSentCutOff || ownLoad.uses != m_lastSentUses;
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
         m_lastSentCutOff = std::move(ownLoad.cutOff);
+        m_lastSentUses = std::move(ownLoad.uses);
     }
 }
 
@@ -116,7 +130,11 @@
                            m_server->takePromptCacheEntries(),
                            m_server->takeCrashEvidence(),
                            m_server->takeRateLimits(),
-                           m_server->followersCutOff()};
+                           m_server->followersCutOff(),
+                           m_server->followerUses()};
+    const ServiceUses ownUse = ownUses(now);
+    ServiceUses otherUses = ownDataCentre.uses;
+    addUses(ownDataCentre.uses, ownUse);
     const std::vector<CutOffDaemon> cutOff = ownCutOff();
     ownDataCentre.cutOff.insert(ownDataCentre.cutOff.end(), cutOff.begin(), cutOff.end());
     addLoads(ownDataCentre.loads, ownLoad);
@@ -133,6 +151,7 @@
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
             addLoads(otherLoads, remote.loads);
+            addUses(otherUses, remote.uses);
             allCutOff.insert(allCutOff.end(), remote.cutOff.begin(), remote.cutOff.end());
         }
     }
@@ -142,8 +161,10 @@
                    std::move(ownDataCentre.promptCacheEntries),
                    std::move(ownDataCentre.crashEvidence),
                    std::move(ownDataCentre.rateLimits),
-                   std::move(allCutOff)};
+                   std::move(allCutOff),
+                   otherUses};
     addLoads(total.loads, ownLoad);
+    addUses(total.uses, ownUse);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
@@ -151,6 +172,7 @@
     addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
     m_server->broadcastLoad(total);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    setOtherDaemonsUses(std::move(otherUses), now);
 }
 
 void LoadExchange::sendToDataCentres(const FeedLoad &load, TimePoint now)
@@ -179,6 +201,9 @@
     m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
     m_peers.setCutOff(total.cutOff, now);
+    ServiceUses otherUses = total.uses;
+    subtractUses(otherUses, m_lastSentUses);
+    setOtherDaemonsUses(std::move(otherUses), now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -7,6 +7,7 @@
 #include "Feed/FeedServer.h"
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
+#include "Routing/CapacityShares.h"
 #include "Routing/CrashTable.h"
 #include "Routing/PeerSelector.h"
 #include "Routing/PendingCrashes.h"
@@ -30,6 +31,8 @@
     ~LoadExchange();
 
     void start(FeedServer &server);
+    /// Exchanges the use of services by accounts as well. Without it, none is sent.
+    void setShares(CapacityShares &shares) { m_shares = &shares; }
     /// Receives the load of another data centre.
     void onRemoteLoad(const FeedLoad &load, TimePoint now);
 
@@ -39,6 +42,7 @@
     {
         BackendLoads loads;
         std::vector<CutOffDaemon> cutOff;
+        ServiceUses uses;
         TimePoint at; ///< When it was received.
     };
 
@@ -50,6 +54,8 @@
 
     /// This daemon, if it is cut off from the servers of any service.
     std::vector<CutOffDaemon> ownCutOff() const;
+    ServiceUses ownUses(TimePoint now) const;
+    void setOtherDaemonsUses(ServiceUses uses, TimePoint now);
 
     EventLoop &m_loop;
     InstanceId m_self;
@@ -63,6 +69,8 @@
     PendingCrashes &m_pendingCrashes;
     const Clock &m_clock;
     FeedServer *m_server = nullptr;
+    CapacityShares *m_shares = nullptr; ///< Null where capacity isn't scarce.
+    ServiceUses m_lastSentUses; ///< Own use as last sent to the feed source.
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::vector<CutOffDaemon> m_lastSentCutOff; ///< The same.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,6 +57,11 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
+    , m_admission(m_settings.traits.scarceCapacity
+                      ? std::make_unique<SharedAdmission>(
+                          m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
+                          m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
+                      : nullptr)
     , m_context{m_loop,
                 m_view,
                 m_picker,
@@ -76,7 +81,8 @@
                 m_bodyBudget,
                 m_responseBudget,
                 m_log,
-                m_metrics}
+                m_metrics,
+                m_admission.get()}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -157,6 +163,9 @@
     m_follower.start();
     m_feedClient.start();
     m_rolloutAgent.start();
+    if (m_admission) {
+        m_loadExchange.setShares(m_admission->shares());
+    }
     m_loadExchange.start(*m_feedServer);
     m_crashVerdicts.start();
     m_registration.start();
@@ -213,6 +222,10 @@
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
         || newSettings.dataCentre != m_settings.dataCentre;
     m_settings.bounds = newSettings.bounds;
+    m_settings.capacity = newSettings.capacity;
+    if (m_admission) {
+        m_admission->applySettings(m_settings.capacity);
+    }
     m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
@@ -327,6 +340,14 @@
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
+    if (m_admission) {
+        response.body += "# TYPE lycheearch_admission_waiting gauge\n"
+                         "lycheearch_admission_waiting "
+            + std::to_string(m_admission->waiting()) + "\n"
+            + "# TYPE lycheearch_admission_waiting_bytes gauge\n"
+              "lycheearch_admission_waiting_bytes "
+            + std::to_string(m_admission->waitingBytes()) + "\n";
+    }
     return response;
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -19,6 +19,7 @@
 #include "Fleet/FleetView.h"
 #include "Forward/CallerServer.h"
 #include "Forward/RequestHeaderCodec.h"
+#include "Forward/SharedAdmission.h"
 #include "Log/StructuredLog.h"
 #include "Net/HttpResponder.h"
 #include "Net/SignalPipe.h"
@@ -107,6 +108,7 @@
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget;
+    std::unique_ptr<SharedAdmission> m_admission; ///< Null where capacity isn't scarce.
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -1,5 +1,6 @@
 #include "Feed/FeedMessages.h"
 
+#include <cmath>
 #include <sstream>
 
 #include <Poco/DeflatingStream.h>
@@ -240,6 +241,38 @@
     return entry;
 }
 
+void writeUses(wire::FeedLoad::Builder builder, const ServiceUses &uses)
+{
+    auto list = builder.initUses(static_cast<unsigned>(uses.size()));
+    unsigned i = 0;
+    for (const auto &[key, use] : uses) {
+        list[i].setService(key.first.value());
+        list[i].setAccount(key.second);
+        list[i].setInFlight(use.admitted);
+        list[i].setRefused(use.refused);
+        ++i;
+    }
+}
+
+/// Whether the value can be the work of an account. A wrong one would make others give way.
+bool isWork(double value)
+{
+    constexpr double mostWork = 1e12;
+    return std::isfinite(value) && value >= 0 && value <= mostWork;
+}
+
+ServiceUses readUses(capnp::List<wire::FeedServiceUse>::Reader list)
+{
+    ServiceUses uses;
+    for (const auto entry : list) {
+        if (isWork(entry.getInFlight()) && isWork(entry.getRefused())) {
+            uses[{ServiceId(entry.getService().cStr()), entry.getAccount()}] = {
+                entry.getInFlight(), entry.getRefused()};
+        }
+    }
+    return uses;
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -273,6 +306,7 @@
     for (unsigned j = 0; j < cutOff.size(); ++j) {
         writeCutOff(cutOff[j], message.cutOff[j]);
     }
+    writeUses(builder, message.uses);
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -300,6 +334,7 @@
     for (const auto entry : reader.getCutOff()) {
         message.cutOff.push_back(readCutOff(entry));
     }
+    message.uses = readUses(reader.getUses());
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -12,6 +12,7 @@
 #include "Routing/PeerSelector.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/ServerNotices.h"
+#include "Routing/ServiceUses.h"
 
 namespace lycheearch {
 
@@ -56,6 +57,8 @@
     std::vector<LimitsNotice> rateLimits; ///< That servers named since the last message.
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
+    /// Of all accounts with use lately; empty where capacity isn't scarce.
+    ServiceUses uses{};
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -54,6 +54,7 @@
     bool subscribed() const { return m_subscribed; }
     const BackendLoads &loads() const { return m_loads; }
     const std::vector<CutOffDaemon> &cutOff() const { return m_cutOff; }
+    const ServiceUses &uses() const { return m_uses; }
     void end()
     {
         m_socket.close();
@@ -87,6 +88,7 @@
         if (m_subscribed) {
             m_loads = load.loads;
             m_cutOff = load.cutOff;
+            m_uses = load.uses;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
             m_server.m_crashEvidence.add(load.crashEvidence);
             addNewest(m_server.m_rateLimits, load.rateLimits);
@@ -100,6 +102,7 @@
     FeedFrameReader m_reader;
     BackendLoads m_loads;
     std::vector<CutOffDaemon> m_cutOff;
+    ServiceUses m_uses;
     bool m_subscribed = false;
 };
 
@@ -189,6 +192,15 @@
     return sum;
 }
 
+ServiceUses FeedServer::followerUses() const
+{
+    ServiceUses sum;
+    for (const auto &[raw, connection] : m_connections) {
+        addUses(sum, connection->uses());
+    }
+    return sum;
+}
+
 std::vector<CutOffDaemon> FeedServer::followersCutOff() const
 {
     std::vector<CutOffDaemon> all;
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -34,6 +34,8 @@
     void broadcastLoad(const FeedLoad &load);
     /// Returns the sum of the loads that the connected followers sent.
     BackendLoads followerLoads() const;
+    /// Returns the sum of the uses that the connected followers sent.
+    ServiceUses followerUses() const;
     /// Returns the connected followers that are cut off from backend servers.
     std::vector<CutOffDaemon> followersCutOff() const;
     /// Returns the cached prompt prefixes that followers reported since the last call.
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -110,8 +110,8 @@
 struct FeedServiceUse {
   service @0 :Text;
   account @1 :UInt64;          # Hash of the client account.
-  inFlight @2 :Float64;        # Weighted work of its requests in flight.
-  refused @3 :Float64;         # Weighted work of its requests that found no room lately.
+  inFlight @2 :Float64;        # Weighted work admitted, decaying within seconds.
+  refused @3 :Float64;         # Weighted work that found no room, decaying alike.
 }
 
 struct FeedLoad {
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -3,6 +3,7 @@
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
 #include "Fleet/FleetView.h"
+#include "Forward/AdmissionGate.h"
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
 #include "Forward/RelayAdmission.h"
@@ -44,6 +45,7 @@
     BodyBudget &responseBudget;
     StructuredLog &log;
     Metrics &metrics;
+    AdmissionGate *admission = nullptr; ///< Null where capacity isn't scarce.
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -52,6 +52,7 @@
 
 RequestForwarder::~RequestForwarder()
 {
+    leaveAdmission();
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_attempt.stallTimer);
 }
@@ -195,6 +196,9 @@
             fail(pickFaultMessage(fault), now);
             return;
         }
+        if (!passesAdmission(*pick, requirements, now)) {
+            return;
+        }
         if (openConnection(*pick, now)) {
             send(*pick, requirements, now);
             return;
@@ -333,6 +337,9 @@
         return;
     }
     m_inAttempt = false;
+    if (m_context.admission != nullptr && !m_runsModels) {
+        m_context.admission->onEnded(m_service, outcome, now - m_attempt.sentAt, now);
+    }
     m_context.responseBudget.release(m_attempt.reservedBytes);
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
@@ -487,6 +494,7 @@
 void RequestForwarder::finish(int status, const char *cause, TimePoint now)
 {
     m_finished = true;
+    leaveAdmission();
     if (std::exchange(m_relayAdmitted, false)) {
         m_context.relayAdmission.leave();
     }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -28,7 +28,7 @@
 /// sent only if no attempt can have executed the request. A refusal of a backend server counts as
 /// proof only if it is certain to answer the attempt under way: it names the request, or nothing
 /// else was ever sent on its connection.
-class RequestForwarder : public BackendResponseListener
+class RequestForwarder : public BackendResponseListener, private AdmissionWaiter
 {
 public:
     RequestForwarder(ForwardContext &context, ResponseWriter &writer, DecodedRequest request,
@@ -93,6 +93,11 @@
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
+    /// Whether the first attempt may be sent now. Otherwise the request waits or is refused.
+    bool passesAdmission(const Pick &pick, const PickRequest &requirements, TimePoint now);
+    void leaveAdmission();
+    void onAdmissionTurn(TimePoint now) override { dispatch(now); }
+    void onAdmissionRefused(const char *cause, Duration retryAfter, TimePoint now) override;
     PickRequest pickRequest(TimePoint now) const;
     /// Whether the response begins a stream, or goes on with the one that has begun.
     bool isStream(const HttpResponseHead &head, const ResponseMetadata &metadata);
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -522,6 +522,30 @@
     return forecast;
 }
 
+ServiceOccupancy BackendPicker::occupancy(const PickRequest &request, const FleetView &view,
+                                          TimePoint now) const
+{
+    ServiceOccupancy occupancy;
+    for (const auto &[id, state] : view.backends()) {
+        if (!matches(state, request, view) || isDataCentreExcluded(state.report.dataCentre, now)) {
+            continue;
+        }
+        const int slots = std::max(1, state.report.slots);
+        const auto found = m_health.find(id);
+        const Health health = found == m_health.end() ? Health() : found->second;
+        if (isExcluded(id, health, now)) {
+            continue;
+        }
+        occupancy.places += slots;
+        occupancy.taken += loadOf(health, state, now) * slots;
+        if (health.reportedAt != TimePoint() && now - health.reportedAt < ReportLifetime) {
+            occupancy.waiting += health.waiting;
+        }
+    }
+    occupancy.age = now - m_otherDaemonsLoadsAt;
+    return occupancy;
+}
+
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
 {
     BackendLoads loads;
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -12,6 +12,7 @@
 #include "Fleet/FleetView.h"
 #include "Routing/BackendLoads.h"
 #include "Routing/BackendRateLimiter.h"
+#include "Routing/CapacityForecast.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/PromptPlacement.h"
 #include "Routing/RolloutRule.h"
@@ -127,6 +128,9 @@
     /// When servers that are held back have room for the request.
     RoomForecast roomForecast(const PickRequest &request, const FleetView &view,
                               TimePoint now) const;
+    /// How far the servers are taken that the request may be sent to.
+    ServiceOccupancy occupancy(const PickRequest &request, const FleetView &view,
+                               TimePoint now) const;
     /// Load that this daemon puts on the servers.
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
--- a/Source/Routing/ModelCascade.cpp
+++ b/Source/Routing/ModelCascade.cpp
@@ -113,6 +113,12 @@
     return found == m_secondsPerToken.end() ? DefaultSecondsPerToken : found->second.value(now);
 }
 
+Duration ModelCascade::timePerToken(const std::string &model, TimePoint now) const
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(secondsPerToken(model, now)));
+}
+
 double ModelCascade::gapSeconds(const std::string &model, TimePoint now) const
 {
     const auto found = m_gapSeconds.find(model);
--- a/Source/Routing/ModelCascade.h
+++ b/Source/Routing/ModelCascade.h
@@ -63,6 +63,8 @@
     /// Records the time to the first event of an answer, \p latency, and the weighted prompt tokens
     /// that the engine processed until then.
     void onFirstEvent(const std::string &model, double workTokens, Duration latency, TimePoint now);
+    /// Time to the first event for each weighted prompt token.
+    Duration timePerToken(const std::string &model, TimePoint now) const;
     /// Records the time between two successive events of an answer.
     void onGap(const std::string &model, Duration gap, TimePoint now);
 
