--- a/Source/Routing/AdmissionController.cpp
+++ b/Source/Routing/AdmissionController.cpp
@@ -17,12 +17,20 @@
 constexpr double PressurePart = 0.6;
 /// A forecast for a route says nothing any more after this time.
 constexpr Duration PressureLifetime = 1500ms;
-/// Accounts are held to their shares from this expected wait on, as a part of the objective.
-constexpr double ShareWaitPart = 0.25;
+/// Accounts are held to their shares from this pressure on any route of the service on.
+constexpr double SharePressure = 0.2;
+/// The same is later by this for each less urgent route that can give way before.
+constexpr double SharePressureStep = 0.1;
+/// A route keeps this much more of an account's share for each less urgent route.
+constexpr double KeptStep = 0.35;
+/// Decrease of the room for each increase of the pressure by 1.
+constexpr double RoomSlope = 2;
 /// The room is taken to be at least this part of what was admitted lately.
 constexpr double LeastRoom = 0.5;
 /// A route is owed a request if it was served less often than all, by this factor.
 constexpr double OwedRatio = 0.4;
+/// The same for a request that can't be in time, so that late work takes no room from the others.
+constexpr double LateOwedRatio = 0.27;
 constexpr double LeastOffered = 1; ///< Requests, before a ratio says anything.
 constexpr Duration RouteTimeConstant = 4s;
 /// Callers honour a Retry-After up to this part of the time that they have left.
@@ -86,13 +94,14 @@
     if (now + first >= request.deadline) {
         return refuse(request, decision, "no place before the deadline", ticket, now);
     }
-    if (ticket == 0 && !withinShare(request, forecast, decision.keptPart, now)) {
+    if (ticket == 0 && !withinShare(request, decision.keptPart, now)) {
         return refuse(request, decision, "above the account's share", ticket, now);
     }
-    if (isOwed(request, now)) {
+    const bool inTime = elapsed + first <= part(request.latencyObjective, InTimeFactor);
+    if (isOwed(request, inTime ? OwedRatio : LateOwedRatio, now)) {
         return admit(request, decision, "owed", ticket, now);
     }
-    if (elapsed + first > part(request.latencyObjective, InTimeFactor)) {
+    if (!inTime) {
         return refuse(request, decision, "no place in time", ticket, now);
     }
     if (mustYield(request, now)) {
@@ -133,7 +142,7 @@
     });
 }
 
-bool AdmissionController::isOwed(const AdmissionRequest &request, TimePoint now) const
+bool AdmissionController::isOwed(const AdmissionRequest &request, double ratio, TimePoint now) const
 {
     const Routes &routes = m_routes.at(request.service);
     double offered = 0;
@@ -143,19 +152,26 @@
         admitted += decayed(route.admitted, now - route.countedAt);
     }
     const RouteUse &own = routes.at(request.route);
-    return own.offered >= LeastOffered && own.admitted * offered < OwedRatio * admitted * own.offered;
+    return own.offered >= LeastOffered && own.admitted * offered < ratio * admitted * own.offered;
 }
 
-bool AdmissionController::withinShare(const AdmissionRequest &request,
-                                      const ServiceForecast &forecast, double &kept, TimePoint now)
+bool AdmissionController::withinShare(const AdmissionRequest &request, double &kept, TimePoint now)
 {
-    const double waitPart = secondsOf(forecast.wait)
-        / std::max(secondsOf(request.latencyObjective), secondsOf(ShortestRetryAfter));
-    if (waitPart < ShareWaitPart) {
+    double pressure = 0;
+    int lessUrgent = 0;
+    for (const auto &[name, route] : m_routes.at(request.service)) {
+        if (now - route.seenAt < PressureLifetime) {
+            pressure = std::max(pressure, route.pressure);
+            lessUrgent += route.priority > request.priority ? 1 : 0;
+        }
+    }
+    const double excess = pressure - SharePressure - SharePressureStep * lessUrgent;
+    if (excess < 0) {
         return true;
     }
     const UseKey key{request.service, request.account};
-    kept = m_shares.keptPart(key, std::clamp(1 + ShareWaitPart - waitPart, LeastRoom, 1.0), now);
+    kept = m_shares.keptPart(key, std::max(LeastRoom, 1 - RoomSlope * excess), now);
+    kept = std::min(1.0, kept * (1 + KeptStep * lessUrgent));
     if (kept >= 1) {
         return true;
     }
--- a/Source/Routing/AdmissionController.h
+++ b/Source/Routing/AdmissionController.h
@@ -99,11 +99,11 @@
     bool isEarlyReturn(const AdmissionRequest &request, TimePoint now) const;
     /// Whether a more urgent route of the service is about to miss its objective.
     bool mustYield(const AdmissionRequest &request, TimePoint now) const;
-    /// Whether the route was served far less often than all routes of the service.
-    bool isOwed(const AdmissionRequest &request, TimePoint now) const;
-    /// Takes the account's turns into account if the room is too small. Sets \p part.
-    bool withinShare(const AdmissionRequest &request, const ServiceForecast &forecast, double &part,
-                     TimePoint now);
+    /// Whether the route was served less often than all routes of the service, by \p ratio.
+    bool isOwed(const AdmissionRequest &request, double ratio, TimePoint now) const;
+    /// Whether the request is within its account's share, which is only counted while a route of
+    /// the service is under pressure. Sets \p kept to the part that the account keeps.
+    bool withinShare(const AdmissionRequest &request, double &kept, TimePoint now);
     AdmissionDecision admit(const AdmissionRequest &request, AdmissionDecision decision,
                             const char *reason, AdmissionQueue::Ticket ticket, TimePoint now);
     AdmissionDecision refuse(const AdmissionRequest &request, AdmissionDecision decision,
--- a/Tests/Routing/testSharedCapacity.cpp
+++ b/Tests/Routing/testSharedCapacity.cpp
@@ -150,6 +150,8 @@
         ServiceUses uses;
         std::vector<ServiceUses> usesByDaemon;
         int waiting = 0;
+        std::map<int, double> waitingByPriority;
+        int running = 0;
     };
 
     int placesNow() const
@@ -163,6 +165,10 @@
         View view;
         view.atService = static_cast<int>(m_running.size() + m_queued);
         view.waiting = static_cast<int>(m_queued);
+        view.running = static_cast<int>(m_running.size());
+        for (const auto &[priority, queue] : m_service) {
+            view.waitingByPriority[priority] = static_cast<double>(queue.size());
+        }
         for (const auto &daemon : m_daemons) {
             view.byDaemon.push_back(daemon->atService);
             view.usesByDaemon.push_back(daemon->controller.shares().ownUses(m_now));
@@ -239,7 +245,17 @@
                 view.atService - view.byDaemon[static_cast<std::size_t>(request.daemon)];
             occupancy.waiting = view.waiting;
         }
-        const double ahead = std::max(0.0, occupancy.taken + 1 - occupancy.places);
+        // Servers serve by priority; the picker counts less urgent work by a quarter.
+        double ahead = 0;
+        if (!cutOff.at(static_cast<std::size_t>(request.daemon))) {
+            const View &view = m_views.front();
+            ahead = std::max(0, view.running + 1 - occupancy.places);
+            for (const auto &[priority, waiting] : view.waitingByPriority) {
+                ahead += waiting * (priority <= routes.at(request.route).priority ? 1 : 0.25);
+            }
+            ahead += std::max(0, own - view.byDaemon[static_cast<std::size_t>(request.daemon)]);
+            ahead = occupancy.taken + 1 > occupancy.places ? ahead : 0;
+        }
         const double perPlace = seconds(m_load.run) / occupancy.places;
         return CapacityForecast::ofEngine(occupancy, ahead, 0.1 * occupancy.places,
                                           std::chrono::duration_cast<Duration>(
