--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -102,9 +102,8 @@
     capacity.longestWaitPart = reader.real(
         {"longest_wait", "Longest wait for a place, as a part of the route's latency objective"},
         {0, 1}, capacity.longestWaitPart);
-    capacity.queue.requests = static_cast<std::size_t>(
-        reader.integer({"queue_requests", "Requests that wait in this instance at a time"},
-                       {0, 100'000}, 256));
+    capacity.queue.requests = static_cast<std::size_t>(reader.integer(
+        {"queue_requests", "Requests that wait in this instance at a time"}, {0, 100'000}, 256));
     const std::int64_t queueMegabytes =
         reader.integer({"queue_mb",
                         "Size of the bodies of waiting requests, in MiB; at most a quarter of "
@@ -149,10 +148,11 @@
                                  "");
     reader.section({"bounds", "Limits that apply to all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
-    reader.section({"capacity", "How callers share scarce capacity, where the terms say that it is"},
-                   [&](YamlReader &section) {
-                       settings.capacity = readCapacity(section, settings.memoryMegabytes);
-                   });
+    reader.section(
+        {"capacity", "How callers share scarce capacity, where the terms say that it is"},
+        [&](YamlReader &section) {
+            settings.capacity = readCapacity(section, settings.memoryMegabytes);
+        });
     reader.reportUnknownKeys();
     return settings;
 }
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,11 +57,10 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_admission(m_settings.traits.scarceCapacity
-                      ? std::make_unique<SharedAdmission>(
-                          m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
-                          m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
-                      : nullptr)
+    , m_admission(m_settings.traits.scarceCapacity ? std::make_unique<SharedAdmission>(
+                      m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
+                      m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
+                                                   : nullptr)
     , m_context{m_loop,
                 m_view,
                 m_picker,
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -266,8 +266,8 @@
     ServiceUses uses;
     for (const auto entry : list) {
         if (isWork(entry.getInFlight()) && isWork(entry.getRefused())) {
-            uses[{ServiceId(entry.getService().cStr()), entry.getAccount()}] = {
-                entry.getInFlight(), entry.getRefused()};
+            uses[{ServiceId(entry.getService().cStr()), entry.getAccount()}] = {entry.getInFlight(),
+                                                                                entry.getRefused()};
         }
     }
     return uses;
--- a/Source/Forward/AdmissionGate.h
+++ b/Source/Forward/AdmissionGate.h
@@ -34,6 +34,7 @@
     AdmissionDecision::Verdict verdict = AdmissionDecision::Verdict::Admit;
     const char *cause = ""; ///< Of a refusal.
     Duration retryAfter{}; ///< Of a refusal.
+    Duration expected{}; ///< Time to the first event, by the forecast.
 };
 
 /// Asked before the first attempt of each request whether it may be sent now.
@@ -46,6 +47,9 @@
                                 TimePoint now) = 0;
     /// The request no longer wants to be admitted; it may not have waited.
     virtual void leave(AdmissionWaiter &waiter) = 0;
+    /// Records the time to the first event of a request and what was expected.
+    virtual void onFirstEvent(const ServiceId &service, const std::string &route, Duration expected,
+                              Duration took, TimePoint now) = 0;
     /// Records the end of an attempt at a server of a plain service.
     virtual void onEnded(const ServiceId &service, SendOutcome outcome, Duration took,
                          TimePoint now) = 0;
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -221,6 +221,7 @@
     bool m_noPeerLeft = false;
     bool m_relayAdmitted = false; ///< Counts in RelayAdmission.
     bool m_declined = false; ///< Another daemon may serve the request that came from one.
+    Duration m_expectedFirst{}; ///< Time to the first event, as expected at the admission.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     ExecutionState m_execution;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderAdmission.cpp
+++ b/Source/Forward/RequestForwarderAdmission.cpp
@@ -30,6 +30,7 @@
                                    m_body.size()};
     const AdmissionAnswer answer = m_context.admission->ask(
         {m_request.id.value(), request, pick, requirements, m_model}, *this, now);
+    m_expectedFirst = answer.expected;
     if (answer.verdict == AdmissionDecision::Verdict::Refuse) {
         onAdmissionRefused(answer.cause, answer.retryAfter, now);
     }
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/SendOutcomes.h"
@@ -63,6 +65,11 @@
                                         metadata.load->waiting, now);
     }
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
+    if (m_expectedFirst > Duration::zero()) {
+        m_context.admission->onFirstEvent(m_service, m_route->name,
+                                          std::exchange(m_expectedFirst, Duration::zero()),
+                                          now - m_attempt.sentAt, now);
+    }
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
     if (head.status < HttpStatus::FirstRedirect) {
--- a/Source/Forward/SharedAdmission.cpp
+++ b/Source/Forward/SharedAdmission.cpp
@@ -81,7 +81,7 @@
         leave(waiter);
     }
     refuseLater(decision.evicted);
-    return {decision.verdict, decision.reason, decision.retryAfter};
+    return {decision.verdict, decision.reason, decision.retryAfter, decision.expected};
 }
 
 ServiceForecast SharedAdmission::forecast(const AdmissionAsk &ask, TimePoint now)
@@ -119,6 +119,12 @@
     }
 }
 
+void SharedAdmission::onFirstEvent(const ServiceId &service, const std::string &route,
+                                   Duration expected, Duration took, TimePoint now)
+{
+    m_controller.onFirstEvent(service, route, expected, took, now);
+}
+
 void SharedAdmission::onEnded(const ServiceId &service, SendOutcome outcome, Duration took,
                               TimePoint now)
 {
--- a/Source/Forward/SharedAdmission.h
+++ b/Source/Forward/SharedAdmission.h
@@ -29,6 +29,8 @@
     void applySettings(const CapacitySettings &settings);
     AdmissionAnswer ask(const AdmissionAsk &ask, AdmissionWaiter &waiter, TimePoint now) override;
     void leave(AdmissionWaiter &waiter) override;
+    void onFirstEvent(const ServiceId &service, const std::string &route, Duration expected,
+                      Duration took, TimePoint now) override;
     void onEnded(const ServiceId &service, SendOutcome outcome, Duration took,
                  TimePoint now) override;
     CapacityShares &shares() { return m_controller.shares(); }
--- a/Source/Routing/AdmissionController.cpp
+++ b/Source/Routing/AdmissionController.cpp
@@ -33,6 +33,10 @@
 constexpr double LateOwedRatio = 0.27;
 constexpr double LeastOffered = 1; ///< Requests, before a ratio says anything.
 constexpr Duration RouteTimeConstant = 4s;
+/// First events that a forecast is corrected by count for this long, and by these factors.
+constexpr Duration SlownessTimeConstant = 3s;
+constexpr double SlownessWeight = 0.3; ///< Of the forecast itself, in seconds.
+constexpr double MostSlowness = 8;
 /// Callers honour a Retry-After up to this part of the time that they have left.
 constexpr int HonouredDivisor = 3;
 constexpr Duration ShortestRetryAfter = 50ms;
@@ -66,6 +70,11 @@
 
 } // namespace
 
+AdmissionController::RouteUse::RouteUse()
+    : slowness(1, SlownessWeight, SlownessTimeConstant)
+{
+}
+
 AdmissionController::AdmissionController(const InstanceId &self, double longestWaitPart)
     : m_seed(stableHash(self.value()))
     , m_longestWaitPart(longestWaitPart)
@@ -79,8 +88,9 @@
     AdmissionDecision decision;
     decision.ticket = ticket;
     const Duration elapsed = now - request.receivedAt;
-    const Duration first = forecast.firstEvent();
     RouteUse &route = seen(request, forecast, now);
+    const Duration first = corrected(route, forecast.firstEvent(), now);
+    decision.expected = forecast.firstEvent();
     if (forecast.occupancy.hasFreePlaces()) {
         return admit(request, decision, "free places", ticket, now);
     }
@@ -127,11 +137,22 @@
     route.countedAt = now;
     route.priority = request.priority;
     route.seenAt = now;
-    route.pressure = secondsOf(forecast.firstEvent())
+    route.pressure = secondsOf(corrected(route, forecast.firstEvent(), now))
         / std::max(secondsOf(request.latencyObjective), secondsOf(ShortestRetryAfter));
     return route;
 }
 
+Duration AdmissionController::corrected(const RouteUse &route, Duration forecast, TimePoint now)
+{
+    return part(forecast, std::clamp(route.slowness.value(now), 1.0, MostSlowness));
+}
+
+void AdmissionController::onFirstEvent(const ServiceId &service, const std::string &route,
+                                       Duration expected, Duration took, TimePoint now)
+{
+    m_routes[service][route].slowness.add(secondsOf(took), secondsOf(expected), now);
+}
+
 bool AdmissionController::mustYield(const AdmissionRequest &request, TimePoint now) const
 {
     const Routes &routes = m_routes.at(request.service);
@@ -269,8 +290,8 @@
     return std::clamp(std::min(place, honoured), ShortestRetryAfter, LongestRetryAfter);
 }
 
-const AdmissionController::Return *
-AdmissionController::findReturn(const AdmissionRequest &request, TimePoint now) const
+const AdmissionController::Return *AdmissionController::findReturn(const AdmissionRequest &request,
+                                                                   TimePoint now) const
 {
     const auto found = request.content == 0 ? m_returns.end() : m_returns.find(returnKey(request));
     const bool known = found != m_returns.end() && now < found->second.at + LongestRetryAfter;
--- a/Source/Routing/AdmissionController.h
+++ b/Source/Routing/AdmissionController.h
@@ -12,6 +12,7 @@
 #include "Routing/AdmissionQueue.h"
 #include "Routing/CapacityForecast.h"
 #include "Routing/CapacityShares.h"
+#include "Routing/DecayingRatio.h"
 #include "Routing/ReturnSchedule.h"
 
 namespace lycheearch {
@@ -39,6 +40,7 @@
     Verdict verdict = Verdict::Admit;
     const char *reason = ""; ///< For the log.
     Duration retryAfter{}; ///< Of a refusal.
+    Duration expected{}; ///< Time to the first event, by the forecast.
     double keptPart = 1; ///< Part of its requests that the account keeps.
     AdmissionQueue::Ticket ticket = 0; ///< Of a request that waits.
     std::vector<AdmissionQueue::Ticket> evicted; ///< Gave way and must be refused.
@@ -66,6 +68,10 @@
     /// or refused is no longer in the queue.
     AdmissionDecision decide(const AdmissionRequest &request, const ServiceForecast &forecast,
                              AdmissionQueue::Ticket ticket, TimePoint now);
+    /// Records the time to the first event of a request that was admitted, and the forecast at that
+    /// time. More urgent requests overtake others at the servers, which the forecast can't know.
+    void onFirstEvent(const ServiceId &service, const std::string &route, Duration expected,
+                      Duration took, TimePoint now);
     /// Refuses a request that waits or that was evicted; returns its Retry-After.
     Duration refuseWaiting(const AdmissionRequest &request, AdmissionQueue::Ticket ticket,
                            TimePoint now);
@@ -77,10 +83,13 @@
     /// What this daemon saw of a route lately. The counts decay.
     struct RouteUse
     {
+        RouteUse();
+
         int priority = 0;
         double offered = 0;
         double admitted = 0;
         TimePoint countedAt;
+        DecayingRatio slowness; ///< Time to the first event by the forecast.
         TimePoint seenAt; ///< Time of the latest forecast.
         double pressure = 0; ///< Expected time to its first event by its objective, then.
     };
@@ -94,6 +103,8 @@
     };
 
     RouteUse &seen(const AdmissionRequest &request, const ServiceForecast &forecast, TimePoint now);
+    /// Time to the first event of a route's requests, by the forecast and what was seen lately.
+    static Duration corrected(const RouteUse &route, Duration forecast, TimePoint now);
     /// The last refusal of the request, if it may still come back for it.
     const Return *findReturn(const AdmissionRequest &request, TimePoint now) const;
     bool isEarlyReturn(const AdmissionRequest &request, TimePoint now) const;
--- a/Source/Routing/CapacityShares.cpp
+++ b/Source/Routing/CapacityShares.cpp
@@ -156,9 +156,8 @@
 
 ServiceUses CapacityShares::ownUses(TimePoint now)
 {
-    std::erase_if(m_own, [now](const auto &entry) {
-        return entry.second.value(now).demand() < SmallestUse;
-    });
+    std::erase_if(
+        m_own, [now](const auto &entry) { return entry.second.value(now).demand() < SmallestUse; });
     ServiceUses uses;
     for (const auto &[key, own] : m_own) {
         uses[key] = own.value(now);
--- a/Tests/Routing/testSharedCapacity.cpp
+++ b/Tests/Routing/testSharedCapacity.cpp
@@ -94,9 +94,10 @@
         std::printf("%s, %d daemons, %s:\n", title, m_load.daemons,
                     m_load.withPart ? "with" : "without");
         const auto row = [](const std::string &name, const Outcome &outcome) {
-            std::printf("  %-10s offered %6d in time %6d late %5d refused %5d deadline %5d share %.3f\n",
-                        name.c_str(), outcome.offered, outcome.inTime, outcome.late,
-                        outcome.refused, outcome.ended, outcome.share());
+            std::printf(
+                "  %-10s offered %6d in time %6d late %5d refused %5d deadline %5d share %.3f\n",
+                name.c_str(), outcome.offered, outcome.inTime, outcome.late, outcome.refused,
+                outcome.ended, outcome.share());
         };
         for (std::size_t i = 0; i < routes.size(); ++i) {
             row(routes.at(i).name, byRoute.at(i));
@@ -109,9 +110,8 @@
     }
 
     /// The three kinds of a service: a most urgent one, usual work and work that can wait.
-    static constexpr std::array<RouteLoad, 3> routes{{{"urgent", 0, 1500ms, 6s, 0.3},
-                                                      {"usual", 1, 2s, 8s, 0.3},
-                                                      {"calm", 2, 3s, 10s, 0.4}}};
+    static constexpr std::array<RouteLoad, 3> routes{
+        {{"urgent", 0, 1500ms, 6s, 0.3}, {"usual", 1, 2s, 8s, 0.3}, {"calm", 2, 3s, 10s, 0.4}}};
     std::array<Outcome, 3> byRoute;
     std::map<int, Outcome> byAccount;
     Outcome all;
@@ -136,6 +136,8 @@
         int account = 0;
         std::size_t route = 0;
         TimePoint cameAt;
+        TimePoint admittedAt;
+        Duration expected{};
         AdmissionRequest admission;
         int returns = 0;
         int repeats = 0;
@@ -191,8 +193,7 @@
 
     void arrive()
     {
-        const double perTick =
-            m_load.usual * m_load.places / seconds(m_load.run) * seconds(Tick);
+        const double perTick = m_load.usual * m_load.places / seconds(m_load.run) * seconds(Tick);
         const bool burst = m_now >= Start + 4s && m_now < Start + 11s;
         for (std::size_t route = 0; route < routes.size(); ++route) {
             const double factor = burst && route + 1 == routes.size() ? m_load.burst : 1;
@@ -219,8 +220,16 @@
         request.route = route;
         request.cameAt = m_now;
         const RouteLoad &kind = routes.at(route);
-        request.admission = {Desk, static_cast<std::uint64_t>(account + 1), kind.name, kind.priority,
-                             kind.objective, m_now, m_now + kind.timeout, m_requests.size() + 1, 1, 0};
+        request.admission = {Desk,
+                             static_cast<std::uint64_t>(account + 1),
+                             kind.name,
+                             kind.priority,
+                             kind.objective,
+                             m_now,
+                             m_now + kind.timeout,
+                             m_requests.size() + 1,
+                             1,
+                             0};
         m_requests.push_back(request);
         each(request, [](Outcome &outcome) { ++outcome.offered; });
         ask(static_cast<int>(m_requests.size()) - 1, 0);
@@ -257,9 +266,9 @@
             ahead = occupancy.taken + 1 > occupancy.places ? ahead : 0;
         }
         const double perPlace = seconds(m_load.run) / occupancy.places;
-        return CapacityForecast::ofEngine(occupancy, ahead, 0.1 * occupancy.places,
-                                          std::chrono::duration_cast<Duration>(
-                                              std::chrono::duration<double>(perPlace)));
+        return CapacityForecast::ofEngine(
+            occupancy, ahead, 0.1 * occupancy.places,
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(perPlace)));
     }
 
     void ask(int number, AdmissionQueue::Ticket ticket)
@@ -274,6 +283,8 @@
         daemon.waiting.erase(ticket);
         switch (decision.verdict) {
         case AdmissionDecision::Verdict::Admit:
+            request.admittedAt = m_now;
+            request.expected = decision.expected;
             m_service[routes.at(request.route).priority].push_back(number);
             ++m_queued;
             ++daemon.atService;
@@ -288,8 +299,9 @@
         for (const AdmissionQueue::Ticket evicted : decision.evicted) {
             const int other = daemon.waiting.at(evicted);
             daemon.waiting.erase(evicted);
-            refuse(other, daemon.controller.refuseWaiting(
-                              m_requests[static_cast<std::size_t>(other)].admission, evicted, m_now));
+            refuse(other,
+                   daemon.controller.refuseWaiting(
+                       m_requests[static_cast<std::size_t>(other)].admission, evicted, m_now));
         }
     }
 
@@ -331,9 +343,9 @@
             for (const AdmissionQueue::Ticket ticket : daemon->controller.queue().expired(m_now)) {
                 const int number = daemon->waiting.at(ticket);
                 daemon->waiting.erase(ticket);
-                refuse(number, daemon->controller.refuseWaiting(
-                                   m_requests[static_cast<std::size_t>(number)].admission, ticket,
-                                   m_now));
+                refuse(number,
+                       daemon->controller.refuseWaiting(
+                           m_requests[static_cast<std::size_t>(number)].admission, ticket, m_now));
             }
             for (int i = 0; i < 4; ++i) {
                 const auto first = daemon->controller.queue().first(Desk);
@@ -368,10 +380,9 @@
                     continue;
                 }
                 answer(number);
-                m_running.emplace(m_now
-                                      + std::chrono::duration_cast<Duration>(
-                                          m_load.run * (0.5 + random())),
-                                  number);
+                m_running.emplace(
+                    m_now + std::chrono::duration_cast<Duration>(m_load.run * (0.5 + random())),
+                    number);
             }
         }
     }
@@ -382,6 +393,9 @@
         const Request &request = m_requests[static_cast<std::size_t>(number)];
         const bool late = m_now + m_load.run / 10 - request.admission.receivedAt
             > request.admission.latencyObjective;
+        m_daemons[static_cast<std::size_t>(request.daemon)]->controller.onFirstEvent(
+            Desk, request.admission.route, request.expected,
+            m_now + m_load.run / 10 - request.admittedAt, m_now);
         each(request, [late](Outcome &outcome) { ++(late ? outcome.late : outcome.inTime); });
     }
 
