--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -49,7 +49,7 @@
 
 void LoadExchange::onRemoteLoad(const FeedLoad &load, TimePoint now)
 {
-    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, now};
+    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, load.uses, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
@@ -73,6 +73,18 @@
                             : std::vector<CutOffDaemon>{{m_self, services}};
 }
 
+ServiceUses LoadExchange::ownUses(TimePoint now) const
+{
+    return m_shares == nullptr ? ServiceUses() : m_shares->ownUses(now);
+}
+
+void LoadExchange::setOtherDaemonsUses(ServiceUses uses, TimePoint now)
+{
+    if (m_shares != nullptr) {
+        m_shares->setOtherDaemonsUses(std::move(uses), now);
+    }
+}
+
 void LoadExchange::applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now)
 {
     for (const LimitsNotice &notice : notices) {
@@ -101,13 +113,15 @@
                      m_crashes.takeUnpublished(now),
                      m_picker.rateLimiter().notices().takeUnpublished(now),
                      ownCutOff(),
-                     m_picker.takeUnpublishedSpeeds(now)};
+                     m_picker.takeUnpublishedSpeeds(now),
+                     ownUses(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
         || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty() || !ownLoad.speeds.empty()
-        || ownLoad.cutOff != m_lastSentCutOff;
+        || ownLoad.cutOff != m_lastSentCutOff || ownLoad.uses != m_lastSentUses;
     if (news && m_client.sendLoad(ownLoad)) {
         m_lastSentLoads = std::move(ownLoad.loads);
         m_lastSentCutOff = std::move(ownLoad.cutOff);
+        m_lastSentUses = std::move(ownLoad.uses);
     }
 }
 
@@ -121,7 +135,11 @@
                            m_server->takeCrashEvidence(),
                            m_server->takeRateLimits(),
                            m_server->followersCutOff(),
-                           m_server->takeSpeeds(now)};
+                           m_server->takeSpeeds(now),
+                           m_server->followerUses()};
+    const ServiceUses ownUse = ownUses(now);
+    ServiceUses otherUses = ownDataCentre.uses;
+    addUses(ownDataCentre.uses, ownUse);
     const std::vector<CutOffDaemon> cutOff = ownCutOff();
     ownDataCentre.cutOff.insert(ownDataCentre.cutOff.end(), cutOff.begin(), cutOff.end());
     addLoads(ownDataCentre.loads, ownLoad);
@@ -139,6 +157,7 @@
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
             addLoads(otherLoads, remote.loads);
+            addUses(otherUses, remote.uses);
             allCutOff.insert(allCutOff.end(), remote.cutOff.begin(), remote.cutOff.end());
         }
     }
@@ -149,8 +168,10 @@
                    std::move(ownDataCentre.crashEvidence),
                    std::move(ownDataCentre.rateLimits),
                    std::move(allCutOff),
-                   m_speedsToForward.take(now)};
+                   m_speedsToForward.take(now),
+                   otherUses};
     addLoads(total.loads, ownLoad);
+    addUses(total.uses, ownUse);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
@@ -158,6 +179,7 @@
     addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
     m_server->broadcastLoad(total);
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    setOtherDaemonsUses(std::move(otherUses), now);
 }
 
 void LoadExchange::addOwnSpeeds(std::vector<SpeedReport> &followerSpeeds, TimePoint now)
@@ -195,6 +217,9 @@
     applyRateLimits(total.rateLimits, now);
     m_picker.applySpeeds(total.speeds, now);
     m_peers.setCutOff(total.cutOff, now);
+    ServiceUses otherUses = total.uses;
+    subtractUses(otherUses, m_lastSentUses);
+    setOtherDaemonsUses(std::move(otherUses), now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -59,12 +59,16 @@
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
     , m_hedging(m_settings.instance, m_retries)
     , m_readers(m_loop, m_responseBudget)
+    , m_admission(m_settings.traits.scarceCapacity ? std::make_unique<SharedAdmission>(
+                      m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
+                      m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
+                                                   : nullptr)
     , m_context{m_loop,           m_view,           m_picker,         m_connections,
                 headerCodec,      m_retries,        m_rolloutCounts,  m_modelCascade,
                 m_crashes,        m_pendingCrashes, m_peers,          m_peerConnections,
                 m_relayAdmission, m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
                 m_bodyBudget,     m_responseBudget, m_readers,        m_log,
-                m_metrics,        m_hedging}
+                m_metrics,        m_hedging,        m_admission.get()}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -149,6 +153,9 @@
     m_follower.start();
     m_feedClient.start();
     m_rolloutAgent.start();
+    if (m_admission) {
+        m_loadExchange.setShares(m_admission->shares());
+    }
     m_loadExchange.start(*m_feedServer);
     m_crashVerdicts.start();
     m_registration.start();
@@ -207,6 +214,10 @@
     m_settings.bounds = newSettings.bounds;
     m_settings.hedging = newSettings.hedging;
     m_hedging.setSettings(m_settings.hedging);
+    m_settings.capacity = newSettings.capacity;
+    if (m_admission) {
+        m_admission->applySettings(m_settings.capacity);
+    }
     m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
@@ -322,6 +333,14 @@
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
     response.body += m_readers.metricsText();
+    if (m_admission) {
+        response.body += "# TYPE lycheearch_admission_waiting gauge\n"
+                         "lycheearch_admission_waiting "
+            + std::to_string(m_admission->waiting()) + "\n"
+            + "# TYPE lycheearch_admission_waiting_bytes gauge\n"
+              "lycheearch_admission_waiting_bytes "
+            + std::to_string(m_admission->waitingBytes()) + "\n";
+    }
     return response;
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -19,6 +19,7 @@
 #include "Fleet/FleetView.h"
 #include "Forward/CallerServer.h"
 #include "Forward/RequestHeaderCodec.h"
+#include "Forward/SharedAdmission.h"
 #include "Log/StructuredLog.h"
 #include "Net/HttpResponder.h"
 #include "Net/SignalPipe.h"
@@ -109,6 +110,7 @@
     BodyBudget m_responseBudget; ///< Of responses, until their callers have read them.
     CallerReaders m_readers;
     Hedging m_hedging;
+    std::unique_ptr<SharedAdmission> m_admission; ///< Null where capacity isn't scarce.
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -1,5 +1,6 @@
 #include "Feed/FeedMessages.h"
 
+#include <cmath>
 #include <sstream>
 
 #include <Poco/DeflatingStream.h>
@@ -260,6 +261,38 @@
             Duration(reader.getAge())};
 }
 
+void writeUses(wire::FeedLoad::Builder builder, const ServiceUses &uses)
+{
+    auto list = builder.initUses(static_cast<unsigned>(uses.size()));
+    unsigned i = 0;
+    for (const auto &[key, use] : uses) {
+        list[i].setService(key.first.value());
+        list[i].setAccount(key.second);
+        list[i].setInFlight(use.admitted);
+        list[i].setRefused(use.refused);
+        ++i;
+    }
+}
+
+/// Whether the value can be the work of an account. A wrong one would make others give way.
+bool isWork(double value)
+{
+    constexpr double mostWork = 1e12;
+    return std::isfinite(value) && value >= 0 && value <= mostWork;
+}
+
+ServiceUses readUses(capnp::List<wire::FeedServiceUse>::Reader list)
+{
+    ServiceUses uses;
+    for (const auto entry : list) {
+        if (isWork(entry.getInFlight()) && isWork(entry.getRefused())) {
+            uses[{ServiceId(entry.getService().cStr()), entry.getAccount()}] = {entry.getInFlight(),
+                                                                                entry.getRefused()};
+        }
+    }
+    return uses;
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
@@ -297,6 +330,7 @@
     for (unsigned j = 0; j < speeds.size(); ++j) {
         writeSpeed(speeds[j], message.speeds[j]);
     }
+    writeUses(builder, message.uses);
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
@@ -330,6 +364,7 @@
             message.speeds.push_back(std::move(report));
         }
     }
+    message.uses = readUses(reader.getUses());
     return message;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -13,6 +13,7 @@
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/ServerNotices.h"
 #include "Routing/ServerSpeeds.h"
+#include "Routing/ServiceUses.h"
 
 namespace lycheearch {
 
@@ -58,6 +59,8 @@
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
     std::vector<SpeedReport> speeds; ///< Observed since the last message.
+    /// Of all accounts with use lately; empty where capacity isn't scarce.
+    ServiceUses uses{};
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -3,6 +3,7 @@
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
 #include "Fleet/FleetView.h"
+#include "Forward/AdmissionGate.h"
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
 #include "Forward/CallerReaders.h"
@@ -48,6 +49,7 @@
     StructuredLog &log;
     Metrics &metrics;
     Hedging &hedging;
+    AdmissionGate *admission = nullptr; ///< Null where capacity isn't scarce.
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -30,7 +30,7 @@
 /// sent only if no attempt can have executed the request. A refusal of a backend server counts as
 /// proof only if it is certain to answer the attempt under way: it names the request, or nothing
 /// else was ever sent on its connection.
-class RequestForwarder : public BackendResponseListener
+class RequestForwarder : public BackendResponseListener, private AdmissionWaiter
 {
 public:
     RequestForwarder(ForwardContext &context, ResponseWriter &writer, DecodedRequest request,
@@ -103,6 +103,11 @@
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
+    /// Whether the first attempt may be sent now. Otherwise the request waits or is refused.
+    bool passesAdmission(const Pick &pick, const PickRequest &requirements, TimePoint now);
+    void leaveAdmission();
+    void onAdmissionTurn(TimePoint now) override { dispatch(now); }
+    void onAdmissionRefused(const char *cause, Duration retryAfter, TimePoint now) override;
     PickRequest pickRequest(TimePoint now) const;
     /// Whether the response begins a stream, or goes on with the one that has begun.
     bool isStream(const HttpResponseHead &head, const ResponseMetadata &metadata);
@@ -247,6 +252,7 @@
     bool m_noPeerLeft = false;
     bool m_relayAdmitted = false; ///< Counts in RelayAdmission.
     bool m_declined = false; ///< Another daemon may serve the request that came from one.
+    Duration m_expectedFirst{}; ///< Time to the first event, as expected at the admission.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     ExecutionState m_execution;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderHedge.cpp
+++ b/Source/Forward/RequestForwarderHedge.cpp
@@ -80,7 +80,8 @@
     input.serversEnded =
         static_cast<int>(m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity));
     PickRequest requirements = pickRequest(now);
-    const double serviceLoad = m_context.picker.serviceLoad(requirements, m_context.view, now);
+    const ServiceOccupancy occupancy =
+        m_context.picker.occupancy(requirements, m_context.view, now);
     requirements.disallowedBackends.insert(m_attempt.backend);
     PickFault fault = PickFault::None;
     const auto pick = m_context.picker.pick(requirements, m_context.view, now, fault);
@@ -92,7 +93,7 @@
     const ServerRun server{pick->backend, state->report.startedAt};
     HedgeTarget target;
     target.load = pick->load + 1.0 / std::max(1, state->report.slots);
-    target.serviceLoad = serviceLoad;
+    target.serviceLoad = occupancy.places > 0 ? occupancy.taken / occupancy.places : 1;
     target.cold = state->coldUntil > now;
     target.namedLimit = notices.rateLimit(server).has_value();
     target.brittle = notices.maxRejections(server).has_value();
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/SendOutcomes.h"
@@ -61,6 +63,11 @@
     applyBrittle(metadata, canEndLimits, now);
     recordReportedLoad(m_context, m_request.id, m_attempt.backend, metadata, now);
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
+    if (m_expectedFirst > Duration::zero()) {
+        m_context.admission->onFirstEvent(m_service, m_route->name,
+                                          std::exchange(m_expectedFirst, Duration::zero()),
+                                          now - m_attempt.sentAt, now);
+    }
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
     if (head.status < HttpStatus::FirstRedirect) {
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -600,23 +600,28 @@
     return forecast;
 }
 
-double BackendPicker::serviceLoad(const PickRequest &request, const FleetView &view,
-                                  TimePoint now) const
+ServiceOccupancy BackendPicker::occupancy(const PickRequest &request, const FleetView &view,
+                                          TimePoint now) const
 {
-    double requests = 0;
-    int slots = 0;
+    ServiceOccupancy occupancy;
     for (const auto &[id, state] : view.backends()) {
-        const auto health = m_health.find(id);
-        const bool known = health != m_health.end();
-        if (!matches(state, request, view) || (known && isExcluded(id, health->second, now))
-            || isDataCentreExcluded(state.report.dataCentre, now)) {
+        if (!matches(state, request, view) || isDataCentreExcluded(state.report.dataCentre, now)) {
             continue;
         }
-        const int ownSlots = std::max(1, state.report.slots);
-        requests += known ? loadOf(health->second, state, now) * ownSlots : 0;
-        slots += ownSlots;
+        const int slots = std::max(1, state.report.slots);
+        const auto found = m_health.find(id);
+        const Health health = found == m_health.end() ? Health() : found->second;
+        if (isExcluded(id, health, now)) {
+            continue;
+        }
+        occupancy.places += slots;
+        occupancy.taken += loadOf(health, state, now) * slots;
+        if (health.reportedAt != TimePoint() && now - health.reportedAt < ReportLifetime) {
+            occupancy.waiting += health.waiting;
+        }
     }
-    return slots == 0 ? 1 : requests / slots;
+    occupancy.age = now - m_otherDaemonsLoadsAt;
+    return occupancy;
 }
 
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
