--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -1,13 +1,15 @@
 #include "Daemon/LoadExchange.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
+#include "Feed/FeedTiming.h"
+
 namespace lycheearch {
 
 namespace {
 
-constexpr Duration ReportPeriod = 200ms;
 /// The load report of another data centre expires after this time.
 constexpr Duration RemoteLoadLifetime = 1500ms;
 /// Limit of the prompt cache entries that are queued for the followers. The entries of a report
@@ -80,15 +82,31 @@
 
 void LoadExchange::step(TimePoint now)
 {
-    m_timer = m_loop.at(now + ReportPeriod, [this](TimePoint currentTime) { step(currentTime); });
+    m_timer = m_loop.at(now + LoadPeriod, [this](TimePoint currentTime) { step(currentTime); });
     if (!m_follower.synced()) {
         return;
     }
     m_pendingCrashes.settle(now);
-    if (!m_follower.followingFeed()) {
-        aggregateLoads(now);
+    // The period is rounded to a multiple of LoadPeriod; the timer may be late.
+    if (now - m_lastExchangeAt + LoadPeriod / 2 < period()) {
         return;
     }
+    m_lastExchangeAt = now;
+    if (m_follower.followingFeed()) {
+        reportToSource(now);
+    } else {
+        aggregateLoads(now);
+    }
+}
+
+Duration LoadExchange::period() const
+{
+    return m_follower.followingFeed() ? std::max(LoadPeriod, m_sourcePeriod)
+                                      : m_broadcastPeriod.period();
+}
+
+void LoadExchange::reportToSource(TimePoint now)
+{
     m_entriesToForward.clear();
     m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
@@ -142,15 +160,18 @@
                    std::move(ownDataCentre.promptCacheEntries),
                    std::move(ownDataCentre.crashEvidence),
                    std::move(ownDataCentre.rateLimits),
-                   std::move(allCutOff)};
+                   std::move(allCutOff),
+                   false,
+                   m_broadcastPeriod.period()};
     addLoads(total.loads, ownLoad);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
     total.crashEvidence.add(std::exchange(m_evidenceToForward, {}));
     addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
-    m_server->broadcastLoad(total);
+    m_broadcastPeriod.onSent(m_server->broadcastLoad(std::move(total)));
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    m_pickerFollows = false;
 }
 
 void LoadExchange::sendToDataCentres(const FeedLoad &load, TimePoint now)
@@ -161,20 +182,26 @@
         dataCentres.insert(member.dataCentre);
     }
     dataCentres.erase(m_ownDataCentre);
+    const std::string frame = dataCentres.empty() ? std::string() : encodeFeedFrame(load);
     for (const DataCentreId &destination : dataCentres) {
         std::unique_ptr<LoadSender> &sender = m_senders[destination];
         if (!sender) {
             sender = std::make_unique<LoadSender>(m_loop);
         }
-        sender->send(load, feedOrder(m_view.members(), destination, wallMs), now);
+        sender->send(frame, feedOrder(m_view.members(), destination, wallMs), now);
     }
 }
 
 void LoadExchange::onTotalLoad(const FeedLoad &total, TimePoint now)
 {
-    BackendLoads otherLoads = total.loads;
-    subtractLoads(otherLoads, m_lastSentLoads);
-    m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    m_sourcePeriod = total.period;
+    m_followedLoads.apply(total, m_lastSentLoads);
+    if (m_pickerFollows) {
+        m_picker.changeOtherDaemonsLoads(m_followedLoads.changedOthers(), now);
+    } else {
+        m_picker.setOtherDaemonsLoads(m_followedLoads.others(), now);
+        m_pickerFollows = true;
+    }
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
     m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -5,6 +5,7 @@
 
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
+#include "Feed/LoadChanges.h"
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
@@ -15,7 +16,7 @@
 
 /// Exchanges backend load and prompt cache entries with the other daemons, so that each daemon
 /// routes by the load and the caches of all. A daemon that follows a feed reports its own load to
-/// its feed source and receives the total. A daemon that reads the store adds up the load of its
+/// its feed source and receives the total or what has changed in it. A daemon that reads the store adds up the load of its
 /// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
 /// The load of a data centre that stops reporting expires. Evidence against prompts that crash
 /// servers, the rate limits that servers named, and which daemons are cut off from the servers of a
@@ -43,6 +44,9 @@
     };
 
     void step(TimePoint now);
+    /// Between two totals or reports of this daemon.
+    Duration period() const;
+    void reportToSource(TimePoint now);
     void applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now);
     void aggregateLoads(TimePoint now);
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
@@ -63,6 +67,11 @@
     PendingCrashes &m_pendingCrashes;
     const Clock &m_clock;
     FeedServer *m_server = nullptr;
+    TimePoint m_lastExchangeAt;
+    LoadBroadcastPeriod m_broadcastPeriod;
+    Duration m_sourcePeriod{}; ///< By the last message of the source.
+    FollowedLoads m_followedLoads;
+    bool m_pickerFollows = false; ///< The picker has the loads of m_followedLoads.
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::vector<CutOffDaemon> m_lastSentCutOff; ///< The same.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -89,6 +89,7 @@
     m_substitute = choice.substitute;
     m_lastReceivedAt = now;
     m_reader = FeedFrameReader();
+    m_totalReceived = false;
     m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
     m_socket->send(encodeFeedFrame(FeedSubscribe{m_self}));
 }
@@ -122,7 +123,12 @@
         return;
     }
     if (const auto *load = std::get_if<FeedLoad>(&message)) {
-        m_onLoad(*load, now);
+        m_totalReceived = m_totalReceived || !load->changesOnly;
+        if (m_totalReceived) {
+            m_onLoad(*load, now);
+        } else {
+            dropSource("changes of loads without a total", now);
+        }
         return;
     }
     const auto *heartbeat = std::get_if<FeedHeartbeat>(&message);
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -32,7 +32,8 @@
     /// The daemon that this one is connected to, whether its feed is followed or not; empty if
     /// none.
     const InstanceId &source() const { return m_source; }
-    /// Called with the total load of all daemons as sent by the source.
+    /// Called with the total load of all daemons as sent by the source, or with its changes since
+    /// the last call; the first message of each source is a total.
     using LoadCallback = std::function<void(const FeedLoad &load, TimePoint now)>;
     void onLoad(LoadCallback callback) { m_onLoad = std::move(callback); }
     /// Sends this daemon's load to the source. Returns false if no feed is followed.
@@ -74,6 +75,7 @@
     InstanceId m_source; ///< Empty without a connection.
     bool m_substitute = false; ///< See FeedSourceChoice.
     bool m_viewWasStale = false;
+    bool m_totalReceived = false; ///< Over this connection.
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
     TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
     TimerId m_timer;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -1,5 +1,6 @@
 #include "Feed/FeedMessages.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include <Poco/DeflatingStream.h>
@@ -8,6 +9,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include "Feed/FeedTiming.h"
 #include "Feed/feed.capnp.h"
 
 namespace lycheearch {
@@ -243,6 +245,8 @@
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
+    builder.setChangesOnly(message.changesOnly);
+    builder.setPeriod(message.period.count());
     auto entries = builder.initEntries(static_cast<unsigned>(message.loads.size()));
     unsigned i = 0;
     for (const auto &[backend, load] : message.loads) {
@@ -279,6 +283,8 @@
 {
     FeedLoad message;
     message.dataCentre = DataCentreId(reader.getDataCentre().cStr());
+    message.changesOnly = reader.getChangesOnly();
+    message.period = std::clamp(Duration(reader.getPeriod()), Duration::zero(), MaxLoadPeriod);
     for (const auto entry : reader.getEntries()) {
         BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
         load.requests = entry.getRequests();
@@ -313,7 +319,7 @@
     const auto root = reader.getRoot<wire::FeedMessage>();
     switch (root.which()) {
     case wire::FeedMessage::SUBSCRIBE:
-        return FeedSubscribe{InstanceId(root.getSubscribe().cStr())};
+        return FeedSubscribe{InstanceId(root.getSubscribe().cStr()), root.getAcceptsLoadChanges()};
     case wire::FeedMessage::PAGE:
         return readPage(root.getPage());
     case wire::FeedMessage::HEARTBEAT:
@@ -405,6 +411,7 @@
     auto root = builder.initRoot<wire::FeedMessage>();
     if (const auto *subscribe = std::get_if<FeedSubscribe>(&message)) {
         root.setSubscribe(subscribe->instance.value());
+        root.setAcceptsLoadChanges(subscribe->acceptsLoadChanges);
     } else if (const auto *page = std::get_if<FeedPage>(&message)) {
         writePage(root.initPage(), *page);
     } else if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -19,6 +19,7 @@
 struct FeedSubscribe
 {
     InstanceId instance; ///< The follower.
+    bool acceptsLoadChanges = true; ///< It reads loads that are FeedLoad::changesOnly.
 };
 
 /// Records that the source read from the store.
@@ -56,6 +57,12 @@
     std::vector<LimitsNotice> rateLimits; ///< That servers named since the last message.
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
+    /// The loads replace those of the last load message on the same connection; entries without
+    /// load end.
+    bool changesOnly = false;
+    /// Until the source sends the next total, and between the reports of its followers; zero if it
+    /// does not tell it.
+    Duration period{};
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -1,5 +1,6 @@
 #include "Feed/FeedServer.h"
 
+#include <algorithm>
 #include <vector>
 
 #include <sys/epoll.h>
@@ -52,6 +53,9 @@
     void send(std::string_view frame) { m_socket.send(frame); }
     bool overfull() const { return m_socket.queuedBytes() > MaxQueuedBytes; }
     bool subscribed() const { return m_subscribed; }
+    /// Whether the follower has the last total and accepts changes to it.
+    bool keepsTotal() const { return m_keepsTotal; }
+    void onTotalSent() { m_keepsTotal = m_acceptsLoadChanges; }
     const BackendLoads &loads() const { return m_loads; }
     const std::vector<CutOffDaemon> &cutOff() const { return m_cutOff; }
     void end()
@@ -69,8 +73,10 @@
             return;
         }
         for (const FeedMessage &message : messages) {
-            if (std::holds_alternative<FeedSubscribe>(message) && !m_subscribed) {
+            const auto *subscribe = std::get_if<FeedSubscribe>(&message);
+            if (subscribe != nullptr && !m_subscribed) {
                 m_subscribed = true;
+                m_acceptsLoadChanges = subscribe->acceptsLoadChanges;
                 m_server.sendInitialState(*this);
             } else if (const auto *evidence = std::get_if<FeedEvidence>(&message)) {
                 m_server.m_onEvidence(*evidence);
@@ -101,6 +107,8 @@
     BackendLoads m_loads;
     std::vector<CutOffDaemon> m_cutOff;
     bool m_subscribed = false;
+    bool m_acceptsLoadChanges = false;
+    bool m_keepsTotal = false;
 };
 
 FeedServer::FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
@@ -165,11 +173,51 @@
     sendToFollowers(encodeFeedFrame(FeedPage{topic, listing, std::move(sent)}));
 }
 
-void FeedServer::broadcastLoad(const FeedLoad &load)
+std::size_t FeedServer::broadcastLoad(FeedLoad load)
 {
-    if (!m_connections.empty()) {
-        sendToFollowers(encodeFeedFrame(load));
+    BackendLoads changed;
+    const bool withChanges = anyFollower(true);
+    if (withChanges) {
+        changed = changedLoads(m_sentLoads, load.loads);
     }
+    // If all entries changed, one frame is encoded for all.
+    const bool sendsChanges = withChanges && changed.size() < load.loads.size();
+    std::string total;
+    if (!sendsChanges || anyFollower(false)) {
+        total = encodeFeedFrame(load);
+    }
+    m_sentLoads = std::move(load.loads);
+    std::string changes;
+    if (sendsChanges) {
+        load.loads = std::move(changed);
+        load.changesOnly = true;
+        changes = encodeFeedFrame(load);
+    }
+    return sendLoads(total, changes);
+}
+
+bool FeedServer::anyFollower(bool keepsTotal) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &entry) {
+        return entry.second->subscribed() && entry.second->keepsTotal() == keepsTotal;
+    });
+}
+
+std::size_t FeedServer::sendLoads(std::string_view total, std::string_view changes)
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, connection] : m_connections) {
+        if (!connection->subscribed()) {
+            continue;
+        }
+        const bool asChanges = connection->keepsTotal() && !changes.empty();
+        const std::string_view frame = asChanges ? changes : total;
+        connection->send(frame);
+        connection->onTotalSent();
+        bytes += frame.size();
+    }
+    endOverfull();
+    return bytes;
 }
 
 void FeedServer::storePromptCacheEntries(const std::vector<PromptCacheEntry> &promptCacheEntries)
@@ -200,11 +248,18 @@
 
 void FeedServer::sendToFollowers(std::string_view frame)
 {
-    std::vector<FeedConnection *> overfull;
     for (const auto &[key, connection] : m_connections) {
         if (connection->subscribed()) {
             connection->send(frame);
         }
+    }
+    endOverfull();
+}
+
+void FeedServer::endOverfull()
+{
+    std::vector<FeedConnection *> overfull;
+    for (const auto &[key, connection] : m_connections) {
         if (connection->overfull()) {
             overfull.push_back(key);
         }
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -30,8 +30,9 @@
 
     /// Sends a page that was read from the store to all followers.
     void broadcast(Topic topic, const RecordPage &page, bool listing);
-    /// Sends the total load of all daemons to all followers.
-    void broadcastLoad(const FeedLoad &load);
+    /// Sends the total load of all daemons to all followers: as changes to those that accept them
+    /// and have got a total before. Returns how many bytes that was.
+    std::size_t broadcastLoad(FeedLoad load);
     /// Returns the sum of the loads that the connected followers sent.
     BackendLoads followerLoads() const;
     /// Returns the connected followers that are cut off from backend servers.
@@ -52,6 +53,9 @@
     void onReady(std::uint32_t events, TimePoint now) override;
     void storePromptCacheEntries(const std::vector<PromptCacheEntry> &promptCacheEntries);
     void sendToFollowers(std::string_view frame);
+    std::size_t sendLoads(std::string_view total, std::string_view changes);
+    bool anyFollower(bool keepsTotal) const;
+    void endOverfull();
     void sendHeartbeats(TimePoint now);
     void sendInitialState(FeedConnection &connection);
     void remove(FeedConnection &connection);
@@ -63,6 +67,7 @@
     int m_listener = -1;
     TimerId m_timer;
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
+    BackendLoads m_sentLoads; ///< The last total; followers that keep a total have this one.
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     CrashEvidence m_crashEvidence;
     std::vector<LimitsNotice> m_rateLimits;
--- a/Source/Feed/FeedTiming.h
+++ b/Source/Feed/FeedTiming.h
@@ -10,6 +10,11 @@
 constexpr Duration FeedReceiveTimeout = 800ms;
 /// A feed whose reads of the store are overdue for longer is stale; its followers read the store.
 constexpr Duration FeedStalenessLimit = 500ms;
+/// Interval between two totals of the loads, and between two reports of a follower.
+constexpr Duration LoadPeriod = 200ms;
+/// The longest such interval. The loads of the other daemons stay valid, see BackendPicker, also if
+/// two totals in a row are late.
+constexpr Duration MaxLoadPeriod = 400ms;
 constexpr Liveness FeedLiveness{1s, 1s, 2, 2s};
 
 } // namespace lycheearch
--- /dev/null
+++ b/Source/Feed/LoadChanges.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Feed/FeedMessages.h"
+
+namespace lycheearch {
+
+/// What a follower knows of the loads: the total of all daemons by its source, kept up to date by
+/// changes, without what this daemon itself had reported. The work of a message that holds changes
+/// grows with the changes and this daemon's own load, not with the number of servers.
+class FollowedLoads
+{
+public:
+    /// Applies a message of the source, given the loads that this daemon last reported.
+    void apply(const FeedLoad &message, const BackendLoads &ownReported);
+    /// Loads of all other daemons.
+    BackendLoads others() const;
+    /// The entries of others() that the last message changed or may have changed; servers without
+    /// load have an entry without load.
+    const BackendLoads &changedOthers() const { return m_changedOthers; }
+
+private:
+    BackendLoads m_total;
+    BackendLoads m_own; ///< Included in the total, as of the last message.
+    BackendLoads m_changedOthers;
+};
+
+/// Chooses how often a source sends the total, so that its link bears it: the usual period, and a
+/// longer one while the copies for all followers need more than a share of a narrow link.
+class LoadBroadcastPeriod
+{
+public:
+    LoadBroadcastPeriod();
+
+    /// Records how many bytes the last total took, for all followers together.
+    void onSent(std::size_t bytes);
+    Duration period() const { return m_period; }
+
+private:
+    Duration m_period;
+    double m_bytes = 0; ///< Moving average per total.
+};
+
+} // namespace lycheearch
--- a/Source/Feed/LoadSender.cpp
+++ b/Source/Feed/LoadSender.cpp
@@ -18,7 +18,7 @@
 {
 }
 
-void LoadSender::send(const FeedLoad &load, const std::vector<MemberRegistered> &members,
+void LoadSender::send(std::string_view frame, const std::vector<MemberRegistered> &members,
                       TimePoint now)
 {
     for (const MemberRegistered &member : members) {
@@ -34,7 +34,7 @@
     if (!m_socket) {
         return;
     }
-    m_socket->send(encodeFeedFrame(load));
+    m_socket->send(frame);
     if (m_socket->queuedBytes() > MaxQueuedBytes) {
         drop(now);
     }
--- a/Source/Feed/LoadSender.h
+++ b/Source/Feed/LoadSender.h
@@ -17,9 +17,9 @@
 public:
     explicit LoadSender(EventLoop &loop);
 
-    /// Sends \p load to the first of \p members that did not fail recently, and connects to it if
+    /// Sends \p frame, the encoded load, to the first of \p members that did not fail recently, and connects to it if
     /// necessary.
-    void send(const FeedLoad &load, const std::vector<MemberRegistered> &members, TimePoint now);
+    void send(std::string_view frame, const std::vector<MemberRegistered> &members, TimePoint now);
 
 private:
     void onBytes(std::string_view, TimePoint) override { }
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -123,6 +123,11 @@
   cutOff @5 :List(FeedCutOff);  # All daemons that are cut off from servers now.
   speeds @6 :List(FeedServerSpeed);  # Observed since the last message.
   uses @7 :List(FeedServiceUse);     # All accounts with work in flight or refused.
+  changesOnly @8 :Bool;        # The entries replace those of the last load message on the same
+                               # connection; entries without load end. Only sent to followers that
+                               # accept it. All other fields are as always.
+  period @9 :Int64;            # Microseconds until the source sends the next total, which is also
+                               # how often followers report; 0 from daemons that don't tell it.
 }
 
 struct FeedMessage {
@@ -134,4 +139,5 @@
     evidence @3 :List(FeedEvidence);
     load @4 :FeedLoad;
   }
+  acceptsLoadChanges @5 :Bool;   # With subscribe: the follower reads loads that are changesOnly.
 }
--- a/Source/Feed/feed.capnp.h
+++ b/Source/Feed/feed.capnp.h
@@ -241,7 +241,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 0, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(cdca46df75ae5cee, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1694,6 +1694,10 @@
   inline bool hasUses() const;
   inline  ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
 
+  inline bool getChangesOnly() const;
+
+  inline  ::int64_t getPeriod() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1778,6 +1782,12 @@
   inline void adoptUses(::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::lycheearch::wire::FeedServiceUse,  ::capnp::Kind::STRUCT>> disownUses();
 
+  inline bool getChangesOnly();
+  inline void setChangesOnly(bool value);
+
+  inline  ::int64_t getPeriod();
+  inline void setPeriod( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1842,6 +1852,8 @@
   inline bool hasLoad() const;
   inline  ::lycheearch::wire::FeedLoad::Reader getLoad() const;
 
+  inline bool getAcceptsLoadChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1907,6 +1919,9 @@
   inline void adoptLoad(::capnp::Orphan< ::lycheearch::wire::FeedLoad>&& value);
   inline ::capnp::Orphan< ::lycheearch::wire::FeedLoad> disownLoad();
 
+  inline bool getAcceptsLoadChanges();
+  inline void setAcceptsLoadChanges(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3644,6 +3659,34 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool FeedLoad::Reader::getChangesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedLoad::Builder::getChangesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedLoad::Builder::setChangesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FeedLoad::Reader::getPeriod() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FeedLoad::Builder::getPeriod() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FeedLoad::Builder::setPeriod( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::lycheearch::wire::FeedMessage::Which FeedMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3895,6 +3938,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FeedMessage::Reader::getAcceptsLoadChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool FeedMessage::Builder::getAcceptsLoadChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void FeedMessage::Builder::setAcceptsLoadChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Routing/BackendLoads.cpp
+++ b/Source/Routing/BackendLoads.cpp
@@ -33,4 +33,37 @@
     }
 }
 
+BackendLoads changedLoads(const BackendLoads &before, const BackendLoads &after)
+{
+    BackendLoads changed;
+    auto old = before.begin();
+    for (const auto &[id, load] : after) {
+        for (; old != before.end() && old->first < id; ++old) {
+            changed.emplace_hint(changed.end(), old->first, BackendLoadShare());
+        }
+        const bool known = old != before.end() && old->first == id;
+        if (!known || old->second != load) {
+            changed.emplace_hint(changed.end(), id, load);
+        }
+        if (known) {
+            ++old;
+        }
+    }
+    for (; old != before.end(); ++old) {
+        changed.emplace_hint(changed.end(), old->first, BackendLoadShare());
+    }
+    return changed;
+}
+
+void applyChangedLoads(BackendLoads &loads, const BackendLoads &changes)
+{
+    for (const auto &[id, load] : changes) {
+        if (load == BackendLoadShare()) {
+            loads.erase(id);
+        } else {
+            loads[id] = load;
+        }
+    }
+}
+
 } // namespace lycheearch
--- a/Source/Routing/BackendLoads.h
+++ b/Source/Routing/BackendLoads.h
@@ -30,5 +30,10 @@
 void addLoads(BackendLoads &sum, const BackendLoads &addend);
 /// Subtracts \p subtrahend from \p sum; no value falls below zero.
 void subtractLoads(BackendLoads &sum, const BackendLoads &subtrahend);
+/// Returns the entries of \p after that differ from \p before, and an entry without load for each
+/// server that is only in \p before.
+BackendLoads changedLoads(const BackendLoads &before, const BackendLoads &after);
+/// Replaces the entries of \p loads that are in \p changes; entries without load end.
+void applyChangedLoads(BackendLoads &loads, const BackendLoads &changes);
 
 } // namespace lycheearch
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -545,6 +545,12 @@
     m_otherDaemonsLoadsAt = now;
 }
 
+void BackendPicker::changeOtherDaemonsLoads(const BackendLoads &changes, TimePoint now)
+{
+    applyChangedLoads(m_otherDaemonsLoads, changes);
+    m_otherDaemonsLoadsAt = now;
+}
+
 void BackendPicker::prune(const FleetView &view, TimePoint now)
 {
     m_rateLimiter.prune(view, now);
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -131,6 +131,10 @@
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
     void setOtherDaemonsLoads(BackendLoads loads, TimePoint now);
+    /// The same, for the servers of \p changes only; those without load lose their entry.
+    void changeOtherDaemonsLoads(const BackendLoads &changes, TimePoint now);
+    /// The load that all other daemons put on the servers, as it was last set.
+    const BackendLoads &otherDaemonsLoads() const { return m_otherDaemonsLoads; }
     /// Sets the number of daemons that send to the same servers.
     void setDaemons(int daemons) { m_placement.setDaemons(daemons); }
     BackendRateLimiter &rateLimiter() { return m_rateLimiter; }
