Loads are reported again over a new connection; a pick looks the loads up once; tests of equality

Cause: a daemon that reconnected to a source reported its load only once it changed, so the source did not know it; each pick looked the load of the others up four times per server, and each period looked at the place of every server. Change: the last report counts for its connection only; BackendPicker keeps the load with the candidate. Decisions of a pick are the same.

--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -105,8 +105,18 @@
                                       : m_broadcastPeriod.period();
 }
 
+void LoadExchange::forgetReportsToOthers()
+{
+    if (m_reportedConnection != m_client.connections()) {
+        m_reportedConnection = m_client.connections();
+        m_lastSentLoads.clear();
+        m_lastSentCutOff.clear();
+    }
+}
+
 void LoadExchange::reportToSource(TimePoint now)
 {
+    forgetReportsToOthers();
     m_entriesToForward.clear();
     m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
@@ -194,6 +204,7 @@
 
 void LoadExchange::onTotalLoad(const FeedLoad &total, TimePoint now)
 {
+    forgetReportsToOthers();
     m_sourcePeriod = total.period;
     m_followedLoads.apply(total, m_lastSentLoads);
     if (m_pickerFollows) {
--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -16,11 +16,11 @@
 
 /// Exchanges backend load and prompt cache entries with the other daemons, so that each daemon
 /// routes by the load and the caches of all. A daemon that follows a feed reports its own load to
-/// its feed source and receives the total or what has changed in it. A daemon that reads the store adds up the load of its
-/// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
-/// The load of a data centre that stops reporting expires. Evidence against prompts that crash
-/// servers, the rate limits that servers named, and which daemons are cut off from the servers of a
-/// service, take the same way.
+/// its feed source and receives the total or what has changed in it. A daemon that reads the store
+/// adds up the load of its data centre, sends the sum to the other data centres and broadcasts the
+/// total to its followers. The load of a data centre that stops reporting expires. Evidence against
+/// prompts that crash servers, the rate limits that servers named, and which daemons are cut off
+/// from the servers of a service, take the same way.
 class LoadExchange
 {
 public:
@@ -47,6 +47,8 @@
     /// Between two totals or reports of this daemon.
     Duration period() const;
     void reportToSource(TimePoint now);
+    /// Reports everything again to a source that was connected since the last report.
+    void forgetReportsToOthers();
     void applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now);
     void aggregateLoads(TimePoint now);
     void sendToDataCentres(const FeedLoad &load, TimePoint now);
@@ -71,6 +73,7 @@
     LoadBroadcastPeriod m_broadcastPeriod;
     Duration m_sourcePeriod{}; ///< By the last message of the source.
     FollowedLoads m_followedLoads;
+    int m_reportedConnection = 0; ///< The number of the connection of the last report.
     bool m_pickerFollows = false; ///< The picker has the loads of m_followedLoads.
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::vector<CutOffDaemon> m_lastSentCutOff; ///< The same.
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -90,6 +90,7 @@
     m_lastReceivedAt = now;
     m_reader = FeedFrameReader();
     m_totalReceived = false;
+    ++m_connections;
     m_socket = std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
     m_socket->send(encodeFeedFrame(FeedSubscribe{m_self}));
 }
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -32,6 +32,8 @@
     /// The daemon that this one is connected to, whether its feed is followed or not; empty if
     /// none.
     const InstanceId &source() const { return m_source; }
+    /// Number of connections to sources so far; each source knows only what was sent over its own.
+    int connections() const { return m_connections; }
     /// Called with the total load of all daemons as sent by the source, or with its changes since
     /// the last call; the first message of each source is a total.
     using LoadCallback = std::function<void(const FeedLoad &load, TimePoint now)>;
@@ -75,6 +77,7 @@
     InstanceId m_source; ///< Empty without a connection.
     bool m_substitute = false; ///< See FeedSourceChoice.
     bool m_viewWasStale = false;
+    int m_connections = 0;
     bool m_totalReceived = false; ///< Over this connection.
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
     TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t MaxMessageBytes = 64UL * 1024 * 1024;
 /// Minimum size of a message that is compressed.
 constexpr std::size_t CompressionThresholdBytes = 2048;
+/// The same for changes of the loads, which are compressed once and sent to all followers.
+constexpr std::size_t ChangesCompressionThresholdBytes = 512;
 constexpr char Uncompressed = 0;
 constexpr char Compressed = 1;
 
@@ -403,6 +405,13 @@
     }
 }
 
+std::size_t compressionThreshold(const FeedMessage &message)
+{
+    const auto *load = std::get_if<FeedLoad>(&message);
+    return load != nullptr && load->changesOnly ? ChangesCompressionThresholdBytes
+                                                : CompressionThresholdBytes;
+}
+
 } // namespace
 
 std::string encodeFeedFrame(const FeedMessage &message)
@@ -425,7 +434,7 @@
     const auto bytes = words.asChars();
     std::string body(bytes.begin(), bytes.size());
     char compression = Uncompressed;
-    if (body.size() >= CompressionThresholdBytes) {
+    if (body.size() >= compressionThreshold(message)) {
         body = compress(body);
         compression = Compressed;
     }
--- a/Source/Feed/LoadChanges.cpp
+++ b/Source/Feed/LoadChanges.cpp
@@ -30,7 +30,7 @@
     }
     m_own = ownReported;
     m_changedOthers.clear();
-    for (auto &[id, load] : affected) {
+    for (const auto &[id, load] : affected) {
         const auto total = m_total.find(id);
         m_changedOthers.emplace_hint(m_changedOthers.end(), id,
                                      total == m_total.end() ? BackendLoadShare() : total->second);
--- a/Source/Feed/LoadSender.h
+++ b/Source/Feed/LoadSender.h
@@ -17,8 +17,8 @@
 public:
     explicit LoadSender(EventLoop &loop);
 
-    /// Sends \p frame, the encoded load, to the first of \p members that did not fail recently, and connects to it if
-    /// necessary.
+    /// Sends \p frame, the encoded load, to the first of \p members that did not fail recently, and
+    /// connects to it if necessary.
     void send(std::string_view frame, const std::vector<MemberRegistered> &members, TimePoint now);
 
 private:
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -165,12 +165,16 @@
         }
         Health &health = m_health[id];
         detectRestart(state, health);
-        m_places[id] = {state.report.service, state.report.dataCentre};
+        Place &place = m_places[id];
+        if (place.service != state.report.service || place.dataCentre != state.report.dataCentre) {
+            place = {state.report.service, state.report.dataCentre};
+        }
         if (isDataCentreExcluded(state.report.dataCentre, now)) {
             fault = PickFault::AllSilent;
             continue;
         }
-        const double load = loadOf(health, state, now);
+        const BackendLoadShare *others = otherDaemonsLoad(id, now);
+        const double load = loadOf(health, state, others, now);
         const ServerLoad requests{health.inFlight, load * std::max(1, state.report.slots)};
         const SendPermission permission = m_rateLimiter.permission(state, requests, now);
         if (permission != SendPermission::Allowed) {
@@ -179,9 +183,9 @@
         }
         const double ownLoad =
             static_cast<double>(health.inFlight) / std::max(1, state.report.slots);
-        candidates.push_back({&state, &health, m_rateLimiter.takesTurns(state) ? ownLoad : load,
-                              state.report.dataCentre == m_ownDataCentre,
-                              isExcluded(id, health, now)});
+        candidates.push_back(
+            {&state, &health, others, m_rateLimiter.takesTurns(state) ? ownLoad : load,
+             state.report.dataCentre == m_ownDataCentre, isExcluded(health, others, now)});
     }
     return candidates;
 }
@@ -198,17 +202,17 @@
                                   const std::vector<Candidate> &candidates, TimePoint now)
 {
     std::vector<PromptCandidate> promptCandidates;
-    for (const Candidate &candidate : candidates) {
-        promptCandidates.push_back({candidate.state->report.id, candidate.state->report.dataCentre,
-                                    candidate.state->report.version,
-                                    backlogTokens(candidate, request.urgency, request.service, now)
-                                        + slotWaitCost(candidate),
-                                    candidate.local});
-    }
+    promptCandidates.reserve(candidates.size());
     double totalBacklog = 0;
     for (const Candidate &candidate : candidates) {
-        totalBacklog += backlogTokens(candidate, UrgencyClassCount - 1, request.service, now)
-            + slotWaitCost(candidate);
+        const double slotWait = slotWaitCost(candidate);
+        promptCandidates.push_back(
+            {candidate.state->report.id, candidate.state->report.dataCentre,
+             candidate.state->report.version,
+             backlogTokens(candidate, request.urgency, request.service, now) + slotWait,
+             candidate.local});
+        totalBacklog +=
+            backlogTokens(candidate, UrgencyClassCount - 1, request.service, now) + slotWait;
     }
     const PromptChoice choice =
         m_placement.choose(request.prompt, promptCandidates, m_promptCacheIndex, now);
@@ -241,7 +245,7 @@
                                     const ServiceId &service, TimePoint now) const
 {
     const Health &health = *candidate.health;
-    if (const BackendLoadShare *others = otherDaemonsLoad(candidate.state->report.id, now)) {
+    if (const BackendLoadShare *others = candidate.others) {
         return tokensAhead(health.unanswered, urgency) + tokensAhead(others->tokens, urgency)
             + InFlightRequestTokens * (health.inFlight + others->requests);
     }
@@ -268,12 +272,11 @@
     return found != m_dataCentreHealth.end() && found->second.excludedUntil > now;
 }
 
-bool BackendPicker::isExcluded(const InstanceId &id, const Health &health, TimePoint now) const
+bool BackendPicker::isExcluded(const Health &health, const BackendLoadShare *others, TimePoint now)
 {
     if (health.excludedUntil > now) {
         return true;
     }
-    const BackendLoadShare *others = otherDaemonsLoad(id, now);
     if (others != nullptr && others->leaving > 0) {
         return true;
     }
@@ -310,10 +313,11 @@
             std::nullopt};
 }
 
-double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
+double BackendPicker::loadOf(const Health &health, const BackendState &state,
+                             const BackendLoadShare *others, TimePoint now)
 {
     double requests = health.inFlight;
-    if (const BackendLoadShare *others = otherDaemonsLoad(state.report.id, now)) {
+    if (others != nullptr) {
         requests += others->requests;
     } else if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
         requests = std::max<double>(
@@ -526,9 +530,13 @@
 {
     BackendLoads loads;
     for (const auto &[id, health] : m_health) {
+        const bool failed = health.connectionFailed && health.excludedUntil > now;
+        if (health.inFlight == 0 && !failed) {
+            continue; // Most servers of a large fleet.
+        }
         const auto place = m_places.find(id);
         const bool cutOff = place != m_places.end() && m_reach.cutOff(place->second.service);
-        const bool unreachable = health.connectionFailed && health.excludedUntil > now && !cutOff;
+        const bool unreachable = failed && !cutOff;
         if (health.inFlight > 0 || unreachable) {
             loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
         }
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -182,6 +182,7 @@
     {
         const BackendState *state = nullptr;
         Health *health = nullptr;
+        const BackendLoadShare *others = nullptr; ///< See otherDaemonsLoad().
         double load = 0;
         bool local = false;
         bool excluded = false;
@@ -208,8 +209,10 @@
     /// Load of the other daemons on a server; null if it has expired.
     const BackendLoadShare *otherDaemonsLoad(const InstanceId &id, TimePoint now) const;
     bool isDataCentreExcluded(const DataCentreId &dataCentre, TimePoint now) const;
-    bool isExcluded(const InstanceId &id, const Health &health, TimePoint now) const;
-    double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
+    static bool isExcluded(const Health &health, const BackendLoadShare *others, TimePoint now);
+    /// Requests per slot of the server.
+    static double loadOf(const Health &health, const BackendState &state,
+                         const BackendLoadShare *others, TimePoint now);
     /// The present run of a server, as far as the view knows it.
     ServerRun runOf(const InstanceId &id);
     void exclude(Health &health, TimePoint now);
--- a/Tests/Compatibility/testRecordedMessages.cpp
+++ b/Tests/Compatibility/testRecordedMessages.cpp
@@ -52,6 +52,7 @@
     cr_assert(FeedFrameReader().feed(contentOf("feed.bin"), messages));
     cr_assert_eq(messages.size(), 5);
     cr_expect(std::get<FeedSubscribe>(messages[0]).instance == InstanceId("me"));
+    cr_expect_not(std::get<FeedSubscribe>(messages[0]).acceptsLoadChanges); // Not known to 856ef63.
     const FeedPage expectedPage = compatibility::samplePage();
     const auto &page = std::get<FeedPage>(messages[1]);
     cr_expect(page.topic == expectedPage.topic && page.listing == expectedPage.listing);
@@ -69,6 +70,7 @@
     cr_expect(load.promptCacheEntries == expected.promptCacheEntries);
     cr_expect(load.crashEvidence == expected.crashEvidence);
     cr_expect(load.rateLimits == expected.rateLimits);
+    cr_expect(!load.changesOnly && load.period == Duration::zero());
     cr_assert_eq(load.cutOff.size(), 1);
     cr_expect(load.cutOff[0].daemon == expected.cutOff[0].daemon
               && load.cutOff[0].services == expected.cutOff[0].services);
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <random>
 
 #include "Daemon/LoadExchange.h"
 #include "Feed/FeedHarness.h"
@@ -163,3 +164,121 @@
     fleet.run(1500ms);
     cr_expect(fleet.daemons[3]->peers.choose(service, others, 1, fleet.clock.now()));
 }
+
+namespace {
+
+/// Sends \p requests requests to a server, of \p tokens tokens each.
+void putLoad(ExchangingDaemon &daemon, const std::string &server, int requests, double tokens,
+             TimePoint now)
+{
+    Pick pick;
+    pick.backend = InstanceId(server);
+    pick.prefillTokens = tokens;
+    PickRequest request;
+    request.service = ServiceId("s");
+    request.engine = true;
+    for (int i = 0; i < requests; ++i) {
+        daemon.picker.onSent(pick, request, now);
+    }
+}
+
+/// Checks that each daemon believes the sum of what all others have in flight.
+void expectEqualLoads(ExchangingFleet &fleet, const char *when)
+{
+    for (const auto &daemon : fleet.daemons) {
+        BackendLoads expected;
+        for (const auto &other : fleet.daemons) {
+            if (other != daemon) {
+                addLoads(expected, other->picker.ownLoads(fleet.clock.now()));
+            }
+        }
+        BackendLoads believed = daemon->picker.otherDaemonsLoads();
+        std::erase_if(believed,
+                      [](const auto &entry) { return entry.second == BackendLoadShare(); });
+        cr_expect(believed == expected, "%s: %zu entries, expected %zu", when, believed.size(),
+                  expected.size());
+    }
+}
+
+/// The daemon that follows the other one of its data centre.
+ExchangingDaemon &followerOf(ExchangingFleet &fleet)
+{
+    return *fleet.daemons[fleet.daemons[0]->state.follower.followingFeed() ? 0 : 1];
+}
+
+} // namespace
+
+Test(loadExchange, all_daemons_believe_the_same_loads_after_random_requests, .timeout = 60)
+{
+    std::mt19937 random(7);
+    ExchangingFleet fleet;
+    for (int round = 0; round < 12; ++round) {
+        for (const auto &daemon : fleet.daemons) {
+            for (int i = 0; i < 6; ++i) {
+                const InstanceId server("b" + std::to_string(random() % 12));
+                if (random() % 2 == 0) {
+                    putLoad(*daemon, server.value(), 1, 100, fleet.clock.now());
+                } else if (daemon->picker.ownLoads(fleet.clock.now()).contains(server)) {
+                    daemon->picker.onEnded(server, SendOutcome::Served, 0, 100, fleet.clock.now());
+                }
+            }
+        }
+        fleet.run(Duration(random() % 300'000));
+        if (round % 3 == 0) {
+            fleet.run(1s);
+            expectEqualLoads(fleet, "after a round");
+        }
+    }
+}
+
+Test(loadExchange, a_daemon_that_reads_the_store_for_a_while_believes_the_loads_again,
+     .timeout = 20)
+{
+    ExchangingFleet fleet;
+    for (const auto &daemon : fleet.daemons) {
+        putLoad(*daemon, "b1", 2, 100, fleet.clock.now());
+    }
+    fleet.run(1s);
+    ExchangingDaemon &follower = followerOf(fleet);
+    cr_assert(follower.state.follower.followingFeed());
+    follower.state.follower.setFollowingFeed(false);
+    putLoad(follower, "b2", 1, 100, fleet.clock.now());
+    fleet.run(250ms);
+    putLoad(*fleet.daemons[3], "b3", 1, 100, fleet.clock.now());
+    fleet.run(2s);
+    cr_assert(follower.state.follower.followingFeed());
+    expectEqualLoads(fleet, "after it follows again");
+}
+
+// The source learns the loads of its followers again, also those that did not change meanwhile.
+Test(loadExchange, loads_are_reported_again_over_a_new_connection, .timeout = 20)
+{
+    ExchangingFleet fleet;
+    for (const auto &daemon : fleet.daemons) {
+        putLoad(*daemon, "b1", 2, 100, fleet.clock.now());
+    }
+    fleet.run(1s);
+    ExchangingDaemon &follower = followerOf(fleet);
+    StreamSocketListener &connection = follower.client;
+    connection.onEnd(fleet.clock.now());
+    fleet.run(5s);
+    cr_assert(follower.state.follower.followingFeed());
+    expectEqualLoads(fleet, "after a reconnect");
+}
+
+Test(loadExchange, daemons_that_are_gone_leave_no_load_behind, .timeout = 20)
+{
+    ExchangingFleet fleet;
+    for (const auto &daemon : fleet.daemons) {
+        putLoad(*daemon, "b1", 2, 100, fleet.clock.now());
+    }
+    fleet.run(1s);
+    expectEqualLoads(fleet, "with all");
+    const std::size_t follower = fleet.daemons[0]->state.follower.followingFeed() ? 0 : 1;
+    fleet.daemons.erase(fleet.daemons.begin() + static_cast<std::ptrdiff_t>(follower));
+    fleet.run(3s);
+    expectEqualLoads(fleet, "without a follower");
+    fleet.daemons.erase(fleet.daemons.begin() + 1, fleet.daemons.end());
+    fleet.run(3s);
+    expectEqualLoads(fleet, "cut off from the other data centre");
+}
