--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -207,7 +207,7 @@
     forgetReportsToOthers();
     m_sourcePeriod = total.period;
     m_followedLoads.apply(total, m_lastSentLoads);
-    if (m_pickerFollows) {
+    if (m_pickerFollows && total.changesOnly) {
         m_picker.changeOtherDaemonsLoads(m_followedLoads.changedOthers(), now);
     } else {
         m_picker.setOtherDaemonsLoads(m_followedLoads.others(), now);
--- a/Source/Feed/LoadChanges.cpp
+++ b/Source/Feed/LoadChanges.cpp
@@ -18,24 +18,20 @@
 
 void FollowedLoads::apply(const FeedLoad &message, const BackendLoads &ownReported)
 {
-    BackendLoads affected;
+    m_changedOthers.clear();
     if (message.changesOnly) {
-        affected = message.loads;
-        affected.merge(changedLoads(m_own, ownReported));
         applyChangedLoads(m_total, message.loads);
+        m_changedOthers = message.loads;
+        for (const auto &[id, load] : changedLoads(m_own, ownReported)) {
+            const auto total = m_total.find(id);
+            m_changedOthers.emplace(id,
+                                    total == m_total.end() ? BackendLoadShare() : total->second);
+        }
+        subtractLoads(m_changedOthers, ownReported);
     } else {
-        affected = message.loads;
-        affected.merge(BackendLoads(m_total));
         m_total = message.loads;
     }
     m_own = ownReported;
-    m_changedOthers.clear();
-    for (const auto &[id, load] : affected) {
-        const auto total = m_total.find(id);
-        m_changedOthers.emplace_hint(m_changedOthers.end(), id,
-                                     total == m_total.end() ? BackendLoadShare() : total->second);
-    }
-    subtractLoads(m_changedOthers, m_own);
 }
 
 BackendLoads FollowedLoads::others() const
--- a/Source/Feed/LoadChanges.h
+++ b/Source/Feed/LoadChanges.h
@@ -15,8 +15,8 @@
     void apply(const FeedLoad &message, const BackendLoads &ownReported);
     /// Loads of all other daemons.
     BackendLoads others() const;
-    /// The entries of others() that the last message changed or may have changed; servers without
-    /// load have an entry without load.
+    /// The entries of others() that may have changed with the last message if it was changesOnly;
+    /// servers without load have an entry without load. Empty after a total.
     const BackendLoads &changedOthers() const { return m_changedOthers; }
 
 private:
--- a/Tests/Feed/testLoadChanges.cpp
+++ b/Tests/Feed/testLoadChanges.cpp
@@ -54,7 +54,11 @@
     std::vector<FeedMessage> messages;
     cr_assert(FeedFrameReader().feed(encodeFeedFrame(message), messages));
     follower.followed.apply(std::get<FeedLoad>(messages.at(0)), follower.own);
-    applyChangedLoads(follower.picker, follower.followed.changedOthers());
+    if (message.changesOnly) {
+        applyChangedLoads(follower.picker, follower.followed.changedOthers());
+    } else {
+        follower.picker = withoutIdle(follower.followed.others());
+    }
 }
 
 } // namespace
