Followers report changes of their load only

Change: a follower sends changed entries to a source that tells its period; to an older one its whole load.

--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -111,6 +111,7 @@
         m_reportedConnection = m_client.connections();
         m_lastSentLoads.clear();
         m_lastSentCutOff.clear();
+        m_sourcePeriod = Duration::zero();
     }
 }
 
@@ -129,8 +130,17 @@
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
         || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
         || ownLoad.cutOff != m_lastSentCutOff;
-    if (news && m_client.sendLoad(ownLoad)) {
-        m_lastSentLoads = std::move(ownLoad.loads);
+    if (!news) {
+        return;
+    }
+    BackendLoads loads = ownLoad.loads;
+    // A source that tells its period accepts changes; it starts without load of this daemon.
+    if (m_sourcePeriod > Duration::zero()) {
+        ownLoad.loads = changedLoads(m_lastSentLoads, loads);
+        ownLoad.changesOnly = true;
+    }
+    if (m_client.sendLoad(ownLoad)) {
+        m_lastSentLoads = std::move(loads);
         m_lastSentCutOff = std::move(ownLoad.cutOff);
     }
 }
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -91,7 +91,11 @@
     void onLoad(const FeedLoad &load, TimePoint now)
     {
         if (m_subscribed) {
-            m_loads = load.loads;
+            if (load.changesOnly) {
+                applyChangedLoads(m_loads, load.loads);
+            } else {
+                m_loads = load.loads;
+            }
             m_cutOff = load.cutOff;
             m_server.storePromptCacheEntries(load.promptCacheEntries);
             m_server.m_crashEvidence.add(load.crashEvidence);
--- a/Source/Feed/feed.capnp
+++ b/Source/Feed/feed.capnp
@@ -125,7 +125,8 @@
   uses @7 :List(FeedServiceUse);     # All accounts with work in flight or refused.
   changesOnly @8 :Bool;        # The entries replace those of the last load message on the same
                                # connection; entries without load end. Only sent to followers that
-                               # accept it. All other fields are as always.
+                               # accept it and to sources that tell their period. All other
+                               # fields are as always.
   period @9 :Int64;            # Microseconds until the source sends the next total, which is also
                                # how often followers report; 0 from daemons that don't tell it.
 }
