--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -33,6 +33,8 @@
     void start(FeedServer &server);
     /// Receives the load of another data centre.
     void onRemoteLoad(const FeedLoad &load, TimePoint now);
+    /// Time between two totals or reports of this daemon.
+    Duration period() const;
 
 private:
     /// The latest load report of another data centre.
@@ -44,8 +46,6 @@
     };
 
     void step(TimePoint now);
-    /// Between two totals or reports of this daemon.
-    Duration period() const;
     void reportToSource(TimePoint now);
     /// Reports everything again to a source that was connected since the last report.
     void forgetReportsToOthers();
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -326,7 +326,10 @@
         + std::to_string(m_connections.openedConnections()) + "\n"
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
-        + std::to_string(m_log.droppedLines()) + "\n";
+        + std::to_string(m_log.droppedLines()) + "\n"
+        + "# TYPE lycheearch_load_period_milliseconds gauge\n"
+          "lycheearch_load_period_milliseconds "
+        + std::to_string(toMilliseconds(m_loadExchange.period())) + "\n";
     return response;
 }
 
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -4,10 +4,15 @@
 #include <memory>
 #include <random>
 
+#include <sys/epoll.h>
+#include <unistd.h>
+
 #include "Daemon/LoadExchange.h"
 #include "Feed/FeedHarness.h"
 #include "FreePort.h"
 #include "ManualLoop.h"
+#include "Net/Socket.h"
+#include "Net/StreamSocket.h"
 
 using namespace lycheearch;
 
@@ -282,3 +287,106 @@
     fleet.run(3s);
     expectEqualLoads(fleet, "cut off from the other data centre");
 }
+
+namespace {
+
+/// A source that keeps the loads that its one follower reports. A source of an older build tells
+/// no period.
+struct FakeSource : IoHandler, StreamSocketListener
+{
+    FakeSource(EventLoop &eventLoop, const Endpoint &listen, Duration toldPeriod)
+        : loop(eventLoop)
+        , period(toldPeriod)
+    {
+        std::error_code error;
+        listener = listenTcp(listen, error);
+        cr_assert_not(error);
+        loop.watch(listener, EPOLLIN, *this);
+    }
+
+    ~FakeSource() override
+    {
+        loop.unwatch(listener);
+        close(listener);
+    }
+
+    void sendTotal()
+    {
+        FeedLoad total;
+        total.period = period;
+        if (socket) {
+            socket->send(encodeFeedFrame(FeedHeartbeat{Duration::zero()}) + encodeFeedFrame(total));
+        }
+    }
+
+    void onReady(std::uint32_t, TimePoint) override
+    {
+        std::error_code error;
+        const int fd = acceptTcp(listener, error);
+        if (fd >= 0) {
+            socket =
+                std::make_unique<StreamSocket>(loop, fd, StreamSocket::Start::Connected, *this);
+        }
+    }
+    void onBytes(std::string_view bytes, TimePoint) override
+    {
+        std::vector<FeedMessage> messages;
+        cr_assert(reader.feed(bytes, messages));
+        for (const FeedMessage &message : messages) {
+            if (const auto *load = std::get_if<FeedLoad>(&message)) {
+                reports.push_back(*load);
+            }
+        }
+    }
+    void onEnd(TimePoint) override { }
+    void onError(std::error_code, TimePoint) override { }
+
+    EventLoop &loop;
+    Duration period;
+    int listener = -1;
+    std::unique_ptr<StreamSocket> socket;
+    FeedFrameReader reader;
+    std::vector<FeedLoad> reports;
+};
+
+/// The reports of a follower that sends to one server, then also to another.
+std::vector<FeedLoad> reportsTo(Duration toldPeriod)
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::vector<MemberRegistered> members;
+    for (const char *name : {"a", "b"}) {
+        members.push_back({InstanceId(name),
+                           DataCentreId("here"),
+                           {"127.0.0.1", freePort()},
+                           wallMilliseconds(clock)});
+    }
+    if (feedRank(members[0].instance) > feedRank(members[1].instance)) {
+        std::swap(members[0], members[1]);
+    }
+    FakeSource source(loop, members[0].feed, toldPeriod);
+    ExchangingDaemon daemon(clock, loop, members[1], members);
+    const auto step = [&] {
+        source.sendTotal();
+        daemon.answerCalls(clock.now());
+    };
+    runLoopFor(clock, loop, 600ms, step);
+    putLoad(daemon, "b1", 1, 100, clock.now());
+    runLoopFor(clock, loop, 600ms, step);
+    putLoad(daemon, "b2", 1, 100, clock.now());
+    runLoopFor(clock, loop, 600ms, step);
+    return source.reports;
+}
+
+} // namespace
+
+Test(loadExchange, an_older_source_gets_the_whole_load_and_a_newer_one_what_changed, .timeout = 20)
+{
+    const std::vector<FeedLoad> whole = reportsTo(Duration::zero());
+    cr_assert_eq(whole.size(), 2);
+    cr_expect(!whole[1].changesOnly && whole[1].loads.size() == 2);
+    const std::vector<FeedLoad> changes = reportsTo(200ms);
+    cr_assert_eq(changes.size(), 2);
+    cr_expect(changes[1].changesOnly && changes[1].loads.size() == 1);
+    cr_expect(changes[1].loads.contains(InstanceId("b2")));
+}
