--- a/Source/Daemon/LoadExchange.h
+++ b/Source/Daemon/LoadExchange.h
@@ -5,6 +5,7 @@
 
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
+#include "Feed/LoadChanges.h"
 #include "Feed/LoadSender.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CapacityShares.h"
@@ -16,11 +17,11 @@
 
 /// Exchanges backend load and prompt cache entries with the other daemons, so that each daemon
 /// routes by the load and the caches of all. A daemon that follows a feed reports its own load to
-/// its feed source and receives the total. A daemon that reads the store adds up the load of its
-/// data centre, sends the sum to the other data centres and broadcasts the total to its followers.
-/// The load of a data centre that stops reporting expires. Evidence against prompts that crash
-/// servers, the rate limits that servers named, and which daemons are cut off from the servers of a
-/// service, take the same way.
+/// its feed source and receives the total or what has changed in it. A daemon that reads the store
+/// adds up the load of its data centre, sends the sum to the other data centres and broadcasts the
+/// total to its followers. The load of a data centre that stops reporting expires. Evidence against
+/// prompts that crash servers, the rate limits that servers named, and which daemons are cut off
+/// from the servers of a service, take the same way.
 class LoadExchange
 {
 public:
@@ -35,6 +36,8 @@
     void setShares(CapacityShares &shares) { m_shares = &shares; }
     /// Receives the load of another data centre.
     void onRemoteLoad(const FeedLoad &load, TimePoint now);
+    /// Time between two totals or reports of this daemon.
+    Duration period() const;
 
 private:
     /// Minimum time between two reports of the speed of one server to the followers.
@@ -50,6 +53,9 @@
     };
 
     void step(TimePoint now);
+    void reportToSource(TimePoint now);
+    /// Reports everything again to a source that was connected since the last report.
+    void forgetReportsToOthers();
     void applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now);
     /// Adds what this daemon observed to what its followers did.
     void addOwnSpeeds(std::vector<SpeedReport> &followerSpeeds, TimePoint now);
@@ -76,6 +82,12 @@
     FeedServer *m_server = nullptr;
     CapacityShares *m_shares = nullptr; ///< Null where capacity isn't scarce.
     ServiceUses m_lastSentUses; ///< Own use as last sent to the feed source.
+    TimePoint m_lastExchangeAt;
+    LoadBroadcastPeriod m_broadcastPeriod;
+    Duration m_sourcePeriod{}; ///< By the last message of the source.
+    FollowedLoads m_followedLoads;
+    int m_reportedConnection = 0; ///< The number of the connection of the last report.
+    bool m_pickerFollows = false; ///< The picker has the loads of m_followedLoads.
     BackendLoads m_lastSentLoads; ///< Own load as last sent to the feed source.
     std::vector<CutOffDaemon> m_lastSentCutOff; ///< The same.
     std::map<DataCentreId, RemoteLoad> m_remoteLoads;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -1,5 +1,6 @@
 #include "Feed/FeedMessages.h"
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 
@@ -9,6 +10,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include "Feed/FeedTiming.h"
 #include "Feed/feed.capnp.h"
 
 namespace lycheearch {
@@ -21,6 +23,8 @@
 constexpr std::size_t MaxMessageBytes = 64UL * 1024 * 1024;
 /// Minimum size of a message that is compressed.
 constexpr std::size_t CompressionThresholdBytes = 2048;
+/// The same for changes of the loads, which are compressed once and sent to all followers.
+constexpr std::size_t ChangesCompressionThresholdBytes = 512;
 constexpr char Uncompressed = 0;
 constexpr char Compressed = 1;
 
@@ -296,6 +300,8 @@
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
+    builder.setChangesOnly(message.changesOnly);
+    builder.setPeriod(message.period.count());
     auto entries = builder.initEntries(static_cast<unsigned>(message.loads.size()));
     unsigned i = 0;
     for (const auto &[backend, load] : message.loads) {
@@ -337,6 +343,8 @@
 {
     FeedLoad message;
     message.dataCentre = DataCentreId(reader.getDataCentre().cStr());
+    message.changesOnly = reader.getChangesOnly();
+    message.period = std::clamp(Duration(reader.getPeriod()), Duration::zero(), MaxLoadPeriod);
     for (const auto entry : reader.getEntries()) {
         BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
         load.requests = entry.getRequests();
@@ -378,7 +386,7 @@
     const auto root = reader.getRoot<wire::FeedMessage>();
     switch (root.which()) {
     case wire::FeedMessage::SUBSCRIBE:
-        return FeedSubscribe{InstanceId(root.getSubscribe().cStr())};
+        return FeedSubscribe{InstanceId(root.getSubscribe().cStr()), root.getAcceptsLoadChanges()};
     case wire::FeedMessage::PAGE:
         return readPage(root.getPage());
     case wire::FeedMessage::HEARTBEAT:
@@ -462,6 +470,13 @@
     }
 }
 
+std::size_t compressionThreshold(const FeedMessage &message)
+{
+    const auto *load = std::get_if<FeedLoad>(&message);
+    return load != nullptr && load->changesOnly ? ChangesCompressionThresholdBytes
+                                                : CompressionThresholdBytes;
+}
+
 } // namespace
 
 std::string encodeFeedFrame(const FeedMessage &message)
@@ -470,6 +485,7 @@
     auto root = builder.initRoot<wire::FeedMessage>();
     if (const auto *subscribe = std::get_if<FeedSubscribe>(&message)) {
         root.setSubscribe(subscribe->instance.value());
+        root.setAcceptsLoadChanges(subscribe->acceptsLoadChanges);
     } else if (const auto *page = std::get_if<FeedPage>(&message)) {
         writePage(root.initPage(), *page);
     } else if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
@@ -483,7 +499,7 @@
     const auto bytes = words.asChars();
     std::string body(bytes.begin(), bytes.size());
     char compression = Uncompressed;
-    if (body.size() >= CompressionThresholdBytes) {
+    if (body.size() >= compressionThreshold(message)) {
         body = compress(body);
         compression = Compressed;
     }
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -21,6 +21,7 @@
 struct FeedSubscribe
 {
     InstanceId instance; ///< The follower.
+    bool acceptsLoadChanges = true; ///< It reads loads that are FeedLoad::changesOnly.
 };
 
 /// Records that the source read from the store.
@@ -61,6 +62,12 @@
     std::vector<SpeedReport> speeds; ///< Observed since the last message.
     /// Of all accounts with use lately; empty where capacity isn't scarce.
     ServiceUses uses{};
+    /// The loads replace those of the last load message on the same connection; entries without
+    /// load end.
+    bool changesOnly = false;
+    /// Until the source sends the next total, and between the reports of its followers; zero if it
+    /// does not tell it.
+    Duration period{};
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Routing/BackendPicker.h
+++ b/Source/Routing/BackendPicker.h
@@ -170,6 +170,10 @@
     BackendLoads ownLoads(TimePoint now) const;
     /// Sets the load that all other daemons put on the servers. It expires if it is not renewed.
     void setOtherDaemonsLoads(BackendLoads loads, TimePoint now);
+    /// The same, for the servers of \p changes only; those without load lose their entry.
+    void changeOtherDaemonsLoads(const BackendLoads &changes, TimePoint now);
+    /// The load that all other daemons put on the servers, as it was last set.
+    const BackendLoads &otherDaemonsLoads() const { return m_otherDaemonsLoads; }
     /// Sets the number of daemons that send to the same servers.
     void setDaemons(int daemons) { m_placement.setDaemons(daemons); }
     BackendRateLimiter &rateLimiter() { return m_rateLimiter; }
@@ -218,6 +222,7 @@
     {
         const BackendState *state = nullptr;
         Health *health = nullptr;
+        const BackendLoadShare *others = nullptr; ///< See otherDaemonsLoad().
         double load = 0;
         bool local = false;
         bool excluded = false;
@@ -249,8 +254,10 @@
     /// Load of the other daemons on a server; null if it has expired.
     const BackendLoadShare *otherDaemonsLoad(const InstanceId &id, TimePoint now) const;
     bool isDataCentreExcluded(const DataCentreId &dataCentre, TimePoint now) const;
-    bool isExcluded(const InstanceId &id, const Health &health, TimePoint now) const;
-    double loadOf(const Health &health, const BackendState &state, TimePoint now) const;
+    static bool isExcluded(const Health &health, const BackendLoadShare *others, TimePoint now);
+    /// Requests per slot of the server.
+    static double loadOf(const Health &health, const BackendState &state,
+                         const BackendLoadShare *others, TimePoint now);
     /// The present run of a server, as far as the view knows it.
     ServerRun runOf(const InstanceId &id);
     void exclude(Health &health, TimePoint now);
