--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -79,7 +79,7 @@
 {
     const bool endMarked = !m_attempt.head.isCloseDelimited();
     if (!endMarked && m_attempt.pause.explainsLoss()) {
-        onUnreadCutOff(now); // Its end may be the end of the stream, or of the server's patience.
+        onUnreadCutOff(now); // It may be the end of the stream, or a cut.
         return;
     }
     if (!m_attempt.splitter.atBoundary() || !m_stream.completes(endMarked)) {
--- a/Tests/Forward/testRelayBackpressure.cpp
+++ b/Tests/Forward/testRelayBackpressure.cpp
@@ -105,7 +105,7 @@
     cr_expect_eq(callers.readers.backpressure().readers(), 0);
 }
 
-Test(relayBackpressure, exhausted_memory_ends_who_read_least_lately_and_nobody_else)
+Test(relayBackpressure, exhausted_memory_ends_who_read_least_lately_and_no_other)
 {
     Callers callers(300 * 1024, 3);
     for (const auto &reader : callers.all) {
--- a/Tests/Forward/testSlowReaders.cpp
+++ b/Tests/Forward/testSlowReaders.cpp
@@ -121,7 +121,7 @@
 
 } // namespace
 
-Test(slowReaders, one_that_reads_nothing_delays_nobody_and_later_gets_the_whole_stream,
+Test(slowReaders, one_that_reads_nothing_delays_no_other_and_later_gets_the_whole_stream,
      .timeout = 60)
 {
     ForwardHarness harness;
