--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -77,6 +77,71 @@
     return bounds;
 }
 
+HedgeSettings readHedging(YamlReader &reader)
+{
+    constexpr Range<double> share{0, 1};
+    constexpr Range<double> seconds{1, 600};
+    HedgeSettings hedging;
+    hedging.maxShare =
+        reader.real({"max_share",
+                     "Requests of a service that may be sent to a second server because their "
+                     "answer is late, as a share of all in the window, all daemons together; 0: "
+                     "none"},
+                    share, 0);
+    hedging.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        reader.real({"window_s", "Window of max_share, in seconds"}, seconds, 10)));
+    hedging.reserveShare = reader.real(
+        {"reserve_share", "Part of the retry budget that stays for retries after failures"}, share,
+        0.5);
+    return hedging;
+}
+
+void readAccountTerms(YamlReader &reader, CapacitySettings &capacity)
+{
+    constexpr Range<double> weights{0.01, 1000};
+    constexpr Range<double> caps{0.01, 1};
+    const AccountId account(reader.requiredText({"account", "Name of the client account"}));
+    AccountTerms terms;
+    terms.weight = reader.real(
+        {"weight", "Share of the account, relative to those of other accounts"}, weights, 1);
+    terms.cap = reader.real({"cap",
+                             "Largest part of a service's room that the account gets while others "
+                             "want it, as a fraction"},
+                            caps, 1);
+    if (!account.empty() && !capacity.accounts.emplace(account, terms).second) {
+        reader.report("account", "'" + account.value() + "' twice", "one entry for each account");
+    }
+}
+
+CapacitySettings readCapacity(YamlReader &reader, std::int64_t memoryMegabytes)
+{
+    constexpr std::int64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::int64_t memoryDivisor = 4;
+    CapacitySettings capacity;
+    capacity.admission = reader.flag(
+        {"admission", "Whether requests wait, or are refused at once, while they find no room"},
+        false);
+    capacity.longestWaitPart = reader.real(
+        {"longest_wait", "Longest wait for a place, as a part of the route's latency objective"},
+        {0, 1}, capacity.longestWaitPart);
+    capacity.queue.requests = static_cast<std::size_t>(reader.integer(
+        {"queue_requests", "Requests that wait in this instance at a time"}, {0, 100'000}, 256));
+    const std::int64_t queueMegabytes =
+        reader.integer({"queue_mb",
+                        "Size of the bodies of waiting requests, in MiB; at most a quarter of "
+                        "memory_mb"},
+                       {0, 100'000}, 4);
+    if (queueMegabytes > memoryMegabytes / memoryDivisor) {
+        reader.report("queue_mb", std::to_string(queueMegabytes),
+                      "at most a quarter of memory_mb, "
+                          + std::to_string(memoryMegabytes / memoryDivisor));
+    }
+    capacity.queue.bytes = static_cast<std::size_t>(queueMegabytes * bytesPerMegabyte);
+    reader.each({"accounts", "Terms of client accounts; others have a weight of 1 and no cap"},
+                [&](YamlReader &entry) { readAccountTerms(entry, capacity); });
+    return capacity;
+}
+
 RouterSettings readSettings(YamlReader &reader)
 {
     RouterSettings settings;
@@ -99,8 +164,19 @@
         reader.integer({"memory_mb", "Memory limit of the process, in MiB"}, {16, 1'000'000}, 128);
     settings.routineLogLines = static_cast<int>(reader.integer(
         {"routine_log_lines", "Log lines per second for successful requests"}, {0, 100'000}, 20));
+    settings.terms = reader.text({"terms",
+                                  "Terms of the deployment in the platform's words, separated by "
+                                  "commas; terms that are not known are ignored"},
+                                 "");
     reader.section({"bounds", "Limits that apply to all daemons together"},
                    [&](YamlReader &section) { settings.bounds = readBounds(section); });
+    reader.section({"hedging", "Late requests that are sent to a second server"},
+                   [&](YamlReader &section) { settings.hedging = readHedging(section); });
+    reader.section(
+        {"capacity", "How callers share scarce capacity, where the terms say that it is"},
+        [&](YamlReader &section) {
+            settings.capacity = readCapacity(section, settings.memoryMegabytes);
+        });
     reader.reportUnknownKeys();
     return settings;
 }
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -7,6 +8,8 @@
 #include "Base/Findings.h"
 #include "Base/Ids.h"
 #include "Base/Time.h"
+#include "Routing/AdmissionQueue.h"
+#include "Routing/CapacityShares.h"
 
 namespace lycheearch {
 
@@ -26,6 +29,33 @@
     double coldRateSlack = 0; ///< Requests per second beyond that limit.
 };
 
+/// Properties of a deployment that switch parts of the router on.
+struct DeploymentTraits
+{
+    /// Callers compete for the capacity of the servers, and both may read slowly.
+    bool scarceCapacity = false;
+
+    bool operator==(const DeploymentTraits &) const = default;
+};
+
+/// Limits on requests that are sent to a second server because their answer is late.
+struct HedgeSettings
+{
+    double maxShare = 0; ///< Of a service's requests in the window; 0: off.
+    Duration window = 10s; ///< Length of the sliding window.
+    double reserveShare = 0.5; ///< Part of the retry budget that stays for retries.
+};
+
+/// How callers share scarce capacity. Without effect elsewhere.
+struct CapacitySettings
+{
+    bool admission = false; ///< Whether requests may wait or be refused for want of room.
+    /// Longest wait for a place, as a part of the latency objective.
+    double longestWaitPart = 0.5;
+    AdmissionQueueLimits queue;
+    std::map<AccountId, AccountTerms> accounts; ///< Others have the usual terms.
+};
+
 /// Settings of a router daemon, which keeps its state in a log store.
 struct RouterSettings
 {
@@ -41,7 +71,12 @@
     Endpoint store;
     std::int64_t memoryMegabytes = 0; ///< Memory limit of the process, in MiB.
     int routineLogLines = 0; ///< Per second, for successful requests.
+    /// Terms of the deployment in the platform's words, separated by commas.
+    std::string terms;
+    DeploymentTraits traits; ///< Derived from the terms.
     RouterBounds bounds;
+    HedgeSettings hedging;
+    CapacitySettings capacity;
 };
 
 /// Loads and validates a settings file. Adds all errors to \p findings; the result is only valid if
--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -1,13 +1,15 @@
 #include "Daemon/LoadExchange.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
+#include "Feed/FeedTiming.h"
+
 namespace lycheearch {
 
 namespace {
 
-constexpr Duration ReportPeriod = 200ms;
 /// The load report of another data centre expires after this time.
 constexpr Duration RemoteLoadLifetime = 1500ms;
 /// Limit of the prompt cache entries that are queued for the followers. The entries of a report
@@ -49,11 +51,13 @@
 
 void LoadExchange::onRemoteLoad(const FeedLoad &load, TimePoint now)
 {
-    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, now};
+    m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, load.uses, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
     applyRateLimits(load.rateLimits, now);
+    m_picker.applySpeeds(load.speeds, now);
     if (!m_follower.followingFeed()) {
+        m_speedsToForward.add(load.speeds, now);
         m_evidenceToForward.add(load.crashEvidence);
         addNewest(m_rateLimitsToForward, load.rateLimits);
     }
@@ -71,6 +75,18 @@
                             : std::vector<CutOffDaemon>{{m_self, services}};
 }
 
+ServiceUses LoadExchange::ownUses(TimePoint now) const
+{
+    return m_shares == nullptr ? ServiceUses() : m_shares->ownUses(now);
+}
+
+void LoadExchange::setOtherDaemonsUses(ServiceUses uses, TimePoint now)
+{
+    if (m_shares != nullptr) {
+        m_shares->setOtherDaemonsUses(std::move(uses), now);
+    }
+}
+
 void LoadExchange::applyRateLimits(const std::vector<LimitsNotice> &notices, TimePoint now)
 {
     for (const LimitsNotice &notice : notices) {
@@ -80,30 +96,61 @@
 
 void LoadExchange::step(TimePoint now)
 {
-    m_timer = m_loop.at(now + ReportPeriod, [this](TimePoint currentTime) { step(currentTime); });
+    m_timer = m_loop.at(now + LoadPeriod, [this](TimePoint currentTime) { step(currentTime); });
     if (!m_follower.synced()) {
         return;
     }
     m_pendingCrashes.settle(now);
-    if (!m_follower.followingFeed()) {
+    if (m_follower.followingFeed()) {
+        reportToSource(now);
+    } else {
         aggregateLoads(now);
-        return;
     }
+}
+
+void LoadExchange::forgetReportsToOthers()
+{
+    if (m_reportedConnection != m_client.connections()) {
+        m_reportedConnection = m_client.connections();
+        m_lastSentLoads.clear();
+        m_lastSentCutOff.clear();
+        m_lastSentUses.clear();
+        m_sourceAcceptsChanges = false;
+    }
+}
+
+void LoadExchange::reportToSource(TimePoint now)
+{
+    forgetReportsToOthers();
     m_entriesToForward.clear();
     m_evidenceToForward = CrashEvidence();
     m_rateLimitsToForward.clear();
+    m_speedsToForward.clear();
     FeedLoad ownLoad{DataCentreId(),
                      m_picker.ownLoads(now),
                      m_picker.promptCacheIndex().takeUnpublished(),
                      m_crashes.takeUnpublished(now),
                      m_picker.rateLimiter().notices().takeUnpublished(now),
-                     ownCutOff()};
+                     ownCutOff(),
+                     m_picker.takeUnpublishedSpeeds(now),
+                     ownUses(now)};
     const bool news = ownLoad.loads != m_lastSentLoads || !ownLoad.promptCacheEntries.empty()
-        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty()
-        || ownLoad.cutOff != m_lastSentCutOff;
-    if (news && m_client.sendLoad(ownLoad)) {
-        m_lastSentLoads = std::move(ownLoad.loads);
+        || !ownLoad.crashEvidence.empty() || !ownLoad.rateLimits.empty() || !ownLoad.speeds.empty()
+        || ownLoad.cutOff != m_lastSentCutOff || ownLoad.uses != m_lastSentUses;
+    if (!news) {
+        return;
+    }
+    BackendLoads loads = ownLoad.loads;
+    // A source that sends a period accepts changes; a connection begins without load of this
+    // daemon.
+    if (m_sourceAcceptsChanges) {
+        ownLoad.loads = changedLoads(m_lastSentLoads, loads);
+        ownLoad.changesOnly = true;
+    }
+    if (m_client.sendLoad(ownLoad)) {
+        m_lastSentLoads = std::move(loads);
         m_lastSentCutOff = std::move(ownLoad.cutOff);
+        m_lastSentUses = std::move(ownLoad.uses);
     }
 }
 
@@ -116,7 +163,12 @@
                            m_server->takePromptCacheEntries(),
                            m_server->takeCrashEvidence(),
                            m_server->takeRateLimits(),
-                           m_server->followersCutOff()};
+                           m_server->followersCutOff(),
+                           m_server->takeSpeeds(now),
+                           m_server->followerUses()};
+    const ServiceUses ownUse = ownUses(now);
+    ServiceUses otherUses = ownDataCentre.uses;
+    addUses(ownDataCentre.uses, ownUse);
     const std::vector<CutOffDaemon> cutOff = ownCutOff();
     ownDataCentre.cutOff.insert(ownDataCentre.cutOff.end(), cutOff.begin(), cutOff.end());
     addLoads(ownDataCentre.loads, ownLoad);
@@ -128,11 +180,13 @@
     ownDataCentre.crashEvidence.add(m_crashes.takeUnpublished(now));
     applyRateLimits(ownDataCentre.rateLimits, now);
     addNewest(ownDataCentre.rateLimits, m_picker.rateLimiter().notices().takeUnpublished(now));
+    addOwnSpeeds(ownDataCentre.speeds, now);
     sendToDataCentres(ownDataCentre, now);
     std::vector<CutOffDaemon> allCutOff = std::move(ownDataCentre.cutOff);
     for (const auto &[dataCentre, remote] : m_remoteLoads) {
         if (now - remote.at < RemoteLoadLifetime) {
             addLoads(otherLoads, remote.loads);
+            addUses(otherUses, remote.uses);
             allCutOff.insert(allCutOff.end(), remote.cutOff.begin(), remote.cutOff.end());
         }
     }
@@ -142,15 +196,30 @@
                    std::move(ownDataCentre.promptCacheEntries),
                    std::move(ownDataCentre.crashEvidence),
                    std::move(ownDataCentre.rateLimits),
-                   std::move(allCutOff)};
+                   std::move(allCutOff),
+                   m_speedsToForward.take(now),
+                   otherUses,
+                   false,
+                   LoadPeriod};
     addLoads(total.loads, ownLoad);
+    addUses(total.uses, ownUse);
     total.promptCacheEntries.insert(total.promptCacheEntries.end(), m_entriesToForward.begin(),
                                     m_entriesToForward.end());
     m_entriesToForward.clear();
     total.crashEvidence.add(std::exchange(m_evidenceToForward, {}));
     addNewest(total.rateLimits, std::exchange(m_rateLimitsToForward, {}));
-    m_server->broadcastLoad(total);
+    m_server->broadcastLoad(std::move(total));
     m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    m_pickerFollows = false;
+    setOtherDaemonsUses(std::move(otherUses), now);
+}
+
+void LoadExchange::addOwnSpeeds(std::vector<SpeedReport> &followerSpeeds, TimePoint now)
+{
+    m_picker.applySpeeds(followerSpeeds, now);
+    const std::vector<SpeedReport> own = m_picker.takeUnpublishedSpeeds(now);
+    followerSpeeds.insert(followerSpeeds.end(), own.begin(), own.end());
+    m_speedsToForward.add(followerSpeeds, now);
 }
 
 void LoadExchange::sendToDataCentres(const FeedLoad &load, TimePoint now)
@@ -161,24 +230,35 @@
         dataCentres.insert(member.dataCentre);
     }
     dataCentres.erase(m_ownDataCentre);
+    const std::string frame = dataCentres.empty() ? std::string() : encodeFeedFrame(load);
     for (const DataCentreId &destination : dataCentres) {
         std::unique_ptr<LoadSender> &sender = m_senders[destination];
         if (!sender) {
             sender = std::make_unique<LoadSender>(m_loop);
         }
-        sender->send(load, feedOrder(m_view.members(), destination, wallMs), now);
+        sender->send(frame, feedOrder(m_view.members(), destination, wallMs), now);
     }
 }
 
 void LoadExchange::onTotalLoad(const FeedLoad &total, TimePoint now)
 {
-    BackendLoads otherLoads = total.loads;
-    subtractLoads(otherLoads, m_lastSentLoads);
-    m_picker.setOtherDaemonsLoads(std::move(otherLoads), now);
+    forgetReportsToOthers();
+    m_sourceAcceptsChanges = total.period > Duration::zero();
+    m_followedLoads.apply(total, m_lastSentLoads);
+    if (m_pickerFollows && total.changesOnly) {
+        m_picker.changeOtherDaemonsLoads(m_followedLoads.changedOthers(), now);
+    } else {
+        m_picker.setOtherDaemonsLoads(m_followedLoads.others(), now);
+        m_pickerFollows = true;
+    }
     m_picker.promptCacheIndex().applyPublished(total.promptCacheEntries, now);
     m_crashes.apply(total.crashEvidence, now);
     applyRateLimits(total.rateLimits, now);
+    m_picker.applySpeeds(total.speeds, now);
     m_peers.setCutOff(total.cutOff, now);
+    ServiceUses otherUses = total.uses;
+    subtractUses(otherUses, m_lastSentUses);
+    setOtherDaemonsUses(std::move(otherUses), now);
 }
 
 } // namespace lycheearch
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,26 +57,19 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_context{m_loop,
-                m_view,
-                m_picker,
-                m_connections,
-                headerCodec,
-                m_retries,
-                m_rolloutCounts,
-                m_modelCascade,
-                m_crashes,
-                m_pendingCrashes,
-                m_peers,
-                m_peerConnections,
-                m_relayAdmission,
-                m_returnSchedule,
-                m_shutdownPolicy,
-                m_settings.bounds,
-                m_bodyBudget,
-                m_responseBudget,
-                m_log,
-                m_metrics}
+    , m_hedging(m_settings.instance, m_retries)
+    , m_readers(m_loop, m_responseBudget)
+    , m_admission(m_settings.traits.scarceCapacity && m_settings.capacity.admission
+                      ? std::make_unique<SharedAdmission>(
+                          m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
+                          m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
+                      : nullptr)
+    , m_context{m_loop,           m_view,           m_picker,         m_connections,
+                headerCodec,      m_retries,        m_rolloutCounts,  m_modelCascade,
+                m_crashes,        m_pendingCrashes, m_peers,          m_peerConnections,
+                m_relayAdmission, m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
+                m_bodyBudget,     m_responseBudget, m_readers,        m_log,
+                m_metrics,        m_hedging,        m_admission.get()}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -91,6 +84,9 @@
                      [this](TimePoint now) { scheduleMemberRead(now); })
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
+    m_hedging.setSettings(m_settings.hedging);
+    m_hedging.setServersShareHosts(
+        [this](const ServiceId &service) { return m_picker.speedsUsedFor(service, m_loop.now()); });
     m_picker.reach().onChange([this](const ServiceId &service, bool reached) {
         onReachChanged(service, reached, m_loop.now());
     });
@@ -157,6 +153,9 @@
     m_follower.start();
     m_feedClient.start();
     m_rolloutAgent.start();
+    if (m_admission) {
+        m_loadExchange.setShares(m_admission->shares());
+    }
     m_loadExchange.start(*m_feedServer);
     m_crashVerdicts.start();
     m_registration.start();
@@ -211,8 +210,16 @@
         || newSettings.readinessListen != m_settings.readinessListen
         || newSettings.metricsListen != m_settings.metricsListen
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
-        || newSettings.dataCentre != m_settings.dataCentre;
+        || newSettings.dataCentre != m_settings.dataCentre
+        || (newSettings.traits.scarceCapacity && newSettings.capacity.admission)
+            != (m_admission != nullptr);
     m_settings.bounds = newSettings.bounds;
+    m_settings.hedging = newSettings.hedging;
+    m_hedging.setSettings(m_settings.hedging);
+    m_settings.capacity = newSettings.capacity;
+    if (m_admission) {
+        m_admission->applySettings(m_settings.capacity);
+    }
     m_fleetLimits.divide();
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
@@ -327,6 +334,15 @@
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
+    response.body += m_readers.metricsText();
+    if (m_admission) {
+        response.body += "# TYPE lycheearch_admission_waiting gauge\n"
+                         "lycheearch_admission_waiting "
+            + std::to_string(m_admission->waiting()) + "\n"
+            + "# TYPE lycheearch_admission_waiting_bytes gauge\n"
+              "lycheearch_admission_waiting_bytes "
+            + std::to_string(m_admission->waitingBytes()) + "\n";
+    }
     return response;
 }
 
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -19,6 +19,7 @@
 #include "Fleet/FleetView.h"
 #include "Forward/CallerServer.h"
 #include "Forward/RequestHeaderCodec.h"
+#include "Forward/SharedAdmission.h"
 #include "Log/StructuredLog.h"
 #include "Net/HttpResponder.h"
 #include "Net/SignalPipe.h"
@@ -106,7 +107,10 @@
     ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
     BodyBudget m_bodyBudget; ///< Of requests.
-    BodyBudget m_responseBudget;
+    BodyBudget m_responseBudget; ///< Of responses, until their callers have read them.
+    CallerReaders m_readers;
+    Hedging m_hedging;
+    std::unique_ptr<SharedAdmission> m_admission; ///< Null if admission is off.
     ForwardContext m_context;
     FeedClient m_feedClient;
     RolloutAgent m_rolloutAgent;
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -1,5 +1,7 @@
 #include "Feed/FeedMessages.h"
 
+#include <algorithm>
+#include <cmath>
 #include <sstream>
 
 #include <Poco/DeflatingStream.h>
@@ -8,6 +10,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include "Feed/FeedTiming.h"
 #include "Feed/feed.capnp.h"
 
 namespace lycheearch {
@@ -20,6 +23,8 @@
 constexpr std::size_t MaxMessageBytes = 64UL * 1024 * 1024;
 /// Minimum size of a message that is compressed.
 constexpr std::size_t CompressionThresholdBytes = 2048;
+/// The same for changes of the loads, which are compressed once and sent to all followers.
+constexpr std::size_t ChangesCompressionThresholdBytes = 512;
 constexpr char Uncompressed = 0;
 constexpr char Compressed = 1;
 
@@ -240,9 +245,64 @@
     return entry;
 }
 
+void writeSpeed(wire::FeedServerSpeed::Builder builder, const SpeedReport &report)
+{
+    builder.setBackend(report.server.id.value());
+    builder.setStartedAt(report.server.startedAt);
+    builder.setObservedSeconds(report.observedSeconds);
+    builder.setExpectedSeconds(report.expectedSeconds);
+    builder.setHostSlowness(report.hostSlowness.value_or(0));
+    builder.setAge(report.hostAge.count());
+}
+
+SpeedReport readSpeed(wire::FeedServerSpeed::Reader reader)
+{
+    const double hostSlowness = reader.getHostSlowness();
+    return {{InstanceId(reader.getBackend().cStr()), reader.getStartedAt()},
+            reader.getObservedSeconds(),
+            reader.getExpectedSeconds(),
+            hostSlowness == 0 ? std::nullopt : std::optional(hostSlowness),
+            Duration(reader.getAge())};
+}
+
+void writeUses(wire::FeedLoad::Builder builder, const ServiceUses &uses)
+{
+    auto list = builder.initUses(static_cast<unsigned>(uses.size()));
+    unsigned i = 0;
+    for (const auto &[key, use] : uses) {
+        list[i].setService(key.first.value());
+        list[i].setAccount(key.second);
+        list[i].setInFlight(use.admitted);
+        list[i].setRefused(use.refused);
+        ++i;
+    }
+}
+
+/// Whether the value can be the work of an account. A wrong one would reduce the shares of other
+/// accounts.
+bool isWork(double value)
+{
+    constexpr double mostWork = 1e12;
+    return std::isfinite(value) && value >= 0 && value <= mostWork;
+}
+
+ServiceUses readUses(capnp::List<wire::FeedServiceUse>::Reader list)
+{
+    ServiceUses uses;
+    for (const auto entry : list) {
+        if (isWork(entry.getInFlight()) && isWork(entry.getRefused())) {
+            uses[{ServiceId(entry.getService().cStr()), entry.getAccount()}] = {entry.getInFlight(),
+                                                                                entry.getRefused()};
+        }
+    }
+    return uses;
+}
+
 void writeLoad(wire::FeedLoad::Builder builder, const FeedLoad &message)
 {
     builder.setDataCentre(message.dataCentre.value());
+    builder.setChangesOnly(message.changesOnly);
+    builder.setPeriod(message.period.count());
     auto entries = builder.initEntries(static_cast<unsigned>(message.loads.size()));
     unsigned i = 0;
     for (const auto &[backend, load] : message.loads) {
@@ -273,12 +333,19 @@
     for (unsigned j = 0; j < cutOff.size(); ++j) {
         writeCutOff(cutOff[j], message.cutOff[j]);
     }
+    auto speeds = builder.initSpeeds(static_cast<unsigned>(message.speeds.size()));
+    for (unsigned j = 0; j < speeds.size(); ++j) {
+        writeSpeed(speeds[j], message.speeds[j]);
+    }
+    writeUses(builder, message.uses);
 }
 
 FeedMessage readLoad(wire::FeedLoad::Reader reader)
 {
     FeedLoad message;
     message.dataCentre = DataCentreId(reader.getDataCentre().cStr());
+    message.changesOnly = reader.getChangesOnly();
+    message.period = std::clamp(Duration(reader.getPeriod()), Duration::zero(), MaxLoadPeriod);
     for (const auto entry : reader.getEntries()) {
         BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
         load.requests = entry.getRequests();
@@ -300,6 +367,13 @@
     for (const auto entry : reader.getCutOff()) {
         message.cutOff.push_back(readCutOff(entry));
     }
+    for (const auto entry : reader.getSpeeds()) {
+        SpeedReport report = readSpeed(entry);
+        if (isSound(report)) {
+            message.speeds.push_back(std::move(report));
+        }
+    }
+    message.uses = readUses(reader.getUses());
     return message;
 }
 
@@ -313,7 +387,7 @@
     const auto root = reader.getRoot<wire::FeedMessage>();
     switch (root.which()) {
     case wire::FeedMessage::SUBSCRIBE:
-        return FeedSubscribe{InstanceId(root.getSubscribe().cStr())};
+        return FeedSubscribe{InstanceId(root.getSubscribe().cStr()), root.getAcceptsLoadChanges()};
     case wire::FeedMessage::PAGE:
         return readPage(root.getPage());
     case wire::FeedMessage::HEARTBEAT:
@@ -397,6 +471,13 @@
     }
 }
 
+std::size_t compressionThreshold(const FeedMessage &message)
+{
+    const auto *load = std::get_if<FeedLoad>(&message);
+    return load != nullptr && load->changesOnly ? ChangesCompressionThresholdBytes
+                                                : CompressionThresholdBytes;
+}
+
 } // namespace
 
 std::string encodeFeedFrame(const FeedMessage &message)
@@ -405,6 +486,7 @@
     auto root = builder.initRoot<wire::FeedMessage>();
     if (const auto *subscribe = std::get_if<FeedSubscribe>(&message)) {
         root.setSubscribe(subscribe->instance.value());
+        root.setAcceptsLoadChanges(subscribe->acceptsLoadChanges);
     } else if (const auto *page = std::get_if<FeedPage>(&message)) {
         writePage(root.initPage(), *page);
     } else if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
@@ -418,7 +500,7 @@
     const auto bytes = words.asChars();
     std::string body(bytes.begin(), bytes.size());
     char compression = Uncompressed;
-    if (body.size() >= CompressionThresholdBytes) {
+    if (body.size() >= compressionThreshold(message)) {
         body = compress(body);
         compression = Compressed;
     }
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -12,6 +12,8 @@
 #include "Routing/PeerSelector.h"
 #include "Routing/PromptCacheIndex.h"
 #include "Routing/ServerNotices.h"
+#include "Routing/ServerSpeeds.h"
+#include "Routing/ServiceUses.h"
 
 namespace lycheearch {
 
@@ -19,6 +21,7 @@
 struct FeedSubscribe
 {
     InstanceId instance; ///< The follower.
+    bool acceptsLoadChanges = true; ///< It reads loads that are FeedLoad::changesOnly.
 };
 
 /// Records that the source read from the store.
@@ -56,6 +59,15 @@
     std::vector<LimitsNotice> rateLimits; ///< That servers named since the last message.
     /// All daemons that reach no backend server of some services, as of now.
     std::vector<CutOffDaemon> cutOff;
+    std::vector<SpeedReport> speeds; ///< Observed since the last message.
+    /// Of all accounts with use lately; empty if admission is off.
+    ServiceUses uses{};
+    /// The loads replace those of the last load message on the same connection; entries without
+    /// load end.
+    bool changesOnly = false;
+    /// Between two totals of the source. Above zero: the source accepts changesOnly. Zero from
+    /// sources of older builds and in reports.
+    Duration period{};
 };
 
 using FeedMessage = std::variant<FeedSubscribe, FeedPage, FeedHeartbeat, FeedEvidence, FeedLoad>;
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -30,10 +30,13 @@
 
     /// Sends a page that was read from the store to all followers.
     void broadcast(Topic topic, const RecordPage &page, bool listing);
-    /// Sends the total load of all daemons to all followers.
-    void broadcastLoad(const FeedLoad &load);
+    /// Sends the total load of all daemons to all followers: as changes to those that accept them
+    /// and have got a total before. Returns how many bytes that was.
+    std::size_t broadcastLoad(FeedLoad load);
     /// Returns the sum of the loads that the connected followers sent.
     BackendLoads followerLoads() const;
+    /// Returns the sum of the uses that the connected followers sent.
+    ServiceUses followerUses() const;
     /// Returns the connected followers that are cut off from backend servers.
     std::vector<CutOffDaemon> followersCutOff() const;
     /// Returns the cached prompt prefixes that followers reported since the last call.
@@ -45,6 +48,8 @@
     CrashEvidence takeCrashEvidence() { return std::exchange(m_crashEvidence, {}); }
     /// Returns and clears the rate limits that servers named to the followers.
     std::vector<LimitsNotice> takeRateLimits() { return std::exchange(m_rateLimits, {}); }
+    /// Returns and clears the speeds of servers that the followers observed.
+    std::vector<SpeedReport> takeSpeeds(TimePoint now) { return m_speeds.take(now); }
 
 private:
     class FeedConnection;
@@ -52,6 +57,9 @@
     void onReady(std::uint32_t events, TimePoint now) override;
     void storePromptCacheEntries(const std::vector<PromptCacheEntry> &promptCacheEntries);
     void sendToFollowers(std::string_view frame);
+    std::size_t sendLoads(std::string_view total, std::string_view changes);
+    bool anyFollower(bool keepsTotal) const;
+    void endOverfull();
     void sendHeartbeats(TimePoint now);
     void sendInitialState(FeedConnection &connection);
     void remove(FeedConnection &connection);
@@ -63,9 +71,11 @@
     int m_listener = -1;
     TimerId m_timer;
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
+    BackendLoads m_sentLoads; ///< The last total; followers that keep a total have this one.
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     CrashEvidence m_crashEvidence;
     std::vector<LimitsNotice> m_rateLimits;
+    SpeedReportSum m_speeds{Duration::zero()};
 };
 
 } // namespace lycheearch
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -3,14 +3,17 @@
 #include "Base/Metrics.h"
 #include "Config/RouterSettings.h"
 #include "Fleet/FleetView.h"
+#include "Forward/AdmissionGate.h"
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
+#include "Forward/CallerReaders.h"
 #include "Forward/RelayAdmission.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
+#include "Routing/Hedging.h"
 #include "Routing/ModelCascade.h"
 #include "Routing/PeerSelector.h"
 #include "Routing/PendingCrashes.h"
@@ -42,8 +45,11 @@
     const RouterBounds &bounds;
     BodyBudget &bodyBudget; ///< Of requests.
     BodyBudget &responseBudget;
+    CallerReaders &readers;
     StructuredLog &log;
     Metrics &metrics;
+    Hedging &hedging;
+    AdmissionGate *admission = nullptr; ///< Null if admission is off.
 };
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(ForwardContext &context, ResponseWriter &writer,
-                                   DecodedRequest request, std::string body, TimePoint receivedAt)
+                                   DecodedRequest request, SharedBody body, TimePoint receivedAt)
     : m_context(context)
     , m_writer(writer)
     , m_request(std::move(request))
@@ -52,8 +52,12 @@
 
 RequestForwarder::~RequestForwarder()
 {
+    leaveAdmission();
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_attempt.stallTimer);
+    if (m_inAttempt && !m_attempt.relayed) {
+        endLatenessWatch(SendOutcome::Cancelled, m_context.loop.now());
+    }
 }
 
 void RequestForwarder::start(TimePoint now)
@@ -127,6 +131,7 @@
     if (!m_request.relayed) {
         // The daemon that the caller sent it to has counted it.
         m_context.retryBudget.onRequest(m_service, now);
+        m_context.hedging.onRequest(m_service, now);
     }
     return true;
 }
@@ -195,6 +200,9 @@
             fail(pickFaultMessage(fault), now);
             return;
         }
+        if (!passesAdmission(*pick, requirements, now)) {
+            return;
+        }
         if (openConnection(*pick, now)) {
             send(*pick, requirements, now);
             return;
@@ -263,6 +271,7 @@
     m_attempt.version = state->report.version;
     m_attempt.prefillTokens = pick.prefillTokens;
     m_attempt.workTokens = pick.workTokens();
+    m_attempt.slowness = pick.slowness;
     m_attempt.newConnection = connection->isNew();
     m_attempt.connection = std::move(connection);
     return true;
@@ -285,7 +294,7 @@
     HttpRequestHead head = m_context.headerCodec.encodeRequest(m_request, options);
     head.fields.remove("Content-Length");
     if (m_request.head.contentLength || m_request.head.chunked) {
-        head.fields.add("Content-Length", std::to_string(m_body.size()));
+        head.fields.add("Content-Length", std::to_string(m_body->size()));
     }
     ++m_attemptCount;
     m_inAttempt = true;
@@ -295,7 +304,8 @@
     m_attempt.ticket = m_context.rolloutCounts.onSent(m_service, m_attempt.version, now);
     logDispatch(pick, now);
     startStallTimer(now);
-    m_attempt.connection->send(serializeRequestHead(head) + m_body, head.method == "HEAD", *this,
+    watchLateness(now);
+    m_attempt.connection->send(serializeRequestHead(head), m_body, head.method == "HEAD", *this,
                                now);
 }
 
@@ -317,6 +327,7 @@
                             .add("load", pick.load)
                             .add("backlog", static_cast<std::int64_t>(pick.backlogTokens))
                             .add("read", static_cast<std::int64_t>(pick.prefillTokens))
+                            .add("slowness", pick.slowness)
                             .add("local", pick.local ? "yes" : "no")
                             .add("candidates", pick.candidates)
                             .add("model", m_model)
@@ -333,9 +344,13 @@
         return;
     }
     m_inAttempt = false;
+    if (m_context.admission != nullptr && !m_runsModels) {
+        m_context.admission->onEnded(m_service, outcome, now - m_attempt.sentAt, now);
+    }
     m_context.responseBudget.release(m_attempt.reservedBytes);
     m_attempt.reservedBytes = 0;
     m_context.loop.cancel(m_attempt.stallTimer);
+    endLatenessWatch(outcome, now);
     m_context.picker.onEnded(m_attempt.backend, outcome, urgency(), unansweredTokens(), now);
     const std::optional<bool> worked = versionOutcome(outcome, now);
     m_context.rolloutCounts.onEnded(m_attempt.ticket, worked, latencySample(now), now);
@@ -364,7 +379,10 @@
         outcome == SendOutcome::ServerFailed && m_attempt.head.status == HttpStatus::GatewayTimeout;
     const bool unanswered = outcome == SendOutcome::Broken && !m_attempt.headReceived;
     const bool atDeadline = m_deadline - now <= MinTimeForRetry;
-    if (m_failedBefore || (atDeadline && (gaveUp || unanswered))) {
+    const bool brieflyHung = outcome == SendOutcome::Hung
+        && m_context.hedging.unansweredMoves().silence(m_attempt.backend, now)
+            < m_route->latencyObjective;
+    if (m_failedBefore || brieflyHung || (atDeadline && (gaveUp || unanswered))) {
         return std::nullopt;
     }
     return versionSuccess(outcome);
@@ -416,7 +434,8 @@
 void RequestForwarder::onDeadline(TimePoint now)
 {
     if (m_inAttempt) {
-        endAttempt(SendOutcome::Broken, false, now);
+        const bool leftUnread = m_attempt.pause.explainsLoss();
+        endAttempt(leftUnread ? SendOutcome::Cancelled : SendOutcome::Broken, false, now);
     }
     fail("timeout", now);
 }
@@ -487,6 +506,7 @@
 void RequestForwarder::finish(int status, const char *cause, TimePoint now)
 {
     m_finished = true;
+    leaveAdmission();
     if (std::exchange(m_relayAdmitted, false)) {
         m_context.relayAdmission.leave();
     }
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -9,10 +9,12 @@
 #include "Forward/BackendHttpConnection.h"
 #include "Forward/EventSplitter.h"
 #include "Forward/ForwardContext.h"
+#include "Forward/ReadPause.h"
 #include "Forward/RelayFields.h"
 #include "Forward/ResponseWriter.h"
 #include "Forward/StreamContinuity.h"
 #include "Routing/ExecutionState.h"
+#include "Routing/HedgePolicy.h"
 
 namespace lycheearch {
 
@@ -28,11 +30,11 @@
 /// sent only if no attempt can have executed the request. A refusal of a backend server counts as
 /// proof only if it is certain to answer the attempt under way: it names the request, or nothing
 /// else was ever sent on its connection.
-class RequestForwarder : public BackendResponseListener
+class RequestForwarder : public BackendResponseListener, private AdmissionWaiter
 {
 public:
     RequestForwarder(ForwardContext &context, ResponseWriter &writer, DecodedRequest request,
-                     std::string body, TimePoint receivedAt);
+                     SharedBody body, TimePoint receivedAt);
     ~RequestForwarder() override;
 
     /// Starts to forward the request. The response may be complete when this returns.
@@ -42,6 +44,8 @@
     /// Ends the request now, with the response that its outcome so far allows. A stream that has
     /// begun is cut off.
     void giveUp(const char *cause, TimePoint now);
+    /// The caller of a stream reads again, after ResponseWriter::callerBlocked() was true.
+    void onCallerReads(TimePoint now);
     bool finished() const { return m_finished; }
 
 private:
@@ -59,7 +63,9 @@
         std::uint64_t server = 0; ///< Hash of the server's id and start time.
         VersionId version;
         double prefillTokens = 0; ///< Weighted prompt tokens that the server must prefill.
-        double workTokens = 0; ///< prefillTokens plus the estimated backlog ahead of them.
+        /// prefillTokens plus the estimated backlog ahead of them, in tokens of a usual server.
+        double workTokens = 0;
+        double slowness = 1; ///< Of the server, as expected; included in workTokens.
         std::unique_ptr<BackendHttpConnection> connection;
         HttpResponseHead head;
         ResponseMetadata metadata;
@@ -76,6 +82,10 @@
         TimePoint firstEventAt;
         int relayedEvents = 0; ///< Number of events sent to the caller.
         TimerId stallTimer;
+        TimerId lateTimer;
+        LatencyTracker::Ticket latency = 0; ///< Until the first event or the whole answer.
+        std::optional<UsualLatency> usual; ///< Latency of such requests when it was sent.
+        ReadPause pause; ///< For the caller's sake.
     };
 
     void onConnected(TimePoint now) override;
@@ -93,6 +103,11 @@
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
     void dispatch(TimePoint now);
+    /// Whether the first attempt may be sent now. Otherwise the request waits or is refused.
+    bool passesAdmission(const Pick &pick, const PickRequest &requirements, TimePoint now);
+    void leaveAdmission();
+    void onAdmissionTurn(TimePoint now) override { dispatch(now); }
+    void onAdmissionRefused(const char *cause, Duration retryAfter, TimePoint now) override;
     PickRequest pickRequest(TimePoint now) const;
     /// Whether the response begins a stream, or goes on with the one that has begun.
     bool isStream(const HttpResponseHead &head, const ResponseMetadata &metadata);
@@ -123,13 +138,17 @@
     void logBrokenOff(TimePoint now);
     /// Whether the attempt says that the server's version works; std::nullopt if it says nothing.
     /// That is so for one that reaches the deadline without an answer: its wait is evidence, but
-    /// the deadline is the caller's. It is also so for a retry, since requests that failed before
-    /// fail more often than others, whatever the version.
+    /// the deadline is the caller's. It is so for one that was sent elsewhere because it was late,
+    /// unless its server gave no answer at all for the time of the latency objective. It is also so
+    /// for a retry, since requests that failed before fail more often than others, whatever the
+    /// version.
     std::optional<bool> versionOutcome(SendOutcome outcome, TimePoint now) const;
     std::optional<Duration> latencySample(TimePoint now) const;
     double unansweredTokens() const;
     int urgency() const;
     double tokenWeight() const;
+    /// Work that takes equally long at equal servers.
+    const std::string &speedKind() const { return m_model.empty() ? m_route->name : m_model; }
     int maxConnectFailures() const;
     bool openConnection(const Pick &pick, TimePoint now);
     void send(const Pick &pick, const PickRequest &requirements, TimePoint now);
@@ -173,11 +192,30 @@
     /// \p may: all but the retry budget allows a retry.
     void logRetryDecision(const char *cause, bool may, bool retries, TimePoint now);
 
+    /// After a write to the caller: rests reading from the server if the caller does not read.
+    void followCaller(TimePoint now);
+    /// The server cut off a response that remained unread.
+    void onUnreadCutOff(TimePoint now);
     void startStallTimer(TimePoint now);
     Duration stallLimit() const;
     void onStall(TimePoint now);
     void onDeadline(TimePoint now);
 
+    LatencyKind latencyKind() const;
+    /// Measures the latency of the attempt, and starts the timer that calls onLate().
+    void watchLateness(TimePoint now);
+    /// The answer of the attempt came, or its first event.
+    void recordAnswered(TimePoint now);
+    void endLatenessWatch(SendOutcome outcome, TimePoint now);
+    void startLateTimer(TimePoint at);
+    /// Sends the request to another server if nothing speaks against it.
+    void onLate(TimePoint now);
+    /// The input of the decision on a late request, without another server.
+    HedgeInput hedgeInput(TimePoint now) const;
+    std::optional<HedgeTarget> hedgeTarget(TimePoint now);
+    HedgeRefusal refusesHedge(TimePoint now);
+    void logMove(const char *event, TimePoint now);
+
     void sendBackendResponse(TimePoint now);
     void fail(const char *cause, TimePoint now);
     void sendLocalResponse(int status, const char *cause, TimePoint now,
@@ -187,7 +225,7 @@
     ForwardContext &m_context;
     ResponseWriter &m_writer;
     DecodedRequest m_request;
-    std::string m_body;
+    SharedBody m_body;
     std::shared_ptr<const RoutingTable> m_table;
     const Route *m_route = nullptr;
     AccountId m_account;
@@ -216,6 +254,7 @@
     bool m_noPeerLeft = false;
     bool m_relayAdmitted = false; ///< Counts in RelayAdmission.
     bool m_declined = false; ///< Another daemon may serve the request that came from one.
+    Duration m_expectedFirst{}; ///< Time to the first event, as expected at the admission.
     Duration m_retryAfter; ///< Retry-After of a refusal.
     ExecutionState m_execution;
     /// Latest error response of a backend server, sent if no retry succeeds. A response whose
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -1,6 +1,9 @@
+#include <utility>
+
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/SendOutcomes.h"
+#include "Forward/SpeedObservations.h"
 #include "Net/HttpStatus.h"
 
 // The part of RequestForwarder that receives responses: their heads and bodies, what a server
@@ -58,15 +61,21 @@
     const bool canEndLimits = head.status < HttpStatus::FirstRedirect && metadata.hasSeal;
     applyRateLimit(metadata, canEndLimits, now);
     applyBrittle(metadata, canEndLimits, now);
-    if (metadata.load) {
-        m_context.picker.onLoadReported(m_attempt.backend, metadata.load->running,
-                                        metadata.load->waiting, now);
-    }
+    recordReportedLoad(m_context, m_request.id, m_attempt.backend, metadata, now);
     m_context.picker.onFirstByte(m_attempt.backend, urgency(), unansweredTokens(), now);
+    if (m_expectedFirst > Duration::zero()) {
+        m_context.admission->onFirstEvent(m_service, m_route->name,
+                                          std::exchange(m_expectedFirst, Duration::zero()),
+                                          now - m_attempt.sentAt, now);
+    }
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
     if (head.status < HttpStatus::FirstRedirect) {
         m_context.rolloutCounts.onAnswerBegun(m_attempt.ticket, now);
+        const double work = m_runsModels ? m_attempt.workTokens / m_attempt.slowness : 1;
+        recordAnswerBegun(
+            m_context, {m_request.id, m_attempt.backend, speedKind(), work, now - m_attempt.sentAt},
+            now);
     }
     m_attempt.head = head;
     m_attempt.metadata = std::move(metadata);
@@ -183,6 +192,9 @@
 
 void RequestForwarder::onResponseData(std::string_view bytes, TimePoint now)
 {
+    if (!m_attempt.relayed) {
+        m_context.hedging.unansweredMoves().onAnswered(m_attempt.backend);
+    }
     if (m_attempt.discarded) {
         return;
     }
@@ -201,7 +213,7 @@
 
 void RequestForwarder::collectBody(std::string_view bytes, TimePoint now)
 {
-    if (!m_context.responseBudget.tryReserve(bytes.size())) {
+    if (!m_context.readers.reserve(bytes.size(), now)) {
         endAttempt(SendOutcome::Broken, false, now);
         retryOrFail("memory limit for response bodies reached", now);
         return;
@@ -276,6 +288,10 @@
 
 void RequestForwarder::onConnectionLost(Delivery delivery, std::error_code error, TimePoint now)
 {
+    if (m_attempt.pause.explainsLoss()) {
+        onUnreadCutOff(now);
+        return;
+    }
     if (m_attempt.relayed) {
         onPeerLost(delivery, error, now);
         return;
@@ -288,7 +304,7 @@
                             .add("fresh", m_attempt.newConnection ? "yes" : "no")
                             .add("account", m_account.value())
                             .add("content", hashText(m_identity.content))
-                            .add("body", hashText(stableHash(m_body)))
+                            .add("body", hashText(stableHash(*m_body)))
                             .add("error", error.message())
                             .add("after_ms", now - m_attempt.sentAt),
                         now);
@@ -328,7 +344,7 @@
     m_firstByteAt = now;
     finish(m_attempt.head.status, "served", now);
     m_writer.sendResponse(m_attempt.head.status, m_attempt.head.reason, std::move(fields),
-                          m_attempt.body, now);
+                          std::move(m_attempt.body), now);
 }
 
 } // namespace lycheearch
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Forward/RequestForwarder.h"
+#include "Forward/SpeedObservations.h"
 
 // The part of RequestForwarder that handles event streams and stalled responses.
 
@@ -58,6 +59,7 @@
         m_context.rolloutCounts.onEvents(m_attempt.ticket, eventCount, now);
     }
     if (!begun) {
+        recordAnswered(now);
         m_firstByteAt = now;
         HttpFields fields = m_context.headerCodec.callerFields(m_attempt.head);
         addRelayResult(m_attempt.backend, fields);
@@ -65,19 +67,29 @@
     } else {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
         if (!m_attempt.relayed) {
-            m_context.models.onGap(m_model, now - m_lastEventAt, now);
+            if (!m_attempt.pause.distortsTimes()) {
+                m_context.models.onGap(m_model, now - m_lastEventAt, now);
+            }
+            // The first gap of a resumed stream is not the server's.
+            if (m_attempt.relayedEvents > eventCount && !m_attempt.pause.distortsTimes()) {
+                recordGap(m_context, m_attempt.backend, speedKind(), now - m_lastEventAt, now);
+            }
         }
     }
     m_lastEventAt = now;
     m_writer.writeStream(bytes);
     if (!m_finished) {
-        startStallTimer(now);
+        followCaller(now);
     }
 }
 
 void RequestForwarder::handleStreamEnd(TimePoint now)
 {
     const bool endMarked = !m_attempt.head.isCloseDelimited();
+    if (!endMarked && !m_attempt.splitter.atBoundary() && m_attempt.pause.explainsLoss()) {
+        onUnreadCutOff(now);
+        return;
+    }
     if (!m_attempt.splitter.atBoundary() || !m_stream.completes(endMarked)) {
         if (!m_attempt.relayed) {
             recordConnectionLost(now);
@@ -99,7 +111,7 @@
     if (!m_attempt.streaming) {
         return now - m_attempt.sentAt;
     }
-    if (m_attempt.relayedEvents < 2) {
+    if (m_attempt.relayedEvents < 2 || m_attempt.pause.distortsTimes()) {
         return std::nullopt;
     }
     return (m_lastEventAt - m_attempt.firstEventAt) / (m_attempt.relayedEvents - 1);
--- a/Source/Routing/BackendPicker.cpp
+++ b/Source/Routing/BackendPicker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 #include "Base/Hash.h"
 
@@ -120,7 +121,21 @@
         std::erase_if(candidates, isExcluded);
     }
     keepRotatedServers(request.versions, candidates);
-    return request.engine ? pickForPrompt(request, candidates, now) : pickLeastLoaded(candidates);
+    const bool speedsUsed = m_speeds.usedFor(request.service, now);
+    if (speedsUsed) {
+        setSpeeds(candidates, now);
+    }
+    return request.engine ? pickForPrompt(request, candidates, now)
+                          : pickLeastLoaded(candidates, speedsUsed);
+}
+
+void BackendPicker::setSpeeds(std::vector<Candidate> &candidates, TimePoint now) const
+{
+    for (Candidate &candidate : candidates) {
+        const ServerRun run{candidate.state->report.id, candidate.state->report.startedAt};
+        candidate.slowness = m_speeds.slowness(run, now);
+        candidate.lastingSlowness = m_speeds.lastingSlowness(run, now);
+    }
 }
 
 bool BackendPicker::matches(const BackendState &state, const PickRequest &request,
@@ -165,12 +180,16 @@
         }
         Health &health = m_health[id];
         detectRestart(state, health);
-        m_places[id] = {state.report.service, state.report.dataCentre};
+        Place &place = m_places[id];
+        if (place.service != state.report.service || place.dataCentre != state.report.dataCentre) {
+            place = {state.report.service, state.report.dataCentre};
+        }
         if (isDataCentreExcluded(state.report.dataCentre, now)) {
             fault = PickFault::AllSilent;
             continue;
         }
-        const double load = loadOf(health, state, now);
+        const BackendLoadShare *others = otherDaemonsLoad(id, now);
+        const double load = loadOf(health, state, others, now);
         const ServerLoad requests{health.inFlight, load * std::max(1, state.report.slots)};
         const SendPermission permission = m_rateLimiter.permission(state, requests, now);
         if (permission != SendPermission::Allowed) {
@@ -179,9 +198,9 @@
         }
         const double ownLoad =
             static_cast<double>(health.inFlight) / std::max(1, state.report.slots);
-        candidates.push_back({&state, &health, m_rateLimiter.takesTurns(state) ? ownLoad : load,
-                              state.report.dataCentre == m_ownDataCentre,
-                              isExcluded(id, health, now)});
+        candidates.push_back(
+            {&state, &health, others, m_rateLimiter.takesTurns(state) ? ownLoad : load,
+             state.report.dataCentre == m_ownDataCentre, isExcluded(health, others, now)});
     }
     return candidates;
 }
@@ -191,6 +210,7 @@
     if (health.startedAt != 0 && health.startedAt != state.report.startedAt) {
         m_promptCacheIndex.removeBackend(state.report.id);
     }
+    health.unreadableLoad = health.unreadableLoad && health.startedAt == state.report.startedAt;
     health.startedAt = state.report.startedAt;
 }
 
@@ -198,17 +218,17 @@
                                   const std::vector<Candidate> &candidates, TimePoint now)
 {
     std::vector<PromptCandidate> promptCandidates;
-    for (const Candidate &candidate : candidates) {
-        promptCandidates.push_back({candidate.state->report.id, candidate.state->report.dataCentre,
-                                    candidate.state->report.version,
-                                    backlogTokens(candidate, request.urgency, request.service, now)
-                                        + slotWaitCost(candidate),
-                                    candidate.local});
-    }
+    promptCandidates.reserve(candidates.size());
     double totalBacklog = 0;
     for (const Candidate &candidate : candidates) {
-        totalBacklog += backlogTokens(candidate, UrgencyClassCount - 1, request.service, now)
-            + slotWaitCost(candidate);
+        const double slotWait = slotWaitCost(candidate);
+        promptCandidates.push_back(
+            {candidate.state->report.id, candidate.state->report.dataCentre,
+             candidate.state->report.version,
+             backlogTokens(candidate, request.urgency, request.service, now) + slotWait,
+             candidate.local, candidate.slowness, candidate.lastingSlowness});
+        totalBacklog += candidate.slowness
+            * (backlogTokens(candidate, UrgencyClassCount - 1, request.service, now) + slotWait);
     }
     const PromptChoice choice =
         m_placement.choose(request.prompt, promptCandidates, m_promptCacheIndex, now);
@@ -223,7 +243,8 @@
             sourceName(choice.source),
             choice.source == PromptSource::Copied
                 ? std::optional(candidates[choice.copyFrom].state->report.id)
-                : std::nullopt};
+                : std::nullopt,
+            best.slowness};
 }
 
 const BackendLoadShare *BackendPicker::otherDaemonsLoad(const InstanceId &id, TimePoint now) const
@@ -241,7 +262,7 @@
                                     const ServiceId &service, TimePoint now) const
 {
     const Health &health = *candidate.health;
-    if (const BackendLoadShare *others = otherDaemonsLoad(candidate.state->report.id, now)) {
+    if (const BackendLoadShare *others = candidate.others) {
         return tokensAhead(health.unanswered, urgency) + tokensAhead(others->tokens, urgency)
             + InFlightRequestTokens * (health.inFlight + others->requests);
     }
@@ -268,12 +289,11 @@
     return found != m_dataCentreHealth.end() && found->second.excludedUntil > now;
 }
 
-bool BackendPicker::isExcluded(const InstanceId &id, const Health &health, TimePoint now) const
+bool BackendPicker::isExcluded(const Health &health, const BackendLoadShare *others, TimePoint now)
 {
     if (health.excludedUntil > now) {
         return true;
     }
-    const BackendLoadShare *others = otherDaemonsLoad(id, now);
     if (others != nullptr && others->leaving > 0) {
         return true;
     }
@@ -283,14 +303,17 @@
         && !answeredRecently;
 }
 
-Pick BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates)
+Pick BackendPicker::pickLeastLoaded(const std::vector<Candidate> &candidates, bool speedsUsed)
 {
     const Candidate *best = nullptr;
     double bestCost = 0;
     std::uint64_t bestTie = 0;
     ++m_tieBreak;
     for (const Candidate &candidate : candidates) {
-        const double cost = candidate.load + (candidate.local ? 0 : RemotePenaltyLoad);
+        // With different speeds, the request's own share of the load counts as well.
+        const double ownLoad = speedsUsed ? 1.0 / std::max(1, candidate.state->report.slots) : 0.0;
+        const double cost = (candidate.load + ownLoad) * candidate.slowness
+            + (candidate.local ? 0 : RemotePenaltyLoad);
         const std::uint64_t tie =
             mixBits(m_tieBreak ^ stableHash(candidate.state->report.id.value()));
         if (best == nullptr || cost < bestCost || (cost == bestCost && tie > bestTie)) {
@@ -307,13 +330,15 @@
             best->local,
             static_cast<int>(candidates.size()),
             "least",
-            std::nullopt};
+            std::nullopt,
+            best->slowness};
 }
 
-double BackendPicker::loadOf(const Health &health, const BackendState &state, TimePoint now) const
+double BackendPicker::loadOf(const Health &health, const BackendState &state,
+                             const BackendLoadShare *others, TimePoint now)
 {
     double requests = health.inFlight;
-    if (const BackendLoadShare *others = otherDaemonsLoad(state.report.id, now)) {
+    if (others != nullptr) {
         requests += others->requests;
     } else if (now - health.reportedAt < ReportLifetime && health.reportedAt != TimePoint()) {
         requests = std::max<double>(
@@ -412,12 +437,12 @@
     Health &health = m_health[id];
     subtractTokens(health.unanswered, urgency, unansweredTokens);
     health.inFlight = std::max(0, health.inFlight - 1);
-    if (outcome == SendOutcome::Cancelled) {
+    if (outcome == SendOutcome::Cancelled || outcome == SendOutcome::Moved) {
         return;
     }
     const bool failed = outcome == SendOutcome::ServerFailed || outcome == SendOutcome::Broken
         || outcome == SendOutcome::Reset || outcome == SendOutcome::Unreachable
-        || outcome == SendOutcome::Silent;
+        || outcome == SendOutcome::Silent || outcome == SendOutcome::Hung;
     health.failureRate += FailureRateSmoothing * ((failed ? 1.0 : 0.0) - health.failureRate);
     ++health.samples;
     if (outcome == SendOutcome::Unreachable || outcome == SendOutcome::Silent) {
@@ -439,6 +464,9 @@
         health.connectionFailed = true;
         exclude(health, now);
         break;
+    case SendOutcome::Hung:
+        exclude(health, now);
+        break;
     case SendOutcome::Broken:
     case SendOutcome::ServerFailed: {
         double total = 0;
@@ -460,6 +488,7 @@
         m_rateLimiter.notices().onRejected(runOf(id), now);
         health.excludedUntil = now + InitialExclusion / 4;
         break;
+    case SendOutcome::Moved:
     case SendOutcome::Cancelled:
         break;
     }
@@ -480,6 +509,57 @@
     return {id, m_health[id].startedAt};
 }
 
+void BackendPicker::onHostReported(const InstanceId &id, double hostSlowness, TimePoint now)
+{
+    const auto place = m_places.find(id);
+    if (place != m_places.end()) {
+        m_speeds.onHostReported(place->second.service, runOf(id), hostSlowness, now);
+    }
+}
+
+bool BackendPicker::onUnreadableLoad(const InstanceId &id)
+{
+    return !std::exchange(m_health[id].unreadableLoad, true);
+}
+
+bool BackendPicker::speedsUsedFor(const InstanceId &id, TimePoint now) const
+{
+    const auto place = m_places.find(id);
+    return place != m_places.end() && m_speeds.usedFor(place->second.service, now);
+}
+
+bool BackendPicker::onAnswerBegun(const InstanceId &id, const std::string &kind, double work,
+                                  Duration latency, TimePoint now)
+{
+    return speedsUsedFor(id, now) && m_speeds.onAnswerBegun(runOf(id), kind, work, latency, now);
+}
+
+bool BackendPicker::onGap(const InstanceId &id, const std::string &kind, Duration gap,
+                          TimePoint now)
+{
+    return speedsUsedFor(id, now) && m_speeds.onGap(runOf(id), kind, gap, now);
+}
+
+SpeedChange BackendPicker::takeSpeedChange(const InstanceId &id, TimePoint now)
+{
+    return m_speeds.takeChange(runOf(id), now);
+}
+
+double BackendPicker::lastingSlowness(const InstanceId &id, TimePoint now)
+{
+    return m_speeds.lastingSlowness(runOf(id), now);
+}
+
+void BackendPicker::applySpeeds(const std::vector<SpeedReport> &reports, TimePoint now)
+{
+    for (const SpeedReport &report : reports) {
+        const auto place = m_places.find(report.server.id);
+        if (place != m_places.end()) {
+            m_speeds.apply(place->second.service, report, now);
+        }
+    }
+}
+
 bool BackendPicker::onLeaving(const InstanceId &id, TimePoint now)
 {
     return m_rateLimiter.notices().onLeaving(runOf(id), now);
@@ -522,13 +602,42 @@
     return forecast;
 }
 
+ServiceOccupancy BackendPicker::occupancy(const PickRequest &request, const FleetView &view,
+                                          TimePoint now) const
+{
+    ServiceOccupancy occupancy;
+    for (const auto &[id, state] : view.backends()) {
+        if (!matches(state, request, view) || isDataCentreExcluded(state.report.dataCentre, now)) {
+            continue;
+        }
+        const int slots = std::max(1, state.report.slots);
+        const auto found = m_health.find(id);
+        const Health health = found == m_health.end() ? Health() : found->second;
+        const BackendLoadShare *others = otherDaemonsLoad(id, now);
+        if (isExcluded(health, others, now)) {
+            continue;
+        }
+        occupancy.places += slots;
+        occupancy.taken += loadOf(health, state, others, now) * slots;
+        if (health.reportedAt != TimePoint() && now - health.reportedAt < ReportLifetime) {
+            occupancy.waiting += health.waiting;
+        }
+    }
+    occupancy.age = now - m_otherDaemonsLoadsAt;
+    return occupancy;
+}
+
 BackendLoads BackendPicker::ownLoads(TimePoint now) const
 {
     BackendLoads loads;
     for (const auto &[id, health] : m_health) {
+        const bool failed = health.connectionFailed && health.excludedUntil > now;
+        if (health.inFlight == 0 && !failed) {
+            continue; // Most servers of a large fleet.
+        }
         const auto place = m_places.find(id);
         const bool cutOff = place != m_places.end() && m_reach.cutOff(place->second.service);
-        const bool unreachable = health.connectionFailed && health.excludedUntil > now && !cutOff;
+        const bool unreachable = failed && !cutOff;
         if (health.inFlight > 0 || unreachable) {
             loads[id] = {health.unanswered, health.inFlight, unreachable ? 1 : 0};
         }
@@ -545,9 +654,16 @@
     m_otherDaemonsLoadsAt = now;
 }
 
+void BackendPicker::changeOtherDaemonsLoads(const BackendLoads &changes, TimePoint now)
+{
+    applyChangedLoads(m_otherDaemonsLoads, changes);
+    m_otherDaemonsLoadsAt = now;
+}
+
 void BackendPicker::prune(const FleetView &view, TimePoint now)
 {
     m_rateLimiter.prune(view, now);
+    m_speeds.eraseIf([&](const InstanceId &id) { return view.backend(id) == nullptr; });
     std::erase_if(m_health, [&](const auto &entry) {
         return view.backend(entry.first) == nullptr && entry.second.inFlight == 0;
     });
