--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -115,7 +115,7 @@
 
 CapacitySettings readCapacity(YamlReader &reader, std::int64_t memoryMegabytes)
 {
-    constexpr std::int64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::int64_t bytesPerMegabyte = 1024L * 1024;
     constexpr std::int64_t memoryDivisor = 4;
     CapacitySettings capacity;
     capacity.admission = reader.flag(
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -57,8 +57,8 @@
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
     , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
-    , m_hedging(m_settings.instance, m_retries)
     , m_readers(m_loop, m_responseBudget)
+    , m_hedging(m_settings.instance, m_retries)
     , m_admission(m_settings.traits.scarceCapacity && m_settings.capacity.admission
                       ? std::make_unique<SharedAdmission>(
                           m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
--- a/Tests/Forward/testRelayBackpressure.cpp
+++ b/Tests/Forward/testRelayBackpressure.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t Megabyte = 1024UL * 1024;
 constexpr std::size_t ReadBytes = 32UL * 1024; ///< Of one read from a server.
 
-/// A caller that leaves everything unread, or reads when told.
+/// A caller whose unread bytes are set by the test.
 struct FakeReader : CallerReader
 {
     UnreadBytes unread() const override { return bytes; }
--- a/Tests/Forward/testSlowReaders.cpp
+++ b/Tests/Forward/testSlowReaders.cpp
@@ -57,7 +57,7 @@
     return stream;
 }
 
-/// A caller that begins to read when it is told to.
+/// A caller that reads nothing at first.
 struct Reader : StreamSocketListener, HttpResponseSink
 {
     Reader(ForwardHarness &harness, const std::string &request)
