Lines and counters for connections that the daemon closes and for handlers that take long

Cause of the blind spot: a request that was read and dropped left no line, and no figure said how long a handler kept the event loop.

caller.closed says why, how long the connection was at rest and under which limit (when the rest began, and now), how many received bytes were not read then, and how many came afterwards and were dropped. It is a routine line if the caller lost nothing. loop.long_turn names the duty of a handler or timer that took 50 ms or more. Counters: lycheearch_caller_connections_closed_total, lycheearch_long_turns_total, lycheearch_long_turn_seconds. No decision is changed.

--- a/Source/Daemon/CrashVerdictAgent.cpp
+++ b/Source/Daemon/CrashVerdictAgent.cpp
@@ -51,7 +51,8 @@
 
 void CrashVerdictAgent::step(TimePoint now)
 {
-    m_timer = m_loop.at(now + StepPeriod, [this](TimePoint due) { step(due); });
+    m_timer = m_loop.at(
+        now + StepPeriod, [this](TimePoint due) { step(due); }, "crash_verdicts");
     m_table.evaluate(now);
     logVerdicts(now);
     if (!m_follower.followingFeed() && m_follower.synced() && !m_writeInFlight) {
--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -96,7 +96,8 @@
 
 void LoadExchange::step(TimePoint now)
 {
-    m_timer = m_loop.at(now + LoadPeriod, [this](TimePoint currentTime) { step(currentTime); });
+    m_timer = m_loop.at(
+        now + LoadPeriod, [this](TimePoint currentTime) { step(currentTime); }, "load_exchange");
     if (!m_follower.synced()) {
         return;
     }
--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -52,7 +52,8 @@
 
 void RolloutAgent::step(TimePoint now)
 {
-    m_timer = m_loop.at(now + StepPeriod, [this](TimePoint currentTime) { step(currentTime); });
+    m_timer = m_loop.at(
+        now + StepPeriod, [this](TimePoint currentTime) { step(currentTime); }, "rollouts");
     if (!m_follower.synced()) {
         return;
     }
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -84,6 +84,7 @@
                      [this](TimePoint now) { scheduleMemberRead(now); })
     , m_signals(m_loop, [this](int signal, TimePoint now) { onSignal(signal, now); })
 {
+    m_loop.setObserver(this);
     m_hedging.setSettings(m_settings.hedging);
     m_hedging.setServersShareHosts(
         [this](const ServiceId &service) { return m_picker.speedsUsedFor(service, m_loop.now()); });
@@ -187,6 +188,14 @@
     m_feedServer->broadcast(topic, page, listing);
 }
 
+void RouterDaemon::onLongTurn(const char *duty, Duration duration, TimePoint now)
+{
+    m_metrics.count("lycheearch_long_turns_total", std::string("duty=\"") + duty + "\"");
+    m_metrics.observe("lycheearch_long_turn_seconds", "", duration);
+    m_log.write(LogPriority::Notable,
+                LogLine("loop.long_turn").add("duty", duty).add("took_ms", duration), now);
+}
+
 void RouterDaemon::onSignal(int signal, TimePoint now)
 {
     if (signal == SIGHUP) {
@@ -268,7 +277,9 @@
         m_loop.stop();
         return;
     }
-    m_loop.at(now + DrainCheckPeriod, [this](TimePoint currentTime) { checkDrained(currentTime); });
+    m_loop.at(
+        now + DrainCheckPeriod, [this](TimePoint currentTime) { checkDrained(currentTime); },
+        "drain");
 }
 
 void RouterDaemon::sweep(TimePoint now)
@@ -282,7 +293,8 @@
     m_picker.prune(m_view, now);
     m_fleetLimits.divide();
     updatePeers();
-    m_loop.at(now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); });
+    m_loop.at(
+        now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); }, "sweep");
 }
 
 void RouterDaemon::updatePeers()
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -33,7 +33,7 @@
 /// A daemon without persistent state: builds its view of the fleet from the store, forwards
 /// requests and drains gracefully on shutdown. While the store is unreachable it routes by its last
 /// view.
-class RouterDaemon : private FleetObserver
+class RouterDaemon : private FleetObserver, private EventLoopObserver
 {
 public:
     /// Reads the settings again. Errors are added to \p findings.
@@ -61,6 +61,8 @@
 
     void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) override;
 
+    void onLongTurn(const char *duty, Duration duration, TimePoint now) override;
+
     void onFeedChange(const InstanceId &source, const char *why);
     /// Schedules one early read of the member records, so that this daemon soon finds the daemons
     /// that started at about the same time and can follow one of them.
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -48,6 +48,7 @@
     void onBytes(std::string_view bytes, TimePoint now) override;
     void onEnd(TimePoint now) override;
     void onError(std::error_code error, TimePoint now) override;
+    const char *duty() const override { return "feed_source"; }
 
     void updateSource(TimePoint now);
     /// Whether the store does not answer and the last read is overdue.
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -88,6 +88,7 @@
     }
     void onEnd(TimePoint) override { end(); }
     void onError(std::error_code, TimePoint) override { end(); }
+    const char *duty() const override { return "feed_follower"; }
 
     void onLoad(const FeedLoad &load, TimePoint now)
     {
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -75,6 +75,7 @@
     void onBytes(std::string_view bytes, TimePoint now) override;
     void onEnd(TimePoint now) override;
     void onError(std::error_code error, TimePoint now) override;
+    const char *duty() const override { return "backend_response"; }
     void onResponseHead(HttpResponseHead head) override;
     void onResponseBody(std::string_view bytes) override;
 
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -58,7 +58,9 @@
     m_parser = std::make_unique<HttpRequestParser>(
         HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
     releaseRequest();
-    startTimer(callerLimits.idleTimeout, now);
+    m_restSince = now;
+    m_restLimit = callerLimits.idleTimeout;
+    startTimer(m_restLimit, now);
 }
 
 void CallerConnection::releaseRequest()
@@ -76,13 +78,14 @@
 void CallerConnection::closeIfIdle(TimePoint now)
 {
     if (idle()) {
-        linger(now);
+        linger("the process is stopping", now);
     }
 }
 
 void CallerConnection::terminate(TimePoint now)
 {
     if (m_state != State::Serving) {
+        beginClosure("the process must exit", now);
         close(now);
         return;
     }
@@ -103,6 +106,7 @@
 void CallerConnection::onBytes(std::string_view bytes, TimePoint now)
 {
     if (m_state == State::Lingering || m_state == State::Closed) {
+        m_closure.onDropped(bytes.size(), now);
         return;
     }
     m_input.append(bytes);
@@ -272,7 +276,7 @@
 {
     // The forwarder and the parser may be on the call stack.
     if (!m_keepAlive) {
-        linger(now);
+        linger("last response", now);
         m_context.loop.defer([this] { releaseRequest(); });
         return;
     }
@@ -296,8 +300,17 @@
     }
 }
 
-void CallerConnection::linger(TimePoint now)
+void CallerConnection::beginClosure(const char *why, TimePoint now)
 {
+    const bool resting = m_state == State::Waiting;
+    m_closure.begin(why,
+                    {resting ? now - m_restSince : Duration(), m_restLimit, limits().idleTimeout},
+                    m_input.size() + m_socket.receivedBytes(), now);
+}
+
+void CallerConnection::linger(const char *why, TimePoint now)
+{
+    beginClosure(why, now);
     m_state = State::Lingering;
     m_input.clear();
     m_socket.setReading(true);
@@ -383,12 +396,13 @@
         now);
 }
 
-void CallerConnection::close(TimePoint)
+void CallerConnection::close(TimePoint now)
 {
     if (m_state == State::Closed) {
         return;
     }
     m_state = State::Closed;
+    m_closure.report(m_requestId, m_context.log, m_context.metrics, now);
     m_context.loop.cancel(m_timer);
     // Without a reset, a caller might take what it has received for whole.
     if (m_endsWithConnection || m_socket.queuedBytes() > 0) {
@@ -419,7 +433,7 @@
     }
     switch (m_state) {
     case State::Waiting:
-        linger(now);
+        linger("idle", now);
         break;
     case State::Reading:
         rejectRequest(HttpStatus::RequestTimeout, "timeout while reading the request", now);
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Forward/CallerReaders.h"
+#include "Forward/ConnectionClosure.h"
 #include "Forward/RequestForwarder.h"
 #include "Forward/ResponseWriter.h"
 #include "Net/HttpParser.h"
@@ -57,6 +58,7 @@
     void onError(std::error_code error, TimePoint now) override;
     void onSendQueueEmpty(TimePoint now) override { onSendProgress(now); }
     void onSendProgress(TimePoint now) override;
+    const char *duty() const override { return "caller_request"; }
     void onRequestHead(HttpRequestHead head) override;
     void onRequestBody(std::string_view bytes) override;
 
@@ -86,7 +88,9 @@
     void releaseRequest();
     /// Reads on, beginning with the requests that have been received already.
     void startNext(TimePoint now);
-    void linger(TimePoint now);
+    void linger(const char *why, TimePoint now);
+    /// Notes for the log why this daemon closes the connection.
+    void beginClosure(const char *why, TimePoint now);
     /// Cancels a request in progress, whose caller has gone, and closes the connection.
     void cancel(TimePoint now);
     void close(TimePoint now);
@@ -111,6 +115,9 @@
     std::string m_requestId; ///< Of the latest request.
     bool m_blocked = false; ///< Reading from the server of the request rests.
     TimerId m_timer;
+    TimePoint m_restSince; ///< End of the last response, or when the connection was accepted.
+    Duration m_restLimit{}; ///< Longest rest, by the configuration of that time.
+    ConnectionClosure m_closure;
     TimePoint m_now;
     bool m_keepAlive = true;
     bool m_chunkedResponse = true;
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -32,6 +32,7 @@
 
 private:
     void onReady(std::uint32_t events, TimePoint now) override;
+    const char *duty() const override { return "accept"; }
     void onConnectionClosed(CallerConnection &connection);
 
     ForwardContext &m_context;
--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -62,10 +62,10 @@
     }
 }
 
-TimerId EventLoop::at(TimePoint due, Callback callback)
+TimerId EventLoop::at(TimePoint due, Callback callback, const char *duty)
 {
     const TimerId timer{due, m_nextTimer++};
-    m_timers.emplace(timer, std::move(callback));
+    m_timers.emplace(timer, Timer{std::move(callback), duty});
     return timer;
 }
 
@@ -101,7 +101,22 @@
 {
     const auto found = m_watches.find(fd);
     if (found != m_watches.end() && found->second.generation == generation) {
-        found->second.handler->onReady(events, now());
+        const TimePoint begunAt = now();
+        // The handler may be deleted by its own call.
+        const char *duty = found->second.handler->duty();
+        found->second.handler->onReady(events, begunAt);
+        reportTurn(duty, begunAt);
+    }
+}
+
+void EventLoop::reportTurn(const char *duty, TimePoint begunAt)
+{
+    if (m_observer == nullptr) {
+        return;
+    }
+    const TimePoint endedAt = now();
+    if (endedAt - begunAt >= LongTurn) {
+        m_observer->onLongTurn(duty, endedAt - begunAt, endedAt);
     }
 }
 
@@ -109,9 +124,11 @@
 {
     const TimePoint currentTime = now();
     while (!m_timers.empty() && m_timers.begin()->first.due <= currentTime && !m_stopped) {
-        Callback callback = std::move(m_timers.begin()->second);
+        const Timer timer = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
-        callback(currentTime);
+        const TimePoint begunAt = m_observer == nullptr ? currentTime : now();
+        timer.callback(currentTime);
+        reportTurn(timer.duty, begunAt);
     }
 }
 
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -18,6 +18,17 @@
     virtual ~IoHandler() = default;
     /// \p events is a mask of EPOLLIN, EPOLLOUT, EPOLLRDHUP, EPOLLHUP and EPOLLERR.
     virtual void onReady(std::uint32_t events, TimePoint now) = 0;
+    /// Name of what the handler does, for logs and metrics.
+    virtual const char *duty() const { return "io"; }
+};
+
+/// Receives how long the handlers and timers of an event loop take.
+class EventLoopObserver
+{
+public:
+    virtual ~EventLoopObserver() = default;
+    /// A handler or timer of \p duty took \p duration, at least EventLoop::LongTurn.
+    virtual void onLongTurn(const char *duty, Duration duration, TimePoint now) = 0;
 };
 
 /// Identifies a timer. A default-constructed value identifies none.
@@ -36,18 +47,25 @@
 public:
     using Callback = std::function<void(TimePoint)>;
 
+    /// Handlers and timers that take so long are reported to the observer.
+    static constexpr Duration LongTurn = 50ms;
+
     explicit EventLoop(const Clock &clock);
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
+    /// \p observer may be null.
+    void setObserver(EventLoopObserver *observer) { m_observer = observer; }
+
     /// Registers \p fd for \p events, or changes its events and handler.
     void watch(int fd, std::uint32_t events, IoHandler &handler);
     /// Unregisters \p fd. Events that the current iteration has not yet dispatched are dropped.
     void unwatch(int fd);
 
     /// Calls \p callback once at \p due or soon after. The callback receives the current time.
-    TimerId at(TimePoint due, Callback callback);
+    /// \p duty names what it does, as IoHandler::duty() does.
+    TimerId at(TimePoint due, Callback callback, const char *duty = "timer");
     /// Cancels a timer and resets \p timer to a value that identifies none. If the timer has fired,
     /// only \p timer is reset.
     void cancel(TimerId &timer);
@@ -67,6 +85,13 @@
     void runTimers();
     int waitMilliseconds() const;
     void dispatch(int fd, std::uint64_t generation, std::uint32_t events);
+    void reportTurn(const char *duty, TimePoint begunAt);
+
+    struct Timer
+    {
+        Callback callback;
+        const char *duty = nullptr;
+    };
 
     struct Watch
     {
@@ -76,12 +101,13 @@
     };
 
     const Clock &m_clock;
+    EventLoopObserver *m_observer = nullptr;
     int m_epoll = -1;
     bool m_stopped = false;
     std::uint64_t m_nextTimer = 1;
     std::uint32_t m_nextGeneration = 1;
     std::unordered_map<int, Watch> m_watches;
-    std::map<TimerId, Callback> m_timers;
+    std::map<TimerId, Timer> m_timers;
     std::vector<std::function<void()>> m_deferred;
 };
 
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -93,6 +93,12 @@
     return m_acceptedBytes - std::min<std::uint64_t>(m_acceptedBytes, unacknowledged);
 }
 
+std::size_t StreamSocket::receivedBytes() const
+{
+    int unread = 0;
+    return m_fd >= 0 && ::ioctl(m_fd, SIOCINQ, &unread) == 0 ? static_cast<std::size_t>(unread) : 0;
+}
+
 void StreamSocket::close()
 {
     if (m_fd < 0) {
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -24,6 +24,8 @@
     virtual void onSendQueueEmpty(TimePoint now) { }
     /// The kernel has accepted some of the queued bytes, but not all.
     virtual void onSendProgress(TimePoint now) { }
+    /// Name of what the connection is for, for logs and metrics.
+    virtual const char *duty() const { return "connection"; }
 };
 
 /// A non-blocking TCP connection on the event loop, with an unbounded send queue: before
@@ -62,9 +64,12 @@
     std::size_t queuedBytes() const { return m_queue.size(); }
     /// Bytes in all whose receipt the peer's kernel has acknowledged.
     std::uint64_t takenBytes() const;
+    /// Bytes that have been received and not read.
+    std::size_t receivedBytes() const;
 
 private:
     void onReady(std::uint32_t events, TimePoint now) override;
+    const char *duty() const override { return m_listener.duty(); }
     void finishConnect(TimePoint now);
     void receive(TimePoint now);
     void flush();
