--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -202,10 +202,8 @@
         view.apply({Offset(0), BackendReported{report}}, loop.now());
     }
 
-    /// Sends \p bytes as a caller and returns what was received until the connection closed or
-    /// \p time elapsed. Calls \p meanwhile once \p after has elapsed.
-    std::string call(const std::string &bytes, Duration time = 3s,
-                     const std::function<void()> &meanwhile = {}, Duration after = 100ms)
+    /// Listens for callers.
+    void startServer()
     {
         std::error_code error;
         if (!server) {
@@ -213,6 +211,14 @@
                                                     Endpoint{"127.0.0.1", firstPort}, error);
             cr_assert_not(error, "%s", error.message().c_str());
         }
+    }
+
+    /// Sends \p bytes as a caller and returns what was received until the connection closed or
+    /// \p time elapsed. Calls \p meanwhile once \p after has elapsed.
+    std::string call(const std::string &bytes, Duration time = 3s,
+                     const std::function<void()> &meanwhile = {}, Duration after = 100ms)
+    {
+        startServer();
         callerEnd = ConnectionEnd::Open;
         Caller caller(*this);
         caller.socket.send(bytes);
