Connections at rest: a request is read or left unread, never read and dropped

Callers saw: a request that crossed the close of an idle connection was read and dropped: the connection ended without an answer, a second later, and nothing said that the request had not been run.

Cause: an idle connection was closed like one after its last response: the sending side ended, and what arrived for a second was read and dropped. That protects the end of a response on its way, and after a rest there is none. What lay in the socket at that moment was dropped, too.

Change: at its limit, and when a daemon stops, a connection at rest is closed only if nothing unread lies in its socket, and then at once. A request that crosses the close finds a closed connection: it is reset, unread, and its caller may repeat it whatever its kind. If the end of the last response is not acknowledged yet, the close is put off.

--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -78,7 +78,7 @@
 void CallerConnection::closeIfIdle(TimePoint now)
 {
     if (idle()) {
-        linger("the process is stopping", now);
+        closeAtRest("the process is stopping", now);
     }
 }
 
@@ -308,6 +308,16 @@
                     m_input.size() + m_socket.receivedBytes(), now);
 }
 
+void CallerConnection::closeAtRest(const char *why, TimePoint now)
+{
+    // A close with unread bytes is a reset, which would also take the end of the last response.
+    if (m_socket.receivedBytes() > 0 || m_socket.unacknowledgedBytes() > 0) {
+        return;
+    }
+    beginClosure(why, now);
+    close(now);
+}
+
 void CallerConnection::linger(const char *why, TimePoint now)
 {
     beginClosure(why, now);
@@ -433,7 +443,8 @@
     }
     switch (m_state) {
     case State::Waiting:
-        linger("idle", now);
+        startTimer(LingerTimeout, now);
+        closeAtRest("idle", now);
         break;
     case State::Reading:
         rejectRequest(HttpStatus::RequestTimeout, "timeout while reading the request", now);
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -37,7 +37,7 @@
 
     /// Graceful shutdown: the connection closes after the next response.
     void drain();
-    /// Closes the connection if no request is in progress.
+    /// Closes the connection if no request is in progress and none has arrived.
     void closeIfIdle(TimePoint now);
     /// Answers a request in progress at once and closes the connection, for example when the
     /// process must exit.
@@ -89,6 +89,10 @@
     /// Reads on, beginning with the requests that have been received already.
     void startNext(TimePoint now);
     void linger(const char *why, TimePoint now);
+    /// Closes a connection at rest, unless a request has arrived that is not read yet. A request
+    /// that crosses the close resets the connection, so that its caller learns that it was not
+    /// read.
+    void closeAtRest(const char *why, TimePoint now);
     /// Notes for the log why this daemon closes the connection.
     void beginClosure(const char *why, TimePoint now);
     /// Cancels a request in progress, whose caller has gone, and closes the connection.
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -86,11 +86,13 @@
 
 std::uint64_t StreamSocket::takenBytes() const
 {
-    int unacknowledged = 0;
-    if (m_fd < 0 || ::ioctl(m_fd, SIOCOUTQ, &unacknowledged) != 0) {
-        return m_acceptedBytes;
-    }
-    return m_acceptedBytes - std::min<std::uint64_t>(m_acceptedBytes, unacknowledged);
+    return m_acceptedBytes - std::min<std::uint64_t>(m_acceptedBytes, unacknowledgedBytes());
+}
+
+std::size_t StreamSocket::unacknowledgedBytes() const
+{
+    int bytes = 0;
+    return m_fd >= 0 && ::ioctl(m_fd, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
 std::size_t StreamSocket::receivedBytes() const
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -64,6 +64,8 @@
     std::size_t queuedBytes() const { return m_queue.size(); }
     /// Bytes in all whose receipt the peer's kernel has acknowledged.
     std::uint64_t takenBytes() const;
+    /// Bytes that were sent and whose receipt the peer's kernel has not acknowledged.
+    std::size_t unacknowledgedBytes() const;
     /// Bytes that have been received and not read.
     std::size_t receivedBytes() const;
 
