Connections at rest: the idle timeout is announced, and a longer one of a newer configuration applies

What callers could see: the timer of a connection at rest kept the idle timeout of the configuration under which the rest began. If a newer configuration allows a longer rest, a caller that goes by it sends after the daemon has closed.

Change: a connection at rest is closed at the longest of the timeouts of the present configuration, of the one when the rest began and of the one of the last response. Responses on kept connections announce four fifths of it (Keep-Alive: timeout=N, whole seconds), so that a request sent in time also arrives in time.

Evidence: idleConnections/a_connection_at_rest_gets_the_longer_limit_of_a_new_configuration failed before and passes; responses_announce_a_rest_that_ends_before_the_idle_timeout is new; 7 of 7 of the suite pass.

--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -1,5 +1,7 @@
 #include "Forward/CallerConnection.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "Net/HttpStatus.h"
@@ -13,6 +15,9 @@
 constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
 /// How long the caller may take to close the connection after the last response.
 constexpr Duration LingerTimeout = 1s;
+/// Part of the idle timeout that responses announce, so that a request that is sent within it
+/// arrives before the connection is closed.
+constexpr double KeepAliveShare = 0.8;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
 /// A caller whose connection ends after it has taken nothing for so long counts as not reading.
 constexpr Duration ShortestNotReading = 2s;
@@ -59,7 +64,7 @@
         HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
     releaseRequest();
     m_restSince = now;
-    m_restLimit = callerLimits.idleTimeout;
+    m_restLimit = std::max(m_restLimit, callerLimits.idleTimeout);
     startTimer(m_restLimit, now);
 }
 
@@ -219,9 +224,7 @@
         m_keepAlive = false;
     }
     fields.add("Content-Length", std::to_string(body.size()));
-    if (!m_keepAlive) {
-        fields.add("Connection", "close");
-    }
+    addConnectionFields(fields);
     std::string head = serializeResponseHead(status, reason, fields);
     if (m_bodyless || body.size() <= MaxJoinedBodyBytes) {
         m_socket.send(head.append(m_bodyless ? std::string() : body));
@@ -233,6 +236,20 @@
     finishResponse(now);
 }
 
+void CallerConnection::addConnectionFields(HttpFields &fields)
+{
+    if (!m_keepAlive) {
+        fields.add("Connection", "close");
+        return;
+    }
+    m_restLimit = limits().idleTimeout;
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(m_restLimit * KeepAliveShare);
+    if (seconds > std::chrono::seconds::zero()) {
+        fields.add("Keep-Alive", "timeout=" + std::to_string(seconds.count()));
+    }
+}
+
 void CallerConnection::beginStream(int status, std::string_view reason, HttpFields fields)
 {
     if (m_draining || !m_chunkedResponse) {
@@ -242,9 +259,7 @@
     if (m_chunkedResponse) {
         fields.add("Transfer-Encoding", "chunked");
     }
-    if (!m_keepAlive) {
-        fields.add("Connection", "close");
-    }
+    addConnectionFields(fields);
     m_socket.send(serializeResponseHead(status, reason, fields));
 }
 
@@ -424,6 +439,17 @@
     m_onClosed(*this);
 }
 
+void CallerConnection::onRestTimer(TimePoint now)
+{
+    const TimePoint end = m_restSince + std::max(m_restLimit, limits().idleTimeout);
+    if (now < end) {
+        startTimer(end - now, now); // The present configuration allows a longer rest.
+        return;
+    }
+    startTimer(LingerTimeout, now);
+    closeAtRest("idle", now);
+}
+
 void CallerConnection::startTimer(Duration limit, TimePoint now)
 {
     m_context.loop.cancel(m_timer);
@@ -443,8 +469,7 @@
     }
     switch (m_state) {
     case State::Waiting:
-        startTimer(LingerTimeout, now);
-        closeAtRest("idle", now);
+        onRestTimer(now);
         break;
     case State::Reading:
         rejectRequest(HttpStatus::RequestTimeout, "timeout while reading the request", now);
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -100,6 +100,9 @@
     void close(TimePoint now);
     void startTimer(Duration limit, TimePoint now);
     void onTimer(TimePoint now);
+    void onRestTimer(TimePoint now);
+    /// Adds the fields that say whether and how long the connection may be used again.
+    void addConnectionFields(HttpFields &fields);
     CallerLimits limits() const;
     void releaseBodyMemory();
 
@@ -120,7 +123,8 @@
     bool m_blocked = false; ///< Reading from the server of the request rests.
     TimerId m_timer;
     TimePoint m_restSince; ///< End of the last response, or when the connection was accepted.
-    Duration m_restLimit{}; ///< Longest rest, by the configuration of that time.
+    /// Longest rest by the configurations of that time and of the last response, which says it.
+    Duration m_restLimit{};
     ConnectionClosure m_closure;
     TimePoint m_now;
     bool m_keepAlive = true;
--- a/Tests/Forward/testIdleConnections.cpp
+++ b/Tests/Forward/testIdleConnections.cpp
@@ -182,3 +182,17 @@
     harness.runLoop(IdleTimeout);
     cr_expect_eq(harness.server->connections(), 0);
 }
+
+Test(idleConnections, responses_announce_a_rest_that_ends_before_the_idle_timeout, .timeout = 20)
+{
+    for (const RouteKind kind : {RouteKind::NonIdempotent, RouteKind::EventStream}) {
+        IdleHarness harness(kind);
+        harness.setIdleTimeout(15s, kind);
+        const KernelCaller caller(harness.firstPort);
+        caller.send(keptRequest());
+        harness.runLoop();
+        cr_expect(contains(caller.receive(), "Keep-Alive: timeout=12\r\n"));
+        cr_expect_not(
+            contains(harness.call(ForwardHarness::request("POST", "", "b")), "Keep-Alive"));
+    }
+}
