--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -37,7 +37,7 @@
 
     /// Graceful shutdown: the connection closes after the next response.
     void drain();
-    /// Closes the connection if no request is in progress.
+    /// Closes the connection if no request is in progress and none has arrived.
     void closeIfIdle(TimePoint now);
     /// Answers a request in progress at once and closes the connection, for example when the
     /// process must exit.
@@ -89,6 +89,10 @@
     /// Reads on, beginning with the requests that have been received already.
     void startNext(TimePoint now);
     void linger(const char *why, TimePoint now);
+    /// Closes a connection at rest, unless a request has arrived that is not read yet. A request
+    /// that crosses the close resets the connection, so that its caller learns that it was not
+    /// read.
+    void closeAtRest(const char *why, TimePoint now);
     /// Notes for the log why this daemon closes the connection.
     void beginClosure(const char *why, TimePoint now);
     /// Cancels a request in progress, whose caller has gone, and closes the connection.
@@ -96,6 +100,9 @@
     void close(TimePoint now);
     void startTimer(Duration limit, TimePoint now);
     void onTimer(TimePoint now);
+    void onRestTimer(TimePoint now);
+    /// Adds the fields that say whether and how long the connection may be used again.
+    void addConnectionFields(HttpFields &fields);
     CallerLimits limits() const;
     void releaseBodyMemory();
 
@@ -116,7 +123,8 @@
     bool m_blocked = false; ///< Reading from the server of the request rests.
     TimerId m_timer;
     TimePoint m_restSince; ///< End of the last response, or when the connection was accepted.
-    Duration m_restLimit{}; ///< Longest rest, by the configuration of that time.
+    /// Longest rest by the configurations of that time and of the last response, which says it.
+    Duration m_restLimit{};
     ConnectionClosure m_closure;
     TimePoint m_now;
     bool m_keepAlive = true;
