Feed: a delay of the source itself is no staleness of the store

Cause: storeStaleness() counted the time since the last read, less the period. A turn of the event loop that takes long delays the next call, and the delay counted as staleness of the store. FeedStalenessLimit is 500 ms. Change: the staleness counts from the time by which an answer to a call that was made is due: the call, and the long poll's wait. It ends with an answer that reaches the end of the topic; failed calls and unread records keep it growing as before. A daemon that left a feed is stale until it has read. News are late by the source's own delay as before, which shows at followers as silence (FeedReceiveTimeout, 800 ms) on the same connection; reading the store earlier gains nothing while it answers. Tests: fleetFollower a_long_turn_of_this_daemon_is_no_staleness_of_the_store, a_read_that_was_made_late_is_overdue_only_from_then_on and feed a_source_that_took_a_long_turn_does_not_send_that_it_is_stale failed before (staleness above the limit after 1.2 and 3 s) and pass; a_daemon_that_left_a_feed_is_stale_until_it_has_read_the_store passes on both. They need no change of the event loop.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -55,6 +55,9 @@
         clearLostTopics(m_loop.now());
     } else {
         for (const Topic topic : AllTopics) {
+            // The feed's time is no time in which the store answered.
+            Cursor &cursor = m_cursors[topic];
+            cursor.answerDueAt = cursor.answerDueAt.value_or(cursor.readAt);
             pollNow(topic);
         }
     }
@@ -88,9 +91,14 @@
     if (m_followingFeed || !synced()) {
         return std::nullopt;
     }
-    const Duration backends = now - m_cursors.at(Topic::Backends).readAt - m_timing.backendsPeriod;
-    const Duration operators = now - m_cursors.at(Topic::Operator).readAt - m_timing.operatorWait;
-    return std::max({backends, operators, Duration::zero()});
+    return std::max(
+        {overdueTime(Topic::Backends, now), overdueTime(Topic::Operator, now), Duration::zero()});
+}
+
+Duration FleetFollower::overdueTime(Topic topic, TimePoint now) const
+{
+    const std::optional<TimePoint> &dueAt = m_cursors.at(topic).answerDueAt;
+    return dueAt ? now - *dueAt : Duration::zero();
 }
 
 bool FleetFollower::storeLost() const
@@ -137,11 +145,25 @@
     }
 }
 
+void FleetFollower::expectAnswer(Cursor &cursor, Duration wait)
+{
+    cursor.callInFlight = true;
+    if (!cursor.answerDueAt) {
+        cursor.answerDueAt = m_loop.now() + wait;
+    }
+}
+
+void FleetFollower::setReadToEnd(Cursor &cursor, TimePoint now)
+{
+    cursor.readAt = now;
+    cursor.answerDueAt.reset();
+}
+
 void FleetFollower::listTopic(Topic topic)
 {
     Cursor &cursor = m_cursors[topic];
     cursor.listing = true;
-    cursor.callInFlight = true;
+    expectAnswer(cursor, Duration::zero());
     m_store.readNewest(topic, cursor.afterKey,
                        [this, topic](StoreOutcome<RecordPage> outcome, TimePoint now) {
                            m_cursors[topic].callInFlight = false;
@@ -154,8 +176,9 @@
     Cursor &cursor = m_cursors[topic];
     // A probe of a lost store doesn't wait for records, so that its timeout is short.
     const bool longPoll = topic == Topic::Operator && !cursor.lost;
-    cursor.callInFlight = true;
-    m_store.read(topic, cursor.next, longPoll ? m_timing.operatorWait : Duration::zero(),
+    const Duration wait = longPoll ? m_timing.operatorWait : Duration::zero();
+    expectAnswer(cursor, wait);
+    m_store.read(topic, cursor.next, wait,
                  [this, topic](StoreOutcome<RecordPage> outcome, TimePoint now) {
                      m_cursors[topic].callInFlight = false;
                      onNewRecords(topic, std::move(outcome), now);
@@ -190,7 +213,7 @@
         schedule(topic, m_timing.retryDelayLimit);
         return;
     }
-    cursor.readAt = now;
+    setReadToEnd(cursor, now);
     m_observer.onPageRead(topic, listing, true, now);
     schedule(topic, pollInterval(topic));
 }
@@ -262,7 +285,7 @@
     // A page that is not full but ends early is all that a store with stale reads has.
     const bool moreToRead = cursor.next < page.end && page.full();
     if (!moreToRead) {
-        cursor.readAt = now;
+        setReadToEnd(cursor, now);
     }
     if (!page.records.empty()) {
         m_observer.onPageRead(topic, page, false, now);
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -76,9 +77,10 @@
 
     /// Whether a configuration was read and all topics that are needed have been listed once.
     bool synced() const;
-    /// Time by which a read to the end of the operator's records or of the backend servers' reports
-    /// is overdue, whichever is longer; zero if neither is. std::nullopt while this daemon follows
-    /// a feed or is not synced.
+    /// Time for which the store has owed an answer that reaches the end of the operator's records
+    /// or of the backend servers' reports, whichever is longer; zero if it owes neither. Calls that
+    /// this daemon has yet to make don't count, so a delay of its own is no staleness of the store.
+    /// std::nullopt while this daemon follows a feed or is not synced.
     std::optional<Duration> storeStaleness(TimePoint now) const;
     /// Whether the last call for any topic failed. False while this daemon follows a feed.
     bool storeLost() const;
@@ -108,11 +110,18 @@
         bool lost = false; ///< Calls for this topic fail.
         TimePoint lostAt;
         TimePoint readAt; ///< Last read of the store that reached the end of the topic.
+        /// When the first call since \c readAt should have been answered. Unset until it is made.
+        std::optional<TimePoint> answerDueAt;
         Duration retryDelay{};
         TimerId timer;
     };
 
     void pollTopic(Topic topic);
+    /// A call is made that the store should answer after \p wait.
+    void expectAnswer(Cursor &cursor, Duration wait);
+    static void setReadToEnd(Cursor &cursor, TimePoint now);
+    /// Time by which the answer to a call for the topic is overdue; zero or less if it isn't.
+    Duration overdueTime(Topic topic, TimePoint now) const;
     void listTopic(Topic topic);
     void readNewRecords(Topic topic);
     void onListingPage(Topic topic, StoreOutcome<RecordPage> outcome, TimePoint now);
--- /dev/null
+++ b/Tests/Feed/testFeedLongTurn.cpp
@@ -0,0 +1,116 @@
+#include <criterion/criterion.h>
+
+#include <array>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Feed/DataCentreHarness.h"
+#include "Feed/FeedTiming.h"
+#include "LongTurn.h"
+
+// Feeds when the event loop of a daemon is held up.
+
+using namespace lycheearch;
+
+namespace {
+
+/// A follower that is not on the event loop.
+class KernelFollower
+{
+public:
+    explicit KernelFollower(const Endpoint &feed)
+    {
+        std::error_code error;
+        m_fd = connectTcp(feed, error);
+        cr_assert_geq(m_fd, 0);
+    }
+    ~KernelFollower() { close(m_fd); }
+
+    void subscribe() const
+    {
+        const std::string frame = encodeFeedFrame(FeedSubscribe{InstanceId("f")});
+        cr_assert_eq(write(m_fd, frame.data(), frame.size()), static_cast<ssize_t>(frame.size()));
+    }
+    /// The heartbeats received since the last call.
+    std::vector<FeedHeartbeat> heartbeats()
+    {
+        std::array<char, 65536> buffer{};
+        const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        std::vector<FeedMessage> messages;
+        if (count > 0) {
+            cr_assert(m_reader.feed({buffer.data(), static_cast<std::size_t>(count)}, messages));
+        }
+        std::vector<FeedHeartbeat> found;
+        for (const FeedMessage &message : messages) {
+            if (const auto *heartbeat = std::get_if<FeedHeartbeat>(&message)) {
+                found.push_back(*heartbeat);
+            }
+        }
+        return found;
+    }
+
+private:
+    int m_fd = -1;
+    FeedFrameReader m_reader;
+};
+
+/// A daemon that reads the store and serves its feed. The test answers its calls.
+struct Source
+{
+    Source()
+        : loop(clock)
+        , state(loop)
+    {
+        std::error_code error;
+        server = std::make_unique<FeedServer>(
+            loop, feed, state.follower, [](const FeedEvidence &) {},
+            [](const FeedLoad &, TimePoint) {}, error);
+        cr_assert_not(error);
+        state.startAndList(clock.now(), {});
+    }
+
+    void runFor(Duration span) { runLoopFor(clock, loop, span); }
+    /// Answers all open calls.
+    void answerCalls(TimePoint now)
+    {
+        for (const Topic topic : {Topic::Operator, Topic::Backends}) {
+            while (!state.store.calls[topic].empty()) {
+                RecordPage none;
+                none.end = state.follower.nextOffset(topic);
+                state.store.answer(topic, none, now);
+            }
+        }
+    }
+
+    ManualClock clock;
+    EventLoop loop;
+    TestDaemon state;
+    const Endpoint feed{"127.0.0.1", freePort()};
+    std::unique_ptr<FeedServer> server;
+};
+
+void expectFresh(const std::vector<FeedHeartbeat> &heartbeats)
+{
+    cr_assert_geq(heartbeats.size(), 1);
+    for (const FeedHeartbeat &heartbeat : heartbeats) {
+        cr_expect(heartbeat.storeStaleness && *heartbeat.storeStaleness <= FeedStalenessLimit);
+    }
+}
+
+/// Longer than FeedReceiveTimeout and FeedStalenessLimit.
+constexpr Duration LongTurn = 1200ms;
+
+} // namespace
+
+Test(feed, a_source_that_took_a_long_turn_does_not_send_that_it_is_stale, .timeout = 20)
+{
+    Source source;
+    KernelFollower follower(source.feed);
+    follower.subscribe();
+    source.runFor(100ms);
+    expectFresh(follower.heartbeats());
+    source.clock.time += LongTurn;
+    source.runFor(FeedHeartbeatPeriod);
+    expectFresh(follower.heartbeats());
+}
--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -340,6 +340,46 @@
     }
 }
 
+Test(fleetFollower, a_long_turn_of_this_daemon_is_no_staleness_of_the_store)
+{
+    Fixture test;
+    test.startAndList({});
+    test.runFor(20ms);
+    // The answer of the store lies in the socket meanwhile; the next read is yet to be made.
+    test.clock.time += 3s;
+    test.store.answer(Topic::Operator, {}, test.clock.time);
+    cr_expect(test.follower.storeStaleness(test.clock.time) == Duration::zero());
+}
+
+Test(fleetFollower, a_read_that_was_made_late_is_overdue_only_from_then_on)
+{
+    Fixture test;
+    test.startAndList({});
+    test.runFor(20ms);
+    test.clock.time += 3s;
+    test.store.answer(Topic::Operator, {}, test.clock.time);
+    test.runFor(300ms);
+    cr_assert_eq(test.store.calls[Topic::Backends].size(), 1);
+    const Duration staleness =
+        test.follower.storeStaleness(test.clock.time).value_or(Duration::max());
+    cr_expect(staleness > Duration(250ms) && staleness <= Duration(300ms));
+}
+
+Test(fleetFollower, a_daemon_that_left_a_feed_is_stale_until_it_has_read_the_store)
+{
+    Fixture test;
+    test.startAndList({});
+    test.follower.setFollowingFeed(true);
+    test.runFor(5s);
+    test.follower.setFollowingFeed(false);
+    test.runFor(20ms);
+    cr_expect(test.follower.storeStaleness(test.clock.time) > Duration(2s));
+    for (const Topic topic : {Topic::Operator, Topic::Backends}) {
+        test.store.answer(topic, {}, test.clock.time);
+    }
+    cr_expect(test.follower.storeStaleness(test.clock.time) == Duration::zero());
+}
+
 Test(fleetFollower, a_reader_with_a_backlog_skips_superseded_configurations)
 {
     Fixture test;
