Feed: a new follower is not sent a staleness that an answer in the socket ends

Wrong: the first heartbeat of a subscription was sent by the handler that read it. After a long turn an answer of the store may lie in another socket and be handled next; the call counted as overdue, and the new follower left again. Change: the first heartbeat is sent by the timer of the heartbeats, which becomes due at once: after the events of the turn. All followers get it.

--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -166,10 +166,9 @@
         dropEvidence(topic, listing);
         connection.send(encodeFeedFrame(FeedPage{topic, true, std::move(listing)}));
     }
-    connection.send(encodeFeedFrame(FeedHeartbeat{m_follower.storeStaleness(m_loop.now())}));
-    if (!m_timer.active()) {
-        sendHeartbeats(m_loop.now());
-    }
+    // From a timer, since an answer of the store may have arrived that is handled after this event.
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.at(m_loop.now(), [this](TimePoint present) { sendHeartbeats(present); });
 }
 
 void FeedServer::broadcast(Topic topic, const RecordPage &page, bool listing)
--- a/Tests/Feed/testFeedLongTurn.cpp
+++ b/Tests/Feed/testFeedLongTurn.cpp
@@ -114,3 +114,17 @@
     source.runFor(FeedHeartbeatPeriod);
     expectFresh(follower.heartbeats());
 }
+
+Test(feed, a_subscription_read_before_an_answer_of_the_store_is_not_told_that_the_source_is_stale,
+     .timeout = 20)
+{
+    Source source;
+    KernelFollower follower(source.feed);
+    source.runFor(300ms);
+    cr_assert_eq(source.state.store.calls[Topic::Backends].size(), 1);
+    follower.subscribe();
+    Arrival answer(source.loop, [&](TimePoint now) { source.answerCalls(now); });
+    source.clock.time += LongTurn;
+    source.runFor(20ms);
+    expectFresh(follower.heartbeats());
+}
