Feed: a long turn of a follower leaves time to switch to another source

Wrong: a follower whose source closed during its own long turn took it for silent and read the store, because closeSource() compared the time of the last bytes with the time after the turn. A long turn after the loss used up SwitchGrace (300 ms) before another source was tried ("no other source"). Change: only the check of silence itself decides that a source is silent. The grace counts checks, not time: three, 150 ms apart or more, and before each all that has arrived is handled. Without delays that is 300 to 450 ms, where it was 300 to 500 ms. An attempt to connect starts at the time of the loop and not at that of the event that led to it, which may have taken long. Tests: feed a_source_that_closes_during_a_long_turn_is_replaced_without_a_read_of_the_store and a_long_turn_after_the_loss_of_a_source_leaves_time_to_switch_to_another failed before (the store was read in between) and pass. They need no change of the event loop.

--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-constexpr Duration CheckPeriod = 200ms;
-/// How long this daemon tries to switch to another source before it reads the store itself.
-constexpr Duration SwitchGrace = 300ms;
+constexpr Duration CheckPeriod = 150ms;
+/// Number of checks by which this daemon must have switched to another source before it reads the
+/// store itself. Checks are counted, not time: a delay of this daemon leaves no time for attempts.
+constexpr int SwitchChecks = 3;
 
 } // namespace
 
@@ -41,8 +42,10 @@
     m_timer = m_loop.at(now + CheckPeriod, [this](TimePoint present) { updateSource(present); });
     if (m_socket && now - m_lastReceivedAt > FeedReceiveTimeout) {
         dropSource("silent", now);
+        m_switchChecksLeft = 0;
+        setFollowingFeed(false, "silent");
     }
-    checkSwitchGrace(now);
+    checkSwitchGrace();
     if (!m_follower.synced()) {
         return;
     }
@@ -77,7 +80,7 @@
 
 void FeedClient::connectTo(const FeedSourceChoice &choice, TimePoint now)
 {
-    closeSource("a preferred source is available", now);
+    closeSource("a preferred source is available");
     std::error_code error;
     const int fd = connectTcp(choice.member.feed, error);
     if (fd < 0) {
@@ -87,7 +90,7 @@
     setTcpOptions(fd, FeedLiveness);
     m_source = choice.member.instance;
     m_substitute = choice.substitute;
-    m_lastReceivedAt = now;
+    m_lastReceivedAt = m_loop.now();
     m_reader = FeedFrameReader();
     m_totalReceived = false;
     ++m_connections;
@@ -143,7 +146,7 @@
     } else {
         m_selector.onFresh(m_source);
         if (!m_substitute) {
-            m_sourceLostAt = TimePoint();
+            m_switchChecksLeft = 0;
             setFollowingFeed(true, "fresh");
         }
     }
@@ -151,14 +154,14 @@
 
 void FeedClient::onStaleSource(TimePoint now)
 {
-    const bool leftFreshSource = m_sourceLostAt != TimePoint();
+    const bool leftFreshSource = m_switchChecksLeft > 0;
     if (!leftFreshSource && !viewIsStale(now)) {
         setFollowingFeed(false, "the source is stale");
         return;
     }
     // Another daemon may be fresh.
     m_selector.onStale(m_source, now);
-    closeSource("the source is stale", now);
+    closeSource("the source is stale");
     chooseSource(now);
 }
 
@@ -194,31 +197,27 @@
 {
     if (m_socket) {
         m_selector.onFailed(m_source, now);
-        closeSource(reason, now);
+        closeSource(reason);
     }
 }
 
-void FeedClient::closeSource(const char *reason, TimePoint now)
+void FeedClient::closeSource(const char *reason)
 {
     if (!m_socket) {
         return;
     }
-    const bool silent = now - m_lastReceivedAt > FeedReceiveTimeout;
     m_source = InstanceId();
     m_substitute = false;
     m_socket->close();
     m_loop.defer([dead = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
-    if (silent || !m_follower.followingFeed()) {
-        setFollowingFeed(false, reason);
-    } else if (m_sourceLostAt == TimePoint()) {
-        m_sourceLostAt = now;
+    if (m_follower.followingFeed() && m_switchChecksLeft == 0) {
+        m_switchChecksLeft = SwitchChecks;
     }
 }
 
-void FeedClient::checkSwitchGrace(TimePoint now)
+void FeedClient::checkSwitchGrace()
 {
-    if (m_sourceLostAt != TimePoint() && now - m_sourceLostAt >= SwitchGrace) {
-        m_sourceLostAt = TimePoint();
+    if (m_switchChecksLeft > 0 && --m_switchChecksLeft == 0) {
         setFollowingFeed(false, "no other source");
     }
 }
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -60,9 +60,9 @@
     void onStaleSource(TimePoint now);
     /// Closes the connection and does not retry the source for some time.
     void dropSource(const char *reason, TimePoint now);
-    void closeSource(const char *reason, TimePoint now);
+    void closeSource(const char *reason);
     void setFollowingFeed(bool followingFeed, const char *reason);
-    void checkSwitchGrace(TimePoint now);
+    void checkSwitchGrace();
 
     EventLoop &m_loop;
     InstanceId m_self;
@@ -81,7 +81,9 @@
     int m_connections = 0;
     bool m_totalReceived = false; ///< Over this connection.
     TimePoint m_lastReceivedAt; ///< Last data received, or start of the connection attempt.
-    TimePoint m_sourceLostAt; ///< When a fresh source was lost; starts SwitchGrace.
+    /// Above zero after a fresh source was lost, until another one is followed or the store is
+    /// read.
+    int m_switchChecksLeft = 0;
     TimerId m_timer;
 };
 
--- a/Tests/Feed/testFeedLongTurn.cpp
+++ b/Tests/Feed/testFeedLongTurn.cpp
@@ -128,3 +128,34 @@
     source.runFor(20ms);
     expectFresh(follower.heartbeats());
 }
+
+Test(feed, a_source_that_closes_during_a_long_turn_is_replaced_without_a_read_of_the_store,
+     .timeout = 20)
+{
+    DataCentre dataCentre(3);
+    dataCentre.daemons[1]->client.reset(); // It reads the store.
+    dataCentre.runFor(1s);
+    DataCentre::Daemon &follower = *dataCentre.daemons[2];
+    cr_assert_eq(follower.client->source(), dataCentre.members[0].instance);
+    dataCentre.daemons[0]->server.reset();
+    dataCentre.clock.time += LongTurn;
+    dataCentre.runFor(1s);
+    cr_expect_eq(follower.client->source(), dataCentre.members[1].instance);
+    cr_expect_str_eq(follower.lastReason.c_str(), "fresh");
+    cr_expect_eq(follower.sourcesFollowed, 1);
+}
+
+Test(feed, a_long_turn_after_the_loss_of_a_source_leaves_time_to_switch_to_another, .timeout = 20)
+{
+    DataCentre dataCentre(3);
+    dataCentre.daemons[1]->client.reset(); // It reads the store.
+    dataCentre.runFor(1s);
+    DataCentre::Daemon &follower = *dataCentre.daemons[2];
+    dataCentre.daemons[0]->server.reset();
+    dataCentre.runFor(10ms);
+    cr_assert(follower.state->follower.followingFeed());
+    dataCentre.clock.time += LongTurn;
+    dataCentre.runFor(1s);
+    cr_expect_eq(follower.client->source(), dataCentre.members[1].instance);
+    cr_expect_eq(follower.sourcesFollowed, 1);
+}
