Calls to the store: the timeout doesn't count time in which the request was not sent

Wrong: the deadline of a call started at call(). A long turn while the connection was made, or while the answer to the call before lay in the socket, used it up: the request was sent and timed out in the same turn, and the store counted as lost. Change: the timeout starts again when the call leaves the queue and when the connection is made, since it limits the silence of the server. After a call that failed it does neither, so the calls behind it fail soon, as before. Tests: httpCallChannel a_long_turn_before_the_request_is_sent_does_not_time_the_call_out and a_call_queued_behind_an_answer_that_a_long_turn_delayed_is_not_timed_out failed before and pass; calls_to_a_silent_server_fail_together guards the rest. They need no change of the event loop. The fixture no longer makes the call in its constructor; the three tests before make the same call.

--- a/Source/Net/HttpCallChannel.cpp
+++ b/Source/Net/HttpCallChannel.cpp
@@ -33,6 +33,9 @@
     }
     m_currentCall = std::make_unique<Pending>(std::move(m_queue.front()));
     m_queue.pop_front();
+    if (!m_lastCallFailed) {
+        m_currentCall->deadline = now + m_currentCall->call.timeout;
+    }
     startTimer();
     sendCurrent(now);
 }
@@ -82,6 +85,14 @@
     m_socket->send(serializeRequestHead(head) + m_currentCall->call.body);
 }
 
+void HttpCallChannel::onConnected(TimePoint now)
+{
+    if (m_currentCall && !m_lastCallFailed) {
+        m_currentCall->deadline = now + m_currentCall->call.timeout;
+        startTimer();
+    }
+}
+
 void HttpCallChannel::onBytes(std::string_view bytes, TimePoint now)
 {
     if (!m_currentCall || !m_parser) {
@@ -155,6 +166,7 @@
         dropConnection();
     }
     m_connectionUsed = true;
+    m_lastCallFailed = static_cast<bool>(error);
     const std::unique_ptr<Pending> done = std::move(m_currentCall);
     CompleteHttpResponse response = std::move(m_response);
     done->call.callback(error, std::move(response), now);
--- a/Source/Net/HttpCallChannel.h
+++ b/Source/Net/HttpCallChannel.h
@@ -30,8 +30,10 @@
 
     HttpRequestHead head;
     std::string body;
-    /// Until the response begins, and then without further bytes of it. Starts at call(), so that
-    /// it includes the time in the queue.
+    /// Until the response begins, and then without further bytes of it. Starts at call(). Since it
+    /// limits the silence of the server, it starts again when the call leaves the queue and when
+    /// the connection is made, but not after a call that failed: those in the queue behind it fail
+    /// soon.
     Duration timeout{};
     Callback callback;
 };
@@ -63,7 +65,7 @@
         bool retried = false;
     };
 
-    void onConnected(TimePoint) override { }
+    void onConnected(TimePoint now) override;
     void onBytes(std::string_view bytes, TimePoint now) override;
     void onEnd(TimePoint now) override;
     void onError(std::error_code error, TimePoint now) override;
@@ -89,6 +91,7 @@
     std::string m_input;
     bool m_connectionUsed = false; ///< Whether a call has ended on this connection.
     bool m_keepAlive = true;
+    bool m_lastCallFailed = false; ///< Of the calls that have ended.
     std::deque<Pending> m_queue;
     std::unique_ptr<Pending> m_currentCall;
     CompleteHttpResponse m_response;
--- a/Tests/Net/testHttpCallChannel.cpp
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -59,6 +59,10 @@
         : loop(clock)
         , server(loop)
         , channel(loop, server.address, {1s, 1s, 2, 2s}, {16UL * 1024, 8UL * 1024 * 1024})
+    {
+    }
+
+    void call()
     {
         HttpCall call;
         call.head.method = "GET";
@@ -67,12 +71,26 @@
         call.callback = [this](std::error_code error, const CompleteHttpResponse &answer,
                                TimePoint) {
             done = true;
+            ++ended;
             failed = static_cast<bool>(error);
             body = answer.body;
         };
         channel.call(std::move(call));
+    }
+
+    static std::string head()
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    }
+
+    void answer() const { server.send(head() + std::string(BodyBytes, 'x')); }
+
+    /// Makes a call and receives the head of its response.
+    void callAndSendHead()
+    {
+        call();
         runFor(100ms);
-        server.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n");
+        server.send(head());
     }
 
     void runFor(Duration span) { runLoopFor(clock, loop, span); }
@@ -82,6 +100,7 @@
     Server server;
     HttpCallChannel channel;
     bool done = false;
+    int ended = 0; ///< Calls.
     bool failed = false;
     std::string body;
 };
@@ -91,6 +110,7 @@
 Test(httpCallChannel, a_large_response_over_a_slow_link_is_not_cut)
 {
     Fixture test;
+    test.callAndSendHead();
     for (std::size_t i = 0; i < BodyBytes; ++i) {
         test.runFor(200ms);
         test.server.send("x");
@@ -104,6 +124,7 @@
 Test(httpCallChannel, a_response_that_stalls_is_cut_after_the_timeout)
 {
     Fixture test;
+    test.callAndSendHead();
     test.runFor(500ms);
     test.server.send("x");
     test.runFor(Timeout - Duration(200ms));
@@ -115,6 +136,7 @@
 Test(httpCallChannel, a_response_of_single_bytes_ends_at_the_bound)
 {
     Fixture test;
+    test.callAndSendHead();
     for (std::size_t i = 0; i + 1 < BodyBytes && !test.done; ++i) {
         test.runFor(900ms);
         if (!test.done) {
@@ -123,3 +145,42 @@
     }
     cr_expect(test.done && test.failed);
 }
+
+Test(httpCallChannel, a_long_turn_before_the_request_is_sent_does_not_time_the_call_out)
+{
+    Fixture test;
+    test.call();
+    test.clock.time += 2 * Timeout;
+    test.runFor(100ms);
+    cr_expect_not(test.done);
+    test.answer();
+    test.runFor(100ms);
+    cr_expect(test.done && !test.failed);
+}
+
+Test(httpCallChannel, a_call_queued_behind_an_answer_that_a_long_turn_delayed_is_not_timed_out)
+{
+    Fixture test;
+    test.call();
+    test.call();
+    test.runFor(100ms);
+    test.answer();
+    test.clock.time += 2 * Timeout;
+    test.runFor(100ms);
+    cr_expect_eq(test.ended, 1);
+    test.answer();
+    test.runFor(100ms);
+    cr_expect_eq(test.ended, 2);
+    cr_expect_not(test.failed);
+}
+
+Test(httpCallChannel, calls_to_a_silent_server_fail_together)
+{
+    Fixture test;
+    test.call();
+    test.runFor(100ms);
+    test.call();
+    test.runFor(Timeout + Duration(200ms));
+    cr_expect_eq(test.ended, 2);
+    cr_expect(test.failed);
+}
