--- a/Tests/Feed/testFeedLongTurn.cpp
+++ b/Tests/Feed/testFeedLongTurn.cpp
@@ -159,3 +159,16 @@
     cr_expect_eq(follower.client->source(), dataCentre.members[1].instance);
     cr_expect_eq(follower.sourcesFollowed, 1);
 }
+
+Test(feed, a_source_whose_bytes_arrived_during_a_long_turn_is_not_silent, .timeout = 20)
+{
+    DataCentre dataCentre(2);
+    dataCentre.runFor(1s);
+    DataCentre::Daemon &follower = *dataCentre.daemons[1];
+    cr_assert(follower.state->follower.followingFeed());
+    runLongTurn(dataCentre.clock, dataCentre.loop, LongTurn,
+                [&] { dataCentre.daemons[0]->server->broadcast(Topic::Backends, {}, false); });
+    dataCentre.runFor(200ms);
+    cr_expect(follower.state->follower.followingFeed());
+    cr_expect_eq(follower.client->connections(), 1);
+}
--- a/Tests/Net/testHttpCallChannel.cpp
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "FreePort.h"
+#include "LongTurn.h"
 #include "ManualLoop.h"
 #include "Net/HttpCallChannel.h"
 
@@ -174,6 +175,16 @@
     cr_expect_not(test.failed);
 }
 
+Test(httpCallChannel, a_call_whose_answer_lies_in_the_socket_after_a_long_turn_is_not_timed_out)
+{
+    Fixture test;
+    test.call();
+    test.runFor(100ms);
+    runLongTurn(test.clock, test.loop, 2 * Timeout, [&] { test.answer(); });
+    test.runFor(100ms);
+    cr_expect(test.done && !test.failed);
+}
+
 Test(httpCallChannel, calls_to_a_silent_server_fail_together)
 {
     Fixture test;
