Rollouts: a standby reads what was written before it acts in place of another daemon

Wrong: a standby counted StandbyDelay (1 s), and a daemon that left a feed EvidenceCollectionTime (1.4 s), by its own time. A long turn used them up before the other daemon's record, which was in the store, was read: the standby wrote the stage a second time, on evidence that was as old. Change: both are compared with the time as of which Topic::Own was read to its end, which is when the call was made (FleetFollower::currentAt()). While a rollout is under way the topic is read every 200 ms, so a standby acts up to that much later. The first daemon acts at once, as before. Test: rolloutAgent a_long_turn_of_a_standby_does_not_make_it_act_for_a_daemon_that_did failed before (one stage written) and passes; a_standby_acts_when_the_first_daemon_does_not passes on both. EvidenceCollectionTime has no test of its own.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -69,7 +69,8 @@
         return;
     }
     writeEvidence(now);
-    if (m_lastFollowedAt == TimePoint() || now - m_lastFollowedAt >= EvidenceCollectionTime) {
+    if (m_lastFollowedAt == TimePoint()
+        || m_follower.currentAt(Topic::Own) - m_lastFollowedAt >= EvidenceCollectionTime) {
         advanceRollouts(now);
     }
 }
@@ -155,7 +156,9 @@
     }
     const TimePoint due =
         changeDueSince(order.service, next, stateDue ? std::optional(newState) : std::nullopt, now);
-    if (now - due < actionDelay()) {
+    // What another daemon has written is read before this one acts in its place.
+    const Duration delay = actionDelay();
+    if (delay > Duration::zero() && m_follower.currentAt(Topic::Own) - due < delay) {
         return;
     }
     m_dueChanges.erase(order.service);
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -101,6 +101,12 @@
     return dueAt ? now - *dueAt : Duration::zero();
 }
 
+TimePoint FleetFollower::currentAt(Topic topic) const
+{
+    const auto found = m_cursors.find(topic);
+    return found == m_cursors.end() ? TimePoint() : found->second.currentAt;
+}
+
 bool FleetFollower::storeLost() const
 {
     return !m_followingFeed
@@ -148,14 +154,16 @@
 void FleetFollower::expectAnswer(Cursor &cursor, Duration wait)
 {
     cursor.callInFlight = true;
+    cursor.calledAt = m_loop.now();
     if (!cursor.answerDueAt) {
-        cursor.answerDueAt = m_loop.now() + wait;
+        cursor.answerDueAt = cursor.calledAt + wait;
     }
 }
 
 void FleetFollower::setReadToEnd(Cursor &cursor, TimePoint now)
 {
     cursor.readAt = now;
+    cursor.currentAt = cursor.calledAt;
     cursor.answerDueAt.reset();
 }
 
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -82,6 +82,9 @@
     /// this daemon has yet to make don't count, so a delay of its own is no staleness of the store.
     /// std::nullopt while this daemon follows a feed or is not synced.
     std::optional<Duration> storeStaleness(TimePoint now) const;
+    /// Time as of which the topic was read to its end: when the last call that reached it was made.
+    /// Unset before the first.
+    TimePoint currentAt(Topic topic) const;
     /// Whether the last call for any topic failed. False while this daemon follows a feed.
     bool storeLost() const;
     const RecordMirror &mirror() const { return m_mirror; }
@@ -110,6 +113,8 @@
         bool lost = false; ///< Calls for this topic fail.
         TimePoint lostAt;
         TimePoint readAt; ///< Last read of the store that reached the end of the topic.
+        TimePoint calledAt; ///< When the last call was made.
+        TimePoint currentAt; ///< When the call was made that was answered at \c readAt.
         /// When the first call since \c readAt should have been answered. Unset until it is made.
         std::optional<TimePoint> answerDueAt;
         Duration retryDelay{};
--- a/Tests/Daemon/testRolloutAgent.cpp
+++ b/Tests/Daemon/testRolloutAgent.cpp
@@ -220,3 +220,50 @@
     fixture.runFor(4s);
     cr_expect(fixture.storedState() == RolloutState::Complete);
 }
+
+namespace {
+
+/// A daemon that is second in the feed order, at the time when the first stage of a rollout is due.
+struct Standby : Fixture
+{
+    Standby()
+        : Fixture(false)
+    {
+        InstanceId first("a");
+        for (char name = 'a'; feedRank(first) > feedRank(InstanceId("d")); ++name) {
+            first = InstanceId(std::string(1, name));
+        }
+        store.add(Topic::Own,
+                  codec.encode(MemberRegistered{first, DataCentreId("here"), {"127.0.0.1", 1}, 0}));
+        addServer("i-1", "v1");
+        addServer("i-2", "v2");
+        start();
+        store.add(Topic::Status,
+                  codec.encode(RolloutReported{Service, Target, RolloutState::Running}));
+        order("v2", 16);
+        Traffic(*this, 1).run(3400ms);
+    }
+    /// Number of stages that the daemon wrote.
+    int written() { return store.appended[codec.encode(stage).key]; }
+
+    const RolloutStage stage{Service, Target, 1, 0.02, false, false, 0.1};
+};
+
+} // namespace
+
+Test(rolloutAgent, a_long_turn_of_a_standby_does_not_make_it_act_for_a_daemon_that_did)
+{
+    Standby standby;
+    standby.store.add(Topic::Own, standby.codec.encode(standby.stage));
+    standby.clock.time += 2 * RolloutController::StandbyDelay;
+    standby.runFor(2s);
+    cr_expect_eq(standby.written(), 0);
+}
+
+Test(rolloutAgent, a_standby_acts_when_the_first_daemon_does_not)
+{
+    Standby standby;
+    cr_expect_eq(standby.written(), 0);
+    standby.runFor(RolloutController::StandbyDelay + Duration(1s));
+    cr_expect_eq(standby.written(), 1);
+}
