Membership: a pause of this process doesn't make its peers suspects

After a pause of the process longer than the suspicion timeout all peers were suspects until the next exchange, although what they had sent lay in the sockets. Change: the end of each exchange of heartbeats is recorded. Without one, silence grows no more after half the suspicion timeout. With the default timing (exchanges every 0.5 s, calls of 0.4 s, suspicion after 2.5 s) exchanges end less than half the timeout apart, so a silent peer is a suspect when it was. Limits: an exchange that was under way when the pause began may end with timeouts, and then the peers are suspects until the next; an exchange thread that hangs delays suspicion.

--- a/Source/Daemon/PeerExchange.cpp
+++ b/Source/Daemon/PeerExchange.cpp
@@ -61,6 +61,7 @@
                      + peers[i].value() + ".");
         }
     }
+    m_membership.recordExchange(m_clock.now());
     if (!m_claims.complete()) {
         copyAllClaims();
     }
--- a/Source/State/Membership.cpp
+++ b/Source/State/Membership.cpp
@@ -66,6 +66,12 @@
     member.lastHeartbeatAt = now;
 }
 
+void Membership::recordExchange(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    m_exchangedAt = now;
+}
+
 std::vector<PeerInfo> Membership::peers() const
 {
     std::lock_guard lock(m_mutex);
@@ -96,7 +102,9 @@
 
 bool Membership::isAliveLocked(const PeerInfo &member, TimePoint now) const
 {
-    return member.lastHeartbeatAt && now - *member.lastHeartbeatAt <= m_suspicionTimeout;
+    const TimePoint heardUntil =
+        m_exchangedAt ? std::min<TimePoint>(now, *m_exchangedAt + m_suspicionTimeout / 2) : now;
+    return member.lastHeartbeatAt && heardUntil - *member.lastHeartbeatAt <= m_suspicionTimeout;
 }
 
 std::vector<InstanceId> Membership::aliveIds(TimePoint now) const
--- a/Source/State/Membership.h
+++ b/Source/State/Membership.h
@@ -41,6 +41,11 @@
     /// it left the list and has not restarted since.
     void recordHeartbeat(const HeartbeatMessage &message, TimePoint now);
 
+    /// Records the end of an exchange of heartbeats with the peers. Without further exchanges, the
+    /// silence of a peer grows no more after half the suspicion timeout: this process was paused,
+    /// and what its peers sent meanwhile has yet to be read.
+    void recordExchange(TimePoint now);
+
     /// Returns all daemons except this one that are listed or have sent a heartbeat since the list
     /// was read.
     std::vector<PeerInfo> peers() const;
@@ -83,6 +88,7 @@
     /// start id do not add them again.
     std::map<InstanceId, StartId> m_departed;
     bool m_hasInstanceList = false;
+    std::optional<TimePoint> m_exchangedAt; ///< Unset before the first exchange.
 };
 
 } // namespace lycheearch
