A version of the configuration costs the routes that differ

What callers saw: on a deployment with 2,852 routes and three versions a second, daemons stood still for 0.26 s (p50) per version.

Cause: each version was parsed into a JSON tree and decoded as a whole (20 ms of processor time), in a listing twice (once to apply, once to find what is missing or may be older), also when its version was not newer; then the whole configuration was copied into the table.

Change: - RecordDecoder (Source/Fleet) splits the text of a configuration at its array of routes (JsonScanner) and keeps the decoded routes of the version before with their text (KnownRoutes). Texts are compared in full, at the expected place first, else by a hash (XXH3) of the text. Only the rest of the record and the routes whose text differs are parsed. Whatever can't be split or decoded in parts is decoded as a whole, so reasons stay the same. - A version that is not newer than the one in force is ConfigOutdated before a route is decoded. One that is also unreadable in its routes gave record.unreadable before and is dropped silently now. - RecordCodec names the array and decodes the parts; platform/ keeps no state. - Versions share Route objects (RouteList); the table shares the configuration instead of copying it. - FleetFollower decodes each record of a listing once. - Bounds, each refused as a whole with its place in record.unreadable, so that the last sound version stays in force: two routes of one name, a path prefix over 8 KB, over 32,768 routes (before any of them is decoded), a record over 8 MB, a model or key that is no string. Faults of a route name its index: "at Routes[3].PathPrefix: ...". The bodies of the store's answers end at 8 MB anyway.

Changed tests: those that build a ConfigPublished, for its new type.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -21,7 +21,7 @@
                              FleetView &view, FleetObserver &observer, FollowerTiming timing)
     : m_loop(loop)
     , m_store(store)
-    , m_codec(codec)
+    , m_decoder(codec)
     , m_view(view)
     , m_observer(observer)
     , m_timing(timing)
@@ -203,14 +203,18 @@
     }
     cursor.end = listing.end;
     m_mirror.replace(topic, listing);
+    ListedNames listed;
     for (const RawRecord &raw : listing.records) {
+        const StoredRecord stored = decode(topic, raw);
+        listed.add(stored.record);
         // A record below the read position was applied already, or is older than one that was.
-        if (!cursor.listed || (raw.offset >= cursor.next && !mayBeOlder(topic, raw, now))) {
-            applyRecord(topic, raw, now);
+        if (!cursor.listed
+            || (raw.offset >= cursor.next && !mayBeOlder(topic, stored.record, now))) {
+            applyRecord(topic, stored, now);
         }
     }
     if (cursor.listed && !settling(now)) {
-        retainListed(topic, listing, now);
+        retainListed(topic, listed, now);
     }
     cursor.listed = true;
     cursor.listing = false;
@@ -218,25 +222,23 @@
     return true;
 }
 
-void FleetFollower::retainListed(Topic topic, const RecordPage &listing, TimePoint now)
+void FleetFollower::ListedNames::add(const FleetRecord &record)
 {
-    std::set<InstanceId> backends;
-    std::set<DataCentreId> evacuations;
-    std::set<ServiceId> rollouts;
-    for (const RawRecord &raw : listing.records) {
-        const FleetRecord record = m_codec.decode(topic, raw);
-        if (const auto *reported = std::get_if<BackendReported>(&record)) {
-            backends.insert(reported->report.id);
-        } else if (const auto *evacuation = std::get_if<EvacuationChanged>(&record)) {
-            evacuations.insert(evacuation->dataCentre);
-        } else if (const auto *rollout = std::get_if<RolloutOrdered>(&record)) {
-            rollouts.insert(rollout->service);
-        }
+    if (const auto *reported = std::get_if<BackendReported>(&record)) {
+        backends.insert(reported->report.id);
+    } else if (const auto *evacuation = std::get_if<EvacuationChanged>(&record)) {
+        evacuations.insert(evacuation->dataCentre);
+    } else if (const auto *rollout = std::get_if<RolloutOrdered>(&record)) {
+        rollouts.insert(rollout->service);
     }
+}
+
+void FleetFollower::retainListed(Topic topic, const ListedNames &listed, TimePoint now)
+{
     if (topic == Topic::Operator) {
-        m_view.retainOrders(evacuations, rollouts);
+        m_view.retainOrders(listed.evacuations, listed.rollouts);
     } else if (topic == Topic::Backends) {
-        for (const InstanceId &id : m_view.retainBackends(backends, now)) {
+        for (const InstanceId &id : m_view.retainBackends(listed.backends, now)) {
             m_observer.onBackendRemoved(id, "missing from the listing", now);
         }
     }
@@ -313,16 +315,22 @@
     m_mirror.apply(topic, page);
     for (const RawRecord &raw : page.records) {
         if (raw.offset >= cursor.next) {
-            applyRecord(topic, raw, now);
+            applyRecord(topic, decode(topic, raw), now);
             cursor.next = raw.offset.next();
         }
     }
     return true;
 }
 
-void FleetFollower::applyRecord(Topic topic, const RawRecord &raw, TimePoint now)
+StoredRecord FleetFollower::decode(Topic topic, const RawRecord &raw)
+{
+    const auto table = m_view.table();
+    return {raw.offset,
+            m_decoder.decode(topic, raw, table ? std::optional(table->version()) : std::nullopt)};
+}
+
+void FleetFollower::applyRecord(Topic topic, const StoredRecord &stored, TimePoint now)
 {
-    const StoredRecord stored{raw.offset, m_codec.decode(topic, raw)};
     m_observer.onRecord(m_view.apply(stored, now), stored, now);
     if (std::holds_alternative<RolloutOrdered>(stored.record) && !m_followingFeed) {
         // The daemons exchange the progress of the rollout in Topic::Own from now on.
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -7,6 +7,7 @@
 #include "Fleet/FleetStore.h"
 #include "Fleet/FleetView.h"
 #include "Fleet/FollowerTiming.h"
+#include "Fleet/RecordDecoder.h"
 #include "Fleet/RecordMirror.h"
 #include "Net/EventLoop.h"
 
@@ -112,6 +113,16 @@
         TimerId timer;
     };
 
+    /// What a listing names of the records that disappear from a topic.
+    struct ListedNames
+    {
+        void add(const FleetRecord &record);
+
+        std::set<InstanceId> backends;
+        std::set<DataCentreId> evacuations;
+        std::set<ServiceId> rollouts;
+    };
+
     void pollTopic(Topic topic);
     void listTopic(Topic topic);
     void readNewRecords(Topic topic);
@@ -123,12 +134,13 @@
     void enterEra(StoreEra era, TimePoint now);
     bool settling(TimePoint now) const { return now < m_settledAt; }
     /// Whether a listed record may be older than what the view holds, so that it is not applied.
-    bool mayBeOlder(Topic topic, const RawRecord &raw, TimePoint now) const;
+    bool mayBeOlder(Topic topic, const FleetRecord &record, TimePoint now) const;
     bool applyListing(Topic topic, const RecordPage &listing, TimePoint now);
     /// Returns false if records before the page are missing, so that it was not applied.
     bool applyRecords(Topic topic, const RecordPage &page, TimePoint now);
-    void applyRecord(Topic topic, const RawRecord &raw, TimePoint now);
-    void retainListed(Topic topic, const RecordPage &listing, TimePoint now);
+    StoredRecord decode(Topic topic, const RawRecord &raw);
+    void applyRecord(Topic topic, const StoredRecord &stored, TimePoint now);
+    void retainListed(Topic topic, const ListedNames &listed, TimePoint now);
     bool isNeeded(Topic topic) const;
     /// Updates the retry state of a topic. Returns whether the call succeeded.
     bool checkOutcome(Topic topic, const StoreOutcome<RecordPage> &outcome, TimePoint now);
@@ -146,7 +158,7 @@
 
     EventLoop &m_loop;
     FleetStore &m_store;
-    const RecordCodec &m_codec;
+    RecordDecoder m_decoder;
     FleetView &m_view;
     FleetObserver &m_observer;
     FollowerTiming m_timing;
--- a/Source/Fleet/FleetFollowerEra.cpp
+++ b/Source/Fleet/FleetFollowerEra.cpp
@@ -60,13 +60,14 @@
     });
 }
 
-bool FleetFollower::mayBeOlder(Topic topic, const RawRecord &raw, TimePoint now) const
+bool FleetFollower::mayBeOlder(Topic topic, const FleetRecord &record, TimePoint now) const
 {
     if (topic != Topic::Operator || !settling(now)) {
         return false;
     }
     // The view itself keeps the newest configuration, by its version. Orders have none.
-    return !std::holds_alternative<ConfigPublished>(m_codec.decode(topic, raw));
+    return !std::holds_alternative<ConfigPublished>(record)
+        && !std::holds_alternative<ConfigOutdated>(record);
 }
 
 } // namespace lycheearch
--- a/Source/Fleet/FleetRecord.h
+++ b/Source/Fleet/FleetRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -31,7 +32,14 @@
 /// The operator published a complete configuration.
 struct ConfigPublished
 {
-    RoutingConfig config;
+    std::shared_ptr<const RoutingConfig> config;
+};
+
+/// The operator published a configuration that is not newer than the one in force. Its routes were
+/// not decoded.
+struct ConfigOutdated
+{
+    ConfigVersion version;
 };
 
 /// The operator ordered a rollout of a service to another version.
@@ -183,7 +191,7 @@
 };
 
 using FleetRecord =
-    std::variant<ConfigPublished, RolloutOrdered, RolloutWithdrawn, RolloutReported,
+    std::variant<ConfigPublished, ConfigOutdated, RolloutOrdered, RolloutWithdrawn, RolloutReported,
                  EvacuationChanged, BackendReported, BackendRemoved, MemberRegistered,
                  EvidenceCollected, RolloutStage, PromptPartCondemned, UnreadableRecord>;
 
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Fleet/FleetRecord.h"
@@ -93,6 +94,12 @@
     /// Returns an UnreadableRecord with the key and the reason for input that can't be decoded.
     virtual FleetRecord decode(Topic topic, const RawRecord &record) const = 0;
     virtual RawRecord encode(const FleetRecord &record) const = 0;
+    /// The name of the array of routes in the record, if the record is a configuration; else empty.
+    virtual std::string_view routesMember(Topic topic, const RawRecord &record) const = 0;
+    /// Decodes the text of a configuration but for its routes. Throws std::exception.
+    virtual RoutingConfig decodeWithoutRoutes(const std::string &text) const = 0;
+    /// Decodes the text of one route. Throws std::exception.
+    virtual Route decodeRoute(const std::string &text) const = 0;
 };
 
 } // namespace lycheearch
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -26,6 +26,7 @@
 {
     const auto handler = Overloaded{
         [&](const ConfigPublished &record) { return applyConfig(record, now); },
+        [&](const ConfigOutdated &) { return ViewChange::Stale; },
         [&](const BackendReported &record) { return applyReport(record.report, now); },
         [&](const BackendRemoved &record) { return applyRemoval(record.id, now); },
         [&](const EvacuationChanged &record) { return applyEvacuation(record); },
@@ -64,7 +65,7 @@
 
 ViewChange FleetView::applyConfig(const ConfigPublished &record, TimePoint now)
 {
-    if (m_table && record.config.version <= m_table->version()) {
+    if (m_table && record.config->version <= m_table->version()) {
         return ViewChange::Stale;
     }
     m_table = std::make_shared<RoutingTable>(record.config);
--- a/Source/Fleet/RecordJson.cpp
+++ b/Source/Fleet/RecordJson.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Deeper than any record of the platform or of the daemons.
-constexpr int MaxDepth = 32;
-
 /// The number of arrays and objects that enclose the innermost value of JSON text. Text that is no
 /// JSON has some depth, too.
 int depthOf(const std::string &text)
@@ -34,11 +31,20 @@
 
 } // namespace
 
+void requireRecordSize(const std::string &text)
+{
+    if (text.size() > MaxRecordBytes) {
+        throw RecordFormatError("the record",
+                                "at most " + std::to_string(MaxRecordBytes) + " bytes");
+    }
+}
+
 nlohmann::json parseRecordJson(const std::string &text)
 {
-    if (depthOf(text) > MaxDepth) {
+    requireRecordSize(text);
+    if (depthOf(text) > MaxRecordDepth) {
         throw RecordFormatError("the record",
-                                "at most " + std::to_string(MaxDepth) + " nested values");
+                                "at most " + std::to_string(MaxRecordDepth) + " nested values");
     }
     return nlohmann::json::parse(text);
 }
@@ -67,4 +73,21 @@
     return value.get<std::int64_t>();
 }
 
+RecordFormatError tooManyRoutes(const std::string &member)
+{
+    return {member, "at most " + std::to_string(MaxRoutes) + " routes"};
+}
+
+void requireDistinctNames(const RouteList &routes, const std::string &member)
+{
+    if (const auto index = findDoubledName(routes)) {
+        throw RecordFormatError(placeOf(member, *index) + "name", "one that no other route has");
+    }
+}
+
+std::string placeOf(const std::string &member, std::size_t index)
+{
+    return member + "[" + std::to_string(index) + "].";
+}
+
 } // namespace lycheearch
--- a/Source/Fleet/RoutingConfig.h
+++ b/Source/Fleet/RoutingConfig.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +24,8 @@
 {
     ServiceId service;
     double weight = 1; ///< Relative to the weights of the other services; 0 or less: no traffic.
+
+    bool operator==(const ServiceShare &) const = default;
 };
 
 /// A route: which requests it matches and how they are served.
@@ -47,6 +51,31 @@
     {
         return kind == RouteKind::Idempotent || (kind == RouteKind::EventStream && resumable);
     }
+
+    bool operator==(const Route &) const = default;
+};
+
+/// The routes of a configuration. Versions of the configuration share the routes that they have in
+/// common.
+class RouteList
+{
+public:
+    using SharedRoute = std::shared_ptr<const Route>;
+
+    RouteList() = default;
+    RouteList(std::initializer_list<Route> routes);
+
+    void reserve(std::size_t count) { m_routes.reserve(count); }
+    void add(SharedRoute route) { m_routes.push_back(std::move(route)); }
+    std::size_t size() const { return m_routes.size(); }
+    const Route &at(std::size_t index) const { return *m_routes.at(index); }
+    const std::vector<SharedRoute> &all() const { return m_routes; }
+
+    /// Compares the routes, shared or not.
+    bool operator==(const RouteList &other) const;
+
+private:
+    std::vector<SharedRoute> m_routes;
 };
 
 /// A model and its price for 1,000 generated tokens.
@@ -54,6 +83,8 @@
 {
     std::string model;
     double cost = 0;
+
+    bool operator==(const ModelPrice &) const = default;
 };
 
 /// Properties of the engines of a service.
@@ -63,6 +94,8 @@
     std::int64_t cacheTokens = 0; ///< Capacity of the KV cache in tokens.
     int tokensPerEvent = 1;
     std::vector<ModelPrice> models;
+
+    bool operator==(const EngineProfile &) const = default;
 };
 
 /// A group of backend servers that serve the same requests.
@@ -74,6 +107,8 @@
     Duration coldPeriod{};
     double coldRequestsPerSecond = 0; ///< Capacity of a cold backend server; 0: no limit.
     std::optional<EngineProfile> engine;
+
+    bool operator==(const ServiceProfile &) const = default;
 };
 
 /// Limits on requests from callers.
@@ -83,6 +118,8 @@
     std::uint64_t bodyBytes = 4UL * 1024UL * 1024;
     Duration headTimeout = 3s;
     Duration idleTimeout = 15s;
+
+    bool operator==(const CallerLimits &) const = default;
 };
 
 /// A client account with its keys.
@@ -93,16 +130,23 @@
     /// Takes precedence over the priority of the route, which orders the requests of accounts with
     /// equal priority. 0 is the highest, and the default.
     std::optional<int> priority;
+
+    bool operator==(const AccountProfile &) const = default;
 };
 
 /// A complete configuration as published by the operator.
 struct RoutingConfig
 {
     ConfigVersion version;
-    std::vector<Route> routes;
+    RouteList routes;
     std::map<ServiceId, ServiceProfile> services;
     std::vector<AccountProfile> accounts;
     CallerLimits limits;
+
+    bool operator==(const RoutingConfig &) const = default;
 };
 
+/// Index of the first route whose name an earlier route has, if there is one.
+std::optional<std::size_t> findDoubledName(const RouteList &routes);
+
 } // namespace lycheearch
--- a/Source/Fleet/RoutingTable.cpp
+++ b/Source/Fleet/RoutingTable.cpp
@@ -23,17 +23,22 @@
 } // namespace
 
 RoutingTable::RoutingTable(RoutingConfig config)
+    : RoutingTable(std::make_shared<const RoutingConfig>(std::move(config)))
+{
+}
+
+RoutingTable::RoutingTable(std::shared_ptr<const RoutingConfig> config)
     : m_config(std::move(config))
 {
-    for (const Route &route : m_config.routes) {
-        m_routesByHost[hostName(route.host)].push_back(&route);
+    for (const auto &route : m_config->routes.all()) {
+        m_routesByHost[hostName(route->host)].push_back(route.get());
     }
     for (auto &[host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
             return left->pathPrefix.size() > right->pathPrefix.size();
         });
     }
-    for (const AccountProfile &account : m_config.accounts) {
+    for (const AccountProfile &account : m_config->accounts) {
         for (const std::string &key : account.keys) {
             m_accountsByKey.emplace(key, &account);
         }
@@ -63,8 +68,8 @@
 
 const ServiceProfile *RoutingTable::service(const ServiceId &name) const
 {
-    const auto found = m_config.services.find(name);
-    return found == m_config.services.end() ? nullptr : &found->second;
+    const auto found = m_config->services.find(name);
+    return found == m_config->services.end() ? nullptr : &found->second;
 }
 
 const ServiceId *chooseService(const Route &route, std::uint64_t hash)
--- a/Source/Fleet/RoutingTable.h
+++ b/Source/Fleet/RoutingTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 class RoutingTable
 {
 public:
+    explicit RoutingTable(std::shared_ptr<const RoutingConfig> config);
     explicit RoutingTable(RoutingConfig config);
 
     /// The route of \p host with the longest path prefix that matches \p target, or null.
@@ -20,13 +22,13 @@
     /// The account of an API key, or null.
     const AccountProfile *account(std::string_view key) const;
     const ServiceProfile *service(const ServiceId &name) const;
-    bool requiresApiKeys() const { return !m_config.accounts.empty(); }
-    ConfigVersion version() const { return m_config.version; }
-    const CallerLimits &limits() const { return m_config.limits; }
-    const RoutingConfig &config() const { return m_config; }
+    bool requiresApiKeys() const { return !m_config->accounts.empty(); }
+    ConfigVersion version() const { return m_config->version; }
+    const CallerLimits &limits() const { return m_config->limits; }
+    const RoutingConfig &config() const { return *m_config; }
 
 private:
-    RoutingConfig m_config;
+    std::shared_ptr<const RoutingConfig> m_config;
     /// Longest path prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> m_routesByHost;
     std::unordered_map<std::string, const AccountProfile *> m_accountsByKey;
--- a/Tests/Fleet/testFleetView.cpp
+++ b/Tests/Fleet/testFleetView.cpp
@@ -29,9 +29,9 @@
 
 ConfigPublished config(std::int64_t version)
 {
-    ConfigPublished published;
-    published.config.version = ConfigVersion(version);
-    return published;
+    RoutingConfig published;
+    published.version = ConfigVersion(version);
+    return {std::make_shared<const RoutingConfig>(std::move(published))};
 }
 
 } // namespace
--- a/Tests/Fleet/testRecordCodec.cpp
+++ b/Tests/Fleet/testRecordCodec.cpp
@@ -80,7 +80,7 @@
            "IdleTimeoutMs":40},"Tenants":[{"Name":"a","ApiKeys":["k"],"Priority":2}]})");
     const auto *published = std::get_if<ConfigPublished>(&record);
     cr_assert_not_null(published);
-    const RoutingConfig &config = published->config;
+    const RoutingConfig &config = *published->config;
     cr_expect_eq(config.version.value(), 7);
     cr_expect_eq(config.routes.at(0).services.size(), 2);
     cr_expect_eq(config.routes.at(0).gapObjective.count(), Duration(800ms).count());
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -154,15 +154,16 @@
         route.host = "h.example";
         route.pathPrefix = "/a/";
         route.services = {{ServiceId("s"), 1}};
-        ConfigPublished published;
-        published.config.version = ConfigVersion(++m_version);
-        published.config.routes = {route};
+        RoutingConfig config;
+        config.version = ConfigVersion(++m_version);
+        config.routes = {route};
         ServiceProfile service;
         service.name = ServiceId("s");
-        published.config.services[service.name] = service;
-        published.config.accounts = {{AccountId("acc"), {"k"}, std::nullopt}};
-        published.config.limits = limits;
-        view.apply({Offset(0), published}, loop.now());
+        config.services[service.name] = service;
+        config.accounts = {{AccountId("acc"), {"k"}, std::nullopt}};
+        config.limits = limits;
+        view.apply({Offset(0), ConfigPublished{std::make_shared<const RoutingConfig>(config)}},
+                   loop.now());
     }
 
     ScriptedBackend &addBackend(ScriptedBackend::Script script)
--- a/Utilities/ConfigCost/main.cpp
+++ b/Utilities/ConfigCost/main.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Feed/FeedMessages.h"
+#include "Fleet/RecordDecoder.h"
 #include "Fleet/RecordJson.h"
 #include "Fleet/RecordMirror.h"
 #include "Fleet/RoutingTable.h"
@@ -91,19 +92,32 @@
               << std::setw(timeWidth) << std::fixed << std::setprecision(0) << microseconds << "\n";
 }
 
-void measureDecode(const RawRecord &raw)
+void measureNextVersion(const RecordCodec &codec, int routes)
+{
+    RecordDecoder decoder(codec);
+    FleetRecord record;
+    int version = 1;
+    RawRecord next;
+    const auto prepare = [&] { next = {Offset(0), ConfigKey, configText(routes, ++version)}; };
+    const auto decode = [&] { record = decoder.decode(Topic::Operator, next, std::nullopt); };
+    printStep("decode, one route differs", timeOf(decode, prepare));
+    printStep("decode, not newer",
+              timeOf([&] { decoder.decode(Topic::Operator, next, ConfigVersion(version)); }));
+}
+
+void measureDecode(const RawRecord &raw, int routes)
 {
     const platform::PlatformRecordCodec codec;
     printStep("JSON tree", timeOf([&] { parseRecordJson(raw.value); }));
     printStep("whole decode, JSON tree included",
               timeOf([&] { codec.decode(Topic::Operator, raw); }));
+    measureNextVersion(codec, routes);
     const FleetRecord record = codec.decode(Topic::Operator, raw);
-    const RoutingConfig &config = std::get<ConfigPublished>(record).config;
-    RoutingConfig copy;
-    printStep("copy of the configuration",
-              timeOf([&] { copy = config; }, [&] { copy = RoutingConfig(); }));
-    printStep("routing table",
-              timeOf([&] { RoutingTable table(std::move(copy)); }, [&] { copy = config; }));
+    const auto &config = std::get<ConfigPublished>(record).config;
+    std::unique_ptr<RoutingTable> table;
+    printStep(
+        "routing table",
+        timeOf([&] { table = std::make_unique<RoutingTable>(config); }, [&] { table.reset(); }));
 }
 
 void measureFeed(const RecordPage &page)
@@ -128,7 +142,7 @@
     for (const int routes : RouteCounts) {
         const RawRecord raw{Offset(0), ConfigKey, configText(routes, 1)};
         std::cout << routes << " routes, " << raw.value.size() << " bytes, microseconds:\n";
-        measureDecode(raw);
+        measureDecode(raw, routes);
         RecordPage page;
         page.records.push_back(raw);
         measureFeed(page);
