A request is not sent on a pooled connection that has ended or holds stray bytes

What callers saw: a request that must not run twice gets a 502 that leaves open whether it ran ("link.lost sent=maybe fresh=no after_ms=0"), though its server had closed the connection before the request came. On a connection to another daemon, stray bytes are worse: a stray 408 was delivered as the answer ("status=408 cause=served"), which says "not run" of a request that was sent.

Cause: BackendHttpConnectionPool::acquire trusts what the event loop has handled. An end, a reset or bytes that arrived during a long turn, or that come behind the request in the same batch of events, lie unread in the socket.

Change: before reuse, one system call (TCP_INFO) compares what the kernel has received with what was read, and the state of the connection; otherwise the connection is closed and the next one or a new one is taken. It is made for every reuse: a request that may run twice would lose one of its attempts and a withdrawal from the retry budget. A closed one is deleted later, since it may be on the call stack.

Conclusion: what had arrived before the request is now seen. An end that is still on its way can't be; for that the idle limits remain.

--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,9 @@
 
     /// Whether another request can be sent on this connection.
     bool reusable() const;
+    /// Whether all that has arrived was read, so the server has neither ended the connection nor
+    /// sent anything since its last response. Takes a system call.
+    bool allArrivedIsRead() const;
     bool isNew() const { return m_responseCount == 0; }
     TimePoint idleSince() const { return m_idleSince; }
     /// How long the server keeps an idle connection open, from its Keep-Alive field; 5 s if it
@@ -86,7 +90,9 @@
 
     EventLoop &m_loop;
     Limits m_limits;
+    const int m_fd; ///< Of m_socket, and valid while it is open.
     StreamSocket m_socket;
+    std::uint64_t m_readBytes = 0;
     std::unique_ptr<HttpResponseParser> m_parser;
     std::string m_input;
     BackendResponseListener *m_listener = nullptr;
--- a/Source/Forward/BackendHttpConnectionPool.cpp
+++ b/Source/Forward/BackendHttpConnectionPool.cpp
@@ -32,13 +32,17 @@
                                    TimePoint now, std::error_code &error)
 {
     std::vector<std::unique_ptr<BackendHttpConnection>> &connections = m_idle[id];
-    while (!connections.empty() && !connections.back()->reusable()) {
-        connections.pop_back();
-    }
-    if (!connections.empty() && usable(*connections.back(), maxIdle, now)) {
+    while (!connections.empty()) {
+        const BackendHttpConnection &last = *connections.back();
+        if (last.reusable() && !usable(last, maxIdle, now)) {
+            break;
+        }
         std::unique_ptr<BackendHttpConnection> connection = std::move(connections.back());
         connections.pop_back();
-        return connection;
+        if (connection->reusable() && connection->allArrivedIsRead()) {
+            return connection;
+        }
+        discard(std::move(connection));
     }
     ++m_openedCount;
     return BackendHttpConnection::open(m_loop, address, m_limits, error);
--- a/Source/Forward/BackendHttpConnectionPool.h
+++ b/Source/Forward/BackendHttpConnectionPool.h
@@ -16,8 +16,9 @@
     BackendHttpConnectionPool(EventLoop &loop, BackendHttpConnection::Limits limits);
 
     /// Returns a pooled connection that has been idle for less than \p maxIdle and that its server
-    /// is not about to close, or else a new one. Returns null and sets \p error if no socket can be
-    /// opened.
+    /// has not ended and is not about to close, or else a new one. What has arrived on a pooled one
+    /// counts even if the event loop has not handled it. Returns null and sets \p error if no
+    /// socket can be opened.
     std::unique_ptr<BackendHttpConnection> acquire(const InstanceId &id, const Endpoint &address,
                                                    Duration maxIdle, TimePoint now,
                                                    std::error_code &error);
