The idle time of a pooled connection counts from the arrival of the last answer

What was wrong: the idle time that decides on reuse (0.6 of the server's keep-alive time, 1.5 s for a request that must not run twice) began when this daemon read the answer. An answer that lay in the socket during a long turn, or while the process was stopped, made the connection look fresh, so a request could be sent while the server closes it.

Measured: pooledConnections/an_idle_time_counts_from_the_arrival_of_the_answer (answer unread for 500 ms, then 200 ms at rest, limit 600 ms): the old connection was reused before, a new one is opened after.

--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -100,13 +100,13 @@
         && m_input.empty();
 }
 
-bool BackendHttpConnection::allArrivedIsRead() const
+std::optional<Duration> BackendHttpConnection::idleTime() const
 {
-    if (!m_socket.isOpen()) {
-        return false;
+    const auto state = m_socket.isOpen() ? receiveState(m_fd) : std::nullopt;
+    if (!state || !state->established || state->bytes != m_readBytes) {
+        return std::nullopt;
     }
-    const auto state = receiveState(m_fd);
-    return state && state->established && state->bytes == m_readBytes;
+    return state->sinceLast;
 }
 
 void BackendHttpConnection::onConnected(TimePoint now)
--- a/Source/Forward/BackendHttpConnectionPool.cpp
+++ b/Source/Forward/BackendHttpConnectionPool.cpp
@@ -19,12 +19,17 @@
 {
 }
 
+Duration BackendHttpConnectionPool::limit(const BackendHttpConnection &connection, Duration maxIdle)
+{
+    return std::min(
+        maxIdle,
+        std::chrono::duration_cast<Duration>(connection.serverIdleTimeout() * MaxIdleTimeoutShare));
+}
+
 bool BackendHttpConnectionPool::usable(const BackendHttpConnection &connection, Duration maxIdle,
                                        TimePoint now)
 {
-    const auto serverLimit =
-        std::chrono::duration_cast<Duration>(connection.serverIdleTimeout() * MaxIdleTimeoutShare);
-    return connection.reusable() && now - connection.idleSince() < std::min(maxIdle, serverLimit);
+    return connection.reusable() && now - connection.idleSince() < limit(connection, maxIdle);
 }
 
 std::unique_ptr<BackendHttpConnection>
@@ -37,9 +42,14 @@
         if (last.reusable() && !usable(last, maxIdle, now)) {
             break;
         }
+        const std::optional<Duration> idle =
+            last.reusable() ? last.idleTime() : std::optional<Duration>();
+        if (idle && *idle >= limit(last, maxIdle)) {
+            break;
+        }
         std::unique_ptr<BackendHttpConnection> connection = std::move(connections.back());
         connections.pop_back();
-        if (connection->reusable() && connection->allArrivedIsRead()) {
+        if (idle) {
             return connection;
         }
         discard(std::move(connection));
