--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,7 +65,12 @@
 
     /// Whether another request can be sent on this connection.
     bool reusable() const;
+    /// Time since the last bytes of the last response arrived, which may have been read much later.
+    /// std::nullopt if something that has arrived since was not read, so the server has ended the
+    /// connection or sent more. Takes a system call.
+    std::optional<Duration> idleTime() const;
     bool isNew() const { return m_responseCount == 0; }
+    /// When the last response was read.
     TimePoint idleSince() const { return m_idleSince; }
     /// How long the server keeps an idle connection open, from its Keep-Alive field; 5 s if it
     /// declares none.
@@ -86,7 +92,9 @@
 
     EventLoop &m_loop;
     Limits m_limits;
+    const int m_fd; ///< Of m_socket, and valid while it is open.
     StreamSocket m_socket;
+    std::uint64_t m_readBytes = 0;
     std::unique_ptr<HttpResponseParser> m_parser;
     std::string m_input;
     BackendResponseListener *m_listener = nullptr;
--- a/Source/Forward/BackendHttpConnectionPool.h
+++ b/Source/Forward/BackendHttpConnectionPool.h
@@ -16,8 +16,9 @@
     BackendHttpConnectionPool(EventLoop &loop, BackendHttpConnection::Limits limits);
 
     /// Returns a pooled connection that has been idle for less than \p maxIdle and that its server
-    /// is not about to close, or else a new one. Returns null and sets \p error if no socket can be
-    /// opened.
+    /// has not ended and is not about to close, or else a new one. What has arrived on a pooled one
+    /// counts even if the event loop has not handled it. Returns null and sets \p error if no
+    /// socket can be opened.
     std::unique_ptr<BackendHttpConnection> acquire(const InstanceId &id, const Endpoint &address,
                                                    Duration maxIdle, TimePoint now,
                                                    std::error_code &error);
@@ -54,6 +55,8 @@
     static constexpr Duration MaxIdleTime = 30s;
     static constexpr Duration MaxIdleTimeNonRetryable = 1500ms;
 
+    /// Idle time after which the connection is not reused.
+    static Duration limit(const BackendHttpConnection &connection, Duration maxIdle);
     static bool usable(const BackendHttpConnection &connection, Duration maxIdle, TimePoint now);
 
     EventLoop &m_loop;
