Tests: a listing is decoded once, an unreadable configuration leaves the last sound one in force

On the code before, the first test would count three decodes for two listings of one record each (read from the code, not run).

--- a/Tests/Fleet/testFleetFollower.cpp
+++ b/Tests/Fleet/testFleetFollower.cpp
@@ -460,3 +460,44 @@
     test.follower.applyFeedPage(Topic::Backends, page, false, test.clock.time);
     cr_expect_eq(test.observer.pages, before + 1);
 }
+
+Test(fleetFollower, each_record_of_a_listing_is_decoded_once)
+{
+    struct CountingCodec : platform::PlatformRecordCodec
+    {
+        FleetRecord decode(Topic topic, const RawRecord &record) const override
+        {
+            ++decoded;
+            return PlatformRecordCodec::decode(topic, record);
+        }
+        mutable int decoded = 0;
+    };
+    Fixture fixture;
+    const CountingCodec codec;
+    FleetFollower follower(fixture.loop, fixture.store, codec, fixture.view, fixture.observer,
+                           Timing);
+    const RecordPage backends = Fixture::page({Fixture::backendRecord(4, "one", 1)}, 5);
+    follower.applyFeedPage(Topic::Backends, backends, true, fixture.clock.time);
+    follower.applyFeedPage(Topic::Backends, Fixture::page({Fixture::backendRecord(6, "two", 1)}, 7),
+                           true, fixture.clock.time);
+    cr_expect_eq(codec.decoded, 2);
+    cr_expect_null(fixture.view.backend(InstanceId("one")));
+    cr_expect_not_null(fixture.view.backend(InstanceId("two")));
+}
+
+Test(fleetFollower, an_unreadable_configuration_leaves_the_last_sound_one_in_force)
+{
+    Fixture fixture;
+    fixture.startAndList(Fixture::page({}, 0));
+    const std::string doubled = R"({"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"stream",)"
+                                R"("Service":"s"})";
+    RecordPage page = Fixture::page({Fixture::configRecord(1, 2)}, 3);
+    page.records.push_back(
+        {Offset(2), "config",
+         R"({"Version":3,"Services":[],"Routes":[)" + doubled + "," + doubled + "]}"});
+    fixture.follower.applyFeedPage(Topic::Operator, page, false, fixture.clock.time);
+    cr_expect_eq(fixture.view.table()->version().value(), 2);
+    fixture.follower.applyFeedPage(Topic::Operator, Fixture::page({Fixture::configRecord(3, 4)}, 4),
+                                   false, fixture.clock.time);
+    cr_expect_eq(fixture.view.table()->version().value(), 4);
+}
--- a/Utilities/ConfigCost/main.cpp
+++ b/Utilities/ConfigCost/main.cpp
@@ -100,6 +100,8 @@
     RawRecord next;
     const auto prepare = [&] { next = {Offset(0), ConfigKey, configText(routes, ++version)}; };
     const auto decode = [&] { record = decoder.decode(Topic::Operator, next, std::nullopt); };
+    printStep("decode in parts, first version",
+              timeOf([&] { RecordDecoder(codec).decode(Topic::Operator, next, {}); }, prepare));
     printStep("decode, one route differs", timeOf(decode, prepare));
     printStep("decode, not newer",
               timeOf([&] { decoder.decode(Topic::Operator, next, ConfigVersion(version)); }));
