--- a/Tests/Forward/testConfigUnderRequests.cpp
+++ b/Tests/Forward/testConfigUnderRequests.cpp
@@ -1,4 +1,5 @@
 #include "Forward/ForwardScripts.h"
+#include "Forward/LongTurn.h"
 
 // A newer configuration, or a change of the server entries, comes into force while a request is
 // under way: the request ends with a complete answer or a true refusal.
@@ -363,3 +364,27 @@
                   response.c_str());
     }
 }
+
+Test(configUnderRequests, a_request_whose_connection_is_being_made_is_answered, .timeout = 60)
+{
+    for (const Change &change : changes()) {
+        ChangeHarness harness(route(RouteKind::NonIdempotent), serve);
+        harness.onHeld = [](Connection &connection) { serve(connection, ""); };
+        harness.startServer();
+        const KernelCaller caller(harness.firstPort);
+        harness.runLoop(50ms);
+        // The handler of the caller connects to the server, and the turn with the change follows.
+        LongTurn turn(harness.loop, 20ms, [&] {
+            cr_assert_eq(harness.connections.openedConnections(), 1, "%s", change.name);
+            cr_assert_eq(harness.received(), 0, "%s", change.name);
+            harness.heldId = "b0";
+            change.apply(harness);
+        });
+        caller.send(keptRequest());
+        turn.begin();
+        harness.runLoop();
+        const std::string response = caller.receive();
+        cr_expect(complete(response), "%s: %s", change.name, response.c_str());
+        cr_expect_eq(statusOf(response), 200, "%s", change.name);
+    }
+}
