--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -100,13 +100,13 @@
         && m_input.empty();
 }
 
-std::optional<Duration> BackendHttpConnection::idleTime() const
+bool BackendHttpConnection::allArrivedIsRead() const
 {
-    const auto state = m_socket.isOpen() ? receiveState(m_fd) : std::nullopt;
-    if (!state || !state->established || state->bytes != m_readBytes) {
-        return std::nullopt;
+    if (!m_socket.isOpen()) {
+        return false;
     }
-    return state->sinceLast;
+    const auto state = receiveState(m_fd);
+    return state && state->established && state->bytes == m_readBytes;
 }
 
 void BackendHttpConnection::onConnected(TimePoint now)
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -65,12 +65,10 @@
 
     /// Whether another request can be sent on this connection.
     bool reusable() const;
-    /// Time since the last bytes of the last response arrived, which may have been read much later.
-    /// std::nullopt if something that has arrived since was not read, so the server has ended the
-    /// connection or sent more. Takes a system call.
-    std::optional<Duration> idleTime() const;
+    /// Whether all that has arrived was read, so the server has neither ended the connection nor
+    /// sent anything since its last response. Takes a system call.
+    bool allArrivedIsRead() const;
     bool isNew() const { return m_responseCount == 0; }
-    /// When the last response was read.
     TimePoint idleSince() const { return m_idleSince; }
     /// How long the server keeps an idle connection open, from its Keep-Alive field; 5 s if it
     /// declares none.
--- a/Source/Forward/BackendHttpConnectionPool.cpp
+++ b/Source/Forward/BackendHttpConnectionPool.cpp
@@ -19,17 +19,12 @@
 {
 }
 
-Duration BackendHttpConnectionPool::limit(const BackendHttpConnection &connection, Duration maxIdle)
-{
-    return std::min(
-        maxIdle,
-        std::chrono::duration_cast<Duration>(connection.serverIdleTimeout() * MaxIdleTimeoutShare));
-}
-
 bool BackendHttpConnectionPool::usable(const BackendHttpConnection &connection, Duration maxIdle,
                                        TimePoint now)
 {
-    return connection.reusable() && now - connection.idleSince() < limit(connection, maxIdle);
+    const auto serverLimit =
+        std::chrono::duration_cast<Duration>(connection.serverIdleTimeout() * MaxIdleTimeoutShare);
+    return connection.reusable() && now - connection.idleSince() < std::min(maxIdle, serverLimit);
 }
 
 std::unique_ptr<BackendHttpConnection>
@@ -42,14 +37,9 @@
         if (last.reusable() && !usable(last, maxIdle, now)) {
             break;
         }
-        const std::optional<Duration> idle =
-            last.reusable() ? last.idleTime() : std::optional<Duration>();
-        if (idle && *idle >= limit(last, maxIdle)) {
-            break;
-        }
         std::unique_ptr<BackendHttpConnection> connection = std::move(connections.back());
         connections.pop_back();
-        if (idle) {
+        if (connection->reusable() && connection->allArrivedIsRead()) {
             return connection;
         }
         discard(std::move(connection));
--- a/Source/Forward/BackendHttpConnectionPool.h
+++ b/Source/Forward/BackendHttpConnectionPool.h
@@ -55,8 +55,6 @@
     static constexpr Duration MaxIdleTime = 30s;
     static constexpr Duration MaxIdleTimeNonRetryable = 1500ms;
 
-    /// Idle time after which the connection is not reused.
-    static Duration limit(const BackendHttpConnection &connection, Duration maxIdle);
     static bool usable(const BackendHttpConnection &connection, Duration maxIdle, TimePoint now);
 
     EventLoop &m_loop;
--- a/Source/Net/ReceiveState.cpp
+++ b/Source/Net/ReceiveState.cpp
@@ -24,8 +24,7 @@
     if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < NeededBytes) {
         return std::nullopt;
     }
-    return ReceiveState{info.tcpi_state == EstablishedState, info.tcpi_bytes_received,
-                        std::chrono::milliseconds(info.tcpi_last_data_recv)};
+    return ReceiveState{info.tcpi_state == EstablishedState, info.tcpi_bytes_received};
 }
 
 } // namespace lycheearch
--- a/Source/Net/ReceiveState.h
+++ b/Source/Net/ReceiveState.h
@@ -3,8 +3,6 @@
 #include <cstdint>
 #include <optional>
 
-#include "Base/Time.h"
-
 namespace lycheearch {
 
 /// What the kernel has received on a TCP connection, read or not.
@@ -12,7 +10,6 @@
 {
     bool established = false; ///< Neither side has ended the connection.
     std::uint64_t bytes = 0; ///< Received in all. The end of the incoming stream counts as one.
-    Duration sinceLast{}; ///< Since the last bytes arrived, in whole milliseconds.
 };
 
 /// Returns the state of a connected socket (TCP_INFO, one system call), or std::nullopt if the
--- a/Tests/Forward/testPooledConnections.cpp
+++ b/Tests/Forward/testPooledConnections.cpp
@@ -77,35 +77,6 @@
     }
 }
 
-Test(pooledConnections, an_idle_time_counts_from_the_arrival_of_the_answer, .timeout = 20)
-{
-    ForwardHarness harness;
-    harness.publishRoute(route(RouteKind::NonIdempotent));
-    Connection *held = nullptr;
-    ScriptedBackend &server = harness.addBackend([&](Connection &connection, const std::string &) {
-        if (held == nullptr) {
-            held = &connection;
-        } else {
-            serve(connection, "");
-        }
-    });
-    harness.startServer();
-    const KernelCaller caller(harness.firstPort);
-    caller.send(keptRequest());
-    harness.runLoop();
-    // The server keeps idle connections for 1 s, of which 0.6 s are used.
-    const std::string answer =
-        ForwardHarness::response(200, "Response-Seal: seal\r\nKeep-Alive: timeout=1\r\n", "hello");
-    LongTurn turn(harness.loop, 500ms, [&] { held->send(answer); });
-    turn.begin();
-    harness.runLoop(700ms); // The connection rests for 200 ms of its 700 ms after the turn.
-    cr_assert_eq(statusOf(caller.receive()), 200);
-    caller.send(keptRequest());
-    harness.runLoop();
-    cr_expect_eq(statusOf(caller.receive()), 200);
-    cr_expect_eq(server.connections.size(), 2);
-}
-
 Test(pooledConnections, a_connection_at_rest_is_reused, .timeout = 20)
 {
     ForwardHarness harness;
