--- a/Tests/Forward/testConfigUnderRequests.cpp
+++ b/Tests/Forward/testConfigUnderRequests.cpp
@@ -59,7 +59,8 @@
     }
     void publish(const RoutingConfig &newConfig)
     {
-        view.apply({Offset(0), ConfigPublished{newConfig}}, loop.now());
+        view.apply({Offset(0), ConfigPublished{std::make_shared<const RoutingConfig>(newConfig)}},
+                   loop.now());
         cr_assert_eq(view.table()->version().value(), NewVersion);
     }
     void remove(const std::string &id)
@@ -89,47 +90,56 @@
     bool keepsServers = true; ///< Some server remains for the route.
 };
 
-void edit(ChangeHarness &harness, const std::function<void(RoutingConfig &config)> &change)
+/// Changes a configuration or its only route, which is replaced unless there are none any more.
+using ConfigEdit = std::function<void(RoutingConfig &config, Route &only)>;
+
+void edit(ChangeHarness &harness, const ConfigEdit &change)
 {
     RoutingConfig config = harness.config();
-    change(config);
+    Route only = config.routes.at(0);
+    change(config, only);
+    if (config.routes.size() > 0) {
+        config.routes = {only};
+    }
     harness.publish(config);
 }
 
 std::vector<Change> changes()
 {
-    const auto editing = [](std::function<void(RoutingConfig &)> change) {
+    const auto editing = [](ConfigEdit change) {
         return [change](ChangeHarness &harness) { edit(harness, change); };
     };
     return {
-        {"nothing but the version", editing([](RoutingConfig &) {})},
-        {"route removed", editing([](RoutingConfig &config) { config.routes.clear(); })},
+        {"nothing but the version", editing([](RoutingConfig &, Route &) {})},
+        {"route removed", editing([](RoutingConfig &config, Route &only) { config.routes = {}; })},
         {"route at another host",
-         editing([](RoutingConfig &config) { config.routes[0].host = "other.example"; })},
-        {"route of another kind", editing([](RoutingConfig &config) {
-             config.routes[0].kind = RouteKind::NonIdempotent;
-             config.routes[0].maxAttempts = 1;
-             config.routes[0].resumable = false;
+         editing([](RoutingConfig &config, Route &only) { only.host = "other.example"; })},
+        {"route of another kind", editing([](RoutingConfig &config, Route &only) {
+             only.kind = RouteKind::NonIdempotent;
+             only.maxAttempts = 1;
+             only.resumable = false;
          })},
-        {"service of the route replaced", editing([](RoutingConfig &config) {
-             config.routes[0].services = {{ServiceId("t"), 1}};
+        {"service of the route replaced", editing([](RoutingConfig &config, Route &only) {
+             only.services = {{ServiceId("t"), 1}};
              config.services.clear();
              config.services[ServiceId("t")].name = ServiceId("t");
          })},
         {"route without services",
-         editing([](RoutingConfig &config) { config.routes[0].services.clear(); })},
-        {"service removed", editing([](RoutingConfig &config) { config.services.clear(); })},
-        {"service runs models", editing([](RoutingConfig &config) {
+         editing([](RoutingConfig &config, Route &only) { only.services.clear(); })},
+        {"service removed",
+         editing([](RoutingConfig &config, Route &only) { config.services.clear(); })},
+        {"service runs models", editing([](RoutingConfig &config, Route &only) {
              config.services[ServiceId("s")].engine = EngineProfile{1, 1000, 1, {{"m", 1}}};
-             config.routes[0].models = {"m"};
+             only.models = {"m"};
          })},
-        {"account removed", editing([](RoutingConfig &config) {
+        {"account removed", editing([](RoutingConfig &config, Route &only) {
              config.accounts = {{AccountId("other"), {"o"}, std::nullopt}};
          })},
-        {"key replaced", editing([](RoutingConfig &config) { config.accounts[0].keys = {"new"}; })},
+        {"key replaced",
+         editing([](RoutingConfig &config, Route &only) { config.accounts[0].keys = {"new"}; })},
         {"shorter time limit",
-         editing([](RoutingConfig &config) { config.routes[0].timeout = 10ms; })},
-        {"smaller limits of callers", editing([](RoutingConfig &config) {
+         editing([](RoutingConfig &config, Route &only) { only.timeout = 10ms; })},
+        {"smaller limits of callers", editing([](RoutingConfig &config, Route &only) {
              config.limits = CallerLimits{64, 1, 1ms, 1ms};
          })},
         {"entry of the server removed",
