A server is not late while the request to it was not sent yet

Cause, found by the review: the timers for a stalled and for a late request start when the connection begins to be made. If a handler takes long then, the request is sent and the timer fires in the same turn: the server had no time at all, and a request that its one server answers in 2 ms ended as 502.

Change: both timers start again when the connection is made and the request is sent.

--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -22,8 +22,17 @@
 
 } // namespace
 
-void RequestForwarder::onConnected(TimePoint)
+void RequestForwarder::onConnected(TimePoint now)
 {
+    // The request is sent only now.
+    if (m_attempt.stallTimer.active()) {
+        startStallTimer(now);
+    }
+    if (m_attempt.lateTimer.active()) {
+        const TimePoint due = m_attempt.lateTimer.due + (now - m_attempt.sentAt);
+        m_context.loop.cancel(m_attempt.lateTimer);
+        startLateTimer(due);
+    }
     if (!m_attempt.relayed) {
         recordReached();
     }
