--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "Net/ReceiveState.h"
-
 namespace lycheearch {
 
 namespace {
@@ -54,7 +52,6 @@
 BackendHttpConnection::BackendHttpConnection(EventLoop &loop, int fd, const Limits &limits)
     : m_loop(loop)
     , m_limits(limits)
-    , m_fd(fd)
     , m_socket(loop, fd, StreamSocket::Start::Connecting, *this)
     , m_serverIdleTimeout(DefaultIdleTimeout)
 {
@@ -100,15 +97,6 @@
         && m_input.empty();
 }
 
-bool BackendHttpConnection::allArrivedIsRead() const
-{
-    if (!m_socket.isOpen()) {
-        return false;
-    }
-    const auto state = receiveState(m_fd);
-    return state && state->established && state->bytes == m_readBytes;
-}
-
 void BackendHttpConnection::onConnected(TimePoint now)
 {
     m_loop.cancel(m_connectTimer);
@@ -119,7 +107,6 @@
 
 void BackendHttpConnection::onBytes(std::string_view bytes, TimePoint now)
 {
-    m_readBytes += bytes.size();
     if (m_listener == nullptr) {
         // No request is pending, so the data is unsolicited and the connection must not be reused.
         m_keepAlive = false;
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,7 +66,7 @@
     bool reusable() const;
     /// Whether all that has arrived was read, so the server has neither ended the connection nor
     /// sent anything since its last response. Takes a system call.
-    bool allArrivedIsRead() const;
+    bool allArrivedIsRead() const { return m_socket.nothingToRead(); }
     bool isNew() const { return m_responseCount == 0; }
     TimePoint idleSince() const { return m_idleSince; }
     /// How long the server keeps an idle connection open, from its Keep-Alive field; 5 s if it
@@ -90,9 +89,7 @@
 
     EventLoop &m_loop;
     Limits m_limits;
-    const int m_fd; ///< Of m_socket, and valid while it is open.
     StreamSocket m_socket;
-    std::uint64_t m_readBytes = 0;
     std::unique_ptr<HttpResponseParser> m_parser;
     std::string m_input;
     BackendResponseListener *m_listener = nullptr;
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
 /// How long the caller may take to close the connection after the last response.
 constexpr Duration LingerTimeout = 1s;
+/// An idle connection that can't be closed at its limit is checked again after this time.
+constexpr Duration IdleCheckPeriod = 1s;
 /// Part of the idle timeout that responses announce, so that a request that is sent within it
 /// arrives before the connection is closed.
 constexpr double KeepAliveShare = 0.8;
@@ -63,9 +65,9 @@
     m_parser = std::make_unique<HttpRequestParser>(
         HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
     releaseRequest();
-    m_restSince = now;
-    m_restLimit = std::max(m_restLimit, callerLimits.idleTimeout);
-    startTimer(m_restLimit, now);
+    m_idleSince = now;
+    m_idleLimit = std::max(m_idleLimit, callerLimits.idleTimeout);
+    startTimer(m_idleLimit, now);
 }
 
 void CallerConnection::releaseRequest()
@@ -83,7 +85,7 @@
 void CallerConnection::closeIfIdle(TimePoint now)
 {
     if (idle()) {
-        closeAtRest("the process is stopping", now);
+        closeIfNothingArrived("the process is stopping", now);
     }
 }
 
@@ -242,9 +244,9 @@
         fields.add("Connection", "close");
         return;
     }
-    m_restLimit = limits().idleTimeout;
+    m_idleLimit = limits().idleTimeout;
     const auto seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(m_restLimit * KeepAliveShare);
+        std::chrono::duration_cast<std::chrono::seconds>(m_idleLimit * KeepAliveShare);
     if (seconds > std::chrono::seconds::zero()) {
         fields.add("Keep-Alive", "timeout=" + std::to_string(seconds.count()));
     }
@@ -276,9 +278,6 @@
         afterWrite(now);
     }
     m_endsWithConnection = false;
-    if (m_draining) {
-        m_keepAlive = false;
-    }
     finishResponse(now);
 }
 
@@ -319,14 +318,15 @@
 {
     const bool resting = m_state == State::Waiting;
     m_closure.begin(why,
-                    {resting ? now - m_restSince : Duration(), m_restLimit, limits().idleTimeout},
+                    {resting ? now - m_idleSince : Duration(), m_idleLimit, limits().idleTimeout},
                     m_input.size() + m_socket.receivedBytes(), now);
 }
 
-void CallerConnection::closeAtRest(const char *why, TimePoint now)
+void CallerConnection::closeIfNothingArrived(const char *why, TimePoint now)
 {
     // A close with unread bytes is a reset, which would also take the end of the last response.
-    if (m_socket.receivedBytes() > 0 || m_socket.unacknowledgedBytes() > 0) {
+    if (m_socket.receivedBytes() > 0 || m_socket.queuedBytes() > 0
+        || m_socket.unacknowledgedBytes() > 0) {
         return;
     }
     beginClosure(why, now);
@@ -364,7 +364,8 @@
         startNext(now);
     }
     if (m_socket.queuedBytes() == 0 && m_state == State::Waiting) {
-        startTimer(limits().idleTimeout, now);
+        m_idleSince = now;
+        startTimer(m_idleLimit, now);
     } else if (m_socket.queuedBytes() == 0 && m_state == State::Lingering) {
         startTimer(LingerTimeout, now);
     }
@@ -439,15 +440,15 @@
     m_onClosed(*this);
 }
 
-void CallerConnection::onRestTimer(TimePoint now)
+void CallerConnection::onIdleTimer(TimePoint now)
 {
-    const TimePoint end = m_restSince + std::max(m_restLimit, limits().idleTimeout);
+    const TimePoint end = m_idleSince + std::max(m_idleLimit, limits().idleTimeout);
     if (now < end) {
         startTimer(end - now, now); // The present configuration allows a longer rest.
         return;
     }
-    startTimer(LingerTimeout, now);
-    closeAtRest("idle", now);
+    startTimer(IdleCheckPeriod, now);
+    closeIfNothingArrived("idle", now);
 }
 
 void CallerConnection::startTimer(Duration limit, TimePoint now)
@@ -469,7 +470,7 @@
     }
     switch (m_state) {
     case State::Waiting:
-        onRestTimer(now);
+        onIdleTimer(now);
         break;
     case State::Reading:
         rejectRequest(HttpStatus::RequestTimeout, "timeout while reading the request", now);
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -89,10 +89,9 @@
     /// Reads on, beginning with the requests that have been received already.
     void startNext(TimePoint now);
     void linger(const char *why, TimePoint now);
-    /// Closes a connection at rest, unless a request has arrived that is not read yet. A request
-    /// that crosses the close resets the connection, so that its caller learns that it was not
-    /// read.
-    void closeAtRest(const char *why, TimePoint now);
+    /// Closes an idle connection, unless a request has arrived that is not read yet or the last
+    /// response is not complete at the caller. A request that crosses the close stays unread.
+    void closeIfNothingArrived(const char *why, TimePoint now);
     /// Notes for the log why this daemon closes the connection.
     void beginClosure(const char *why, TimePoint now);
     /// Cancels a request in progress, whose caller has gone, and closes the connection.
@@ -100,7 +99,7 @@
     void close(TimePoint now);
     void startTimer(Duration limit, TimePoint now);
     void onTimer(TimePoint now);
-    void onRestTimer(TimePoint now);
+    void onIdleTimer(TimePoint now);
     /// Adds the fields that say whether and how long the connection may be used again.
     void addConnectionFields(HttpFields &fields);
     CallerLimits limits() const;
@@ -122,9 +121,10 @@
     std::string m_requestId; ///< Of the latest request.
     bool m_blocked = false; ///< Reading from the server of the request rests.
     TimerId m_timer;
-    TimePoint m_restSince; ///< End of the last response, or when the connection was accepted.
-    /// Longest rest by the configurations of that time and of the last response, which says it.
-    Duration m_restLimit{};
+    TimePoint m_idleSince; ///< End of the last response, or when the connection was accepted.
+    /// The longer of the idle timeouts when the idle time began and when the last response
+    /// announced it.
+    Duration m_idleLimit{};
     ConnectionClosure m_closure;
     TimePoint m_now;
     bool m_keepAlive = true;
--- a/Source/Forward/CallerServer.cpp
+++ b/Source/Forward/CallerServer.cpp
@@ -1,7 +1,5 @@
 #include "Forward/CallerServer.h"
 
-#include <vector>
-
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -28,10 +26,19 @@
 
 CallerServer::~CallerServer()
 {
-    stopListening();
+    closeListener();
 }
 
 void CallerServer::stopListening()
+{
+    if (m_listener >= 0) {
+        // Connections that were not accepted would be reset.
+        onReady(EPOLLIN, m_context.loop.now());
+        closeListener();
+    }
+}
+
+void CallerServer::closeListener()
 {
     if (m_listener >= 0) {
         m_context.loop.unwatch(m_listener);
@@ -76,20 +83,25 @@
 
 void CallerServer::closeIdle(TimePoint now)
 {
-    for (const auto &[key, connection] : m_connections) {
+    for (CallerConnection *connection : allConnections()) {
         connection->closeIfIdle(now);
     }
 }
 
 void CallerServer::terminateAll(TimePoint now)
+{
+    for (CallerConnection *connection : allConnections()) {
+        connection->terminate(now);
+    }
+}
+
+std::vector<CallerConnection *> CallerServer::allConnections() const
 {
     std::vector<CallerConnection *> all;
     for (const auto &[key, connection] : m_connections) {
         all.push_back(key);
     }
-    for (CallerConnection *connection : all) {
-        connection->terminate(now);
-    }
+    return all;
 }
 
 } // namespace lycheearch
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "Base/Endpoint.h"
 #include "Forward/CallerConnection.h"
@@ -22,7 +23,7 @@
 
     /// Graceful shutdown: each connection, including new ones, closes after its next response.
     void drain(TimePoint now);
-    /// Stops accepting connections.
+    /// Stops accepting connections, once those are accepted that have arrived.
     void stopListening();
     /// Closes the connections on which no request is in progress.
     void closeIdle(TimePoint now);
@@ -34,6 +35,9 @@
     void onReady(std::uint32_t events, TimePoint now) override;
     const char *duty() const override { return "accept"; }
     void onConnectionClosed(CallerConnection &connection);
+    void closeListener();
+    /// A copy, since connections that close are removed.
+    std::vector<CallerConnection *> allConnections() const;
 
     ForwardContext &m_context;
     RequestOrigin m_origin;
--- a/Source/Forward/ConnectionClosure.cpp
+++ b/Source/Forward/ConnectionClosure.cpp
@@ -2,11 +2,18 @@
 
 namespace lycheearch {
 
-void ConnectionClosure::begin(const char *why, const ConnectionRest &rest, std::size_t unread,
+namespace {
+
+/// Written if no bytes came after the close.
+constexpr Duration NothingDropped = -1ms;
+
+} // namespace
+
+void ConnectionClosure::begin(const char *why, const IdleTime &idle, std::size_t unread,
                               TimePoint now)
 {
     m_why = why;
-    m_rest = rest;
+    m_idle = idle;
     m_unread = unread;
     m_begunAt = now;
 }
@@ -25,24 +32,24 @@
     if (m_why == nullptr) {
         return;
     }
-    const bool harmless = m_unread == 0 && m_dropped == 0;
+    const bool nothingLost = m_unread == 0 && m_dropped == 0;
     metrics.count("lycheearch_caller_connections_closed_total",
-                  std::string("why=\"") + m_why + "\",bytes_left=\"" + (harmless ? "no" : "yes")
+                  std::string("why=\"") + m_why + "\",bytes_left=\"" + (nothingLost ? "no" : "yes")
                       + "\"");
-    if (harmless && !log.admitRoutineLine(now)) {
+    if (nothingLost && !log.admitRoutineLine(now)) {
         return;
     }
-    log.write(harmless ? LogPriority::Routine : LogPriority::Notable,
+    log.write(nothingLost ? LogPriority::Routine : LogPriority::Notable,
               LogLine("caller.closed")
                   .add("id", id)
                   .add("why", m_why)
-                  .add("rest_ms", m_rest.duration)
-                  .add("limit_ms", m_rest.limit)
-                  .add("limit_now_ms", m_rest.limitNow)
+                  .add("idle_ms", m_idle.duration)
+                  .add("limit_ms", m_idle.limit)
+                  .add("limit_now_ms", m_idle.limitNow)
                   .add("unread", static_cast<std::int64_t>(m_unread))
                   .add("dropped", static_cast<std::int64_t>(m_dropped))
                   .add("dropped_after_ms",
-                       m_dropped == 0 ? Duration(-1000) : m_firstDroppedAt - m_begunAt),
+                       m_dropped == 0 ? NothingDropped : m_firstDroppedAt - m_begunAt),
               now);
 }
 
