--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -101,6 +101,12 @@
     return m_fd >= 0 && ::ioctl(m_fd, SIOCINQ, &unread) == 0 ? static_cast<std::size_t>(unread) : 0;
 }
 
+bool StreamSocket::nothingToRead() const
+{
+    char byte = 0;
+    return m_fd >= 0 && ::recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && wouldBlock(errno);
+}
+
 void StreamSocket::close()
 {
     if (m_fd < 0) {
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -66,6 +66,9 @@
     std::uint64_t takenBytes() const;
     /// Bytes that were sent and whose receipt the peer's kernel has not acknowledged.
     std::size_t unacknowledgedBytes() const;
+    /// Whether the connection is open and neither bytes nor its end or a failure have arrived that
+    /// were not read. Takes a system call.
+    bool nothingToRead() const;
     /// Bytes that have been received and not read.
     std::size_t receivedBytes() const;
 
