Soak: callers at rest near the idle timeout, beside daemons that stand still

What was missing: the soak's callers rest for 60 ms at most, under an idle timeout of 15 s.

Versions in quick succession change the idle timeout (1.5 to 3 s) both ways and have up to 3,000 further routes; most daemons are paused for 50 to 600 ms at a time; callers rest up to, around and beyond four fifths of the idle timeout, and at it, and don't take notice of an end for the last 0 to 5 ms before a request, as when both are under way. The checker counts for each daemon: requests sent whole on an open kept connection; unread ones (the connection is reset and no server ran them: allowed, repeated under the same id whatever their kind, so that a second run of one that may not run twice is a violation); dropped ones (end without a reset within 200 ms, not run: the rule doesn't count them, they are printed); lost ones (run and cut, or read and cut later than 200 ms): a violation each. A Keep-Alive timeout, if announced, is checked, and callers don't send after it.

--- a/Tests/Soak/testGuaranteeChecker.cpp
+++ b/Tests/Soak/testGuaranteeChecker.cpp
@@ -70,6 +70,21 @@
                  checker.onRun("again", "acc", "s", Start + i * 300ms);
              }
          }},
+        {"a request that was read is cut 201 ms after it was sent",
+         [](GuaranteeChecker &checker) {
+             checker.onCut("q", ConnectionEnd::Orderly, Start + 201ms);
+         }},
+        {"a request that runs is cut",
+         [](GuaranteeChecker &checker) {
+             checker.onRun("q", "acc", "s", Start);
+             checker.onCut("q", ConnectionEnd::Reset, Start + 1ms);
+         }},
+        {"a request that was refused unread runs twice",
+         [](GuaranteeChecker &checker) {
+             checker.onCut("q", ConnectionEnd::Reset, Start);
+             checker.onRun("q", "acc", "s", Start);
+             checker.onRun("q", "acc", "s", Start);
+         }},
         {"a request that crashes servers ends a seventh one later",
          [](GuaranteeChecker &checker) {
              checker.onCrashingSent("c", Start);
@@ -83,6 +98,24 @@
     }
 }
 
+Test(soakGuaranteeChecker, requests_cut_on_kept_connections_are_counted_by_their_end)
+{
+    GuaranteeChecker checker;
+    for (const char *id : {"d.read", "d.unread", "d.late"}) {
+        checker.onSent(id, RequestKind::NonIdempotent, "acc", Start);
+        checker.onSentOnKeptConnection(id);
+    }
+    cr_expect_not(checker.onCut("d.read", ConnectionEnd::Orderly, Start + 200ms));
+    cr_expect(checker.onCut("d.unread", ConnectionEnd::Reset, Start + 500ms));
+    cr_expect_not(checker.onCut("d.late", ConnectionEnd::Orderly, Start + 300ms));
+    const KeptConnectionCounts &counts = checker.keptConnections().at("d.");
+    cr_expect_eq(counts.sent, 3);
+    cr_expect_eq(counts.dropped, 1);
+    cr_expect_eq(counts.unread, 1);
+    cr_expect_eq(counts.lost, 1);
+    cr_expect_eq(checker.violations().size(), 1);
+}
+
 Test(soakGuaranteeChecker, served_share_excludes_abandoned_requests)
 {
     GuaranteeChecker checker;
--- a/Tests/Soak/testSoak.cpp
+++ b/Tests/Soak/testSoak.cpp
@@ -68,3 +68,14 @@
     options.firstPort = 22200;
     expectNoViolation(options);
 }
+
+Test(soak, requests_sent_near_the_idle_timeout_are_answered_when_the_daemon_stands_still,
+     .timeout = 90)
+{
+    SoakOptions options;
+    options.seed = 3;
+    options.idleCallers = true;
+    options.callersPerDaemon = 40;
+    options.firstPort = 21800;
+    expectNoViolation(options);
+}
--- a/Utilities/Soak/GuaranteeChecker.cpp
+++ b/Utilities/Soak/GuaranteeChecker.cpp
@@ -9,6 +9,12 @@
 /// How long after its caller closed the connection a request may still start to run.
 constexpr Duration MaxStartAfterAbandon = 700ms;
 
+/// A request that the daemon has read without running it may be cut no later than this after it
+/// was sent, and only because it crossed the end of the connection.
+constexpr Duration MaxCrossingTime = 200ms;
+/// Timeout of the routes. Requests that are cut after it are not counted.
+constexpr Duration RouteTimeout = 1500ms;
+
 /// A rate limit must be kept from so long after a server first named it, in any RateLimitWindow.
 constexpr Duration RateLimitLearningTime = 3s;
 constexpr Duration RateLimitWindow = 4s;
@@ -157,6 +163,33 @@
     }
 }
 
+KeptConnectionCounts &GuaranteeChecker::countsOf(const std::string &id)
+{
+    return m_keptConnections[id.substr(0, id.find('.') + 1)];
+}
+
+bool GuaranteeChecker::onCut(const std::string &id, ConnectionEnd end, TimePoint now)
+{
+    const RequestHistory &history = m_histories.at(id);
+    const Duration age = now - history.sentAt;
+    const bool ran = history.runs > 0;
+    if (end == ConnectionEnd::Reset && !ran) {
+        ++countsOf(id).unread;
+        return true;
+    }
+    onAbandoned(id, now);
+    if (age < RouteTimeout) {
+        const bool lost = ran || age > MaxCrossingTime;
+        ++(lost ? countsOf(id).lost : countsOf(id).dropped);
+        if (lost) {
+            addViolation("a request on a kept connection got no answer, "
+                         + std::string(ran ? "and ran" : "though the daemon read it") + ", "
+                         + std::to_string(toMilliseconds(age)) + " ms after it was sent: " + id);
+        }
+    }
+    return false;
+}
+
 void GuaranteeChecker::beginBrittle(TimePoint now)
 {
     if (m_brittleSince == TimePoint()) {
--- a/Utilities/Soak/GuaranteeChecker.h
+++ b/Utilities/Soak/GuaranteeChecker.h
@@ -13,6 +13,22 @@
 /// that may have run.
 enum class RequestKind { Idempotent, NonIdempotent, Stream };
 
+/// How a kept connection ended on which a request without an answer had been sent.
+enum class ConnectionEnd {
+    Orderly, ///< End of the stream without a reset: the daemon has read the request.
+    Reset,
+};
+
+/// Requests that callers of one daemon sent on kept connections, and how some of them ended
+/// without an answer.
+struct KeptConnectionCounts
+{
+    int sent = 0;
+    int lost = 0; ///< Violations.
+    int dropped = 0; ///< Read and not run; the connection ended about when they were sent.
+    int unread = 0; ///< Refused unread, and then repeated.
+};
+
 /// What the caller and the backend servers observed of one request.
 struct RequestHistory
 {
@@ -40,6 +56,11 @@
     void onAnswer(const std::string &id, int status, TimePoint now);
     /// The connection of the request closed before its answer was complete.
     void onAbandoned(const std::string &id, TimePoint now);
+    /// The request was sent whole on a kept connection that was open for its caller.
+    void onSentOnKeptConnection(const std::string &id) { ++countsOf(id).sent; }
+    /// The kept connection of a request ended at \p now before the answer was complete. Returns
+    /// whether the caller may repeat the request under its id, because it has not been read.
+    bool onCut(const std::string &id, ConnectionEnd end, TimePoint now);
     /// A request that ends each server that runs it was sent; it comes again under other ids.
     void onCrashingSent(const std::string &id, TimePoint now);
     /// A backend server names a rate limit from now on, in requests per second of all daemons.
@@ -74,6 +95,11 @@
     /// Messages of the violations so far, one each.
     const std::vector<std::string> &violations() const { return m_violations; }
     const std::map<std::string, RequestHistory> &histories() const { return m_histories; }
+    /// By the first part of the ids of the requests, see LinkCuts::idPrefixOf.
+    const std::map<std::string, KeptConnectionCounts> &keptConnections() const
+    {
+        return m_keptConnections;
+    }
     /// Share, from 0 to 1, of the requests sent from \p from until before \p until that were
     /// answered with status 200. Excludes abandoned requests; 0 if there are no others.
     double servedShare(TimePoint from, TimePoint until) const;
@@ -89,8 +115,10 @@
 
     void checkRateLimit(const std::string &server, TimePoint now);
     void checkCrash(const RequestHistory &history, TimePoint now);
+    KeptConnectionCounts &countsOf(const std::string &id);
 
     std::map<std::string, RequestHistory> m_histories;
+    std::map<std::string, KeptConnectionCounts> m_keptConnections;
     std::map<std::string, RateLimit> m_rateLimits;
     int m_crashes = 0; ///< Servers that ended under the crashing request.
     TimePoint m_thirdCrashAt;
--- a/Utilities/Soak/SimulatedCaller.cpp
+++ b/Utilities/Soak/SimulatedCaller.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedCaller.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Net/Socket.h"
 #include "SimulatedBackend.h"
@@ -17,6 +18,13 @@
 constexpr unsigned AbandonOneIn = 25;
 constexpr HttpLimits Limits{16UL * 1024, 1024UL * 1024};
 constexpr int Ok = 200;
+/// How long a request and the end of its connection are under way at most.
+constexpr int MaxTransitMs = 5;
+/// How long a daemon that has not read a request may take to reset its connection, after it ended
+/// its own side.
+constexpr Duration MaxResetDelay = 2500ms;
+/// Between the sending of an answer and its receipt.
+constexpr Duration AnnouncementTolerance = 100ms;
 
 const char *pathOf(RequestKind kind)
 {
@@ -31,6 +39,17 @@
     return "/stream/x";
 }
 
+/// The timeout that a response announces in Keep-Alive; 0 if it announces none.
+Duration announcedTimeout(const HttpFields &fields)
+{
+    const std::string name = "timeout=";
+    const std::string *field = fields.find("Keep-Alive");
+    const std::size_t at = field == nullptr ? std::string::npos : field->find(name);
+    return at == std::string::npos
+        ? Duration()
+        : std::chrono::seconds(std::stoi(field->substr(at + name.size())));
+}
+
 } // namespace
 
 SimulatedCaller::SimulatedCaller(EventLoop &loop, Endpoint daemon, std::string name,
@@ -60,6 +79,12 @@
     start();
 }
 
+void SimulatedCaller::startResting(RestPlan &rests)
+{
+    m_rests = &rests;
+    start();
+}
+
 void SimulatedCaller::stop()
 {
     m_stopped = true;
@@ -80,8 +105,35 @@
     }
 }
 
+void SimulatedCaller::rest(TimePoint now)
+{
+    const TimePoint until =
+        m_answeredAt + std::chrono::duration_cast<Duration>(m_rests->idleTimeout() * m_restShare);
+    if (now >= until) {
+        beginCrossing();
+        return;
+    }
+    m_loop.cancel(m_sendTimer);
+    m_sendTimer = m_loop.at(until, [this](TimePoint firedAt) {
+        m_sendTimer = TimerId();
+        rest(firedAt);
+    });
+}
+
+void SimulatedCaller::beginCrossing()
+{
+    if (m_socket) {
+        m_socket->holdReading(true);
+    }
+    scheduleRequest(std::chrono::milliseconds(m_random() % (MaxTransitMs + 1)));
+}
+
 void SimulatedCaller::sendRequest(TimePoint now)
 {
+    if (m_announcedTimeout > Duration() && now - m_answeredAt >= m_announcedTimeout) {
+        closeSocket();
+    }
+    m_kept = m_socket != nullptr;
     if (!m_socket) {
         std::error_code error;
         const int fd = connectTcp(m_daemon, error);
@@ -92,8 +144,11 @@
         m_socket =
             std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
     }
-    m_id = m_name + "-" + std::to_string(++m_requestCount);
-    m_kind = static_cast<RequestKind>(m_random() % 3);
+    const bool repeats = std::exchange(m_repeats, false);
+    if (!repeats) {
+        m_id = m_name + "-" + std::to_string(++m_requestCount);
+        m_kind = static_cast<RequestKind>(m_random() % 3);
+    }
     m_parser = std::make_unique<HttpResponseParser>(Limits, false, *this);
     m_input.clear();
     m_body.clear();
@@ -103,9 +158,12 @@
         m_kind = RequestKind::Idempotent;
         body = CrashingBody;
         m_checker.onCrashingSent(m_id, now);
-    } else {
+    } else if (!repeats) {
         m_checker.onSent(m_id, m_kind, "acc", now);
     }
+    if (awaitsOnKeptConnection()) {
+        m_checker.onSentOnKeptConnection(m_id);
+    }
     m_socket->send("POST " + std::string(pathOf(m_kind))
                    + " HTTP/1.1\r\nHost: h.example\r\n"
                      "Attempt-Id: "
@@ -113,6 +171,7 @@
                    + "\r\nApi-Key: k\r\nTime-Budget-Ms: 2000\r\n"
                      "Tenant: forged\r\nContent-Length: "
                    + std::to_string(body.size()) + "\r\n\r\n" + body);
+    m_socket->holdReading(false);
     const bool abandons = !m_crashing && m_random() % AbandonOneIn == 0;
     const Duration answerTimeout = abandons ? Duration(10ms) : AnswerTimeout;
     m_answerTimer = m_loop.at(now + answerTimeout, [this](TimePoint firedAt) {
@@ -143,12 +202,19 @@
     m_awaitingAnswer = false;
     m_loop.cancel(m_answerTimer);
     m_checker.onAnswer(m_id, m_head.status, now);
+    m_answeredAt = now;
+    m_announcedTimeout = announcedTimeout(m_head.fields);
     if (m_head.status == Ok) {
         checkBody();
     }
     if (!m_head.keepAlive) {
         closeSocket();
     }
+    if (m_rests != nullptr && m_socket && !m_stopped) {
+        m_restShare = m_rests->drawRestShare();
+        rest(now);
+        return;
+    }
     scheduleRequest(m_head.status == Ok
                         ? Duration(std::chrono::milliseconds(m_random() % MaxPauseMs))
                         : RetryPause);
@@ -175,9 +241,48 @@
 
 void SimulatedCaller::onEnd(TimePoint now)
 {
+    if (!awaitsOnKeptConnection()) {
+        checkAnnouncedTimeout(now);
+        dropConnection(now);
+        return;
+    }
+    // A reset follows if the daemon closes the connection without having read the request.
+    m_loop.cancel(m_answerTimer);
+    m_answerTimer = m_loop.at(now + MaxResetDelay, [this, now](TimePoint firedAt) {
+        m_answerTimer = TimerId();
+        onCut(ConnectionEnd::Orderly, now, firedAt);
+    });
+}
+
+void SimulatedCaller::onError(std::error_code, TimePoint now)
+{
+    if (awaitsOnKeptConnection()) {
+        onCut(ConnectionEnd::Reset, now, now);
+    } else {
+        dropConnection(now);
+    }
+}
+
+void SimulatedCaller::onCut(ConnectionEnd end, TimePoint cutAt, TimePoint now)
+{
+    m_repeats = m_checker.onCut(m_id, end, cutAt);
+    if (m_repeats) {
+        checkAnnouncedTimeout(cutAt);
+    }
+    m_awaitingAnswer = false;
     dropConnection(now);
 }
 
+void SimulatedCaller::checkAnnouncedTimeout(TimePoint now)
+{
+    if (!m_awaitingAnswer || m_kept) {
+        const Duration open = now - m_answeredAt + AnnouncementTolerance;
+        if (open < m_announcedTimeout) {
+            m_checker.addViolation("a connection was closed before the announced timeout: " + m_id);
+        }
+    }
+}
+
 void SimulatedCaller::dropConnection(TimePoint now)
 {
     if (m_awaitingAnswer) {
@@ -191,6 +296,7 @@
 
 void SimulatedCaller::closeSocket()
 {
+    m_announcedTimeout = Duration();
     if (m_socket) {
         m_socket->close();
         m_loop.defer([closedSocket = std::shared_ptr<StreamSocket>(std::move(m_socket))] {});
--- a/Utilities/Soak/SimulatedCaller.h
+++ b/Utilities/Soak/SimulatedCaller.h
@@ -8,6 +8,7 @@
 #include "GuaranteeChecker.h"
 #include "Net/HttpParser.h"
 #include "Net/StreamSocket.h"
+#include "RestPlan.h"
 
 namespace lycheearch::soak {
 
@@ -24,20 +25,34 @@
     void start();
     /// Like start(), but sends one request again and again that ends the server that runs it.
     void startCrashing();
+    /// Like start(), but keeps the connection at rest before each further request, near the idle
+    /// timeout, and repeats a request that the daemon refused unread.
+    void startResting(RestPlan &rests);
     void stop();
 
 private:
     void onConnected(TimePoint) override { }
     void onBytes(std::string_view bytes, TimePoint now) override;
     void onEnd(TimePoint now) override;
-    void onError(std::error_code, TimePoint now) override { dropConnection(now); }
+    void onError(std::error_code, TimePoint now) override;
     void onResponseHead(HttpResponseHead head) override { m_head = std::move(head); }
     void onResponseBody(std::string_view bytes) override { m_body.append(bytes); }
 
     void scheduleRequest(Duration pause);
+    /// Schedules the next request for the end of a rest, a share of the idle timeout of the newest
+    /// configuration.
+    void rest(TimePoint now);
+    /// Sends the request so much later that what the daemon sends meanwhile crosses it.
+    void beginCrossing();
     void sendRequest(TimePoint now);
     void onAnswer(TimePoint now);
     void checkBody();
+    /// Whether a request was sent on a kept connection, in SoakOptions::idleCallers, and is not
+    /// answered.
+    bool awaitsOnKeptConnection() const { return m_rests != nullptr && m_awaitingAnswer && m_kept; }
+    void onCut(ConnectionEnd end, TimePoint cutAt, TimePoint now);
+    /// The daemon has closed the connection, at rest or with the request unread.
+    void checkAnnouncedTimeout(TimePoint now);
     void dropConnection(TimePoint now);
     void closeSocket();
 
@@ -57,6 +72,12 @@
     bool m_awaitingAnswer = false;
     bool m_stopped = true;
     bool m_crashing = false;
+    RestPlan *m_rests = nullptr; ///< Not null in SoakOptions::idleCallers.
+    TimePoint m_answeredAt; ///< Begin of the rest.
+    double m_restShare = 0; ///< Of the idle timeout.
+    Duration m_announcedTimeout{}; ///< In the last answer on the connection; 0: none.
+    bool m_kept = false; ///< The connection had carried requests before.
+    bool m_repeats = false; ///< The next request is the last one again.
     TimerId m_sendTimer;
     TimerId m_answerTimer;
 };
--- a/Utilities/Soak/Soak.cpp
+++ b/Utilities/Soak/Soak.cpp
@@ -50,6 +50,9 @@
     const auto port = [this](int offset) {
         return Endpoint{"127.0.0.1", static_cast<std::uint16_t>(m_options.firstPort + offset)};
     };
+    if (m_options.idleCallers) {
+        m_rests = std::make_unique<RestPlan>(m_random);
+    }
     m_store = std::make_unique<SimulatedStore>(m_loop, port(0));
     publishConfig();
     for (int i = 0; i < m_options.backends; ++i) {
@@ -85,13 +88,16 @@
 
 void Soak::publishConfig()
 {
-    const nlohmann::json config = {
+    nlohmann::json config = {
         {"Version", ++m_configVersion},
         {"Routes",
          {route("/again/", "idempotent", 3), route("/once/", "non_idempotent", 1),
           route("/stream/", "stream", 3)}},
         {"Services", {{{"Name", "s"}, {"HealthPath", "/health"}, {"MaxConns", 100}}}},
         {"Tenants", {{{"Name", "acc"}, {"ApiKeys", {"k"}}}}}};
+    if (m_rests) {
+        m_rests->vary(config);
+    }
     m_store->appendRecord("keyed.op", "config", config.dump());
 }
 
@@ -133,7 +139,11 @@
     }
     runAfter(StartupTime, [this] {
         for (const auto &caller : m_callers) {
-            caller->start();
+            if (m_rests) {
+                caller->startResting(*m_rests);
+            } else {
+                caller->start();
+            }
         }
         if (m_options.limitsAndCrashes) {
             m_crashingCaller->startCrashing();
@@ -209,6 +219,11 @@
         makeServersBrittle();
         return;
     }
+    if (m_rests) {
+        m_checker.suspendTimeLimits(now + FaultRecoveryTime);
+        injectStandstill();
+        return;
+    }
     if (m_linkCuts) {
         if (m_random() % 4 == 0) {
             m_linkCuts->silenceServers(now);
@@ -386,6 +401,44 @@
     runAfter(limitTime, [&backend] { backend.endRateLimit(); });
 }
 
+void Soak::injectStandstill()
+{
+    constexpr int maxVersions = 4;
+    constexpr int maxVersionIntervalMs = 300;
+    Duration at{};
+    for (std::uint64_t versions = m_random() % (maxVersions + 1); versions > 0; --versions) {
+        runAfter(at, [this] {
+            publishConfig();
+            logFault("version " + std::to_string(m_configVersion) + " with an idle timeout of "
+                     + std::to_string(toMilliseconds(m_rests->idleTimeout())) + " ms");
+        });
+        at += std::chrono::milliseconds(m_random() % maxVersionIntervalMs);
+    }
+    for (const auto &daemon : m_daemons) {
+        if (m_random() % 3 > 0) {
+            pauseBriefly(*daemon);
+        }
+    }
+}
+
+void Soak::pauseBriefly(Daemon &daemon)
+{
+    constexpr int minPauseMs = 50;
+    constexpr int maxPauseMs = 600;
+    if (daemon.suspended || !daemon.process->running()) {
+        return;
+    }
+    const auto pause =
+        std::chrono::milliseconds(minPauseMs + m_random() % (maxPauseMs - minPauseMs + 1));
+    logFault("pause (SIGSTOP) for " + std::to_string(pause.count()) + " ms " + daemon.settingsPath);
+    daemon.suspended = true;
+    daemon.process->signal(SIGSTOP);
+    runAfter(pause, [&daemon] {
+        daemon.suspended = false;
+        daemon.process->signal(SIGCONT);
+    });
+}
+
 void Soak::makeServersBrittle()
 {
     constexpr Duration brittleTime = 7s;
@@ -432,6 +485,17 @@
     }
 }
 
+std::string Soak::keptConnections() const
+{
+    std::string text;
+    for (const auto &[daemon, counts] : m_checker.keptConnections()) {
+        text += daemon + " kept " + std::to_string(counts.sent) + ", lost "
+            + std::to_string(counts.lost) + ", dropped " + std::to_string(counts.dropped)
+            + ", unread " + std::to_string(counts.unread) + "\n";
+    }
+    return text;
+}
+
 void Soak::runAfter(Duration delay, std::function<void()> action)
 {
     m_loop.at(m_loop.now() + delay, [action = std::move(action)](TimePoint) { action(); });
--- a/Utilities/Soak/Soak.h
+++ b/Utilities/Soak/Soak.h
@@ -9,6 +9,7 @@
 #include "FaultProxy.h"
 #include "GuaranteeChecker.h"
 #include "LinkCuts.h"
+#include "RestPlan.h"
 #include "SimulatedBackend.h"
 #include "SimulatedCaller.h"
 #include "SimulatedStore.h"
@@ -31,6 +32,10 @@
     bool linkCuts = false;
     /// The only fault: the backend servers are brittle for some seconds, under more callers.
     bool brittle = false;
+    /// The only faults: daemons stand still for some 100 ms, beside configurations of thousands of
+    /// routes in quick succession, which change the idle timeout. The callers keep connections at
+    /// rest near it.
+    bool idleCallers = false;
     std::uint16_t firstPort = 29000; ///< Distinct from the ports that the tests use.
     std::string buildFolder;
     /// If set, the daemons start from this build, and are replaced by those of buildFolder one
@@ -56,6 +61,8 @@
     /// 200. Requests of its last 500 ms are not counted: the callers stop at its end, and some
     /// answers are still missing then.
     double faultFreeServedShare() const { return m_faultFreeServedShare; }
+    /// Requests on kept connections in SoakOptions::idleCallers, in one line for each daemon.
+    std::string keptConnections() const;
 
 private:
     /// A daemon process and the proxy through which it reaches the store.
@@ -84,6 +91,10 @@
     void runStoreDrill();
     void injectBackendFault(TimePoint now);
     void injectRateLimit();
+    /// Pauses most of the daemons, and may publish some versions in quick succession.
+    void injectStandstill();
+    /// By SIGSTOP.
+    void pauseBriefly(Daemon &daemon);
     /// All backend servers are brittle for some seconds.
     void makeServersBrittle();
     void endBrittle();
@@ -100,6 +111,7 @@
     std::vector<std::unique_ptr<SimulatedBackend>> m_backends;
     std::vector<std::unique_ptr<SimulatedCaller>> m_callers;
     std::unique_ptr<SimulatedCaller> m_crashingCaller;
+    std::unique_ptr<RestPlan> m_rests; ///< Null without SoakOptions::idleCallers.
     std::unique_ptr<LinkCuts> m_linkCuts; ///< Null without SoakOptions::linkCuts.
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     TimePoint m_startTime;
--- a/Utilities/Soak/main.cpp
+++ b/Utilities/Soak/main.cpp
@@ -32,6 +32,9 @@
     app.add_flag(
         "--brittle", options.brittle,
         "Instead of other faults, servers fall over if they must reject too many requests");
+    app.add_flag("--idle-callers", options.idleCallers,
+                 "Instead of other faults, daemons stand still beside callers that rest near the "
+                 "idle timeout, and beside large configurations in quick succession");
     app.add_option("--callers", options.callersPerDaemon, "Callers of each daemon")
         ->check(CLI::Range(1, 60));
     app.add_option("--daemons", options.daemons, "Daemons")->check(CLI::Range(1, 60));
@@ -53,7 +56,8 @@
         const auto violations = run.run();
         std::cout << "seed " << seed << ": " << run.requests() << " requests, "
                   << run.faultFreeServedShare() << " served after the faults, " << violations.size()
-                  << " guarantee violations\n";
+                  << " guarantee violations\n"
+                  << run.keptConnections();
         for (std::size_t i = 0; i < violations.size() && i < 5; ++i) {
             std::cout << "  " << violations[i] << "\n";
         }
