Soak: half of the requests at rest don't heed the announced timeout

Change: after an announced timeout, every second request still goes to the kept connection, as from callers that don't read the field.

--- a/Utilities/Soak/SimulatedCaller.cpp
+++ b/Utilities/Soak/SimulatedCaller.cpp
@@ -130,7 +130,9 @@
 
 void SimulatedCaller::sendRequest(TimePoint now)
 {
-    if (m_announcedTimeout > Duration() && now - m_answeredAt >= m_announcedTimeout) {
+    const bool announcementExpired =
+        m_announcedTimeout > Duration() && now - m_answeredAt >= m_announcedTimeout;
+    if (announcementExpired && m_random() % 2 == 0) {
         closeSocket();
     }
     m_kept = m_socket != nullptr;
--- a/Utilities/Soak/SimulatedCaller.h
+++ b/Utilities/Soak/SimulatedCaller.h
@@ -26,7 +26,8 @@
     /// Like start(), but sends one request again and again that ends the server that runs it.
     void startCrashing();
     /// Like start(), but keeps the connection at rest before each further request, near the idle
-    /// timeout, and repeats a request that the daemon refused unread.
+    /// timeout, and repeats a request that the daemon refused unread. After an announced timeout,
+    /// every second request goes to a new connection.
     void startResting(RestPlan &rests);
     void stop();
 
