Soak: the announced timeout is checked only where no fault ends daemons

What was wrong: the check of the Keep-Alive timeout also ran in the usual mode, where daemons are killed or told to stop, which ends their connections.

No other check changes.

--- a/Utilities/Soak/SimulatedCaller.cpp
+++ b/Utilities/Soak/SimulatedCaller.cpp
@@ -277,7 +277,8 @@
 
 void SimulatedCaller::checkAnnouncedTimeout(TimePoint now)
 {
-    if (!m_awaitingAnswer || m_kept) {
+    // In the other modes, daemons are ended as a fault.
+    if (m_rests != nullptr && (!m_awaitingAnswer || m_kept)) {
         const Duration open = now - m_answeredAt + AnnouncementTolerance;
         if (open < m_announcedTimeout) {
             m_checker.addViolation("a connection was closed before the announced timeout: " + m_id);
