Event loop: what a deferred callback defers waits for the next iteration

What callers saw: while one connection had many requests in its buffer that are refused at once, no other connection was read until the last of them was answered; with N such connections, N times as long.

Cause: EventLoop::runDeferred() ran until nothing was deferred. The next request of a connection is begun by a deferred callback, which defers the one after it, and so on.

Evidence: the new test, a chain of deferred callbacks beside a readable pipe, linked against the code before: "1000 callbacks before the connection", all there are; with the change 2.

Why it works: each iteration calls what was deferred until then, and handles events and timers in between; the loop doesn't sleep while something is deferred. At the end of run() all is called, as before.

--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -93,7 +93,9 @@
         runTimers();
         runDeferred();
     }
-    runDeferred();
+    while (!m_deferred.empty()) {
+        runDeferred();
+    }
 }
 
 int EventLoop::handleEvents(int timeoutMs)
@@ -172,12 +174,10 @@
 
 void EventLoop::runDeferred()
 {
-    while (!m_deferred.empty()) {
-        std::vector<std::function<void()>> batch;
-        batch.swap(m_deferred);
-        for (const auto &callback : batch) {
-            callback();
-        }
+    std::vector<std::function<void()>> batch;
+    batch.swap(m_deferred);
+    for (const auto &callback : batch) {
+        callback();
     }
 }
 
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -75,7 +75,9 @@
     /// only \p timer is reset.
     void cancel(TimerId &timer);
     /// Calls \p callback after the handlers and timers of the current iteration, for example to
-    /// delete an object that is on the call stack.
+    /// delete an object that is on the call stack. What is deferred by such a callback is called
+    /// after the events and timers of the next iteration, so that a chain of callbacks does not
+    /// hold them up.
     void defer(std::function<void()> callback);
 
     /// Runs until stop() is called.
@@ -93,6 +95,7 @@
     /// Handles the events of everything that has arrived by now, without waiting. Returns the time
     /// up to which that holds.
     TimePoint handleArrived();
+    /// Calls what was deferred until now.
     void runDeferred();
     void runTimers();
     int waitMilliseconds() const;
--- a/Tests/Net/testEventLoopFairness.cpp
+++ b/Tests/Net/testEventLoopFairness.cpp
@@ -93,3 +93,23 @@
     loop.run();
     cr_expect_eq(handledAtTimer, pieces, "%d of %d", handledAtTimer, pieces);
 }
+
+Test(eventLoopFairness, a_chain_of_deferred_callbacks_does_not_hold_up_connections, .timeout = 20)
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    constexpr int longest = 1000;
+    int links = 0;
+    std::unique_ptr<ReadablePipe> pipe;
+    std::function<void()> link = [&] {
+        if (!pipe) {
+            pipe = std::make_unique<ReadablePipe>(loop, 1, [&](int) { loop.stop(); });
+        }
+        if (++links < longest) {
+            loop.defer(link);
+        }
+    };
+    loop.defer(link);
+    loop.run();
+    cr_expect_eq(links, 2, "%d callbacks before the connection", links);
+}
