Log: the queue is bounded in bytes, lines about clients by a rate of their own

What callers saw: nothing yet. A client that chooses long ids and hosts for requests that fail makes lines of kilobytes; while the reader of the log is slow, 4,096 of them wait in memory.

Cause: StructuredLog bounded its queue in lines only. Lines about clients that exceed a limit would also crowd out the lines of failed requests.

Why it works: a line that would bring the queue above 2 MB is dropped and counted like one that finds the queue full. LogPriority::Client has a limit of 20 lines a second; what it leaves out is counted in left_out as for routine lines.

--- a/Source/Log/StructuredLog.cpp
+++ b/Source/Log/StructuredLog.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr std::size_t QueueCapacityLines = 4096;
+constexpr std::size_t QueueCapacityBytes = 2UL * 1024 * 1024;
 constexpr std::size_t MaxBatchLines = 256;
+constexpr int ClientLinesPerSecond = 20;
 constexpr Duration WriterBatchDelay = 200ms;
 
 void writeAll(int descriptor, std::string_view text)
@@ -48,17 +50,39 @@
 }
 
 bool StructuredLog::admitRoutineLine(TimePoint now)
+{
+    updateWindow(now);
+    if (m_routineInWindow < m_routinePerSecond) {
+        return true;
+    }
+    drop();
+    return false;
+}
+
+bool StructuredLog::admitClientLine(TimePoint now)
+{
+    updateWindow(now);
+    if (m_clientInWindow < ClientLinesPerSecond) {
+        ++m_clientInWindow;
+        return true;
+    }
+    drop();
+    return false;
+}
+
+void StructuredLog::updateWindow(TimePoint now)
 {
     if (now - m_windowStart >= Duration(1s)) {
         m_windowStart = now;
         m_routineInWindow = 0;
+        m_clientInWindow = 0;
     }
-    if (m_routineInWindow < m_routinePerSecond) {
-        return true;
-    }
+}
+
+void StructuredLog::drop()
+{
     ++m_droppedSinceLastLine;
     ++m_droppedTotal;
-    return false;
 }
 
 void StructuredLog::write(LogPriority priority, LogLine line, TimePoint now)
@@ -69,14 +93,20 @@
         }
         ++m_routineInWindow;
     }
+    if (priority == LogPriority::Client && !admitClientLine(now)) {
+        return;
+    }
     if (m_droppedSinceLastLine > 0) {
         line.add("left_out", m_droppedSinceLastLine);
     }
-    if (m_queue.tryPush(prefix() + line.take() + "\n")) {
+    std::string text = prefix() + line.take() + "\n";
+    const std::size_t bytes = text.size();
+    const bool fits = (m_queuedBytes += bytes) <= QueueCapacityBytes;
+    if (fits && m_queue.tryPush(std::move(text))) {
         m_droppedSinceLastLine = 0;
     } else {
-        ++m_droppedSinceLastLine;
-        ++m_droppedTotal;
+        m_queuedBytes -= bytes;
+        drop();
     }
 }
 
@@ -103,6 +133,7 @@
         for (const std::string &line : batch) {
             text += line;
         }
+        m_queuedBytes -= text.size();
         writeAll(m_descriptor, text);
         if (batch.empty() && m_queue.closed()) {
             return;
--- a/Source/Log/StructuredLog.h
+++ b/Source/Log/StructuredLog.h
@@ -14,13 +14,15 @@
 /// Which lines are dropped first when lines must be dropped.
 enum class LogPriority {
     Routine, ///< Of a successful request; rate-limited.
+    Client, ///< Of a client that exceeded a limit; rate-limited.
     Notable, ///< Of a failed request or a state change; dropped only if the queue is full.
 };
 
 /// The structured log of one process. A bounded queue passes the lines to a thread that writes them
 /// to a file descriptor, so that a slow reader of the log never blocks the caller. Lines are
-/// dropped if the queue is full or the rate limit is reached; the number of dropped lines is added
-/// to the next line that is written. write() and admitRoutineLine() are not thread-safe.
+/// dropped if the queue is full, in lines or in bytes, or the rate limit is reached; the number of
+/// dropped lines is added to the next line that is written. write() and admitRoutineLine() are not
+/// thread-safe.
 class StructuredLog
 {
 public:
@@ -41,6 +43,10 @@
 
 private:
     void run();
+    void drop();
+    /// Begins a new window of the rate limits if the last one has ended.
+    void updateWindow(TimePoint now);
+    bool admitClientLine(TimePoint now);
     std::string prefix();
 
     std::string m_instance;
@@ -50,6 +56,8 @@
     BoundedQueue<std::string> m_queue;
     TimePoint m_windowStart;
     int m_routineInWindow = 0;
+    int m_clientInWindow = 0;
+    std::atomic<std::size_t> m_queuedBytes = 0;
     std::int64_t m_droppedSinceLastLine = 0;
     std::int64_t m_droppedTotal = 0;
     std::thread m_writer;
--- a/Tests/Log/testStructuredLog.cpp
+++ b/Tests/Log/testStructuredLog.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <csignal>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -75,3 +77,47 @@
     fcntl(pipe.ends[1], F_SETFL, O_NONBLOCK);
     while (!readAvailable(pipe.ends[0]).empty()) { }
 }
+
+Test(structuredLog, lines_beyond_two_megabytes_are_dropped_while_the_reader_is_slow)
+{
+    const SystemClock clock;
+    Pipe pipe;
+    std::int64_t dropped = 0;
+    constexpr int lines = 4000;
+    constexpr int valuesPerLine = 4;
+    {
+        StructuredLog log("i", pipe.ends[1], 3, clock);
+        for (int i = 0; i < lines; ++i) {
+            LogLine line("failed");
+            for (int j = 0; j < valuesPerLine; ++j) {
+                line.add("value", std::string(400, 'v'));
+            }
+            log.write(LogPriority::Notable, std::move(line), clock.now());
+        }
+        dropped = log.droppedLines();
+        close(pipe.ends[0]);
+        pipe.ends[0] = open("/dev/null", O_RDONLY);
+        signal(SIGPIPE, SIG_IGN);
+    }
+    // Lines of 1.6 kB each; the writer may have taken one batch of 256 and a full pipe of them.
+    cr_expect(dropped > lines / 2, "%ld of %d lines dropped", static_cast<long>(dropped), lines);
+}
+
+Test(structuredLog, lines_about_clients_are_rate_limited_apart_from_others)
+{
+    const SystemClock clock;
+    Pipe pipe;
+    {
+        StructuredLog log("i", pipe.ends[1], 3, clock);
+        const TimePoint now = clock.now();
+        for (int i = 0; i < 100; ++i) {
+            log.write(LogPriority::Client, LogLine("client.limit"), now);
+        }
+        log.write(LogPriority::Notable, LogLine("failed"), now);
+        log.write(LogPriority::Routine, LogLine("routine"), now);
+        log.write(LogPriority::Client, LogLine("client.limit"), now + 1s);
+    }
+    const std::string text = readAvailable(pipe.ends[0]);
+    cr_expect(text.find("event=failed left_out=80") != std::string::npos, "%s", text.c_str());
+    cr_expect_eq(std::count(text.begin(), text.end(), '\n'), 23);
+}
