Pages: one response at a time on a connection, and none is cut when it closes

What callers saw: a client that sent requests for the metrics or readiness page ahead and read nothing made the daemon hold a page for each: 314 MiB (readiness, 16 connections) and 96 MiB (metrics, 4 connections) of 64. The process of a machine with less memory ends.

Cause: HttpResponder answered all requests that a read brought, and read on whatever was unsent.

Why it works: while a page is unsent, the connection is not read, and the next request is parsed in another turn of the loop. A paused StreamSocket reads nothing at all, also not before the end of the stream, so a client that half-closes can't push its backlog in. 4 KB are read at a time and the kernel holds a receive buffer of 8 KB. A connection that ends does so when the page is out; TCP_USER_TIMEOUT and the idle timer bound that. The number of connections follows the descriptors (max_descriptors, RLIMIT_NOFILE). What is closed leaves a line client.limit (20 a second) and lycheearch_client_limits_total{port,why}.

--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -162,6 +162,10 @@
     settings.store = readEndpoint(reader, {"store", "Address of the log store"});
     settings.memoryMegabytes =
         reader.integer({"memory_mb", "Memory limit of the process, in MiB"}, {16, 1'000'000}, 128);
+    settings.maxDescriptors = reader.integer(
+        {"max_descriptors",
+         "Limit of open descriptors; a lower limit of the process (RLIMIT_NOFILE) goes before it"},
+        {64, 1'000'000}, 1'000'000);
     settings.routineLogLines = static_cast<int>(reader.integer(
         {"routine_log_lines", "Log lines per second for successful requests"}, {0, 100'000}, 20));
     settings.terms = reader.text({"terms",
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -70,6 +70,8 @@
     std::optional<Endpoint> relayListen;
     Endpoint store;
     std::int64_t memoryMegabytes = 0; ///< Memory limit of the process, in MiB.
+    /// Limit of open descriptors; the lower one of this and the process's own limit applies.
+    std::int64_t maxDescriptors = 0;
     int routineLogLines = 0; ///< Per second, for successful requests.
     /// Terms of the deployment in the platform's words, separated by commas.
     std::string terms;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -23,15 +23,9 @@
 /// During shutdown, the listening socket stays open for this time, so that the load balancer
 /// detects that the instance is not ready before connections are refused.
 constexpr Duration StopListeningDelay = 3500ms;
-/// Parts of the process's memory limit that buffered bodies may use.
-constexpr std::size_t RequestMemoryDivisor = 3;
-constexpr std::size_t ResponseMemoryDivisor = 4;
-
-/// A part of the process's memory limit, in bytes.
-std::size_t memoryPart(std::int64_t memoryMegabytes, std::size_t divisor)
+std::string listenError(const char *what, const Endpoint &endpoint, const std::error_code &error)
 {
-    constexpr std::size_t bytesPerMegabyte = 1024UL * 1024;
-    return static_cast<std::size_t>(memoryMegabytes) * bytesPerMegabyte / divisor;
+    return std::string(what) + " " + endpoint.text() + ": " + error.message();
 }
 
 } // namespace
@@ -55,8 +49,11 @@
     , m_retries(FleetLimits::initialRetryBounds(m_settings.bounds))
     , m_fleetLimits(m_view, m_settings.instance, m_settings.bounds, m_picker, m_retries, m_clock)
     , m_pendingCrashes(m_crashes, m_picker.reach())
-    , m_bodyBudget(memoryPart(m_settings.memoryMegabytes, RequestMemoryDivisor))
-    , m_responseBudget(memoryPart(m_settings.memoryMegabytes, ResponseMemoryDivisor))
+    , m_clientMemory(clientMemory(m_settings.memoryMegabytes))
+    , m_portLimits(
+          portLimits(descriptorLimit(m_settings.maxDescriptors), m_settings.memoryMegabytes))
+    , m_bodyBudget(m_clientMemory.requestBodies)
+    , m_responseBudget(m_clientMemory.responses)
     , m_readers(m_loop, m_responseBudget)
     , m_hedging(m_settings.instance, m_retries)
     , m_admission(m_settings.traits.scarceCapacity && m_settings.capacity.admission
@@ -99,10 +96,6 @@
 
 std::string RouterDaemon::start()
 {
-    const auto listenError = [](const char *what, const Endpoint &endpoint,
-                                const std::error_code &error) {
-        return std::string(what) + " " + endpoint.text() + ": " + error.message();
-    };
     std::error_code error;
     m_callerServer =
         std::make_unique<CallerServer>(m_context, RequestOrigin::Caller, m_settings.listen, error);
@@ -116,27 +109,36 @@
             return listenError("relay_listen", *m_settings.relayListen, error);
         }
     }
+    const std::string feedError = startFeed();
+    return feedError.empty() ? startPages() : feedError;
+}
+
+std::string RouterDaemon::startFeed()
+{
+    std::error_code error;
     m_feedServer = std::make_unique<FeedServer>(
         m_loop, m_settings.feedListen, m_follower,
         [this](const FeedEvidence &evidence) { m_rolloutAgent.addFollowerEvidence(evidence); },
         [this](const FeedLoad &load, TimePoint now) { m_loadExchange.onRemoteLoad(load, now); },
         error);
-    if (error) {
-        return listenError("feed_listen", m_settings.feedListen, error);
-    }
+    return error ? listenError("feed_listen", m_settings.feedListen, error) : std::string();
+}
+
+std::string RouterDaemon::startPages()
+{
+    std::error_code error;
+    ClientLimitObserver &observer = *this;
     m_readinessServer = std::make_unique<HttpResponder>(
-        m_loop, m_settings.readinessListen,
-        [this](const HttpRequestHead &, TimePoint now) { return readiness(now); }, error);
+        m_loop, PagePort{"readiness", m_settings.readinessListen, m_portLimits.pages},
+        [this](const HttpRequestHead &, TimePoint now) { return readiness(now); }, observer, error);
     if (error) {
         return listenError("readiness_listen", m_settings.readinessListen, error);
     }
     m_metricsServer = std::make_unique<HttpResponder>(
-        m_loop, m_settings.metricsListen,
-        [this](const HttpRequestHead &, TimePoint now) { return metricsPage(now); }, error);
-    if (error) {
-        return listenError("metrics_listen", m_settings.metricsListen, error);
-    }
-    return {};
+        m_loop, PagePort{"metrics", m_settings.metricsListen, m_portLimits.pages},
+        [this](const HttpRequestHead &, TimePoint now) { return metricsPage(now); }, observer,
+        error);
+    return error ? listenError("metrics_listen", m_settings.metricsListen, error) : std::string();
 }
 
 void RouterDaemon::run()
@@ -196,6 +198,14 @@
                 LogLine("loop.long_turn").add("duty", duty).add("took_ms", duration), now);
 }
 
+void RouterDaemon::onClientLimit(const char *port, const char *why, TimePoint now)
+{
+    m_metrics.count("lycheearch_client_limits_total",
+                    std::string("port=\"") + port + "\",why=\"" + why + "\"");
+    m_log.write(LogPriority::Client, LogLine("client.limit").add("port", port).add("why", why),
+                now);
+}
+
 void RouterDaemon::onSignal(int signal, TimePoint now)
 {
     if (signal == SIGHUP) {
@@ -220,6 +230,8 @@
         || newSettings.metricsListen != m_settings.metricsListen
         || newSettings.store != m_settings.store || newSettings.instance != m_settings.instance
         || newSettings.dataCentre != m_settings.dataCentre
+        || newSettings.memoryMegabytes != m_settings.memoryMegabytes
+        || newSettings.maxDescriptors != m_settings.maxDescriptors
         || (newSettings.traits.scarceCapacity && newSettings.capacity.admission)
             != (m_admission != nullptr);
     m_settings.bounds = newSettings.bounds;
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -11,6 +11,7 @@
 #include "Daemon/LoadExchange.h"
 #include "Daemon/MemberRegistration.h"
 #include "Daemon/ReachProber.h"
+#include "Daemon/ResourcePlan.h"
 #include "Daemon/RolloutAgent.h"
 #include "Feed/FeedClient.h"
 #include "Feed/FeedServer.h"
@@ -33,7 +34,7 @@
 /// A daemon without persistent state: builds its view of the fleet from the store, forwards
 /// requests and drains gracefully on shutdown. While the store is unreachable it routes by its last
 /// view.
-class RouterDaemon : private FleetObserver, private EventLoopObserver
+class RouterDaemon : private FleetObserver, private EventLoopObserver, private ClientLimitObserver
 {
 public:
     /// Reads the settings again. Errors are added to \p findings.
@@ -63,6 +64,8 @@
 
     void onLongTurn(const char *duty, Duration duration, TimePoint now) override;
 
+    void onClientLimit(const char *port, const char *why, TimePoint now) override;
+
     void onFeedChange(const InstanceId &source, const char *why);
     /// Schedules one early read of the member records, so that this daemon soon finds the daemons
     /// that started at about the same time and can follow one of them.
@@ -81,6 +84,9 @@
     void updatePeers();
     void onReachChanged(const ServiceId &service, bool reached, TimePoint now);
     std::size_t callerConnections() const;
+    /// Opens the ports for daemons and those with pages. Returns as start() does.
+    std::string startFeed();
+    std::string startPages();
     CompleteHttpResponse readiness(TimePoint now);
     CompleteHttpResponse metricsPage(TimePoint now);
 
@@ -108,6 +114,8 @@
     PendingCrashes m_pendingCrashes;
     ReturnSchedule m_returnSchedule;
     ShutdownPolicy m_shutdownPolicy;
+    const ClientMemory m_clientMemory;
+    const PortLimits m_portLimits;
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget; ///< Of responses, until their callers have read them.
     CallerReaders m_readers;
--- a/Source/Net/HttpResponder.cpp
+++ b/Source/Net/HttpResponder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include <sys/epoll.h>
 #include <unistd.h>
 
 namespace lycheearch {
@@ -13,7 +12,9 @@
 constexpr Liveness PageLiveness{5s, 1s, 2, 5s};
 /// A connection is closed if it completes no request for this long.
 constexpr Duration IdleTimeout = 30s;
-constexpr std::size_t MaxConnections = 64;
+/// What is read at a time, and what the kernel holds of a connection that is not read.
+constexpr std::size_t ReceiveBytes = 4UL * 1024;
+constexpr int ReceiveBufferBytes = 8 * 1024;
 
 } // namespace
 
@@ -26,6 +27,7 @@
         , m_socket(server.m_loop, fd, StreamSocket::Start::Connected, *this)
     {
         setTcpOptions(fd, PageLiveness);
+        m_socket.setReceiveSize(ReceiveBytes);
         restart();
     }
 
@@ -33,22 +35,19 @@
 
     void onBytes(std::string_view bytes, TimePoint now) override
     {
+        if (m_ending) {
+            return;
+        }
         m_input.append(bytes);
-        while (!m_input.empty()) {
-            m_parser->feed(m_input);
-            if (m_parser->parseError() != HttpParseError::None) {
-                end();
-                return;
-            }
-            if (!m_parser->complete()) {
-                return;
-            }
-            respond(now);
-            if (!m_head.keepAlive) {
-                end();
-                return;
-            }
-            restart();
+        parse(now);
+    }
+
+    void onSendQueueEmpty(TimePoint now) override
+    {
+        if (m_ending) {
+            end();
+        } else if (m_responding) {
+            continueReading(now);
         }
     }
 
@@ -60,12 +59,23 @@
         m_server.remove(*this);
     }
 
-    void onEnd(TimePoint) override { end(); }
+    void onEnd(TimePoint) override { endAfterResponse(); }
     void onError(std::error_code, TimePoint) override { end(); }
     void onRequestHead(HttpRequestHead head) override { m_head = std::move(head); }
     void onRequestBody(std::string_view) override { }
+    const char *duty() const override { return "page"; }
 
 private:
+    void parse(TimePoint now)
+    {
+        m_parser->feed(m_input);
+        if (m_parser->parseError() != HttpParseError::None) {
+            end();
+        } else if (m_parser->complete()) {
+            respond(now);
+        }
+    }
+
     void restart()
     {
         m_parser = std::make_unique<HttpRequestParser>(PageLimits, *this);
@@ -81,10 +91,43 @@
     {
         CompleteHttpResponse response = m_server.m_handler(m_head, now);
         response.fields.set("Content-Length", std::to_string(response.body.size()));
+        m_responding = true;
+        m_socket.setReading(false);
         m_socket.send(
             serializeResponseHead(response.status, reasonPhrase(response.status), response.fields)
             + response.body);
+        if (!m_head.keepAlive) {
+            endAfterResponse();
+        } else if (m_socket.queuedBytes() == 0) {
+            // In another turn of the loop, however many requests have arrived.
+            m_server.m_loop.defer(
+                [self = m_server.m_connections.at(this)] { self->continueReading(); });
+        }
     }
+
+    void continueReading() { continueReading(m_server.m_loop.now()); }
+    void continueReading(TimePoint now)
+    {
+        if (!m_socket.isOpen() || m_ending) {
+            return;
+        }
+        m_responding = false;
+        restart();
+        m_socket.setReading(true);
+        if (!m_input.empty()) {
+            parse(now);
+        }
+    }
+
+    /// Closes the connection once the client has been sent all of the response.
+    void endAfterResponse()
+    {
+        m_ending = true;
+        if (m_socket.queuedBytes() == 0) {
+            end();
+        }
+    }
+
     HttpResponder &m_server;
     StreamSocket m_socket;
     std::unique_ptr<HttpRequestParser> m_parser;
@@ -92,48 +135,45 @@
     HttpRequestHead m_head;
     TimePoint m_idleSince;
     TimerId m_timer;
+    bool m_responding = false; ///< The client has not taken all of the response.
+    bool m_ending = false;
 };
 
-HttpResponder::HttpResponder(EventLoop &loop, const Endpoint &listen, Handler handler,
-                             std::error_code &error)
+HttpResponder::HttpResponder(EventLoop &loop, const PagePort &port, Handler handler,
+                             ClientLimitObserver &limitObserver, std::error_code &error)
     : m_loop(loop)
+    , m_port(port)
     , m_handler(std::move(handler))
-    , m_listener(listenTcp(listen, error))
+    , m_limitObserver(limitObserver)
+    , m_acceptor(
+          loop, port.listen, ReceiveBufferBytes,
+          [this](int fd, TimePoint now) { onAccepted(fd, now); },
+          [this](std::error_code, TimePoint now) { closeLongestIdle("no descriptor left", now); },
+          error)
 {
-    if (m_listener >= 0) {
-        m_loop.watch(m_listener, EPOLLIN, *this);
-    }
 }
 
-HttpResponder::~HttpResponder()
-{
-    if (m_listener >= 0) {
-        m_loop.unwatch(m_listener);
-        close(m_listener);
-    }
-}
+HttpResponder::~HttpResponder() = default;
 
-void HttpResponder::onReady(std::uint32_t, TimePoint)
+void HttpResponder::onAccepted(int fd, TimePoint now)
 {
-    std::error_code error;
-    const int fd = acceptTcp(m_listener, error);
-    if (fd < 0) {
-        return;
-    }
-    if (m_connections.size() >= MaxConnections) {
-        closeLongestIdle();
+    if (m_connections.size() >= m_port.maxConnections) {
+        closeLongestIdle("too many connections", now);
     }
     auto connection = std::make_shared<Connection>(*this, fd);
     m_connections.emplace(connection.get(), std::move(connection));
 }
 
-void HttpResponder::closeLongestIdle()
+void HttpResponder::closeLongestIdle(const char *why, TimePoint now)
 {
     const auto oldest = std::min_element(
         m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
             return left.second->idleSince() < right.second->idleSince();
         });
-    oldest->second->end();
+    if (oldest != m_connections.end()) {
+        m_limitObserver.onClientLimit(m_port.name, why, now);
+        oldest->second->end();
+    }
 }
 
 void HttpResponder::remove(Connection &connection)
--- a/Source/Net/Socket.cpp
+++ b/Source/Net/Socket.cpp
@@ -109,6 +109,11 @@
     setOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, bytes);
 }
 
+void limitReceiveBuffer(int fd, int bytes)
+{
+    setOption(fd, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 std::error_code socketError(int fd)
 {
     int value = 0;
--- a/Source/Net/Socket.h
+++ b/Source/Net/Socket.h
@@ -33,6 +33,11 @@
 /// (TCP_NOTSENT_LOWAT). What a slow peer leaves then waits in the process, which counts it.
 void limitUnsentBytes(int fd, int bytes);
 
+/// Bounds what the kernel holds of a connection that this process does not read (SO_RCVBUF; the
+/// kernel doubles it for its own overhead). On a listening socket it applies to the connections
+/// that are accepted later.
+void limitReceiveBuffer(int fd, int bytes);
+
 /// Returns and clears the pending error of a socket (SO_ERROR), for example after a connect.
 std::error_code socketError(int fd);
 
--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t ReceiveBufferBytes = 32UL * 1024;
-
 bool wouldBlock(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -84,6 +82,13 @@
     updateInterest();
 }
 
+void StreamSocket::limitReceiveBuffer(std::size_t bytes)
+{
+    if (m_fd >= 0) {
+        lycheearch::limitReceiveBuffer(m_fd, static_cast<int>(bytes));
+    }
+}
+
 std::uint64_t StreamSocket::takenBytes() const
 {
     return m_acceptedBytes - std::min<std::uint64_t>(m_acceptedBytes, unacknowledgedBytes());
@@ -143,12 +148,8 @@
             m_listener.onSendProgress(now);
         }
     }
-    if (m_fd >= 0 && m_held) {
-        if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
-            const std::error_code error = socketError(m_fd);
-            fail(error ? error : std::make_error_code(std::errc::connection_reset), now);
-            return;
-        }
+    if (m_fd >= 0 && (m_held || !m_reading)) {
+        endUnread(events, now);
     } else if (m_fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
         receive(now);
     }
@@ -171,7 +172,7 @@
 
 void StreamSocket::receive(TimePoint now)
 {
-    static thread_local std::array<char, ReceiveBufferBytes> buffer;
+    static thread_local std::array<char, MaxReceiveBytes> buffer;
     if (m_endReceived) {
         // After the end of the incoming stream, only an error can still be reported.
         if (const std::error_code error = socketError(m_fd)) {
@@ -179,7 +180,7 @@
         }
         return;
     }
-    const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+    const ssize_t count = recv(m_fd, buffer.data(), m_receiveBytes, 0);
     if (count > 0) {
         m_listener.onBytes({buffer.data(), static_cast<std::size_t>(count)}, now);
     } else if (count == 0) {
@@ -191,6 +192,18 @@
     }
 }
 
+void StreamSocket::endUnread(std::uint32_t events, TimePoint now)
+{
+    if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+        const std::error_code error = socketError(m_fd);
+        fail(error ? error : std::make_error_code(std::errc::connection_reset), now);
+    } else if (!m_held && !m_endReceived && (events & EPOLLRDHUP) != 0) {
+        m_endReceived = true;
+        updateInterest();
+        m_listener.onEnd(now);
+    }
+}
+
 void StreamSocket::flush()
 {
     while (queuedBytes() > 0 && !m_sendError) {
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -35,6 +35,8 @@
 public:
     enum class Start { Connecting, Connected };
 
+    static constexpr std::size_t MaxReceiveBytes = 32UL * 1024;
+
     /// Takes ownership of \p fd. The listener is called only from the event loop.
     StreamSocket(EventLoop &loop, int fd, Start start, StreamSocketListener &listener);
     ~StreamSocket() override;
@@ -47,8 +49,13 @@
     void send(SharedBody body);
     /// Shuts down the sending side (FIN) once the queue is empty.
     void shutdownSending();
-    /// Pauses or resumes reading. While paused, the end of the connection is still detected.
+    /// Pauses or resumes reading. While paused, nothing is read: the end of the incoming stream is
+    /// reported at once, before the bytes that precede it.
     void setReading(bool reading);
+    /// Sets how much is read at a time, at most and by default MaxReceiveBytes.
+    void setReceiveSize(std::size_t bytes) { m_receiveBytes = bytes; }
+    /// Bounds what the kernel holds of a connection that is not read.
+    void limitReceiveBuffer(std::size_t bytes);
     /// Neither reads nor watches for the end of the incoming stream, so that the peer can't send
     /// more than the kernel buffers. A failure of the connection is still reported, and unread
     /// bytes are then lost.
@@ -77,6 +84,8 @@
     const char *duty() const override { return m_listener.duty(); }
     void finishConnect(TimePoint now);
     void receive(TimePoint now);
+    /// Handles the end or a failure of a connection that is not read.
+    void endUnread(std::uint32_t events, TimePoint now);
     void flush();
     /// Writes \p bytes. Returns how many the kernel accepted.
     std::size_t write(std::string_view bytes);
@@ -90,6 +99,7 @@
     std::uint64_t m_acceptedBytes = 0; ///< By the kernel, in all.
     bool m_connected;
     bool m_reading = true;
+    std::size_t m_receiveBytes = MaxReceiveBytes;
     bool m_held = false; ///< By holdReading().
     bool m_endReceived = false;
     bool m_shutdownRequested = false;
--- a/Tests/Net/testHttpResponder.cpp
+++ b/Tests/Net/testHttpResponder.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include "ClientLimitCounter.h"
 #include "FreePort.h"
 #include "Mocks.h"
 #include "Net/HttpResponder.h"
@@ -18,11 +19,11 @@
     const Endpoint listen{"127.0.0.1", freePort()};
     std::error_code error;
     HttpResponder responder(
-        loop, listen,
+        loop, PagePort{"pages", listen},
         [](const HttpRequestHead &, TimePoint) {
             return CompleteHttpResponse{200, {}, "ready"};
         },
-        error);
+        unusedLimitObserver(), error);
     cr_assert_not(error);
     std::vector<int> idleFds;
     for (int i = 0; i < 300; ++i) {
@@ -50,3 +51,33 @@
         close(fd);
     }
 }
+
+Test(httpResponder, a_large_page_is_sent_whole_on_a_connection_that_closes, .timeout = 20)
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    const Endpoint listen{"127.0.0.1", freePort()};
+    const std::string page(12UL * 1024 * 1024, 'p');
+    std::error_code error;
+    HttpResponder responder(
+        loop, PagePort{"pages", listen},
+        [&](const HttpRequestHead &, TimePoint) {
+            return CompleteHttpResponse{200, {}, page};
+        },
+        unusedLimitObserver(), error);
+    cr_assert_not(error);
+    HttpCallChannel channel(loop, listen, {1s, 1s, 2, 2s}, {1024, 2 * page.size()});
+    HttpCall call;
+    call.head.method = "GET";
+    call.head.target = "/";
+    call.head.fields.add("Connection", "close");
+    call.timeout = 10s;
+    std::size_t received = 0;
+    call.callback = [&](std::error_code, const CompleteHttpResponse &response, TimePoint) {
+        received = response.body.size();
+        loop.stop();
+    };
+    channel.call(std::move(call));
+    loop.run();
+    cr_expect_eq(received, page.size());
+}
