Feed: what a connection makes the daemon hold is bounded, and strangers don't keep followers out

Two faults of one port; both changes go through the same few functions of FeedServer.

Cause: frames of 8 MB and messages of 64 MB were accepted on each of 256 connections; what a follower reports was kept whatever its size; lists that are merged (limits of servers) took quadratic time, and the tables behind them (notices, evidence, loads of data centres, holders of a prompt) grew with names that a stranger chooses.

That the merge is quadratic and the tables grow was read, not played.

Why it works: followers may send frames of 2 MB and messages of 4 MB, lists of 16,384 entries (2,048 where they are merged; the design size is 620 servers and 380 daemons). All connections together hold an eighth of the memory (incomplete frames, reports, unsent bytes); beyond it the one that holds most is closed, and what it held is freed at once. Tables with names of strangers have upper limits.

What callers saw: 400 connections that send nothing, or subscribe and read nothing, take all 256 places for as long as they like; a daemon that wants to follow is closed at once and reads the store.

Cause: a new connection was closed when there were 256, whoever the others were.

Why it works: the place is taken from the connection that has been silent longest, if for a second (followers report five times in that time). A connection without a whole message after 5 to 10 s is closed. The number of places follows the descriptors.

--- a/Source/Daemon/LoadExchange.cpp
+++ b/Source/Daemon/LoadExchange.cpp
@@ -16,6 +16,8 @@
 /// that would exceed it are not forwarded; entries that stay in use are published again before they
 /// expire.
 constexpr std::size_t MaxQueuedEntriesToForward = 16384;
+/// Data centres whose reports are kept at a time.
+constexpr std::size_t MaxDataCentres = 64;
 
 } // namespace
 
@@ -51,6 +53,14 @@
 
 void LoadExchange::onRemoteLoad(const FeedLoad &load, TimePoint now)
 {
+    if (!m_remoteLoads.contains(load.dataCentre)) {
+        std::erase_if(m_remoteLoads, [now](const auto &entry) {
+            return now - entry.second.at >= RemoteLoadLifetime;
+        });
+        if (m_remoteLoads.size() >= MaxDataCentres) {
+            return;
+        }
+    }
     m_remoteLoads[load.dataCentre] = {load.loads, load.cutOff, load.uses, now};
     m_picker.promptCacheIndex().applyPublished(load.promptCacheEntries, now);
     m_crashes.apply(load.crashEvidence, now);
--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -13,6 +13,8 @@
 /// Feeds don't carry the evidence of all daemons. A daemon that begins to read the store has it
 /// after each of the other readers has written once.
 constexpr Duration EvidenceCollectionTime = 2 * EvidenceWritePeriod;
+/// Daemons whose evidence is kept.
+constexpr std::size_t MaxDaemons = 4096;
 
 } // namespace
 
@@ -45,8 +47,12 @@
 
 void RolloutAgent::addFollowerEvidence(const FeedEvidence &evidence)
 {
-    if (!evidence.evidence.empty()) {
-        m_evidenceByDaemon[evidence.evidence.front().daemon] = evidence.evidence;
+    if (evidence.evidence.empty()) {
+        return;
+    }
+    const InstanceId &daemon = evidence.evidence.front().daemon;
+    if (m_evidenceByDaemon.contains(daemon) || m_evidenceByDaemon.size() < MaxDaemons) {
+        m_evidenceByDaemon[daemon] = evidence.evidence;
     }
 }
 
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -116,11 +116,12 @@
 std::string RouterDaemon::startFeed()
 {
     std::error_code error;
+    ClientLimitObserver &observer = *this;
     m_feedServer = std::make_unique<FeedServer>(
         m_loop, m_settings.feedListen, m_follower,
         [this](const FeedEvidence &evidence) { m_rolloutAgent.addFollowerEvidence(evidence); },
         [this](const FeedLoad &load, TimePoint now) { m_loadExchange.onRemoteLoad(load, now); },
-        error);
+        FeedLimits{m_portLimits.feed, m_clientMemory.feed}, observer, error);
     return error ? listenError("feed_listen", m_settings.feedListen, error) : std::string();
 }
 
--- a/Source/Feed/FeedMessages.cpp
+++ b/Source/Feed/FeedMessages.cpp
@@ -19,8 +19,10 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t HeaderBytes = LengthBytes + 1;
-constexpr std::size_t MaxFrameBytes = 8UL * 1024 * 1024;
-constexpr std::size_t MaxMessageBytes = 64UL * 1024 * 1024;
+/// Longest lists in messages of other daemons. The second is for lists that are merged with one
+/// another.
+constexpr unsigned MaxListEntries = 16'384;
+constexpr unsigned MaxMergedListEntries = 2048;
 /// Minimum size of a message that is compressed.
 constexpr std::size_t CompressionThresholdBytes = 2048;
 /// The same for changes of the loads, which are compressed once and sent to all followers.
@@ -28,6 +30,14 @@
 constexpr char Uncompressed = 0;
 constexpr char Compressed = 1;
 
+/// Throws kj::Exception if a list is longer than allowed.
+template <typename List>
+List shortEnough(List list, unsigned most = MaxListEntries)
+{
+    KJ_REQUIRE(list.size() <= most, "list too long");
+    return list;
+}
+
 void writeBuckets(capnp::List<std::int64_t>::Builder list, const DelayHistogram::Counts &counts)
 {
     for (unsigned i = 0; i < list.size(); ++i) {
@@ -180,7 +190,7 @@
 CrashEvidence readCrashEvidence(wire::FeedPromptEvidence::Reader reader)
 {
     CrashEvidence evidence;
-    for (const auto entry : reader.getCrashes()) {
+    for (const auto entry : shortEnough(reader.getCrashes(), MaxMergedListEntries)) {
         RequestCrash crash{entry.getRequest(),       entry.getServer(),
                            entry.getAccount(),       {},
                            Duration(entry.getAge()), {entry.getContent(), {}}};
@@ -192,11 +202,11 @@
         }
         evidence.crashes.push_back(std::move(crash));
     }
-    for (const auto entry : reader.getSuccesses()) {
+    for (const auto entry : shortEnough(reader.getSuccesses())) {
         evidence.successes.push_back(
             {{entry.getAccount(), entry.getPart()}, Duration(entry.getAge())});
     }
-    for (const auto entry : reader.getCondemned()) {
+    for (const auto entry : shortEnough(reader.getCondemned(), MaxMergedListEntries)) {
         evidence.condemned.push_back(
             {{entry.getAccount(), entry.getPart()}, Duration(entry.getAge())});
     }
@@ -346,7 +356,7 @@
     message.dataCentre = DataCentreId(reader.getDataCentre().cStr());
     message.changesOnly = reader.getChangesOnly();
     message.period = std::clamp(Duration(reader.getPeriod()), Duration::zero(), MaxLoadPeriod);
-    for (const auto entry : reader.getEntries()) {
+    for (const auto entry : shortEnough(reader.getEntries())) {
         BackendLoadShare &load = message.loads[InstanceId(entry.getBackend().cStr())];
         load.requests = entry.getRequests();
         load.unreachable = entry.getUnreachable();
@@ -356,24 +366,24 @@
             load.tokens.at(j) = tokens[j];
         }
     }
-    for (const auto place : reader.getPlaces()) {
+    for (const auto place : shortEnough(reader.getPlaces())) {
         message.promptCacheEntries.push_back(
             {place.getAffinity(), InstanceId(place.getBackend().cStr())});
     }
     message.crashEvidence = readCrashEvidence(reader.getPromptEvidence());
-    for (const auto entry : reader.getRateLimits()) {
+    for (const auto entry : shortEnough(reader.getRateLimits(), MaxMergedListEntries)) {
         message.rateLimits.push_back(readRateLimit(entry));
     }
-    for (const auto entry : reader.getCutOff()) {
+    for (const auto entry : shortEnough(reader.getCutOff(), MaxMergedListEntries)) {
         message.cutOff.push_back(readCutOff(entry));
     }
-    for (const auto entry : reader.getSpeeds()) {
+    for (const auto entry : shortEnough(reader.getSpeeds())) {
         SpeedReport report = readSpeed(entry);
         if (isSound(report)) {
             message.speeds.push_back(std::move(report));
         }
     }
-    message.uses = readUses(reader.getUses());
+    message.uses = readUses(shortEnough(reader.getUses()));
     return message;
 }
 
@@ -412,8 +422,8 @@
     return output.str();
 }
 
-/// Returns std::nullopt if the input is corrupt or the output exceeds MaxMessageBytes.
-std::optional<std::string> decompress(const std::string &bytes)
+/// Returns std::nullopt if the input is corrupt or the output exceeds \p mostBytes.
+std::optional<std::string> decompress(const std::string &bytes, std::size_t mostBytes)
 {
     std::istringstream input(bytes);
     Poco::InflatingInputStream inflater(input, Poco::InflatingStreamBuf::STREAM_ZLIB);
@@ -422,7 +432,7 @@
     std::string chunk(chunkBytes, '\0');
     while (inflater.read(chunk.data(), chunkBytes) || inflater.gcount() > 0) {
         output.append(chunk.data(), static_cast<std::size_t>(inflater.gcount()));
-        if (output.size() > MaxMessageBytes) {
+        if (output.size() > mostBytes) {
             return std::nullopt;
         }
     }
@@ -451,11 +461,12 @@
     return length;
 }
 
-std::optional<FeedMessage> decodeFrame(char compression, std::string body)
+std::optional<FeedMessage> decodeFrame(char compression, std::string body,
+                                       const FeedFrameLimits &limits)
 {
     try {
         if (compression == Compressed) {
-            auto plain = decompress(body);
+            auto plain = decompress(body, limits.messageBytes);
             if (!plain) {
                 return std::nullopt;
             }
@@ -514,13 +525,14 @@
     while (m_pending.size() - consumed >= HeaderBytes) {
         const std::string_view header = std::string_view(m_pending).substr(consumed, HeaderBytes);
         const std::size_t length = frameLength(header);
-        if (length > MaxFrameBytes) {
+        if (length > m_limits.frameBytes) {
             return false;
         }
         if (m_pending.size() - consumed < HeaderBytes + length) {
             break;
         }
-        auto message = decodeFrame(header.back(), m_pending.substr(consumed + HeaderBytes, length));
+        auto message =
+            decodeFrame(header.back(), m_pending.substr(consumed + HeaderBytes, length), m_limits);
         if (!message) {
             return false;
         }
@@ -528,6 +540,9 @@
         consumed += HeaderBytes + length;
     }
     m_pending.erase(0, consumed);
+    if (m_pending.size() < m_pending.capacity() / 2) {
+        m_pending.shrink_to_fit();
+    }
     return true;
 }
 
--- a/Source/Feed/FeedMessages.h
+++ b/Source/Feed/FeedMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,16 +77,31 @@
 /// flag (1 byte), and the message, compressed if it is large.
 std::string encodeFeedFrame(const FeedMessage &message);
 
+/// Largest frame, and largest message after decompression.
+struct FeedFrameLimits
+{
+    std::size_t frameBytes = 8UL * 1024 * 1024;
+    std::size_t messageBytes = 64UL * 1024 * 1024;
+};
+
 /// Splits a byte stream into frames and decodes their messages.
 class FeedFrameReader
 {
 public:
+    explicit FeedFrameReader(FeedFrameLimits limits = {})
+        : m_limits(limits)
+    {
+    }
+
     /// Adds \p bytes to the input and appends the messages that are now complete to \p messages.
     /// Returns false on a frame that is too large or can't be decoded; the connection can't be used
     /// any further.
     bool feed(std::string_view bytes, std::vector<FeedMessage> &messages);
+    /// Memory of the frame that is not complete, in bytes.
+    std::size_t pendingBytes() const { return m_pending.capacity(); }
 
 private:
+    FeedFrameLimits m_limits;
     std::string m_pending;
 };
 
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <vector>
 
-#include <sys/epoll.h>
 #include <unistd.h>
 
 #include "Feed/FeedTiming.h"
@@ -15,9 +14,19 @@
 
 namespace {
 
-constexpr std::size_t MaxConnections = 256;
 /// A follower with more unsent bytes is disconnected.
 constexpr std::size_t MaxQueuedBytes = 8UL * 1024 * 1024;
+/// Largest messages of followers and of daemons of other data centres.
+constexpr FeedFrameLimits FollowerFrameLimits{2UL * 1024 * 1024, 4UL * 1024 * 1024};
+/// Memory of an entry of the reported loads, cut off daemons or uses.
+constexpr std::size_t ReportEntryBytes = 160;
+/// What the kernel holds of a connection that is not read.
+constexpr int ReceiveBufferBytes = 32 * 1024;
+/// A connection that sends nothing for this long makes room for a new one. Followers send reports
+/// several times in this time.
+constexpr Duration SilentAfter = 1s;
+/// The first message of a connection must be complete within this time, or twice of it.
+constexpr Duration FirstMessageTimeout = 5s;
 /// Maximum number of queued prompt cache entries. Entries beyond it are dropped; followers
 /// periodically republish the entries that are still in use.
 constexpr std::size_t MaxQueuedPromptCacheEntries = 16384;
@@ -43,15 +52,27 @@
 class FeedServer::FeedConnection : public StreamSocketListener
 {
 public:
-    FeedConnection(FeedServer &server, int fd)
+    FeedConnection(FeedServer &server, int fd, TimePoint now)
         : m_server(server)
         , m_socket(server.m_loop, fd, StreamSocket::Start::Connected, *this)
+        , m_acceptedAt(now)
+        , m_receivedAt(now)
     {
         setTcpOptions(fd, FeedLiveness);
     }
 
-    void send(std::string_view frame) { m_socket.send(frame); }
+    void send(std::string_view frame)
+    {
+        m_socket.send(frame);
+        countHeld();
+    }
     bool overfull() const { return m_socket.queuedBytes() > MaxQueuedBytes; }
+    std::size_t heldBytes() const { return m_heldBytes; }
+    /// When it last sent something; at first, when it was accepted.
+    TimePoint receivedAt() const { return m_receivedAt; }
+    TimePoint acceptedAt() const { return m_acceptedAt; }
+    /// Whether it has sent a message.
+    bool known() const { return m_known; }
     bool subscribed() const { return m_subscribed; }
     /// Whether the follower has the last total and accepts changes to it.
     bool keepsTotal() const { return m_keepsTotal; }
@@ -64,15 +85,28 @@
         m_socket.close();
         m_server.remove(*this);
     }
+    /// The connection is closed and counts no longer.
+    void releaseHeld()
+    {
+        m_server.m_heldBytes -= m_heldBytes;
+        m_heldBytes = 0;
+        m_closed = true;
+        m_reader = FeedFrameReader();
+        m_loads.clear();
+        m_cutOff.clear();
+        m_uses.clear();
+    }
 
 private:
     void onBytes(std::string_view bytes, TimePoint now) override
     {
+        m_receivedAt = now;
         std::vector<FeedMessage> messages;
         if (!m_reader.feed(bytes, messages)) {
-            end();
+            m_server.endForLimit(*this, "message too large or unreadable");
             return;
         }
+        m_known = m_known || !messages.empty();
         for (const FeedMessage &message : messages) {
             const auto *subscribe = std::get_if<FeedSubscribe>(&message);
             if (subscribe != nullptr && !m_subscribed) {
@@ -85,7 +119,11 @@
                 onLoad(*load, now);
             }
         }
+        countHeld();
+        m_server.endLargest();
     }
+    void onSendQueueEmpty(TimePoint) override { countHeld(); }
+    void onSendProgress(TimePoint) override { countHeld(); }
     void onEnd(TimePoint) override { end(); }
     void onError(std::error_code, TimePoint) override { end(); }
     const char *duty() const override { return "feed_follower"; }
@@ -109,9 +147,27 @@
         }
     }
 
+    void countHeld()
+    {
+        if (m_closed) {
+            return;
+        }
+        const std::size_t entries = m_loads.size() + m_cutOff.size() + m_uses.size();
+        const std::size_t held =
+            m_reader.pendingBytes() + entries * ReportEntryBytes + m_socket.queuedBytes();
+        m_server.m_heldBytes += held;
+        m_server.m_heldBytes -= m_heldBytes;
+        m_heldBytes = held;
+    }
+
     FeedServer &m_server;
     StreamSocket m_socket;
-    FeedFrameReader m_reader;
+    FeedFrameReader m_reader{FollowerFrameLimits};
+    TimePoint m_acceptedAt;
+    TimePoint m_receivedAt;
+    std::size_t m_heldBytes = 0; ///< Counted in FeedServer::m_heldBytes.
+    bool m_known = false;
+    bool m_closed = false;
     BackendLoads m_loads;
     std::vector<CutOffDaemon> m_cutOff;
     ServiceUses m_uses;
@@ -121,40 +177,101 @@
 };
 
 FeedServer::FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
-                       EvidenceCallback onEvidence, LoadCallback onLoad, std::error_code &error)
+                       EvidenceCallback onEvidence, LoadCallback onLoad, const FeedLimits &limits,
+                       ClientLimitObserver &limitObserver, std::error_code &error)
     : m_loop(loop)
     , m_follower(follower)
     , m_onEvidence(std::move(onEvidence))
     , m_onLoad(std::move(onLoad))
-    , m_listener(listenTcp(listen, error))
+    , m_limits(limits)
+    , m_limitObserver(limitObserver)
+    , m_acceptor(
+          loop, listen, ReceiveBufferBytes, [this](int fd, TimePoint now) { onAccepted(fd, now); },
+          [this](std::error_code, TimePoint now) { closeMostSilent("no descriptor left", now); },
+          error)
 {
-    if (m_listener >= 0) {
-        m_loop.watch(m_listener, EPOLLIN, *this);
-    }
 }
 
 FeedServer::~FeedServer()
 {
     m_loop.cancel(m_timer);
-    if (m_listener >= 0) {
-        m_loop.unwatch(m_listener);
-        close(m_listener);
-    }
+    m_loop.cancel(m_firstMessageTimer);
+    m_connections.clear();
 }
 
-void FeedServer::onReady(std::uint32_t, TimePoint)
+void FeedServer::onAccepted(int fd, TimePoint now)
 {
-    std::error_code error;
-    const int fd = acceptTcp(m_listener, error);
-    if (fd < 0) {
-        return;
-    }
-    if (m_connections.size() >= MaxConnections) {
+    if (m_connections.size() >= m_limits.maxConnections
+        && !closeMostSilent("too many connections", now)) {
+        m_limitObserver.onClientLimit("feed", "too many connections", now);
         close(fd);
         return;
     }
-    auto connection = std::make_shared<FeedConnection>(*this, fd);
+    auto connection = std::make_shared<FeedConnection>(*this, fd, now);
     m_connections.emplace(connection.get(), std::move(connection));
+    startFirstMessageTimer(now);
+}
+
+bool FeedServer::closeMostSilent(const char *why, TimePoint now)
+{
+    const auto silent = std::min_element(
+        m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+            return left.second->receivedAt() < right.second->receivedAt();
+        });
+    if (silent == m_connections.end() || now - silent->second->receivedAt() < SilentAfter) {
+        return false;
+    }
+    endForLimit(*silent->second, why);
+    return true;
+}
+
+void FeedServer::endForLimit(FeedConnection &connection, const char *why)
+{
+    m_limitObserver.onClientLimit("feed", why, m_loop.now());
+    connection.end();
+}
+
+void FeedServer::endLargest()
+{
+    while (m_heldBytes > m_limits.memoryBytes && !m_connections.empty()) {
+        const auto largest = std::max_element(
+            m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+                return left.second->heldBytes() < right.second->heldBytes();
+            });
+        endForLimit(*largest->second, "memory limit for the feed reached");
+    }
+}
+
+void FeedServer::startFirstMessageTimer(TimePoint now)
+{
+    if (!m_firstMessageTimer.active()) {
+        m_firstMessageTimer = m_loop.at(now + FirstMessageTimeout, [this](TimePoint present) {
+            m_firstMessageTimer = TimerId();
+            closeWithoutMessage(present);
+        });
+    }
+}
+
+void FeedServer::closeWithoutMessage(TimePoint now)
+{
+    std::vector<FeedConnection *> overdue;
+    bool someLeft = false;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->known()) {
+            continue;
+        }
+        if (now - connection->acceptedAt() >= FirstMessageTimeout) {
+            overdue.push_back(key);
+        } else {
+            someLeft = true;
+        }
+    }
+    for (FeedConnection *connection : overdue) {
+        endForLimit(*connection, "no message");
+    }
+    if (someLeft) {
+        startFirstMessageTimer(now);
+    }
 }
 
 void FeedServer::sendInitialState(FeedConnection &connection)
@@ -282,8 +399,9 @@
         }
     }
     for (FeedConnection *connection : overfull) {
-        connection->end();
+        endForLimit(*connection, "unread messages");
     }
+    endLargest();
 }
 
 void FeedServer::sendHeartbeats(TimePoint now)
@@ -301,6 +419,7 @@
 {
     const auto found = m_connections.find(&connection);
     if (found != m_connections.end()) {
+        connection.releaseHeld();
         m_loop.defer([dead = std::move(found->second)] {});
         m_connections.erase(found);
     }
--- a/Source/Feed/FeedServer.h
+++ b/Source/Feed/FeedServer.h
@@ -8,14 +8,24 @@
 #include "Base/Endpoint.h"
 #include "Feed/FeedMessages.h"
 #include "Fleet/FleetFollower.h"
-#include "Net/EventLoop.h"
+#include "Net/Acceptor.h"
+#include "Net/ClientLimitObserver.h"
 
 namespace lycheearch {
 
+/// Limits of the connections to a FeedServer.
+struct FeedLimits
+{
+    std::size_t maxConnections = 256;
+    /// Memory of all connections: incomplete messages, reported loads and unsent bytes.
+    std::size_t memoryBytes = 64UL * 1024 * 1024;
+};
+
 /// Sends what this daemon reads from the store to the daemons that follow its feed, so that only
 /// few daemons read the store. Each heartbeat contains how stale the data is; followers read the
-/// store themselves when this daemon can't.
-class FeedServer : private IoHandler
+/// store themselves when this daemon can't. A connection that sends nothing for some time, or that
+/// takes most of the memory when it does not suffice, is closed.
+class FeedServer
 {
 public:
     /// Called with the rollout evidence of a follower.
@@ -25,8 +35,11 @@
 
     /// Sets \p error if it can't listen.
     FeedServer(EventLoop &loop, const Endpoint &listen, const FleetFollower &follower,
-               EvidenceCallback onEvidence, LoadCallback onLoad, std::error_code &error);
-    ~FeedServer() override;
+               EvidenceCallback onEvidence, LoadCallback onLoad, const FeedLimits &limits,
+               ClientLimitObserver &limitObserver, std::error_code &error);
+    ~FeedServer();
+    FeedServer(const FeedServer &) = delete;
+    FeedServer &operator=(const FeedServer &) = delete;
 
     /// Sends a page that was read from the store to all followers.
     void broadcast(Topic topic, const RecordPage &page, bool listing);
@@ -54,12 +67,22 @@
 private:
     class FeedConnection;
 
-    void onReady(std::uint32_t events, TimePoint now) override;
+    void onAccepted(int fd, TimePoint now);
+    /// Closes the connection that has sent nothing for the longest time, if it is silent. Returns
+    /// whether it did.
+    bool closeMostSilent(const char *why, TimePoint now);
+    /// Closes the connections whose unsent bytes exceed a limit.
+    void endOverfull();
+    /// Closes the connections that take most of the memory until the rest fits.
+    void endLargest();
+    void startFirstMessageTimer(TimePoint now);
+    /// Closes the connections that have not sent a whole message in time.
+    void closeWithoutMessage(TimePoint now);
+    void endForLimit(FeedConnection &connection, const char *why);
     void storePromptCacheEntries(const std::vector<PromptCacheEntry> &promptCacheEntries);
     void sendToFollowers(std::string_view frame);
     std::size_t sendLoads(std::string_view total, std::string_view changes);
     bool anyFollower(bool keepsTotal) const;
-    void endOverfull();
     void sendHeartbeats(TimePoint now);
     void sendInitialState(FeedConnection &connection);
     void remove(FeedConnection &connection);
@@ -68,14 +91,18 @@
     const FleetFollower &m_follower;
     EvidenceCallback m_onEvidence;
     LoadCallback m_onLoad;
-    int m_listener = -1;
+    FeedLimits m_limits;
+    ClientLimitObserver &m_limitObserver;
     TimerId m_timer;
+    TimerId m_firstMessageTimer;
+    std::size_t m_heldBytes = 0; ///< By all connections.
     std::unordered_map<FeedConnection *, std::shared_ptr<FeedConnection>> m_connections;
     BackendLoads m_sentLoads; ///< The last total; followers that keep a total have this one.
     std::vector<PromptCacheEntry> m_promptCacheEntries;
     CrashEvidence m_crashEvidence;
     std::vector<LimitsNotice> m_rateLimits;
     SpeedReportSum m_speeds{Duration::zero()};
+    Acceptor m_acceptor;
 };
 
 } // namespace lycheearch
--- a/Source/Routing/PromptCacheIndex.cpp
+++ b/Source/Routing/PromptCacheIndex.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t MaxTrackedPrefixes = 8192;
 /// Limits the entries to publish, which accumulate while this daemon has no connection to others.
 constexpr std::size_t MaxUnpublishedEntries = 4096;
+constexpr std::size_t MaxHolders = 1024; ///< Of one prefix.
 
 } // namespace
 
@@ -32,6 +33,9 @@
     if (found != holders.end()) {
         return *found;
     }
+    if (holders.size() >= MaxHolders) {
+        holders.erase(holders.begin()); // The one that has been known longest.
+    }
     holders.push_back({entry.backend, now, TimePoint()});
     return holders.back();
 }
--- a/Source/Routing/ServerNotices.cpp
+++ b/Source/Routing/ServerNotices.cpp
@@ -13,6 +13,9 @@
 /// changed.
 constexpr Duration LimitsPublishPeriod = 1s;
 
+/// Servers of which notices are kept or summed. A message with more of them is wrong.
+constexpr std::size_t MaxServers = 4096;
+
 std::optional<Duration> newestAge(std::optional<Duration> left, std::optional<Duration> right)
 {
     if (!left || !right) {
@@ -35,7 +38,9 @@
             return other.server.id == notice.server.id;
         });
         if (known == sum.end()) {
-            sum.push_back(notice);
+            if (sum.size() < MaxServers) {
+                sum.push_back(notice);
+            }
             continue;
         }
         const std::optional<Duration> rejectionAge =
@@ -137,7 +142,7 @@
     const auto found = m_notices.find(reported.server.id);
     const bool laterRun = found != m_notices.end() && reported.server.startedAt != 0
         && found->second.startedAt > reported.server.startedAt;
-    if (laterRun) {
+    if (laterRun || (found == m_notices.end() && m_notices.size() >= MaxServers)) {
         return;
     }
     Notice &notice = noticeOf(reported.server, now);
--- a/Tests/Daemon/testLoadExchange.cpp
+++ b/Tests/Daemon/testLoadExchange.cpp
@@ -7,6 +7,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "ClientLimitCounter.h"
 #include "Daemon/LoadExchange.h"
 #include "Feed/FeedHarness.h"
 #include "FreePort.h"
@@ -38,7 +39,7 @@
         server = std::make_unique<FeedServer>(
             loop, self.feed, state.follower, [](const FeedEvidence &) {},
             [this](const FeedLoad &load, TimePoint now) { exchange.onRemoteLoad(load, now); },
-            error);
+            FeedLimits{}, unusedLimitObserver(), error);
         cr_assert_not(error);
         state.startAndList(clock.now(), members);
         exchange.start(*server);
--- a/Tests/Feed/DataCentreHarness.h
+++ b/Tests/Feed/DataCentreHarness.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "ClientLimitCounter.h"
 #include "Feed/FeedHarness.h"
 #include "FreePort.h"
 #include "ManualLoop.h"
@@ -52,7 +53,7 @@
         std::error_code error;
         daemon.server = std::make_unique<FeedServer>(
             loop, member.feed, daemon.state->follower, [](const FeedEvidence &) {},
-            [](const FeedLoad &, TimePoint) {}, error);
+            [](const FeedLoad &, TimePoint) {}, FeedLimits{}, unusedLimitObserver(), error);
         cr_assert_not(error);
         daemon.state->observer.server = daemon.server.get();
         daemon.state->startAndList(clock.now(), members);
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <random>
 
+#include "ClientLimitCounter.h"
 #include "Feed/FeedHarness.h"
 #include "FreePort.h"
 #include "ManualLoop.h"
@@ -163,7 +164,7 @@
         std::error_code error;
         server = std::make_unique<FeedServer>(
             loop, listen, reader.follower, [](const FeedEvidence &) {},
-            [](const FeedLoad &, TimePoint) {}, error);
+            [](const FeedLoad &, TimePoint) {}, FeedLimits{}, unusedLimitObserver(), error);
         cr_assert_not(error);
         reader.observer.server = server.get();
         const std::vector<MemberRegistered> members = {{source, DataCentreId("here"), listen, wall},
@@ -287,7 +288,7 @@
         std::error_code error;
         server = std::make_unique<FeedServer>(
             loop, listen, reader.follower, [](const FeedEvidence &) {},
-            [](const FeedLoad &, TimePoint) {}, error);
+            [](const FeedLoad &, TimePoint) {}, FeedLimits{}, unusedLimitObserver(), error);
         cr_assert_not(error);
         reader.startAndList(now, members);
         RecordPage page;
@@ -326,7 +327,8 @@
         std::error_code error;
         servers.push_back(std::make_unique<FeedServer>(
             loop, members[static_cast<std::size_t>(i)].feed, readers.back()->follower,
-            [](const FeedEvidence &) {}, [](const FeedLoad &, TimePoint) {}, error));
+            [](const FeedEvidence &) {}, [](const FeedLoad &, TimePoint) {}, FeedLimits{},
+            unusedLimitObserver(), error));
         cr_assert_not(error);
         readers.back()->observer.server = servers.back().get();
         readers.back()->startAndList(clock.now(), members);
--- a/Tests/Feed/testFeedLongTurn.cpp
+++ b/Tests/Feed/testFeedLongTurn.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "ClientLimitCounter.h"
 #include "Feed/DataCentreHarness.h"
 #include "Feed/FeedTiming.h"
 #include "LongTurn.h"
@@ -65,7 +66,7 @@
         std::error_code error;
         server = std::make_unique<FeedServer>(
             loop, feed, state.follower, [](const FeedEvidence &) {},
-            [](const FeedLoad &, TimePoint) {}, error);
+            [](const FeedLoad &, TimePoint) {}, FeedLimits{}, unusedLimitObserver(), error);
         cr_assert_not(error);
         state.startAndList(clock.now(), {});
     }
--- a/Tests/Feed/testLoadChanges.cpp
+++ b/Tests/Feed/testLoadChanges.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 
+#include "ClientLimitCounter.h"
 #include "Feed/FeedHarness.h"
 #include "Feed/FeedTiming.h"
 #include "Feed/LoadChanges.h"
@@ -193,7 +194,7 @@
     std::error_code error;
     FeedServer server(
         loop, feed, state.follower, [](const FeedEvidence &) {}, [](const FeedLoad &, TimePoint) {},
-        error);
+        FeedLimits{}, unusedLimitObserver(), error);
     cr_assert_not(error);
     state.startAndList(clock.now(), {});
     RecordingFollower present(loop, feed, true);
