Connections: each port has its part of the descriptors, and idle ones make room

What callers saw: 400 connections that send nothing, or a part of a head, to a daemon with 256 descriptors: no new caller is accepted, no connection to a server can be opened, and the loop spins on the listening socket, until the crowd leaves or the idle timeout passes.

Cause: connections were accepted without limit; accept() failing with EMFILE left the socket readable.

A new connection beyond the limit takes the place of one whose request has been incomplete for 0.5 s, else of the one that has been idle longest, else of one whose request has just begun; requests in service are kept, and if there are only those the new connection is closed unread, which callers may repeat elsewhere. Logged and counted as client.limit.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -61,12 +61,30 @@
                           m_loop, m_settings.instance, m_view, m_picker, m_modelCascade,
                           m_shutdownPolicy, m_settings.capacity, m_log, m_metrics)
                       : nullptr)
-    , m_context{m_loop,           m_view,           m_picker,         m_connections,
-                headerCodec,      m_retries,        m_rolloutCounts,  m_modelCascade,
-                m_crashes,        m_pendingCrashes, m_peers,          m_peerConnections,
-                m_relayAdmission, m_returnSchedule, m_shutdownPolicy, m_settings.bounds,
-                m_bodyBudget,     m_responseBudget, m_readers,        m_log,
-                m_metrics,        m_hedging,        m_admission.get()}
+    , m_context{m_loop,
+                m_view,
+                m_picker,
+                m_connections,
+                headerCodec,
+                m_retries,
+                m_rolloutCounts,
+                m_modelCascade,
+                m_crashes,
+                m_pendingCrashes,
+                m_peers,
+                m_peerConnections,
+                m_relayAdmission,
+                m_returnSchedule,
+                m_shutdownPolicy,
+                m_settings.bounds,
+                m_bodyBudget,
+                m_responseBudget,
+                m_readers,
+                m_log,
+                m_metrics,
+                m_hedging,
+                *this,
+                m_admission.get()}
     , m_feedClient(m_loop, m_settings.instance, m_settings.dataCentre, m_view, m_follower, m_clock,
                    [this](const InstanceId &source, const char *why) { onFeedChange(source, why); })
     , m_rolloutAgent(m_loop, m_settings.instance, *m_store, codec, m_view, m_follower, m_feedClient,
@@ -97,14 +115,14 @@
 std::string RouterDaemon::start()
 {
     std::error_code error;
-    m_callerServer =
-        std::make_unique<CallerServer>(m_context, RequestOrigin::Caller, m_settings.listen, error);
+    m_callerServer = std::make_unique<CallerServer>(m_context, RequestOrigin::Caller,
+                                                    m_settings.listen, m_portLimits.callers, error);
     if (error) {
         return listenError("listen", m_settings.listen, error);
     }
     if (m_settings.relayListen) {
-        m_relayServer = std::make_unique<CallerServer>(m_context, RequestOrigin::Daemon,
-                                                       *m_settings.relayListen, error);
+        m_relayServer = std::make_unique<CallerServer>(
+            m_context, RequestOrigin::Daemon, *m_settings.relayListen, m_portLimits.relay, error);
         if (error) {
             return listenError("relay_listen", *m_settings.relayListen, error);
         }
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -20,6 +20,8 @@
 /// Part of the idle timeout that responses announce, so that a request that is sent within it
 /// arrives before the connection is closed.
 constexpr double KeepAliveShare = 0.8;
+/// A request that is incomplete for so long is given up first to make room for a connection.
+constexpr Duration RequestStalledAfter = 500ms;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
 /// A caller whose connection ends after it has taken nothing for so long counts as not reading.
 constexpr Duration ShortestNotReading = 2s;
@@ -66,6 +68,7 @@
         HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
     releaseRequest();
     m_idleSince = now;
+    m_waitingSince = now;
     m_idleLimit = std::max(m_idleLimit, callerLimits.idleTimeout);
     startTimer(m_idleLimit, now);
 }
@@ -89,6 +92,28 @@
     }
 }
 
+CallerConnection::Dispensability CallerConnection::dispensability(TimePoint now) const
+{
+    switch (m_state) {
+    case State::Serving:
+    case State::Closed:
+        return Dispensability::Never;
+    case State::Reading:
+        return now - m_waitingSince >= RequestStalledAfter ? Dispensability::RequestStalled
+                                                           : Dispensability::RequestBegun;
+    case State::Waiting:
+    case State::Lingering:
+        break;
+    }
+    return Dispensability::Idle;
+}
+
+void CallerConnection::closeForRoom(TimePoint now)
+{
+    beginClosure("too many connections", now);
+    close(now);
+}
+
 void CallerConnection::terminate(TimePoint now)
 {
     if (m_state != State::Serving) {
@@ -131,6 +156,7 @@
     m_now = now;
     if (m_state == State::Waiting && !m_input.empty()) {
         m_state = State::Reading;
+        m_waitingSince = now;
         startTimer(limits().headTimeout, now);
     }
     const bool headWasComplete = m_parser->headComplete();
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -19,6 +19,12 @@
     Daemon, ///< Another daemon, which passes on requests of its callers.
 };
 
+/// Name of the port, for logs and metrics.
+inline const char *portName(RequestOrigin origin)
+{
+    return origin == RequestOrigin::Caller ? "callers" : "relay";
+}
+
 /// One connection of a caller or of another daemon: reads requests one at a time and writes their
 /// responses. A request that follows a response which the caller has not read is left for later.
 class CallerConnection : public StreamSocketListener,
@@ -44,6 +50,19 @@
     void terminate(TimePoint now);
     bool idle() const { return m_state == State::Waiting && m_input.empty(); }
 
+    /// How well the connection can be closed to make room for a new one.
+    enum class Dispensability {
+        Never, ///< A request is being served.
+        RequestBegun, ///< A request began to arrive just now.
+        Idle,
+        RequestStalled, ///< A request began to arrive and is still incomplete.
+    };
+    Dispensability dispensability(TimePoint now) const;
+    /// Since when it has been in this state.
+    TimePoint dispensableSince() const { return m_waitingSince; }
+    /// Closes the connection to make room for a new one.
+    void closeForRoom(TimePoint now);
+
 private:
     enum class State {
         Waiting, ///< No byte of the next request has arrived.
@@ -125,6 +144,7 @@
     /// The longer of the idle timeouts when the idle time began and when the last response
     /// announced it.
     Duration m_idleLimit{};
+    TimePoint m_waitingSince; ///< Begin of the idle time or of the request that is arriving.
     ConnectionClosure m_closure;
     TimePoint m_now;
     bool m_keepAlive = true;
--- a/Source/Forward/CallerServer.cpp
+++ b/Source/Forward/CallerServer.cpp
@@ -1,65 +1,77 @@
 #include "Forward/CallerServer.h"
 
-#include <sys/epoll.h>
 #include <unistd.h>
 
-#include "Net/Socket.h"
-
 namespace lycheearch {
 
 namespace {
 
-constexpr int MaxAcceptsPerEvent = 64;
+/// Receive buffer of a connection: the head of a request arrives in a few parts. The kernel holds
+/// so much of each connection that is not read.
+constexpr int ReceiveBufferBytes = 8 * 1024;
 
 } // namespace
 
 CallerServer::CallerServer(ForwardContext &context, RequestOrigin origin, const Endpoint &listen,
-                           std::error_code &error)
+                           std::size_t maxConnections, std::error_code &error)
     : m_context(context)
     , m_origin(origin)
-    , m_listener(listenTcp(listen, error))
+    , m_maxConnections(maxConnections)
+    , m_acceptor(
+          context.loop, listen, ReceiveBufferBytes,
+          [this](int fd, TimePoint now) { onAccepted(fd, now); },
+          [this](std::error_code failure, TimePoint now) { onAcceptFailed(failure, now); }, error)
 {
-    if (m_listener >= 0) {
-        m_context.loop.watch(m_listener, EPOLLIN, *this);
-    }
 }
 
-CallerServer::~CallerServer()
+CallerServer::~CallerServer() = default;
+
+void CallerServer::stopListening()
 {
-    closeListener();
+    m_acceptor.close();
 }
 
-void CallerServer::stopListening()
+void CallerServer::onAccepted(int fd, TimePoint now)
 {
-    if (m_listener >= 0) {
-        // Connections that were not accepted would be reset.
-        onReady(EPOLLIN, m_context.loop.now());
-        closeListener();
+    if (m_connections.size() >= m_maxConnections && !closeOne("too many connections", now)) {
+        m_context.limitObserver.onClientLimit(portName(m_origin), "too many requests in service",
+                                              now);
+        close(fd);
+        return;
     }
+    auto connection = std::make_unique<CallerConnection>(
+        m_context, m_origin, fd, m_draining,
+        [this](CallerConnection &ended) { onConnectionClosed(ended); }, now);
+    m_connections.emplace(connection.get(), std::move(connection));
 }
 
-void CallerServer::closeListener()
+void CallerServer::onAcceptFailed(std::error_code, TimePoint now)
 {
-    if (m_listener >= 0) {
-        m_context.loop.unwatch(m_listener);
-        close(m_listener);
-        m_listener = -1;
-    }
+    m_context.limitObserver.onClientLimit(portName(m_origin), "no descriptor left", now);
+    closeOne("no descriptor left", now);
 }
 
-void CallerServer::onReady(std::uint32_t, TimePoint now)
+bool CallerServer::closeOne(const char *why, TimePoint now)
 {
-    for (int i = 0; i < MaxAcceptsPerEvent; ++i) {
-        std::error_code error;
-        const int fd = acceptTcp(m_listener, error);
-        if (fd < 0) {
-            return;
+    using Dispensability = CallerConnection::Dispensability;
+    CallerConnection *best = nullptr;
+    Dispensability bestRank = Dispensability::Never;
+    for (const auto &[key, connection] : m_connections) {
+        const Dispensability rank = connection->dispensability(now);
+        const bool better = rank != bestRank
+            ? rank > bestRank
+            : best != nullptr && connection->dispensableSince() < best->dispensableSince();
+        if (better) {
+            best = key;
+            bestRank = rank;
         }
-        auto connection = std::make_unique<CallerConnection>(
-            m_context, m_origin, fd, m_draining,
-            [this](CallerConnection &ended) { onConnectionClosed(ended); }, now);
-        m_connections.emplace(connection.get(), std::move(connection));
     }
+    if (best == nullptr) {
+        return false;
+    }
+    m_context.limitObserver.onClientLimit(portName(m_origin), why, now);
+    best->closeForRoom(now);
+    return true;
 }
 
 void CallerServer::onConnectionClosed(CallerConnection &connection)
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -8,18 +8,22 @@
 #include "Base/Endpoint.h"
 #include "Forward/CallerConnection.h"
 #include "Forward/ForwardContext.h"
+#include "Net/Acceptor.h"
 
 namespace lycheearch {
 
 /// Accepts the connections of callers or of other daemons, and closes them in stages when the
-/// process stops.
-class CallerServer : private IoHandler
+/// process stops. When there are as many as allowed, a new one takes the place of one that serves
+/// no request: of one with a stalled request, else of the one that has been idle longest.
+class CallerServer
 {
 public:
-    /// Listens on \p listen. Sets \p error if that fails.
+    /// Listens on \p listen, for \p maxConnections at a time. Sets \p error if that fails.
     CallerServer(ForwardContext &context, RequestOrigin origin, const Endpoint &listen,
-                 std::error_code &error);
-    ~CallerServer() override;
+                 std::size_t maxConnections, std::error_code &error);
+    ~CallerServer();
+    CallerServer(const CallerServer &) = delete;
+    CallerServer &operator=(const CallerServer &) = delete;
 
     /// Graceful shutdown: each connection, including new ones, closes after its next response.
     void drain(TimePoint now);
@@ -32,18 +36,20 @@
     std::size_t connections() const { return m_connections.size(); }
 
 private:
-    void onReady(std::uint32_t events, TimePoint now) override;
-    const char *duty() const override { return "accept"; }
+    void onAccepted(int fd, TimePoint now);
+    void onAcceptFailed(std::error_code error, TimePoint now);
+    /// Closes the connection that can best be spared. Returns false if there is none.
+    bool closeOne(const char *why, TimePoint now);
     void onConnectionClosed(CallerConnection &connection);
-    void closeListener();
     /// A copy, since connections that close are removed.
     std::vector<CallerConnection *> allConnections() const;
 
     ForwardContext &m_context;
     RequestOrigin m_origin;
-    int m_listener = -1;
+    std::size_t m_maxConnections;
     bool m_draining = false;
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
+    Acceptor m_acceptor;
 };
 
 } // namespace lycheearch
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -10,6 +10,7 @@
 #include "Forward/RelayAdmission.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
+#include "Net/ClientLimitObserver.h"
 #include "Net/EventLoop.h"
 #include "Routing/BackendPicker.h"
 #include "Routing/CrashTable.h"
@@ -49,6 +50,7 @@
     StructuredLog &log;
     Metrics &metrics;
     Hedging &hedging;
+    ClientLimitObserver &limitObserver;
     AdmissionGate *admission = nullptr; ///< Null if admission is off.
 };
 
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -10,6 +10,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "ClientLimitCounter.h"
 #include "Forward/CallerServer.h"
 #include "Net/Socket.h"
 #include "platform/PlatformHeaderCodec.h"
@@ -143,7 +144,7 @@
         , context{loop,           view,    picker,  connections,    headerCodec, retries,
                   rollouts,       models,  crashes, pendingCrashes, peers,       peerConnections,
                   relayAdmission, returns, stop,    bounds,         bodyBudget,  responseBudget,
-                  readers,        log,     metrics, hedging}
+                  readers,        log,     metrics, hedging,        limitCounter}
     {
     }
 
@@ -208,8 +209,8 @@
     {
         std::error_code error;
         if (!server) {
-            server = std::make_unique<CallerServer>(context, origin,
-                                                    Endpoint{"127.0.0.1", firstPort}, error);
+            server = std::make_unique<CallerServer>(
+                context, origin, Endpoint{"127.0.0.1", firstPort}, maxConnections, error);
             cr_assert_not(error, "%s", error.message().c_str());
         }
     }
@@ -341,6 +342,8 @@
     StructuredLog log;
     Metrics metrics;
     Hedging hedging{InstanceId("self"), retries};
+    ClientLimitCounter limitCounter;
+    std::size_t maxConnections = 1000;
     ForwardContext context;
     CallerLimits limits;
     RequestOrigin origin = RequestOrigin::Caller; ///< Of the requests that call() sends.
--- a/Tests/Forward/testSlowReaders.cpp
+++ b/Tests/Forward/testSlowReaders.cpp
@@ -97,8 +97,9 @@
 void listen(ForwardHarness &harness)
 {
     std::error_code error;
-    harness.server = std::make_unique<CallerServer>(
-        harness.context, RequestOrigin::Caller, Endpoint{"127.0.0.1", harness.firstPort}, error);
+    harness.server = std::make_unique<CallerServer>(harness.context, RequestOrigin::Caller,
+                                                    Endpoint{"127.0.0.1", harness.firstPort},
+                                                    harness.maxConnections, error);
     cr_assert_not(error, "%s", error.message().c_str());
 }
 
