Callers: what is sent ahead is not read until its turn

What callers saw: 8 connections that send requests ahead and leave the answers unread hold 200 MiB of 64 (served requests), 69 of 32 (refused ones), 66 of 64 on the relay port; 40 that send ahead of a request that takes long and then end their sending side 497 to 569 MiB, and no ordinary request is answered for most of a minute.

Cause: three. - After each response the connection read again, 32 KB at a time, whatever was buffered: each request served added up to 32 KB less its own size. - A paused connection was read to its end when the client ended its sending side. - The next request began while up to 64 KB were unread, on any number of connections; with all callers "reading" (for a second anyone does) the memory for responses had no upper limit.

The daemon's lines caller.not_reading showed 64 KB queued on each connection while its input grew.

Why it works: RequestReceiver (new, taken out of CallerConnection) owns the input. While a request is served, or its predecessor's answer is unread, the connection is paused as soon as something lies beyond it: one read of 4 KB, for which the kernel's 8 KB follow. What lies there counts in the memory for heads and is given up when an arriving request needs it: it is dropped, and the connection closes after the present response. The next request begins once no more is unread than the watermark of RelayBackpressure, which falls with each unread response. Responses may exceed their memory by a quarter at most; beyond that the caller that would exceed it is cut off.

--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -52,8 +52,10 @@
     , m_clientMemory(clientMemory(m_settings.memoryMegabytes))
     , m_portLimits(
           portLimits(descriptorLimit(m_settings.maxDescriptors), m_settings.memoryMegabytes))
+    , m_headBudget(m_clientMemory.requestHeads)
     , m_bodyBudget(m_clientMemory.requestBodies)
     , m_responseBudget(m_clientMemory.responses)
+    , m_callerRequests(m_headBudget, m_bodyBudget)
     , m_readers(m_loop, m_responseBudget)
     , m_hedging(m_settings.instance, m_retries)
     , m_admission(m_settings.traits.scarceCapacity && m_settings.capacity.admission
@@ -77,7 +79,7 @@
                 m_returnSchedule,
                 m_shutdownPolicy,
                 m_settings.bounds,
-                m_bodyBudget,
+                m_callerRequests,
                 m_responseBudget,
                 m_readers,
                 m_log,
@@ -377,7 +379,7 @@
         + "# TYPE lycheearch_log_lines_left_out_total counter\n"
           "lycheearch_log_lines_left_out_total "
         + std::to_string(m_log.droppedLines()) + "\n";
-    response.body += m_readers.metricsText();
+    response.body += m_readers.metricsText() + m_callerRequests.metricsText();
     if (m_admission) {
         response.body += "# TYPE lycheearch_admission_waiting gauge\n"
                          "lycheearch_admission_waiting "
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -116,8 +116,10 @@
     ShutdownPolicy m_shutdownPolicy;
     const ClientMemory m_clientMemory;
     const PortLimits m_portLimits;
+    BodyBudget m_headBudget; ///< Of heads of requests, and of what is sent ahead.
     BodyBudget m_bodyBudget; ///< Of requests.
     BodyBudget m_responseBudget; ///< Of responses, until their callers have read them.
+    CallerRequests m_callerRequests;
     CallerReaders m_readers;
     Hedging m_hedging;
     std::unique_ptr<SharedAdmission> m_admission; ///< Null if admission is off.
--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-/// While a request is being served, the bytes of the pipelined requests that follow it are
-/// buffered. Reading pauses once there are more of them than this.
-constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
+/// Read at a time until the head of a request is complete, so that little of the requests that
+/// follow it is read with it.
+constexpr std::size_t HeadReceiveBytes = 4UL * 1024;
+/// Receive buffer of a connection once a larger body arrives on it.
+constexpr std::size_t BodyReceiveBufferBytes = 64UL * 1024;
+/// A request that is incomplete for so long is given up first to make room for a connection.
+constexpr Duration RequestStalledAfter = 500ms;
 /// How long the caller may take to close the connection after the last response.
 constexpr Duration LingerTimeout = 1s;
 /// An idle connection that can't be closed at its limit is checked again after this time.
@@ -20,15 +24,14 @@
 /// Part of the idle timeout that responses announce, so that a request that is sent within it
 /// arrives before the connection is closed.
 constexpr double KeepAliveShare = 0.8;
-/// A request that is incomplete for so long is given up first to make room for a connection.
-constexpr Duration RequestStalledAfter = 500ms;
 constexpr Liveness CallerLiveness{2s, 1s, 2, 4s};
 /// A caller whose connection ends after it has taken nothing for so long counts as not reading.
 constexpr Duration ShortestNotReading = 2s;
 /// Larger bodies are written apart from their head, and not copied.
 constexpr std::size_t MaxJoinedBodyBytes = 16UL * 1024;
 constexpr int MaxUnsentBytes = 128 * 1024; ///< In the kernel.
-/// The next request on a connection begins once no more than this is unread.
+/// The next request on a connection begins once no more than this is unread, or than the watermark
+/// of RelayBackpressure.
 constexpr std::size_t MaxUnreadBefore = 64UL * 1024;
 
 } // namespace
@@ -40,6 +43,7 @@
     , m_onClosed(std::move(onClosed))
     , m_readerId(context.readers.newId())
     , m_socket(context.loop, fd, StreamSocket::Start::Connected, *this)
+    , m_receiver(context.requests, *this)
     , m_draining(draining)
 {
     setTcpOptions(fd, CallerLiveness);
@@ -50,7 +54,6 @@
 CallerConnection::~CallerConnection()
 {
     m_context.readers.remove(m_readerId);
-    releaseBodyMemory();
     m_context.loop.cancel(m_timer);
 }
 
@@ -64,9 +67,9 @@
 {
     const CallerLimits callerLimits = limits();
     m_state = State::Waiting;
-    m_parser = std::make_unique<HttpRequestParser>(
-        HttpLimits{callerLimits.headBytes, callerLimits.bodyBytes}, *this);
     releaseRequest();
+    m_receiver.beginNext({callerLimits.headBytes, callerLimits.bodyBytes});
+    m_socket.setReceiveSize(HeadReceiveBytes);
     m_idleSince = now;
     m_waitingSince = now;
     m_idleLimit = std::max(m_idleLimit, callerLimits.idleTimeout);
@@ -76,8 +79,7 @@
 void CallerConnection::releaseRequest()
 {
     m_forwarder.reset();
-    m_body = std::string();
-    releaseBodyMemory();
+    m_receiver.release();
 }
 
 void CallerConnection::drain()
@@ -141,100 +143,127 @@
         m_closure.onDropped(bytes.size(), now);
         return;
     }
-    m_input.append(bytes);
-    if (m_state == State::Serving || (m_state == State::Waiting && !mayStartNext())) {
-        if (m_input.size() > MaxPipelinedBytes) {
-            m_socket.setReading(false);
-        }
+    if (m_dropsAhead) {
+        return;
+    }
+    m_receiver.append(bytes);
+    if (receivesAhead()) {
+        keepAhead(now);
+    } else {
+        parse(now);
+    }
+}
+
+bool CallerConnection::receivesAhead() const
+{
+    return m_state == State::Serving || (m_state == State::Waiting && !mayStartNext());
+}
+
+void CallerConnection::keepAhead(TimePoint now)
+{
+    if (m_receiver.unparsedBytes() == 0) {
         return;
     }
-    parse(now);
+    if (m_receiver.keepAhead(now)) {
+        m_socket.setReading(false);
+    } else {
+        dropAhead();
+    }
+}
+
+void CallerConnection::dropAhead()
+{
+    m_context.limitObserver.onClientLimit(portName(m_origin), "requests sent ahead",
+                                          m_context.loop.now());
+    m_receiver.dropUnparsed();
+    m_dropsAhead = true;
+    m_keepAlive = false;
+    m_socket.setReading(true);
+    if (m_state == State::Waiting) {
+        linger("requests sent ahead", m_context.loop.now());
+    }
+}
+
+void CallerConnection::giveUpRequest(TimePoint now)
+{
+    if (receivesAhead()) {
+        dropAhead();
+    } else if (m_state == State::Reading) {
+        m_receiver.release();
+        rejectRequest(HttpStatus::Unavailable, "memory limit for requests reached", now);
+    }
 }
 
 void CallerConnection::parse(TimePoint now)
 {
-    m_now = now;
-    if (m_state == State::Waiting && !m_input.empty()) {
+    if (m_state == State::Waiting && m_receiver.unparsedBytes() > 0) {
         m_state = State::Reading;
         m_waitingSince = now;
         startTimer(limits().headTimeout, now);
     }
-    const bool headWasComplete = m_parser->headComplete();
-    m_parser->feed(m_input);
-    switch (m_parser->parseError()) {
-    case HttpParseError::None:
-        break;
-    case HttpParseError::HeadTooLarge:
-        rejectRequest(HttpStatus::HeadTooLarge, "request header fields too large", now);
-        return;
-    case HttpParseError::BodyTooLarge:
-        rejectRequest(HttpStatus::PayloadTooLarge, "request body too large", now);
-        return;
-    case HttpParseError::Malformed:
-    case HttpParseError::Truncated:
-        rejectRequest(HttpStatus::BadRequest, "malformed request", now);
-        return;
-    }
-    if (m_bodyBudgetExceeded) {
-        rejectRequest(HttpStatus::Unavailable, "memory limit for request bodies reached", now);
-    } else if (m_parser->complete()) {
+    const bool headWasComplete = m_receiver.headComplete();
+    m_receiver.parse(now);
+    if (const auto &rejection = m_receiver.rejection()) {
+        rejectRequest(rejection->status, rejection->cause, now);
+    } else if (m_receiver.complete()) {
         serve(now);
-    } else if (m_parser->headComplete()) {
-        if (!headWasComplete && m_head.fields.hasToken("Expect", "100-continue")) {
-            m_socket.send("HTTP/1.1 100 Continue\r\n\r\n");
+    } else if (m_receiver.headComplete()) {
+        if (!headWasComplete) {
+            beginBody();
         }
+        followBodyRoom();
         startTimer(limits().idleTimeout, now);
     }
 }
 
-void CallerConnection::onRequestHead(HttpRequestHead head)
-{
-    m_head = std::move(head);
-}
-
-void CallerConnection::onRequestBody(std::string_view bytes)
+void CallerConnection::beginBody()
 {
-    if (m_bodyBudgetExceeded || !m_context.bodyBudget.tryReserve(bytes.size())) {
-        m_bodyBudgetExceeded = true;
-        return;
+    m_socket.setReceiveSize(StreamSocket::MaxReceiveBytes);
+    if (m_receiver.head().fields.hasToken("Expect", "100-continue")) {
+        m_socket.send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    m_reservedBytes += bytes.size();
-    m_body.append(bytes);
 }
 
-void CallerConnection::releaseBodyMemory()
+void CallerConnection::followBodyRoom()
 {
-    m_context.bodyBudget.release(m_reservedBytes);
-    m_reservedBytes = 0;
+    if (!m_largeReceiveBuffer && m_receiver.bodyRoom() > BodyReceiveBufferBytes) {
+        m_largeReceiveBuffer = true;
+        m_socket.limitReceiveBuffer(BodyReceiveBufferBytes);
+    }
 }
 
 void CallerConnection::serve(TimePoint now)
 {
     m_state = State::Serving;
     m_context.loop.cancel(m_timer);
-    m_keepAlive = m_head.keepAlive;
-    m_chunkedResponse = !m_head.isHttp10;
-    m_bodyless = m_head.method == "HEAD";
-    if (m_head.method == "CONNECT" || m_head.fields.count("Host") != 1) {
+    HttpRequestHead head = m_receiver.takeHead();
+    m_keepAlive = head.keepAlive;
+    m_chunkedResponse = !head.isHttp10;
+    m_bodyless = head.method == "HEAD";
+    keepAhead(now);
+    if (head.method == "CONNECT" || head.fields.count("Host") != 1) {
         rejectRequest(HttpStatus::BadRequest,
                       "CONNECT is not supported, and exactly one Host field is required", now);
         return;
     }
-    DecodedRequest request = m_context.headerCodec.decodeRequest(std::move(m_head));
+    DecodedRequest request = m_context.headerCodec.decodeRequest(std::move(head));
+    if (!m_receiver.holdDecoded(memoryBytes(request.prompt), now)) {
+        rejectRequest(HttpStatus::Unavailable, "memory limit for requests reached", now);
+        return;
+    }
     if (m_origin == RequestOrigin::Daemon) {
         request.relayed = takeRelayedRequest(request.head.fields);
     }
     m_requestId = request.id.value();
     m_forwarder = std::make_unique<RequestForwarder>(
         m_context, *this, std::move(request),
-        std::make_shared<const std::string>(std::move(m_body)), now);
-    m_body = std::string();
+        std::make_shared<const std::string>(m_receiver.takeBody()), now);
     m_forwarder->start(now);
 }
 
 void CallerConnection::rejectRequest(int status, const char *cause, TimePoint now)
 {
-    m_context.log.write(LogPriority::Notable,
+    m_context.log.write(LogPriority::Client,
                         LogLine("request.refused").add("status", status).add("cause", cause), now);
     m_context.metrics.count("lycheearch_requests_total",
                             "status=\"" + std::to_string(status) + "\"");
@@ -335,7 +364,7 @@
 void CallerConnection::startNext(TimePoint now)
 {
     m_socket.setReading(true);
-    if (!m_input.empty()) {
+    if (m_receiver.unparsedBytes() > 0) {
         parse(now);
     }
 }
@@ -345,7 +374,7 @@
     const bool resting = m_state == State::Waiting;
     m_closure.begin(why,
                     {resting ? now - m_idleSince : Duration(), m_idleLimit, limits().idleTimeout},
-                    m_input.size() + m_socket.receivedBytes(), now);
+                    m_receiver.unparsedBytes() + m_socket.receivedBytes(), now);
 }
 
 void CallerConnection::closeIfNothingArrived(const char *why, TimePoint now)
@@ -363,7 +392,7 @@
 {
     beginClosure(why, now);
     m_state = State::Lingering;
-    m_input.clear();
+    m_receiver.dropUnparsed();
     m_socket.setReading(true);
     m_socket.shutdownSending();
     startTimer(LingerTimeout, now);
@@ -399,7 +428,8 @@
 
 bool CallerConnection::mayStartNext() const
 {
-    return m_socket.queuedBytes() <= MaxUnreadBefore;
+    return m_socket.queuedBytes()
+        <= std::min(MaxUnreadBefore, m_context.readers.backpressure().watermark());
 }
 
 UnreadBytes CallerConnection::unread() const
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -7,8 +7,8 @@
 #include "Forward/CallerReaders.h"
 #include "Forward/ConnectionClosure.h"
 #include "Forward/RequestForwarder.h"
+#include "Forward/RequestReceiver.h"
 #include "Forward/ResponseWriter.h"
-#include "Net/HttpParser.h"
 #include "Net/StreamSocket.h"
 
 namespace lycheearch {
@@ -27,10 +27,11 @@
 
 /// One connection of a caller or of another daemon: reads requests one at a time and writes their
 /// responses. A request that follows a response which the caller has not read is left for later.
+/// While a request is served, no more is read than what one read brings beyond it.
 class CallerConnection : public StreamSocketListener,
-                         public HttpRequestSink,
                          public ResponseWriter,
-                         public CallerReader
+                         public CallerReader,
+                         private RequestHolder
 {
 public:
     /// Called when the connection has closed. It may still be on the call stack, so it must be
@@ -48,7 +49,7 @@
     /// Answers a request in progress at once and closes the connection, for example when the
     /// process must exit.
     void terminate(TimePoint now);
-    bool idle() const { return m_state == State::Waiting && m_input.empty(); }
+    bool idle() const { return m_state == State::Waiting && m_receiver.unparsedBytes() == 0; }
 
     /// How well the connection can be closed to make room for a new one.
     enum class Dispensability {
@@ -78,8 +79,7 @@
     void onSendQueueEmpty(TimePoint now) override { onSendProgress(now); }
     void onSendProgress(TimePoint now) override;
     const char *duty() const override { return "caller_request"; }
-    void onRequestHead(HttpRequestHead head) override;
-    void onRequestBody(std::string_view bytes) override;
+    void giveUpRequest(TimePoint now) override;
 
     void sendResponse(int status, std::string_view reason, HttpFields fields, std::string body,
                       TimePoint now) override;
@@ -122,7 +122,16 @@
     /// Adds the fields that say whether and how long the connection may be used again.
     void addConnectionFields(HttpFields &fields);
     CallerLimits limits() const;
-    void releaseBodyMemory();
+    /// Whether what arrives belongs to a request that is not read yet.
+    bool receivesAhead() const;
+    /// Keeps what has been received ahead, and reads no more until the next request begins.
+    void keepAhead(TimePoint now);
+    /// Drops what the caller sends from now on. The connection closes after the present response.
+    void dropAhead();
+    /// The head of a request with a body is complete.
+    void beginBody();
+    /// Enlarges the receive buffer once there is room for a large body.
+    void followBodyRoom();
 
     ForwardContext &m_context;
     RequestOrigin m_origin;
@@ -130,12 +139,9 @@
     const RelayBackpressure::ReaderId m_readerId;
     StreamSocket m_socket;
     State m_state = State::Waiting;
-    std::string m_input;
-    std::unique_ptr<HttpRequestParser> m_parser;
-    HttpRequestHead m_head;
-    std::string m_body;
-    std::size_t m_reservedBytes = 0; ///< Reserved in the memory budget for request bodies.
-    bool m_bodyBudgetExceeded = false;
+    RequestReceiver m_receiver;
+    bool m_dropsAhead = false;
+    bool m_largeReceiveBuffer = false;
     std::unique_ptr<RequestForwarder> m_forwarder;
     std::string m_requestId; ///< Of the latest request.
     bool m_blocked = false; ///< Reading from the server of the request rests.
@@ -146,7 +152,6 @@
     Duration m_idleLimit{};
     TimePoint m_waitingSince; ///< Begin of the idle time or of the request that is arriving.
     ConnectionClosure m_closure;
-    TimePoint m_now;
     bool m_keepAlive = true;
     bool m_chunkedResponse = true;
     bool m_endsWithConnection = false; ///< A response that ends with the connection has begun.
--- a/Source/Forward/CallerReaders.cpp
+++ b/Source/Forward/CallerReaders.cpp
@@ -36,8 +36,7 @@
     while (!m_backpressure.update(id, unread, now)) {
         const auto slowest = m_backpressure.slowest(RelayBackpressure::RecentlyRead, now);
         if (!slowest) {
-            // All callers read. The bytes are held in any case, and no more are read for now.
-            m_backpressure.update(id, unread, now, true);
+            holdBeyondLimit(id, unread, now);
             break;
         }
         end(*slowest, NoMemory, now);
@@ -48,6 +47,15 @@
     return m_backpressure.rests(id);
 }
 
+void CallerReaders::holdBeyondLimit(RelayBackpressure::ReaderId id, const UnreadBytes &unread,
+                                    TimePoint now)
+{
+    // All callers read. The bytes are held for now, and no more are read from the server.
+    if (!m_backpressure.update(id, unread, now, true)) {
+        end(id, NoMemory, now);
+    }
+}
+
 void CallerReaders::remove(RelayBackpressure::ReaderId id)
 {
     m_backpressure.remove(id);
--- a/Source/Forward/CallerReaders.h
+++ b/Source/Forward/CallerReaders.h
@@ -44,6 +44,7 @@
     std::string metricsText() const;
 
 private:
+    void holdBeyondLimit(RelayBackpressure::ReaderId id, const UnreadBytes &unread, TimePoint now);
     void startTimer(TimePoint now);
     void check(TimePoint now);
     void end(RelayBackpressure::ReaderId id, const char *why, TimePoint now);
--- a/Source/Forward/ForwardContext.h
+++ b/Source/Forward/ForwardContext.h
@@ -7,6 +7,7 @@
 #include "Forward/BackendHttpConnectionPool.h"
 #include "Forward/BodyBudget.h"
 #include "Forward/CallerReaders.h"
+#include "Forward/CallerRequests.h"
 #include "Forward/RelayAdmission.h"
 #include "Forward/RequestHeaderCodec.h"
 #include "Log/StructuredLog.h"
@@ -44,7 +45,7 @@
     ReturnSchedule &returnSchedule;
     const ShutdownPolicy &shutdownPolicy;
     const RouterBounds &bounds;
-    BodyBudget &bodyBudget; ///< Of requests.
+    CallerRequests &requests;
     BodyBudget &responseBudget;
     CallerReaders &readers;
     StructuredLog &log;
--- a/Source/Forward/RelayBackpressure.cpp
+++ b/Source/Forward/RelayBackpressure.cpp
@@ -33,7 +33,8 @@
     const auto found = m_readers.find(reader);
     const std::size_t before = found == m_readers.end() ? 0 : found->second.unread.queued;
     if (unread.queued > before && !m_memory.tryReserve(unread.queued - before)) {
-        if (!beyondLimit) {
+        const std::size_t most = m_memory.limitBytes() + m_memory.limitBytes() / OverdraftDivisor;
+        if (!beyondLimit || m_memory.reservedBytes() + unread.queued - before > most) {
             return false;
         }
         m_memory.reserveHeld(unread.queued - before);
--- a/Source/Forward/RelayBackpressure.h
+++ b/Source/Forward/RelayBackpressure.h
@@ -35,13 +35,16 @@
     /// A caller that takes no byte for this long is ended. More than a lost link may take to come
     /// back (TCP_USER_TIMEOUT of callers).
     static constexpr Duration NotReadingLimit = 5s;
+    /// Part of the memory that may be used beyond it while all callers read.
+    static constexpr std::size_t OverdraftDivisor = 4;
     /// A caller that took bytes within this time isn't ended to free memory for other responses.
     static constexpr Duration RecentlyRead = 1s;
 
     explicit RelayBackpressure(BodyBudget &memory);
 
     /// Applies what the caller has unread now. Returns false, and applies nothing, if the memory
-    /// does not suffice; with \p beyondLimit, it is applied all the same.
+    /// does not suffice; with \p beyondLimit, it is applied unless that exceeds the memory by more
+    /// than a part of it, see OverdraftDivisor.
     bool update(ReaderId reader, const UnreadBytes &unread, TimePoint now,
                 bool beyondLimit = false);
     /// The caller's connection has closed, or it has read all.
@@ -59,6 +62,8 @@
     /// Callers that have taken nothing for NotReadingLimit.
     std::vector<ReaderId> notReading(TimePoint now) const;
 
+    /// What a caller may leave unread now before reading from its server rests.
+    std::size_t watermark() const;
     std::size_t unreadBytes() const { return m_unreadBytes; }
     std::size_t readers() const { return m_readers.size(); }
     std::size_t resting() const;
@@ -71,8 +76,6 @@
         bool rests = false;
     };
 
-    std::size_t watermark() const;
-
     BodyBudget &m_memory;
     std::map<ReaderId, Reader> m_readers;
     std::size_t m_unreadBytes = 0; ///< Reserved in m_memory.
--- a/Source/Forward/RequestHeaderCodec.h
+++ b/Source/Forward/RequestHeaderCodec.h
@@ -21,6 +21,16 @@
     std::int64_t tokens = 0;
 };
 
+/// Memory that the parts of a prompt take, in bytes.
+inline std::size_t memoryBytes(const std::vector<PromptPart> &prompt)
+{
+    std::size_t bytes = prompt.capacity() * sizeof(PromptPart);
+    for (const PromptPart &part : prompt) {
+        bytes += part.id.size();
+    }
+    return bytes;
+}
+
 /// A request of a caller, decoded from its header fields.
 struct DecodedRequest
 {
--- a/Source/Net/HttpHead.cpp
+++ b/Source/Net/HttpHead.cpp
@@ -25,6 +25,13 @@
     }
 }
 
+/// Heap memory of a text; short ones are stored within the object.
+std::size_t heapBytes(const std::string &text)
+{
+    static const std::size_t inObject = std::string().capacity();
+    return text.capacity() > inObject ? text.capacity() : 0;
+}
+
 void appendFields(std::string &text, const HttpFields &fields)
 {
     for (const HttpField &field : fields.all()) {
@@ -35,6 +42,20 @@
 
 } // namespace
 
+std::size_t HttpFields::memoryBytes() const
+{
+    std::size_t bytes = m_fields.capacity() * sizeof(HttpField);
+    for (const HttpField &field : m_fields) {
+        bytes += heapBytes(field.name) + heapBytes(field.value);
+    }
+    return bytes;
+}
+
+std::size_t memoryBytes(const HttpRequestHead &head)
+{
+    return heapBytes(head.method) + heapBytes(head.target) + head.fields.memoryBytes();
+}
+
 bool equalIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size()
--- a/Source/Net/HttpHead.h
+++ b/Source/Net/HttpHead.h
@@ -30,6 +30,8 @@
     /// Whether \p token is in the comma-separated list of any field of this name, ignoring case.
     bool hasToken(std::string_view name, std::string_view token) const;
     const std::vector<HttpField> &all() const { return m_fields; }
+    /// Memory that the fields take, in bytes.
+    std::size_t memoryBytes() const;
 
 private:
     std::vector<HttpField> m_fields;
@@ -55,6 +57,9 @@
     std::optional<std::uint64_t> contentLength;
 };
 
+/// Memory that the head takes, in bytes.
+std::size_t memoryBytes(const HttpRequestHead &head);
+
 /// Start line and header fields of a response.
 struct HttpResponseHead
 {
--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -89,6 +89,8 @@
         }
     }
 
+    std::size_t fieldMemoryBytes() const { return m_fields.memoryBytes(); }
+
     HttpParseError parseError() const
     {
         return m_error ? toParseError(m_error) : HttpParseError::None;
@@ -195,6 +197,11 @@
     return m_private->parseError();
 }
 
+std::size_t HttpRequestParser::fieldMemoryBytes() const
+{
+    return m_private->fieldMemoryBytes();
+}
+
 class HttpResponseParser::Private : public MessageParser<false>
 {
 public:
--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -53,6 +53,8 @@
     bool headComplete() const;
     bool complete() const;
     HttpParseError parseError() const;
+    /// Memory of the fields that were parsed of an incomplete head, in bytes.
+    std::size_t fieldMemoryBytes() const;
 
 private:
     class Private;
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -143,7 +143,7 @@
         , peers(InstanceId("self"), DataCentreId("here"))
         , context{loop,           view,    picker,  connections,    headerCodec, retries,
                   rollouts,       models,  crashes, pendingCrashes, peers,       peerConnections,
-                  relayAdmission, returns, stop,    bounds,         bodyBudget,  responseBudget,
+                  relayAdmission, returns, stop,    bounds,         requests,    responseBudget,
                   readers,        log,     metrics, hedging,        limitCounter}
     {
     }
@@ -336,7 +336,9 @@
     ReturnSchedule returns;
     ShutdownPolicy stop;
     RouterBounds bounds;
+    BodyBudget headBudget{1024UL * 1024};
     BodyBudget bodyBudget{1024UL * 1024};
+    CallerRequests requests{headBudget, bodyBudget};
     BodyBudget responseBudget{256UL * 1024};
     CallerReaders readers{loop, responseBudget};
     StructuredLog log;
