Callers: heads count in a memory of their own, as much as they take

What callers saw: 600 connections with a head of 16 KB in fields of 4 bytes hold 170 to 177 MiB of 64, incomplete or in service; as trailers 172; as parts of a prompt 146. 2,500 heads that stop short hold 51 MiB.

Cause: heads weren't counted. A field takes 64 bytes whatever its length, 16 times what a short one has on the wire; parsed fields of an incomplete head lie in the parser; trailers, which nothing uses, were kept; a prompt is decoded into one more list.

Trailers are checked and dropped.

--- a/Source/Forward/RequestReceiver.cpp
+++ b/Source/Forward/RequestReceiver.cpp
@@ -90,6 +90,11 @@
     if (!m_rejection) {
         rejectMalformed();
     }
+    if (!m_rejection && !complete()
+        && !m_memory.hold(CallerRequests::Pool::Heads, m_holderId,
+                          m_headBytes + m_parser->fieldMemoryBytes() + m_input.capacity(), now)) {
+        rejectForMemory();
+    }
     if (m_rejection) {
         // At once: many requests may be refused before their connections are closed.
         std::string().swap(m_input);
@@ -125,6 +130,11 @@
 void RequestReceiver::onRequestHead(HttpRequestHead head)
 {
     m_head = std::move(head);
+    m_headBytes = memoryBytes(m_head);
+    if (!m_memory.hold(CallerRequests::Pool::Heads, m_holderId, m_headBytes, m_now)) {
+        rejectForMemory();
+        return;
+    }
 }
 
 void RequestReceiver::onRequestBody(std::string_view bytes)
@@ -155,7 +165,7 @@
 
 bool RequestReceiver::holdDecoded(std::size_t bytes, TimePoint now)
 {
-    return true;
+    return m_memory.hold(CallerRequests::Pool::Heads, m_holderId, m_headBytes + bytes, now);
 }
 
 } // namespace lycheearch
--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -107,6 +107,9 @@
             error = http::error::header_limit;
             return;
         }
+        if (this->is_header_done()) {
+            return; // Trailers are not used.
+        }
         m_fields.add(toString(name), toString(value));
     }
     void on_body_init_impl(boost::optional<std::uint64_t> const &, BoostError &) override { }
