Chat completions: a body that is nested too deeply is refused

What callers saw: one request without a valid key, 1 MB of opening brackets as its messages, ends the process.

Cause: the messages are decoded and written again by a recursive function (nlohmann's dump), one level of the stack for each level of the body, before the caller is authenticated.

Why it works: a scan without recursion or memory refuses bodies of more than 256 levels as malformed before they are decoded. Bodies are read in parts of 64 KB rather than into a buffer of the limit's size.

--- a/Source/Daemon/CallerRequestReader.cpp
+++ b/Source/Daemon/CallerRequestReader.cpp
@@ -15,6 +15,10 @@
 constexpr Duration MaxDeadline = 600s;
 constexpr std::int64_t MaxTokens = 100'000;
 constexpr std::streamsize MaxDiscardedBytes = 16'000'000;
+/// Read at a time of a body without a length.
+constexpr std::size_t BodyPartBytes = 64UL * 1024;
+/// Levels of lists and objects in a body. Decoded bodies are processed recursively.
+constexpr int MaxJsonDepth = 256;
 const std::string BearerPrefix = "Bearer ";
 
 bool isPrintable(const std::string &text)
@@ -24,6 +28,29 @@
     });
 }
 
+/// Whether lists and objects are nested more deeply than MaxJsonDepth.
+bool tooDeep(const std::string &json)
+{
+    int depth = 0;
+    bool inText = false;
+    for (std::size_t i = 0; i < json.size(); ++i) {
+        const char c = json[i];
+        if (inText) {
+            i += c == '\\' ? 1 : 0;
+            inText = c != '"';
+        } else if (c == '[' || c == '{') {
+            if (++depth > MaxJsonDepth) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        } else {
+            inText = c == '"';
+        }
+    }
+    return false;
+}
+
 Failure malformed(const std::string &message)
 {
     return makeFailure(Errc::Malformed, message);
@@ -36,6 +63,20 @@
     stream.ignore(MaxDiscardedBytes);
 }
 
+/// Reads the stream to its end, but no more than \p mostBytes.
+std::string readUpTo(std::istream &stream, std::size_t mostBytes)
+{
+    std::string text;
+    while (stream && text.size() < mostBytes) {
+        const std::size_t before = text.size();
+        const std::size_t part = std::min(BodyPartBytes, mostBytes - before);
+        text.resize(before + part);
+        stream.read(text.data() + before, static_cast<std::streamsize>(part));
+        text.resize(before + static_cast<std::size_t>(stream.gcount()));
+    }
+    return text;
+}
+
 /// Reads an optional header into \p value and checks its length and characters.
 Status readHeader(const Poco::Net::HTTPServerRequest &request, const std::string &name,
                   std::string &value)
@@ -75,6 +116,11 @@
     return std::nullopt;
 }
 
+Status decodeChatBody(const std::string &body, CallerRequest &request)
+{
+    return readChatBody(nlohmann::json::parse(body, nullptr, false), request);
+}
+
 } // namespace
 
 CallerRequestReader::CallerRequestReader(std::size_t maxBodyBytes, Duration defaultDeadline)
@@ -98,9 +144,7 @@
                            "the request body is larger than " + std::to_string(m_maxBodyBytes)
                                + " bytes");
     }
-    std::string body(m_maxBodyBytes + 1, '\0');
-    request.stream().read(body.data(), static_cast<std::streamsize>(body.size()));
-    body.resize(static_cast<std::size_t>(request.stream().gcount()));
+    const std::string body = readUpTo(request.stream(), m_maxBodyBytes + 1);
     if (body.size() > m_maxBodyBytes) {
         discardBody(request.stream());
         return makeFailure(Errc::TooLarge,
@@ -160,9 +204,11 @@
         return body.failure();
     }
     read.value().kind = RequestKind::Chat;
-    const auto json = nlohmann::json::parse(body.value(), nullptr, false);
-    const Status failure = readChatBody(json, read.value());
-    if (failure) {
+    if (tooDeep(body.value())) {
+        return malformed("body: nested more deeply than " + std::to_string(MaxJsonDepth)
+                         + " levels");
+    }
+    if (const Status failure = decodeChatBody(body.value(), read.value())) {
         return *failure;
     }
     if (read.value().taskClass.empty()) {
