Chat completions: large bodies are decoded one after the other

What callers saw: 64 bodies of 1 MB that consist of small values make the daemon hold 580 MiB, with 16 threads.

Cause: decoded, a value of 3 bytes takes some 80; each thread decodes its own body.

Evidence: chatCrowd/bodies_of_many_small_values failed on (580 MiB of 256, no ordinary request in its time).

Why it works: bodies above 64 KB wait for their turn to be decoded; nothing is refused, and decoding 1 MB takes a few hundredths of a second. What stays of a request is its text.

--- a/Source/Daemon/CallerRequestReader.cpp
+++ b/Source/Daemon/CallerRequestReader.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/CallerRequestReader.h"
 
 #include <algorithm>
+#include <semaphore>
 
 #include <Poco/NumberParser.h>
 #include <nlohmann/json.hpp>
@@ -19,6 +20,10 @@
 constexpr std::size_t BodyPartBytes = 64UL * 1024;
 /// Levels of lists and objects in a body. Decoded bodies are processed recursively.
 constexpr int MaxJsonDepth = 256;
+/// Decoding may take tens of times the size of a body. Bodies that are larger than this are decoded
+/// only one at a time.
+constexpr std::size_t LargeBodyBytes = 64UL * 1024;
+constexpr std::ptrdiff_t MaxLargeDecodings = 1;
 const std::string BearerPrefix = "Bearer ";
 
 bool isPrintable(const std::string &text)
@@ -51,6 +56,36 @@
     return false;
 }
 
+/// Holds one of the places for decoding large bodies, if \p bodyBytes is large.
+class DecodingPlace
+{
+public:
+    explicit DecodingPlace(std::size_t bodyBytes)
+        : m_taken(bodyBytes > LargeBodyBytes)
+    {
+        if (m_taken) {
+            places().acquire();
+        }
+    }
+    ~DecodingPlace()
+    {
+        if (m_taken) {
+            places().release();
+        }
+    }
+    DecodingPlace(const DecodingPlace &) = delete;
+    DecodingPlace &operator=(const DecodingPlace &) = delete;
+
+private:
+    static std::counting_semaphore<MaxLargeDecodings> &places()
+    {
+        static std::counting_semaphore<MaxLargeDecodings> all(MaxLargeDecodings);
+        return all;
+    }
+
+    bool m_taken;
+};
+
 Failure malformed(const std::string &message)
 {
     return makeFailure(Errc::Malformed, message);
@@ -118,6 +153,7 @@
 
 Status decodeChatBody(const std::string &body, CallerRequest &request)
 {
+    const DecodingPlace place(body.size());
     return readChatBody(nlohmann::json::parse(body, nullptr, false), request);
 }
 
