Chat completions: connections without a complete request make room for those that wait

What callers saw: as many connections as there are threads, idle, kept after an answer, or stopped in a head or a body, and nobody else is answered: 64 or 200 connections against 16 threads, no ordinary request answered in 87 s. Requests sent ahead with answers unread do the same.

Cause: a connection keeps its thread from accept to close: 60 s between requests and 60 s for each byte.

Why it works: CallerSockets knows what each thread waits for. While connections wait for a thread, those that have been receiving for 0.5 s, or sending one response for 5 s, are closed, the longest first, and a response is the last on its connection.

--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -49,8 +49,9 @@
 
 } // namespace
 
-CallerHandler::CallerHandler(const FrontEndDependencies &dependencies)
+CallerHandler::CallerHandler(const FrontEndDependencies &dependencies, CallerSockets &sockets)
     : m_dependencies(dependencies)
+    , m_sockets(sockets)
     , m_reader(dependencies.settings.limits.maxBodyBytes,
                dependencies.settings.timing.defaultDeadline)
 {
@@ -60,18 +61,21 @@
                                   Poco::Net::HTTPServerResponse &response)
 {
     const InFlightGuard inFlight(m_dependencies.health.inFlight);
-    if (m_dependencies.health.draining) {
+    RequestPhase phase(m_sockets, request);
+    if (m_dependencies.health.draining || m_sockets.othersWait()) {
         response.setKeepAlive(false);
     }
     try {
         const std::string path = request.getURI().substr(0, request.getURI().find('?'));
         if (path == "/v1/chat/completions" && request.getMethod() == "POST") {
-            chat(request, response);
+            chat(request, response, phase);
         } else if (path == "/v1/models" && request.getMethod() == "GET") {
+            phase.set(CallerSockets::Phase::Sending);
             models(request, response);
         } else if (path.starts_with(ServicesPath) && request.getMethod() == "POST") {
-            service(request, response, path.substr(ServicesPath.size()));
+            service(request, response, path.substr(ServicesPath.size()), phase);
         } else {
+            phase.set(CallerSockets::Phase::Sending);
             sendFailure(response, makeFailure(Errc::NotFound, "path not found"), {});
         }
     } catch (const Poco::Exception &error) {
@@ -79,11 +83,20 @@
     }
 }
 
+Status CallerHandler::run(RequestContext &context, RequestPhase &phase) const
+{
+    phase.set(CallerSockets::Phase::Serving);
+    Status failure = m_dependencies.pipeline.run(context);
+    phase.set(CallerSockets::Phase::Sending);
+    return failure;
+}
+
 void CallerHandler::chat(Poco::Net::HTTPServerRequest &request,
-                         Poco::Net::HTTPServerResponse &response)
+                         Poco::Net::HTTPServerResponse &response, RequestPhase &phase)
 {
     const TimePoint now = m_dependencies.clock.now();
     const auto read = m_reader.readChat(request, now);
+    phase.set(CallerSockets::Phase::Sending);
     if (!read.ok()) {
         sendFailure(response, read.failure(), {});
         return;
@@ -93,7 +106,7 @@
     context.arrivedAt = now;
     ChatStreamWriter writer(response, context);
     context.stream = context.request.stream ? &writer : nullptr;
-    const Status failure = m_dependencies.pipeline.run(context);
+    const Status failure = run(context, phase);
     if (failure && writer.begun()) {
         writer.fail(failureJson(*failure, context.request.id));
     } else if (failure) {
@@ -110,7 +123,8 @@
 }
 
 void CallerHandler::service(Poco::Net::HTTPServerRequest &request,
-                            Poco::Net::HTTPServerResponse &response, const std::string &path)
+                            Poco::Net::HTTPServerResponse &response, const std::string &path,
+                            RequestPhase &phase)
 {
     const std::size_t slash = path.find('/');
     if (slash == std::string::npos) {
@@ -122,6 +136,7 @@
     const TimePoint now = m_dependencies.clock.now();
     const auto read = m_reader.readService(request, ServiceId(path.substr(0, slash)),
                                            OperationName(path.substr(slash + 1)), now);
+    phase.set(CallerSockets::Phase::Sending);
     if (!read.ok()) {
         sendFailure(response, read.failure(), {});
         return;
@@ -129,7 +144,7 @@
     RequestContext context;
     context.request = read.value();
     context.arrivedAt = now;
-    const Status failure = m_dependencies.pipeline.run(context);
+    const Status failure = run(context, phase);
     if (failure) {
         sendFailure(response, *failure, context.request.id);
         return;
--- a/Source/Daemon/CallerHandler.h
+++ b/Source/Daemon/CallerHandler.h
@@ -11,18 +11,22 @@
 class CallerHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    explicit CallerHandler(const FrontEndDependencies &dependencies);
+    CallerHandler(const FrontEndDependencies &dependencies, CallerSockets &sockets);
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override;
 
 private:
-    void chat(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    void chat(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+              RequestPhase &phase);
     void service(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-                 const std::string &path);
+                 const std::string &path, RequestPhase &phase);
+    /// Runs a request that has arrived whole.
+    Status run(RequestContext &context, RequestPhase &phase) const;
     void models(const Poco::Net::HTTPServerRequest &request,
                 Poco::Net::HTTPServerResponse &response);
 
     const FrontEndDependencies &m_dependencies;
+    CallerSockets &m_sockets;
     CallerRequestReader m_reader;
 };
 
--- a/Source/Daemon/FrontEnd.h
+++ b/Source/Daemon/FrontEnd.h
@@ -6,6 +6,7 @@
 #include "Base/Metrics.h"
 #include "Config/Settings.h"
 #include "Daemon/CallerRequestReader.h"
+#include "Daemon/CallerSockets.h"
 #include "Request/Pipeline.h"
 #include "Routing/BackendTable.h"
 #include "State/Billing.h"
@@ -40,7 +41,8 @@
     const Clock &clock;
 };
 
-/// HTTP server for callers and operators, with a bounded thread pool.
+/// HTTP server for callers and operators, with a bounded thread pool. While connections wait for a
+/// thread, those are closed that occupy one without a complete request.
 class FrontEnd
 {
 public:
--- a/Source/Daemon/OperatorHandler.cpp
+++ b/Source/Daemon/OperatorHandler.cpp
@@ -30,14 +30,17 @@
 
 } // namespace
 
-OperatorHandler::OperatorHandler(const FrontEndDependencies &dependencies)
+OperatorHandler::OperatorHandler(const FrontEndDependencies &dependencies, CallerSockets &sockets)
     : m_dependencies(dependencies)
+    , m_sockets(sockets)
 {
 }
 
 void OperatorHandler::handleRequest(Poco::Net::HTTPServerRequest &request,
                                     Poco::Net::HTTPServerResponse &response)
 {
+    RequestPhase phase(m_sockets, request);
+    phase.set(CallerSockets::Phase::Serving);
     const std::string path = request.getURI().substr(0, request.getURI().find('?'));
     if (path == "/livez") {
         sendJson(response, HttpOk, R"({"live":true})");
--- a/Source/Daemon/OperatorHandler.h
+++ b/Source/Daemon/OperatorHandler.h
@@ -10,7 +10,7 @@
 class OperatorHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    explicit OperatorHandler(const FrontEndDependencies &dependencies);
+    OperatorHandler(const FrontEndDependencies &dependencies, CallerSockets &sockets);
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override;
 
@@ -24,6 +24,7 @@
     std::string statusJson() const;
 
     const FrontEndDependencies &m_dependencies;
+    CallerSockets &m_sockets;
 };
 
 } // namespace lycheearch
