Connections: one whose caller is still reading gives way last

What callers would see: at the limit of connections, one that was still taking a large response counted as idle, and was cut off before connections that are begun and idle.

Cause: the state of a connection says that the next request is waited for as soon as the response is queued.

Evidence: read, no test of its own.

Why it works: a connection with queued bytes ranks below all others that serve no request.

--- a/Source/Forward/CallerConnection.cpp
+++ b/Source/Forward/CallerConnection.cpp
@@ -107,7 +107,7 @@
     case State::Lingering:
         break;
     }
-    return Dispensability::Idle;
+    return m_socket.queuedBytes() > 0 ? Dispensability::ResponseUnread : Dispensability::Idle;
 }
 
 void CallerConnection::closeForRoom(TimePoint now)
--- a/Source/Forward/CallerConnection.h
+++ b/Source/Forward/CallerConnection.h
@@ -54,6 +54,7 @@
     /// How well the connection can be closed to make room for a new one.
     enum class Dispensability {
         Never, ///< A request is being served.
+        ResponseUnread, ///< The caller has not taken all of a response.
         RequestBegun, ///< A request began to arrive just now.
         Idle,
         RequestStalled, ///< A request began to arrive and is still incomplete.
--- a/Source/Forward/CallerServer.h
+++ b/Source/Forward/CallerServer.h
@@ -14,7 +14,8 @@
 
 /// Accepts the connections of callers or of other daemons, and closes them in stages when the
 /// process stops. When there are as many as allowed, a new one takes the place of one that serves
-/// no request: of one with a stalled request, else of the one that has been idle longest.
+/// no request: of one with a stalled request, else of the one that has been idle longest, and only
+/// at last of one whose caller is still reading.
 class CallerServer
 {
 public:
