--- a/Source/Daemon/FrontEnd.cpp
+++ b/Source/Daemon/FrontEnd.cpp
@@ -187,7 +187,9 @@
 void FrontEnd::stop()
 {
     if (m_private->server) {
-        m_private->roomMaker->stop();
+        if (m_private->roomMaker) {
+            m_private->roomMaker->stop();
+        }
         m_private->server->stop();
         m_private->handlers->stopConnections();
         m_private->threads.joinAll();
