MIXED: part of an answer without a length was delivered as whole after a reset during the upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; so did a caller whose request another daemon had passed on, and a call to the store.

Cause: the kernel reports a reset once. The write of the upload took it (ECONNRESET), and the read in the same turn returned 0, which looks like an orderly end; StreamSocket reported the end, and that completes an answer without a length.

Change: after a failed write, what has arrived is still read, and then the failure is reported, never an end. So a whole answer with a length is delivered (before, only what one read returned). An answer without a length whose server ends the connection in order and then resets it within the same turn is not taken for whole either: nothing tells the two apart for certain.

--- a/Source/Net/StreamSocket.cpp
+++ b/Source/Net/StreamSocket.cpp
@@ -150,12 +150,10 @@
     }
     if (m_fd >= 0 && (m_held || !m_reading)) {
         endUnread(events, now);
-    } else if (m_fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    } else if (m_fd >= 0
+               && (m_sendError || (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)) {
         receive(now);
     }
-    if (m_fd >= 0 && m_sendError) {
-        fail(m_sendError, now);
-    }
 }
 
 void StreamSocket::finishConnect(TimePoint now)
@@ -175,7 +173,7 @@
     static thread_local std::array<char, MaxReceiveBytes> buffer;
     if (m_endReceived) {
         // After the end of the incoming stream, only an error can still be reported.
-        if (const std::error_code error = socketError(m_fd)) {
+        if (const std::error_code error = m_sendError ? m_sendError : socketError(m_fd)) {
             fail(error, now);
         }
         return;
@@ -183,6 +181,9 @@
     const ssize_t count = recv(m_fd, buffer.data(), m_receiveBytes, 0);
     if (count > 0) {
         m_listener.onBytes({buffer.data(), static_cast<std::size_t>(count)}, now);
+    } else if (m_sendError) {
+        // The failed write has taken the error, so that the kernel reports an orderly end.
+        fail(m_sendError, now);
     } else if (count == 0) {
         m_endReceived = true;
         updateInterest();
@@ -194,7 +195,9 @@
 
 void StreamSocket::endUnread(std::uint32_t events, TimePoint now)
 {
-    if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+    if (m_sendError) {
+        fail(m_sendError, now);
+    } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         const std::error_code error = socketError(m_fd);
         fail(error ? error : std::make_error_code(std::errc::connection_reset), now);
     } else if (!m_held && !m_endReceived && (events & EPOLLRDHUP) != 0) {
--- a/Source/Net/StreamSocket.h
+++ b/Source/Net/StreamSocket.h
@@ -16,7 +16,7 @@
     virtual ~StreamSocketListener() = default;
     virtual void onConnected(TimePoint now) { }
     virtual void onBytes(std::string_view bytes, TimePoint now) = 0;
-    /// The peer has closed its sending side.
+    /// The peer has closed its sending side, and all that was sent to it so far was accepted.
     virtual void onEnd(TimePoint now) = 0;
     /// The connection failed. The socket is already closed.
     virtual void onError(std::error_code error, TimePoint now) = 0;
--- a/Tests/Forward/ForwardHarness.h
+++ b/Tests/Forward/ForwardHarness.h
@@ -39,6 +39,10 @@
             if (head == std::string::npos) {
                 return;
             }
+            if (m_owner.onHead) {
+                m_owner.onHead(*this, input.substr(0, head + 4));
+                return;
+            }
             const std::size_t length = bodyLength(input.substr(0, head));
             if (input.size() < head + 4 + length) {
                 return;
@@ -118,6 +122,7 @@
     std::string id;
     Endpoint address;
     Script onRequest;
+    Script onHead; ///< If set, replaces onRequest, and is called before the body is read.
     std::vector<std::string> requests;
     std::vector<std::unique_ptr<Connection>> connections;
     int closed = 0;
--- a/Tests/Net/testHttpCallChannel.cpp
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "FreePort.h"
@@ -42,12 +43,28 @@
         std::error_code error;
         connection = acceptTcp(listener, error);
     }
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        const linger withoutDelay{1, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &withoutDelay, sizeof(withoutDelay));
+        close(connection);
+        connection = -1;
+    }
     void send(const std::string &bytes) const
     {
         cr_assert_eq(write(connection, bytes.data(), bytes.size()),
                      static_cast<ssize_t>(bytes.size()));
     }
 
+    /// Sends what the kernel accepts at once and returns how much that was.
+    std::size_t sendSome(const std::string &bytes) const
+    {
+        const ssize_t count =
+            ::send(connection, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+
     EventLoop &loop;
     Endpoint address;
     int listener = -1;
@@ -63,17 +80,19 @@
     {
     }
 
-    void call()
+    void call(const std::string &upload = "")
     {
         HttpCall call;
-        call.head.method = "GET";
+        call.head.method = upload.empty() ? "GET" : "POST";
         call.head.target = "/";
+        call.body = upload;
         call.timeout = Timeout;
         call.callback = [this](std::error_code error, const CompleteHttpResponse &answer,
                                TimePoint) {
             done = true;
             ++ended;
             failed = static_cast<bool>(error);
+            status = answer.status;
             body = answer.body;
         };
         channel.call(std::move(call));
@@ -103,6 +122,7 @@
     bool done = false;
     int ended = 0; ///< Calls.
     bool failed = false;
+    int status = 0;
     std::string body;
 };
 
@@ -195,3 +215,16 @@
     cr_expect_eq(test.ended, 2);
     cr_expect(test.failed);
 }
+
+Test(httpCallChannel, a_part_of_an_answer_that_is_reset_during_the_upload_is_a_failure)
+{
+    Fixture test;
+    test.call(std::string(16UL * 1024 * 1024, 'u'));
+    test.runFor(100ms);
+    test.server.send("HTTP/1.1 200 OK\r\n\r\nfirst part");
+    test.runFor(100ms);
+    test.server.reset();
+    test.runFor(100ms);
+    cr_assert(test.done);
+    cr_expect(test.failed);
+}
