MIXED: a status outside 100 to 599 is no answer

What callers would see: a server in trouble answers with the status 000. Here the head passed for an interim response: the request was held until its deadline (504), and what the head announced about its server was applied. A status from 600 on was passed on to the caller. A call to the store, or to a service of the chat-completions daemon, took 000 for an answer.

Cause: the parser's library accepts any three digits.

Change: such a head is malformed (RFC 9110, 15). The attempt ends as broken, and the request is sent to another server where it may be repeated.

--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include "Net/HttpStatus.h"
+
 namespace lycheearch {
 
 namespace {
@@ -218,8 +220,12 @@
 private:
     void on_request_impl(http::verb, BoostView, BoostView, int, BoostError &) override { }
 
-    void on_response_impl(int status, BoostView reason, int, BoostError &) override
+    void on_response_impl(int status, BoostView reason, int, BoostError &error) override
     {
+        if (status < HttpStatus::FirstValid || status > HttpStatus::LastValid) {
+            error = http::error::bad_status;
+            return;
+        }
         m_head.status = status;
         m_head.reason = toString(reason);
     }
--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -61,7 +61,8 @@
     std::unique_ptr<Private> m_private;
 };
 
-/// Incremental parser of one response, with the same framing rules.
+/// Incremental parser of one response, with the same framing rules. A status outside 100 to
+/// 599 (RFC 9110, 15) is malformed, too.
 class HttpResponseParser
 {
 public:
--- a/Source/Net/HttpStatus.h
+++ b/Source/Net/HttpStatus.h
@@ -3,7 +3,8 @@
 /// HTTP status codes that the router sends or handles (RFC 9110, RFC 6585).
 namespace lycheearch::HttpStatus {
 
-constexpr int Ok = 200;
+constexpr int FirstValid = 100;
+constexpr int Ok = 200; ///< The first final status; those below are interim ones.
 constexpr int NoContent = 204;
 constexpr int FirstRedirect = 300; ///< Final status codes below this one are successes.
 constexpr int NotModified = 304;
@@ -22,5 +23,6 @@
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
+constexpr int LastValid = 599;
 
 } // namespace lycheearch::HttpStatus
