--- a/Source/Net/HttpParser.cpp
+++ b/Source/Net/HttpParser.cpp
@@ -101,6 +101,8 @@
 protected:
     HttpFields m_fields;
 
+    void reject() { m_error = http::error::bad_field; }
+
     void on_field_impl(http::field, BoostView name, BoostView value, BoostError &error) override
     {
         // The limit of the base class applies to the head, not to the trailer after a chunked body.
@@ -207,6 +209,31 @@
     return m_private->fieldMemoryBytes();
 }
 
+/// Finds lines of a head that begin with a blank: the obsolete folding of field values. Others take
+/// such a line for a field of its own.
+class FoldedLineDetector
+{
+public:
+    /// Whether there is one in \p input, which begins with the head at each call.
+    bool found(std::string_view input)
+    {
+        for (; !m_ended && m_scanned < input.size(); ++m_scanned) {
+            const char byte = input[m_scanned];
+            if (m_atLineStart && (byte == ' ' || byte == '\t')) {
+                return true;
+            }
+            m_ended = m_atLineStart && byte == '\r';
+            m_atLineStart = byte == '\n';
+        }
+        return false;
+    }
+
+private:
+    std::size_t m_scanned = 0;
+    bool m_atLineStart = false;
+    bool m_ended = false; ///< The blank line after the head was found.
+};
+
 class HttpResponseParser::Private : public MessageParser<false>
 {
 public:
@@ -217,6 +244,16 @@
         skip(bodyless);
     }
 
+    void feed(std::string &input)
+    {
+        // The base class consumes nothing of a head until it is complete.
+        if (!is_header_done() && m_foldedLines.found(input)) {
+            reject();
+            return;
+        }
+        MessageParser<false>::feed(input);
+    }
+
 private:
     void on_request_impl(http::verb, BoostView, BoostView, int, BoostError &) override { }
 
@@ -257,6 +294,7 @@
 
     HttpResponseSink &m_sink;
     HttpResponseHead m_head;
+    FoldedLineDetector m_foldedLines;
 };
 
 HttpResponseParser::HttpResponseParser(HttpLimits limits, bool bodyless, HttpResponseSink &sink)
--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -61,8 +61,8 @@
     std::unique_ptr<Private> m_private;
 };
 
-/// Incremental parser of one response, with the same framing rules. A status outside 100 to
-/// 599 (RFC 9110, 15) is malformed, too.
+/// Incremental parser of one response, with the same framing rules. A status that HTTP does not
+/// define (RFC 9110, 15) and a folded field line (RFC 9112, 5.2) are malformed, too.
 class HttpResponseParser
 {
 public:
--- a/Tests/Net/testMalformedHeads.cpp
+++ b/Tests/Net/testMalformedHeads.cpp
@@ -36,3 +36,26 @@
         expectMalformed("HTTP/1.1 " + std::string(status) + " X\r\n");
     }
 }
+
+Test(httpParser, a_field_name_with_a_blank_or_control_byte_is_malformed)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        const bool blankOrControl = byte <= ' ' || byte == 0x7f;
+        if (!blankOrControl) {
+            continue;
+        }
+        const std::string bad(1, static_cast<char>(byte));
+        for (const std::string &name : {"X" + bad + "Name", "Name" + bad, bad + "Name"}) {
+            expectMalformed("HTTP/1.1 200 OK\r\n" + name + ": value\r\n");
+            expectMalformed("HTTP/1.1 200 OK\r\nFirst: value\r\n" + name + ": value\r\n");
+        }
+    }
+}
+
+// A client that takes the name for Transfer-Encoding, and one that does not, see different bodies.
+Test(httpParser, a_framing_field_whose_name_holds_a_blank_is_malformed)
+{
+    expectMalformed("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n");
+    expectMalformed("HTTP/1.1 200 OK\r\nX: 1\r\n Transfer-Encoding: chunked\r\n");
+    expectMalformed("HTTP/1.1 200 OK\r\nX: 1\r\n\tTransfer-Encoding: chunked\r\n");
+}
