Store: an interim response was taken for the answer to a call

What would be seen: a 1xx before an answer of the store ended the call without a result, and the answer itself came to the next call on the connection.

Evidence: httpCallChannel/an_interim_response_is_not_the_answer failed before; so did the part of httpCallChannel/bytes_without_end_are_a_failure_wherever_they_come that sends interim responses without end. Its other parts, and httpCallChannel/a_malformed_answer_is_a_failure but for the status 000, show that the store's answers were bounded and checked already.

Change: interim responses are skipped, as on connections to servers, 16 at most.

--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -2,15 +2,14 @@
 
 #include <utility>
 
+#include "Net/HttpStatus.h"
+
 namespace lycheearch {
 
 namespace {
 
 /// Assumed if the server does not declare how long it keeps idle connections.
 constexpr Duration DefaultIdleTimeout = 5s;
-constexpr int FirstFinalStatus = 200;
-/// More interim responses (1xx) than this to one request are a protocol error.
-constexpr int MaxInterimResponses = 16;
 /// Larger bodies are written apart from their head, and not copied.
 constexpr std::size_t MaxJoinedBodyBytes = 16UL * 1024;
 constexpr int MaxUnsentBytes = 128 * 1024; ///< In the kernel.
@@ -158,7 +157,7 @@
 
 void BackendHttpConnection::onResponseHead(HttpResponseHead head)
 {
-    m_interim = head.status < FirstFinalStatus;
+    m_interim = head.status < HttpStatus::Ok;
     if (m_listener == nullptr) {
         return;
     }
--- a/Source/Net/HttpCallChannel.cpp
+++ b/Source/Net/HttpCallChannel.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Net/HttpStatus.h"
+
 namespace lycheearch {
 
 HttpCallChannel::HttpCallChannel(EventLoop &loop, Endpoint server, Liveness liveness,
@@ -74,9 +76,9 @@
             std::make_unique<StreamSocket>(m_loop, fd, StreamSocket::Start::Connecting, *this);
         m_connectionUsed = false;
     }
-    m_response = CompleteHttpResponse();
     m_input.clear();
-    m_parser = std::make_unique<HttpResponseParser>(m_limits, false, *this);
+    m_interimCount = 0;
+    restartParser();
     HttpRequestHead head = m_currentCall->call.head;
     head.fields.set("Host", m_server.text());
     if (!m_currentCall->call.body.empty() || head.method != "GET") {
@@ -85,6 +87,12 @@
     m_socket->send(serializeRequestHead(head) + m_currentCall->call.body);
 }
 
+void HttpCallChannel::restartParser()
+{
+    m_response = CompleteHttpResponse();
+    m_parser = std::make_unique<HttpResponseParser>(m_limits, false, *this);
+}
+
 void HttpCallChannel::onConnected(TimePoint now)
 {
     if (m_currentCall && !m_lastCallFailed) {
@@ -101,7 +109,15 @@
     }
     m_input.append(bytes);
     m_parser->feed(m_input);
-    if (m_parser->parseError() != HttpParseError::None) {
+    while (m_parser->complete() && m_response.status < HttpStatus::Ok
+           && m_interimCount < MaxInterimResponses) {
+        ++m_interimCount;
+        restartParser();
+        m_parser->feed(m_input);
+    }
+    if (m_parser->complete() && m_response.status < HttpStatus::Ok) {
+        finish(std::make_error_code(std::errc::protocol_error), now);
+    } else if (m_parser->parseError() != HttpParseError::None) {
         finish(std::make_error_code(std::errc::protocol_error), now);
     } else if (m_parser->complete()) {
         finish({}, now);
--- a/Source/Net/HttpCallChannel.h
+++ b/Source/Net/HttpCallChannel.h
@@ -40,7 +40,7 @@
 
 /// An HTTP client with one persistent connection to one server. Calls run one at a time, in order.
 /// A response that keeps arriving is not cut until MaxResponseTime, since a large one takes longer
-/// than the timeout over a slow link. If a reused connection is lost before the response head
+/// than the timeout over a slow link. Interim responses (1xx) are skipped. If a reused connection is lost before the response head
 /// arrives, a GET is retried once on a new connection, because the server may have closed the idle
 /// one.
 class HttpCallChannel : public StreamSocketListener, public HttpResponseSink
@@ -74,6 +74,8 @@
     void onResponseBody(std::string_view bytes) override;
 
     void startNext(TimePoint now);
+    /// Prepares for the head of a response.
+    void restartParser();
     void sendCurrent(TimePoint now);
     void startTimer();
     /// The response of the current call makes progress.
@@ -89,6 +91,7 @@
     std::unique_ptr<StreamSocket> m_socket;
     std::unique_ptr<HttpResponseParser> m_parser;
     std::string m_input;
+    int m_interimCount = 0; ///< Interim responses to the current call.
     bool m_connectionUsed = false; ///< Whether a call has ended on this connection.
     bool m_keepAlive = true;
     bool m_lastCallFailed = false; ///< Of the calls that have ended.
--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -17,6 +17,9 @@
     std::uint64_t bodyBytes = 0;
 };
 
+/// More interim responses (1xx) than this to one request are a protocol error.
+constexpr int MaxInterimResponses = 16;
+
 /// Why a message could not be parsed.
 enum class HttpParseError { None, Malformed, HeadTooLarge, BodyTooLarge, Truncated };
 
--- a/Tests/Net/testHttpCallChannel.cpp
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -228,3 +228,70 @@
     cr_assert(test.done);
     cr_expect(test.failed);
 }
+
+Test(httpCallChannel, a_malformed_answer_is_a_failure)
+{
+    for (const char *start : {"HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n",
+                              "HTTP/1.1 200 OK\r\nX\1Name: 1\r\n",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"}) {
+        Fixture test;
+        test.call();
+        test.runFor(100ms);
+        test.server.send(start + std::string("Content-Length: 5\r\n\r\nhello"));
+        test.runFor(100ms);
+        cr_assert(test.done, "%s", start);
+        cr_expect(test.failed, "%s", start);
+    }
+}
+
+Test(httpCallChannel, an_interim_response_is_not_the_answer)
+{
+    Fixture test;
+    test.call();
+    test.runFor(100ms);
+    test.server.send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    test.runFor(100ms);
+    cr_expect_not(test.done);
+    test.answer();
+    test.runFor(100ms);
+    cr_assert(test.done);
+    cr_expect_not(test.failed);
+    cr_expect_eq(test.status, 200);
+    cr_expect_eq(test.body.size(), BodyBytes);
+}
+
+Test(httpCallChannel, bytes_without_end_are_a_failure_wherever_they_come)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    struct Stream
+    {
+        std::string start;
+        std::string piece;
+    };
+    const std::vector<Stream> streams = {
+        {"", "x"},
+        {head, "Name: value\r\n"},
+        {head + "Name: ", "value"},
+        {head + "\r\n", "body"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+        {"", "HTTP/1.1 103 X\r\n\r\n"}};
+    constexpr std::size_t burstBytes = 64UL * 1024;
+    constexpr std::size_t acceptedBytes = 64UL * 1024 * 1024;
+    for (const Stream &stream : streams) {
+        Fixture test;
+        test.call();
+        test.runFor(100ms);
+        test.server.send(stream.start);
+        std::string burst;
+        while (burst.size() < burstBytes) {
+            burst += stream.piece;
+        }
+        std::size_t sent = 0;
+        while (!test.done && sent < acceptedBytes) {
+            sent += test.server.sendSome(burst);
+            test.runFor(1ms);
+        }
+        cr_expect(test.done, "accepted %zu bytes of '%s'", sent, stream.piece.c_str());
+        cr_expect(test.failed);
+    }
+}
