Chat completions: answers of servers are bounded, and a malformed head is no answer

What callers would see: a faulty server of the chat-completions daemon sends bytes without end, in a head, a body, a load report or one line of a stream. The daemon keeps them all until its memory is gone, and all its requests end with it. A head with a blank or control byte in the name of a field, or with the status 000, was taken for an answer; with 'Transfer-Encoding : chunked' beside a length, the caller's answer was the text of the chunks. A platform service's interim responses without end kept a thread for good.

Cause: the library's reader has no limits on heads, lines and bodies, and accepts such names and statuses.

--- a/Source/Adapters/BackendConnection.cpp
+++ b/Source/Adapters/BackendConnection.cpp
@@ -1,82 +1,74 @@
 #include "Adapters/BackendConnection.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
 #include <nlohmann/json.hpp>
 
-namespace lycheearch {
-
-/// A client session whose writes fail on a lost connection. The library's own write would reconnect
-/// and send the request again.
-class BackendConnection::Session : public Poco::Net::HTTPClientSession
-{
-public:
-    explicit Session(const Poco::Net::StreamSocket &socket)
-        : Poco::Net::HTTPClientSession(socket)
-    {
-    }
+#include "Net/HttpStatus.h"
 
-protected:
-    int write(const char *buffer, std::streamsize length) override
-    {
-        // HTTPClientSession::write() reconnects, so this calls its base class instead.
-        // NOLINTNEXTLINE(bugprone-parent-virtual-call)
-        return HTTPSession::write(buffer, length);
-    }
-};
+namespace lycheearch {
 
 namespace {
 
+constexpr std::size_t MaxHeadBytes = 64UL * 1024;
+constexpr std::size_t MaxReportBytes = 1024UL * 1024;
+
 Poco::Net::StreamSocket openSocket(const Endpoint &address, Duration timeout)
 {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(address.host, address.port),
                    Poco::Timespan(timeout.count()));
     socket.setNoDelay(true);
-    // A session made from a connected socket uses the timeouts of the socket only.
     socket.setReceiveTimeout(Poco::Timespan(timeout.count()));
     socket.setSendTimeout(Poco::Timespan(timeout.count()));
     return socket;
 }
 
-constexpr int KeepAliveHours = 24;
-
 } // namespace
 
 BackendConnection::BackendConnection(const Endpoint &address, Duration timeout)
-    : m_session(std::make_unique<Session>(openSocket(address, timeout)))
+    : m_address(address)
+    , m_socket(openSocket(address, timeout))
 {
-    m_session->setKeepAlive(true);
-    m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveHours * Poco::Timespan::HOURS));
 }
 
-BackendConnection::~BackendConnection() = default;
+void BackendConnection::setReceiveTimeout(Duration timeout)
+{
+    m_socket.setReceiveTimeout(Poco::Timespan(timeout.count()));
+}
 
-Poco::Net::HTTPClientSession &BackendConnection::session()
+HttpResponseReader &BackendConnection::send(const HttpRequestHead &head, std::string_view body,
+                                            std::size_t maxBodyBytes)
 {
-    return *m_session;
+    HttpRequestHead complete = head;
+    complete.fields.add("Host", m_address.text());
+    complete.fields.add("Connection", "Keep-Alive");
+    const std::string request = serializeRequestHead(complete).append(body);
+    m_reader.emplace(m_socket, HttpLimits{MaxHeadBytes, maxBodyBytes});
+    m_reader->send(request);
+    return *m_reader;
 }
 
-void BackendConnection::setReceiveTimeout(Duration timeout)
+HttpResponseReader &BackendConnection::post(HttpRequestHead head, std::string_view body,
+                                            std::size_t maxBodyBytes)
 {
-    m_session->socket().setReceiveTimeout(Poco::Timespan(timeout.count()));
+    head.method = "POST";
+    head.fields.add("Content-Type", "application/json");
+    head.fields.add("Content-Length", std::to_string(body.size()));
+    return send(head, body, maxBodyBytes);
 }
 
 BackendReport BackendConnection::readReport()
 {
-    Poco::Net::HTTPRequest request("GET", "/load", Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setKeepAlive(true);
-    m_session->sendRequest(request);
-    Poco::Net::HTTPResponse response;
-    std::istream &stream = m_session->receiveResponse(response);
-    std::string body;
-    Poco::StreamCopier::copyToString(stream, body);
-    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+    HttpRequestHead request;
+    request.method = "GET";
+    request.target = "/load";
+    HttpResponseReader &response = send(request, {}, MaxReportBytes);
+    const int status = response.readHead().status;
+    const std::string body = response.readBody();
+    if (status != HttpStatus::Ok) {
         throw Poco::Net::HTTPException("backend server refused the load report request");
     }
-    if (!response.getKeepAlive()) {
+    if (!response.reusable()) {
         throw Poco::Net::ConnectionResetException(
             "backend server closes the connection after its load report");
     }
--- a/Source/Adapters/BackendConnection.h
+++ b/Source/Adapters/BackendConnection.h
@@ -1,11 +1,13 @@
 #pragma once
 
-#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include "Adapters/Backend.h"
+#include "Adapters/HttpResponseReader.h"
 #include "Base/Error.h"
 
 namespace lycheearch {
@@ -18,15 +20,16 @@
     /// Connects. \p timeout bounds connecting and each later send and receive. Throws
     /// Poco::Exception.
     BackendConnection(const Endpoint &address, Duration timeout);
-    ~BackendConnection();
     BackendConnection(const BackendConnection &) = delete;
     BackendConnection &operator=(const BackendConnection &) = delete;
 
-    Poco::Net::HTTPClientSession &session();
-
     /// Sets the longest wait for the next bytes.
     void setReceiveTimeout(Duration timeout);
 
+    /// Sends a request with a JSON body and returns what reads its response, of which the body may
+    /// have \p maxBodyBytes at most. It stays valid until the next call.
+    HttpResponseReader &post(HttpRequestHead head, std::string_view body, std::size_t maxBodyBytes);
+
     /// Requests the server's load report on this connection. Throws Poco::Exception, also if the
     /// server announces that it closes the connection.
     BackendReport readReport();
@@ -36,8 +39,12 @@
     void setVerifiedAt(TimePoint now) { m_verifiedAt = now; }
 
 private:
-    class Session;
-    std::unique_ptr<Session> m_session;
+    HttpResponseReader &send(const HttpRequestHead &head, std::string_view body,
+                             std::size_t maxBodyBytes);
+
+    Endpoint m_address;
+    Poco::Net::StreamSocket m_socket;
+    std::optional<HttpResponseReader> m_reader; ///< Of the latest request's response.
     TimePoint m_verifiedAt;
 };
 
--- a/Source/Adapters/HttpModelEngine.cpp
+++ b/Source/Adapters/HttpModelEngine.cpp
@@ -1,20 +1,21 @@
 #include "Adapters/HttpModelEngine.h"
 
-#include <istream>
-
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <nlohmann/json.hpp>
 
 #include "Adapters/HttpClient.h"
+#include "Base/Logger.h"
+#include "Net/HttpStatus.h"
 
 namespace lycheearch {
 
 namespace {
 
-constexpr int HttpOk = 200;
-constexpr int HttpUnavailable = 503;
+const Logger Log("engine");
+
+/// Longer streams, and streams with longer lines, are a failure.
+constexpr std::size_t MaxStreamBytes = 64UL * 1024 * 1024;
+constexpr std::size_t MaxLineBytes = 1024UL * 1024;
 const std::string EventDataPrefix = "data: ";
 
 std::string encodeRequest(const EngineRequest &request)
@@ -33,17 +34,57 @@
     return makeFailure(Errc::BackendBroken, message, RunState::Unknown);
 }
 
-/// Reads the next event of the stream. Returns std::nullopt if the stream ends or times out.
-std::optional<nlohmann::json> nextEvent(std::istream &stream)
+/// Splits the body of a response into lines.
+class LineReader
 {
-    std::string line;
-    while (std::getline(stream, line)) {
-        if (!line.empty() && line.back() == '\r') {
+public:
+    explicit LineReader(HttpResponseReader &response)
+        : m_response(response)
+    {
+    }
+
+    /// Returns the next line without its end, or std::nullopt at the end of the body. Throws
+    /// Poco::Exception.
+    std::optional<std::string> next()
+    {
+        std::size_t end = m_text.find('\n');
+        while (end == std::string::npos) {
+            const std::size_t searched = m_text.size();
+            const std::string more = m_response.readSome();
+            if (more.empty()) {
+                return std::nullopt;
+            }
+            m_text.append(more);
+            if (m_text.size() > MaxLineBytes) {
+                throw Poco::DataFormatException("a line of the stream is too long");
+            }
+            end = m_text.find('\n', searched);
+        }
+        std::string line = m_text.substr(0, end);
+        m_text.erase(0, end + 1);
+        if (line.ends_with('\r')) {
             line.pop_back();
         }
-        if (line.starts_with(EventDataPrefix)) {
-            return nlohmann::json::parse(line.substr(EventDataPrefix.size()), nullptr, false);
+        return line;
+    }
+
+private:
+    HttpResponseReader &m_response;
+    std::string m_text; ///< Received and not yet returned.
+};
+
+/// Reads the next event of the stream. Returns std::nullopt if the stream ends, cannot be read any
+/// further or times out.
+std::optional<nlohmann::json> nextEvent(LineReader &lines)
+{
+    try {
+        while (const auto line = lines.next()) {
+            if (line->starts_with(EventDataPrefix)) {
+                return nlohmann::json::parse(line->substr(EventDataPrefix.size()), nullptr, false);
+            }
         }
+    } catch (const Poco::Exception &error) {
+        Log.debug("A response stream broke off: " + error.displayText() + ".");
     }
     return std::nullopt;
 }
@@ -84,29 +125,26 @@
     }
     std::unique_ptr<BackendConnection> connection = std::move(taken.value());
     try {
-        const std::string body = encodeRequest(request);
-        Poco::Net::HTTPRequest message("POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
-        message.setKeepAlive(true);
-        message.setContentType("application/json");
-        message.setContentLength(static_cast<std::streamsize>(body.size()));
+        HttpRequestHead message;
+        message.target = "/generate";
         const Duration remaining = request.deadline - m_clock.now();
         connection->setReceiveTimeout(
             std::min(m_timeouts.firstByte, std::max(remaining, Duration(1ms))));
-        connection->session().sendRequest(message) << body << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &stream = connection->session().receiveResponse(response);
-        if (response.getStatus() == HttpUnavailable) {
+        HttpResponseReader &response =
+            connection->post(std::move(message), encodeRequest(request), MaxStreamBytes);
+        const int status = response.readHead().status;
+        if (status == HttpStatus::Unavailable) {
             outcome.failure = makeFailure(Errc::BackendOverloaded,
                                           target.instance.value() + " refused the request");
             return outcome;
         }
-        if (response.getStatus() != HttpOk) {
+        if (status != HttpStatus::Ok) {
             outcome.failure = backendBroken(target.instance.value() + " responded with status "
-                                            + std::to_string(response.getStatus()));
+                                            + std::to_string(status));
             return outcome;
         }
-        outcome = readStream(stream, *connection, request, sink);
-        if (outcome.complete && response.getKeepAlive()) {
+        outcome = readStream(response, *connection, request, sink);
+        if (outcome.complete && response.reusable()) {
             m_pool.release(target.address, std::move(connection));
         }
     } catch (const Poco::Exception &error) {
@@ -115,9 +153,11 @@
     return outcome;
 }
 
-EngineOutcome HttpModelEngine::readStream(std::istream &stream, BackendConnection &connection,
+EngineOutcome HttpModelEngine::readStream(HttpResponseReader &response,
+                                          BackendConnection &connection,
                                           const EngineRequest &request, DeltaSink &sink) const
 {
+    LineReader stream(response);
     EngineOutcome outcome;
     outcome.generated = request.resumeFrom;
     while (auto event = nextEvent(stream)) {
@@ -167,7 +207,7 @@
     if (!response.ok()) {
         return response.failure();
     }
-    if (response.value().status != HttpOk) {
+    if (response.value().status != HttpStatus::Ok) {
         return makeFailure(Errc::BackendFailed,
                            "engine refused the order: " + response.value().body);
     }
--- a/Source/Adapters/HttpModelEngine.h
+++ b/Source/Adapters/HttpModelEngine.h
@@ -21,7 +21,7 @@
     Status order(const Endpoint &address, const EngineOrder &order) override;
 
 private:
-    EngineOutcome readStream(std::istream &stream, BackendConnection &connection,
+    EngineOutcome readStream(HttpResponseReader &response, BackendConnection &connection,
                              const EngineRequest &request, DeltaSink &sink) const;
 
     BackendTimeouts m_timeouts;
--- a/Source/Adapters/HttpPlainService.cpp
+++ b/Source/Adapters/HttpPlainService.cpp
@@ -1,30 +1,32 @@
 #include "Adapters/HttpPlainService.h"
 
-#include <istream>
-
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
+
+#include "Net/HttpStatus.h"
 
 namespace lycheearch {
 
 namespace {
 
-constexpr int HttpOk = 200;
-constexpr int HttpUnavailable = 503;
+/// Larger responses are a failure.
+constexpr std::size_t MaxResponseBytes = 16UL * 1024 * 1024;
+
+/// The value of a field, or nothing if the response does not have it.
+std::string_view fieldOf(const HttpResponseHead &response, std::string_view name)
+{
+    const std::string *value = response.fields.find(name);
+    return value == nullptr ? std::string_view() : *value;
+}
 
-/// Checks that the response with \p body is complete and belongs to \p request.
-Status checkResponse(const Poco::Net::HTTPResponse &response, const std::string &body,
-                     const RequestId &request)
+/// Checks that the response belongs to \p request and states its length.
+Status checkResponse(const HttpResponseHead &response, const RequestId &request)
 {
-    if (response.get("X-Request-Id", "") != request.value()) {
+    if (fieldOf(response, "X-Request-Id") != request.value()) {
         return makeFailure(Errc::BackendBroken, "received the response of another request",
                            RunState::Unknown);
     }
-    if (!response.hasContentLength()
-        || response.getContentLength64() != static_cast<Poco::Int64>(body.size())) {
-        return makeFailure(Errc::BackendBroken, "the response was truncated", RunState::Unknown);
+    if (!response.contentLength) {
+        return makeFailure(Errc::BackendBroken, "the response has no length", RunState::Unknown);
     }
     return std::nullopt;
 }
@@ -58,35 +60,30 @@
     std::unique_ptr<BackendConnection> connection = std::move(taken.value());
     RunState run = RunState::NotRun;
     try {
-        Poco::Net::HTTPRequest message("POST", "/call/" + call.operation.value(),
-                                       Poco::Net::HTTPMessage::HTTP_1_1);
-        message.setKeepAlive(true);
-        message.set("X-Request-Id", call.request.value());
-        message.setContentType("application/json");
-        message.setContentLength(static_cast<std::streamsize>(call.body.size()));
+        HttpRequestHead request;
+        request.target = "/call/" + call.operation.value();
+        request.fields.add("X-Request-Id", call.request.value());
         const Duration remaining = std::max<Duration>(call.deadline - m_clock.now(), 1ms);
         connection->setReceiveTimeout(remaining);
         run = RunState::Unknown;
-        connection->session().sendRequest(message) << call.body << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &stream = connection->session().receiveResponse(response);
-        std::string body;
-        Poco::StreamCopier::copyToString(stream, body);
-        const Status mismatch = checkResponse(response, body, call.request);
-        if (mismatch) {
+        HttpResponseReader &reader =
+            connection->post(std::move(request), call.body, MaxResponseBytes);
+        const HttpResponseHead response = reader.readHead();
+        if (const Status mismatch = checkResponse(response, call.request)) {
             return *mismatch;
         }
-        if (response.getKeepAlive()) {
+        std::string body = reader.readBody();
+        if (reader.reusable()) {
             m_pool.release(target.address, std::move(connection));
         }
-        if (response.getStatus() == HttpUnavailable && response.get("X-Run", "") == "not_run") {
+        if (response.status == HttpStatus::Unavailable && fieldOf(response, "X-Run") == "not_run") {
             return makeFailure(Errc::BackendOverloaded,
                                target.instance.value() + " refused the call");
         }
-        if (response.getStatus() != HttpOk) {
+        if (response.status != HttpStatus::Ok) {
             return makeFailure(Errc::BackendFailed,
                                target.instance.value() + " responded with status "
-                                   + std::to_string(response.getStatus()),
+                                   + std::to_string(response.status),
                                RunState::Ran);
         }
         return body;
