Chat completions: an event with a field of another type ended the process

What callers would see: a faulty engine sends an event such as {"request_id":"r","end":"yes"}. All requests of the daemon end, as the library throws a type error that nothing catches. Found while the answers of engines were looked through; not seen in a run of the daemon.

Evidence: faultyServers/an_event_with_fields_of_other_types_ends_only_its_request failed before with that exception.

Change: the event is decoded in one place, and a malformed one ends its attempt as broken.

--- a/Source/Adapters/HttpModelEngine.cpp
+++ b/Source/Adapters/HttpModelEngine.cpp
@@ -89,10 +89,26 @@
     return std::nullopt;
 }
 
-bool belongsTo(const nlohmann::json &event, const RequestId &request)
+/// An event of a generation.
+struct EngineEvent
 {
-    return event.is_object() && event.contains("request_id") && event["request_id"].is_string()
-        && event["request_id"].get<std::string>() == request.value();
+    RequestId request;
+    bool end = false;
+    std::int64_t tokens = -1; ///< Of the whole answer, in the end event.
+    std::int64_t position = -1; ///< Of the text, in tokens.
+    std::string text;
+};
+
+/// Returns std::nullopt if the event or one of its fields has another type.
+std::optional<EngineEvent> decodeEvent(const nlohmann::json &json)
+{
+    try {
+        return EngineEvent{RequestId(json.value("request_id", "")), json.value("end", false),
+                           json.value("tokens", std::int64_t{-1}),
+                           json.value("position", std::int64_t{-1}), json.value("text", "")};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
 }
 
 } // namespace
@@ -160,13 +176,18 @@
     LineReader stream(response);
     EngineOutcome outcome;
     outcome.generated = request.resumeFrom;
-    while (auto event = nextEvent(stream)) {
-        if (!belongsTo(*event, request.request)) {
+    while (const auto json = nextEvent(stream)) {
+        const std::optional<EngineEvent> event = decodeEvent(*json);
+        if (!event) {
+            outcome.failure = backendBroken("received a malformed stream event");
+            return outcome;
+        }
+        if (event->request != request.request) {
             outcome.failure = backendBroken("received a stream event of another request");
             return outcome;
         }
-        if (event->value("end", false)) {
-            if (event->value("tokens", std::int64_t{-1}) != outcome.generated.value()) {
+        if (event->end) {
+            if (event->tokens != outcome.generated.value()) {
                 outcome.failure = backendBroken(
                     "the token count of the end event differs from the tokens received");
                 return outcome;
@@ -176,12 +197,12 @@
             outcome.complete = true;
             return outcome;
         }
-        if (event->value("position", std::int64_t{-1}) != outcome.generated.value()) {
+        if (event->position != outcome.generated.value()) {
             outcome.failure = backendBroken("a stream event is missing or repeated");
             return outcome;
         }
         outcome.generated = outcome.generated.next();
-        if (!sink.onDelta(event->value("text", ""))) {
+        if (!sink.onDelta(event->text)) {
             outcome.cancelled = true;
             return outcome;
         }
--- a/Tests/Adapters/testFaultyServers.cpp
+++ b/Tests/Adapters/testFaultyServers.cpp
@@ -227,6 +227,20 @@
     cr_expect_eq(outcome.generated.value(), 1);
 }
 
+Test(faultyServers, an_event_with_fields_of_other_types_ends_only_its_request, .timeout = 60)
+{
+    for (const std::string fields : {"\"end\":\"yes\"", "\"end\":true,\"tokens\":\"0\"",
+                                     "\"position\":\"0\"", "\"position\":0,\"text\":7"}) {
+        FaultyServer server(answerAndClose("HTTP/1.1 200 OK\r\n\r\ndata: {\"request_id\":\"r\","
+                                           + fields + "}\n\n"));
+        Pieces pieces;
+        const auto outcome = Clients().generate(server, pieces);
+        cr_expect_not(outcome.complete, "%s", fields.c_str());
+        cr_assert(outcome.failure.has_value(), "%s", fields.c_str());
+        cr_expect(outcome.failure->code == make_error_code(Errc::BackendBroken));
+    }
+}
+
 Test(faultyServers,
      a_part_of_a_platform_services_answer_that_is_reset_during_the_upload_is_a_failure,
      .timeout = 60)
