--- a/Source/Daemon/FleetLimits.cpp
+++ b/Source/Daemon/FleetLimits.cpp
@@ -14,12 +14,6 @@
 /// registered ones.
 constexpr double UnknownDaemonShare = 0.25;
 
-RetryBounds retryBounds(const RouterBounds &bounds, int daemons)
-{
-    return {bounds.retryRatio, bounds.retryWindow,
-            bounds.retrySlack / (daemons * (1 + UnknownDaemonShare))};
-}
-
 } // namespace
 
 FleetPosition fleetPosition(const std::map<InstanceId, MemberRegistered> &members,
@@ -48,6 +42,12 @@
 {
 }
 
+RetryBounds FleetLimits::retryBounds(const RouterBounds &bounds, int daemons)
+{
+    return {bounds.retryRatio, bounds.retryWindow,
+            bounds.retrySlack / (std::max(daemons, MinAssumedDaemons) * (1 + UnknownDaemonShare))};
+}
+
 RetryBounds FleetLimits::initialRetryBounds(const RouterBounds &bounds)
 {
     return retryBounds(bounds, MinAssumedDaemons);
@@ -59,7 +59,7 @@
     const auto daemons = static_cast<int>(
         std::count_if(m_view.members().begin(), m_view.members().end(),
                       [&](const auto &entry) { return memberIsCurrent(entry.second, wallMs); }));
-    m_retries.setBounds(retryBounds(m_bounds, std::max(daemons, MinAssumedDaemons)));
+    m_retries.setBounds(retryBounds(m_bounds, daemons));
     m_picker.setDaemons(daemons);
     FleetPosition position = fleetPosition(m_view.members(), m_self, MinAssumedDaemons, wallMs);
     position.clockOffset = m_clock.wallTime().time_since_epoch() - m_clock.now().time_since_epoch();
--- a/Source/Daemon/FleetLimits.h
+++ b/Source/Daemon/FleetLimits.h
@@ -26,6 +26,8 @@
 
     /// Applies the present configuration, bounds and number of daemons.
     void divide();
+    /// Bounds of the retries of one of \p daemons.
+    static RetryBounds retryBounds(const RouterBounds &bounds, int daemons);
     /// Bounds of one daemon's retries before any registration is known.
     static RetryBounds initialRetryBounds(const RouterBounds &bounds);
 
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -413,6 +413,7 @@
 
 void RequestForwarder::logRetryDecision(const char *cause, bool may, bool retries, TimePoint now)
 {
+    const RetryUsage budget = m_context.retryBudget.usage(m_service, now);
     m_context.log.write(
         LogPriority::Notable,
         LogLine("retry.decided")
@@ -420,6 +421,9 @@
             .add("cause", cause)
             .add("retries", retries ? "yes" : "no")
             .add("budget_denied", may && !retries ? "yes" : "no")
+            .add("window_requests", budget.requests)
+            .add("window_retries", budget.retries)
+            .add("window_allowed", budget.allowed)
             .add("may_have_run", m_execution.mayHaveRun() ? "yes" : "no")
             .add("retryable", m_route->retryable() ? "yes" : "no")
             .add("sends", m_attemptCount)
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -144,7 +144,10 @@
 
 void RequestForwarder::onStall(TimePoint now)
 {
-    if (!mayRetry(now) || !m_context.retryBudget.tryWithdraw(m_service, now)) {
+    const bool may = mayRetry(now);
+    const bool retries = may && m_context.retryBudget.tryWithdraw(m_service, now);
+    logRetryDecision("no answer for too long", may, retries, now);
+    if (!retries) {
         return;
     }
     m_attemptCount += m_attempt.relayed && !m_attempt.headReceived ? 1 : 0;
--- a/Source/Routing/WindowedRetryBudget.cpp
+++ b/Source/Routing/WindowedRetryBudget.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-WindowedRetryBudget::WindowedRetryBudget(RetryBounds bounds)
+WindowedRetryBudget::WindowedRetryBudget(RetryBounds bounds, TimePoint /*startedAt*/)
     : m_bounds(bounds)
 {
 }
@@ -34,17 +34,22 @@
     ++currentInterval(service, now).requests;
 }
 
-bool WindowedRetryBudget::allows(const ServiceId &service, TimePoint now, double reserveShare)
+RetryUsage WindowedRetryBudget::usage(const ServiceId &service, TimePoint now)
 {
     currentInterval(service, now);
-    int requests = 0;
-    int retries = 0;
+    RetryUsage usage;
     for (const Interval &interval : m_intervals[service]) {
-        requests += interval.requests;
-        retries += interval.retries;
+        usage.requests += interval.requests;
+        usage.retries += interval.retries;
     }
-    const double budget = m_bounds.ratio * RatioSafetyFactor * requests + m_bounds.slack;
-    return retries + 1 <= budget * (1 - reserveShare);
+    usage.allowed = m_bounds.ratio * RatioSafetyFactor * usage.requests + m_bounds.slack;
+    return usage;
+}
+
+bool WindowedRetryBudget::allows(const ServiceId &service, TimePoint now, double reserveShare)
+{
+    const RetryUsage counted = usage(service, now);
+    return counted.retries + 1 <= counted.allowed * (1 - reserveShare);
 }
 
 bool WindowedRetryBudget::tryWithdraw(const ServiceId &service, TimePoint now, double reserveShare)
--- a/Source/Routing/WindowedRetryBudget.h
+++ b/Source/Routing/WindowedRetryBudget.h
@@ -16,19 +16,31 @@
     double slack = 0; ///< Retries that this daemon may send beyond the ratio.
 };
 
+/// What a daemon has counted for one service within the window, and what that allows.
+struct RetryUsage
+{
+    int requests = 0;
+    int retries = 0;
+    double allowed = 0; ///< Retries.
+};
+
 /// Limits the retries of one daemon to a share of the requests that it received for a service
 /// within a sliding window. Prevents retry storms: the retries of all daemons together stay within
 /// the limit without coordination. Not thread-safe.
 class WindowedRetryBudget
 {
 public:
-    explicit WindowedRetryBudget(RetryBounds bounds);
+    /// \p startedAt is the time at which this daemon started.
+    explicit WindowedRetryBudget(RetryBounds bounds, TimePoint startedAt = TimePoint());
 
     void setBounds(RetryBounds bounds) { m_bounds = bounds; }
     /// Records a request for the service.
     void onRequest(const ServiceId &service, TimePoint now);
     /// Whether one more retry is left when \p reserveShare of the budget is kept for others.
     bool allows(const ServiceId &service, TimePoint now, double reserveShare = 0);
+    /// What the decisions are made from.
+    RetryUsage usage(const ServiceId &service, TimePoint now);
+    const RetryBounds &bounds() const { return m_bounds; }
     /// Takes one retry from the budget. Returns false if the window allows no more.
     bool tryWithdraw(const ServiceId &service, TimePoint now, double reserveShare = 0);
 
