Retry budget: a daemon that has just started has no slack, and no retry leaves the window early

What callers would see: nothing at once; servers in trouble get more repeats than the operator's limit.

An interval that is partly in the window counts with all its retries and none of its requests. limits.divided logs each change.

--- a/Source/Daemon/FleetLimits.cpp
+++ b/Source/Daemon/FleetLimits.cpp
@@ -44,13 +44,12 @@
 
 RetryBounds FleetLimits::retryBounds(const RouterBounds &bounds, int daemons)
 {
-    return {bounds.retryRatio, bounds.retryWindow,
-            bounds.retrySlack / (std::max(daemons, MinAssumedDaemons) * (1 + UnknownDaemonShare))};
-}
-
-RetryBounds FleetLimits::initialRetryBounds(const RouterBounds &bounds)
-{
-    return retryBounds(bounds, MinAssumedDaemons);
+    RetryBounds share{bounds.retryRatio, bounds.retryWindow, 0};
+    if (daemons > 0) {
+        const double divisor = std::max(daemons, MinAssumedDaemons) * (1 + UnknownDaemonShare);
+        share.slack = bounds.retrySlack / divisor;
+    }
+    return share;
 }
 
 void FleetLimits::divide()
--- a/Source/Daemon/FleetLimits.h
+++ b/Source/Daemon/FleetLimits.h
@@ -26,10 +26,8 @@
 
     /// Applies the present configuration, bounds and number of daemons.
     void divide();
-    /// Bounds of the retries of one of \p daemons.
+    /// Bounds of the retries of one of \p daemons; 0 if it has not read how many there are.
     static RetryBounds retryBounds(const RouterBounds &bounds, int daemons);
-    /// Bounds of one daemon's retries before any registration is known.
-    static RetryBounds initialRetryBounds(const RouterBounds &bounds);
 
 private:
     const FleetView &m_view;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -46,7 +46,7 @@
     , m_peers(m_settings.instance, m_settings.dataCentre)
     , m_reachProber(m_loop, m_view, m_picker,
                     [this](TimePoint now) { m_pendingCrashes.settle(now); })
-    , m_retries(FleetLimits::initialRetryBounds(m_settings.bounds))
+    , m_retries(FleetLimits::retryBounds(m_settings.bounds, 0), m_clock.now())
     , m_fleetLimits(m_view, m_settings.instance, m_settings.bounds, m_picker, m_retries, m_clock)
     , m_pendingCrashes(m_crashes, m_picker.reach())
     , m_clientMemory(clientMemory(m_settings.memoryMegabytes))
@@ -262,7 +262,7 @@
     if (m_admission) {
         m_admission->applySettings(m_settings.capacity);
     }
-    m_fleetLimits.divide();
+    divideLimits(now);
     m_log.write(LogPriority::Notable,
                 LogLine("settings.reloaded").add("restart_needed", restartNeeded ? "yes" : "no"),
                 now);
@@ -324,12 +324,37 @@
     m_peerConnections.sweep(now,
                             [this](const InstanceId &id) { return m_view.members().contains(id); });
     m_picker.prune(m_view, now);
-    m_fleetLimits.divide();
+    divideLimits(now);
     updatePeers();
     m_loop.at(
         now + SweepPeriod, [this](TimePoint currentTime) { sweep(currentTime); }, "sweep");
 }
 
+void RouterDaemon::divideLimits(TimePoint now)
+{
+    const double slackBefore = m_retries.bounds().slack;
+    m_fleetLimits.divide();
+    if (m_retries.bounds().slack != slackBefore) {
+        m_log.write(LogPriority::Notable,
+                    LogLine("limits.divided")
+                        .add("members", static_cast<std::int64_t>(m_view.members().size()))
+                        .add("retry_slack", m_retries.bounds().slack),
+                    now);
+    }
+}
+
+void RouterDaemon::divideLimitsSoon()
+{
+    if (m_divisionDeferred) {
+        return;
+    }
+    m_divisionDeferred = true;
+    m_loop.defer([this] {
+        m_divisionDeferred = false;
+        divideLimits(m_loop.now());
+    });
+}
+
 void RouterDaemon::updatePeers()
 {
     const std::int64_t wallMs = wallMilliseconds(m_clock);
@@ -394,7 +419,7 @@
 void RouterDaemon::applyConfig(Offset offset, TimePoint now)
 {
     const auto table = m_view.table();
-    m_fleetLimits.divide();
+    divideLimits(now);
     m_log.write(LogPriority::Notable,
                 LogLine("config.applied")
                     .add("version", table->version().value())
@@ -449,6 +474,7 @@
                     LogLine("member.seen")
                         .add("member", std::get<MemberRegistered>(stored.record).instance.value()),
                     now);
+        divideLimitsSoon();
         break;
     case ViewChange::PromptPart:
         m_crashVerdicts.onRecord(std::get<PromptPartCondemned>(stored.record), now);
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -81,6 +81,10 @@
     void sweep(TimePoint now);
     void applyConfig(Offset offset, TimePoint now);
     /// Sets the daemons that requests can be passed to.
+    /// Divides the limits of the fleet anew.
+    void divideLimits(TimePoint now);
+    /// The same, once for all registrations that are read together.
+    void divideLimitsSoon();
     void updatePeers();
     void onReachChanged(const ServiceId &service, bool reached, TimePoint now);
     std::size_t callerConnections() const;
@@ -108,6 +112,7 @@
     ReachProber m_reachProber;
     WindowedRetryBudget m_retries;
     FleetLimits m_fleetLimits;
+    bool m_divisionDeferred = false;
     RolloutCounts m_rolloutCounts;
     ModelCascade m_modelCascade;
     CrashTable m_crashes;
--- a/Source/Routing/WindowedRetryBudget.cpp
+++ b/Source/Routing/WindowedRetryBudget.cpp
@@ -11,19 +11,26 @@
 
 } // namespace
 
-WindowedRetryBudget::WindowedRetryBudget(RetryBounds bounds, TimePoint /*startedAt*/)
+WindowedRetryBudget::WindowedRetryBudget(RetryBounds bounds, TimePoint startedAt)
     : m_bounds(bounds)
+    , m_startedAt(startedAt)
 {
 }
 
+Duration WindowedRetryBudget::intervalLength() const
+{
+    return m_bounds.window / IntervalsPerWindow;
+}
+
 WindowedRetryBudget::Interval &WindowedRetryBudget::currentInterval(const ServiceId &service,
                                                                     TimePoint now)
 {
     std::deque<Interval> &intervals = m_intervals[service];
-    while (!intervals.empty() && intervals.front().start <= now - m_bounds.window) {
+    while (!intervals.empty()
+           && intervals.front().start + intervalLength() <= now - m_bounds.window) {
         intervals.pop_front();
     }
-    if (intervals.empty() || now - intervals.back().start >= m_bounds.window / IntervalsPerWindow) {
+    if (intervals.empty() || now - intervals.back().start >= intervalLength()) {
         intervals.push_back({now, 0, 0});
     }
     return intervals.back();
@@ -39,10 +46,13 @@
     currentInterval(service, now);
     RetryUsage usage;
     for (const Interval &interval : m_intervals[service]) {
-        usage.requests += interval.requests;
+        // Of an interval that is partly in the window, all retries count, and no request.
+        usage.requests += interval.start > now - m_bounds.window ? interval.requests : 0;
         usage.retries += interval.retries;
     }
-    usage.allowed = m_bounds.ratio * RatioSafetyFactor * usage.requests + m_bounds.slack;
+    const bool wholeWindow = now - m_startedAt >= m_bounds.window;
+    usage.allowed =
+        m_bounds.ratio * RatioSafetyFactor * usage.requests + (wholeWindow ? m_bounds.slack : 0);
     return usage;
 }
 
--- a/Source/Routing/WindowedRetryBudget.h
+++ b/Source/Routing/WindowedRetryBudget.h
@@ -13,7 +13,8 @@
 {
     double ratio = 0; ///< Retries per request within the window.
     Duration window{}; ///< Length of the sliding window.
-    double slack = 0; ///< Retries that this daemon may send beyond the ratio.
+    /// Retries that this daemon may send beyond the ratio, once it has run for a whole window.
+    double slack = 0;
 };
 
 /// What a daemon has counted for one service within the window, and what that allows.
@@ -26,7 +27,9 @@
 
 /// Limits the retries of one daemon to a share of the requests that it received for a service
 /// within a sliding window. Prevents retry storms: the retries of all daemons together stay within
-/// the limit without coordination. Not thread-safe.
+/// the limit without coordination, also when daemons end and others start in their place: a daemon
+/// has its part of the slack only when what its predecessor may have sent is out of the window.
+/// Not thread-safe.
 class WindowedRetryBudget
 {
 public:
@@ -53,9 +56,11 @@
         int retries = 0;
     };
 
+    Duration intervalLength() const;
     Interval &currentInterval(const ServiceId &service, TimePoint now);
 
     RetryBounds m_bounds;
+    TimePoint m_startedAt;
     std::map<ServiceId, std::deque<Interval>> m_intervals;
 };
 
--- a/Tests/Routing/testRetryBudgetOfFleet.cpp
+++ b/Tests/Routing/testRetryBudgetOfFleet.cpp
@@ -96,7 +96,7 @@
     static std::size_t index(int daemon) { return static_cast<std::size_t>(daemon); }
     Daemon startDaemon(TimePoint now) const
     {
-        return {now, WindowedRetryBudget(FleetLimits::initialRetryBounds(m_bounds), now)};
+        return {now, WindowedRetryBudget(FleetLimits::retryBounds(m_bounds, 0), now)};
     }
     RetryBounds knownBounds() const { return FleetLimits::retryBounds(m_bounds, Daemons); }
 
