Relay: a request that was passed on could reach more servers than its route allows

What callers would see: nothing; servers get more copies of a request than the operator allows (MaxAttempts).

Cause: a daemon that lost another one counted one attempt for it, whatever that one had done: it may have used all that the route allows, before its answer or in a stream that it resumed. The next daemon was then granted the rest once more. The class is that of the retry budget: a limit that several daemons use, each as if what it does not see had not happened.

Evidence: relay/daemons_that_are_lost_one_after_the_other_do_not_exceed_the_attempts (attempts granted in all, for three ways of losing a daemon and two to four attempts) and relay/a_request_of_another_daemon_is_not_sent_more_often_than_that_one_granted failed before.

Change: a daemon that passes a request on grants all attempts that are left but one, and states that; if it loses the other daemon, those count as made. The one that stays is for the next daemon, or for an error that comes through the first (relay/an_error_through_another_daemon_is_retried_with_the_attempt_that_is_left). A daemon of an older build ignores the new field, so the limit holds again when all are replaced.

--- a/Source/Forward/RelayFields.cpp
+++ b/Source/Forward/RelayFields.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr const char *AttemptsField = "Lycheearch-Relay-Attempts";
+constexpr const char *MaxAttemptsField = "Lycheearch-Relay-Max-Attempts";
 constexpr const char *TriedField = "Lycheearch-Relay-Tried"; ///< Ids, separated by commas.
 constexpr const char *ConfigField = "Lycheearch-Relay-Config";
 constexpr const char *BackendField = "Lycheearch-Relay-Backend";
@@ -24,9 +25,9 @@
     return text;
 }
 
-int takeAttempts(HttpFields &fields)
+int takeAttempts(HttpFields &fields, const char *name)
 {
-    const std::int64_t attempts = parseNumber(takeText(fields, AttemptsField)).value_or(0);
+    const std::int64_t attempts = parseNumber(takeText(fields, name)).value_or(0);
     return static_cast<int>(std::min(attempts, MaxAttempts));
 }
 
@@ -41,6 +42,10 @@
     fields.set(AttemptsField, std::to_string(relayed.attempts));
     fields.set(TriedField, tried);
     fields.set(ConfigField, std::to_string(relayed.config.value()));
+    fields.remove(MaxAttemptsField);
+    if (relayed.maxAttempts > 0) {
+        fields.add(MaxAttemptsField, std::to_string(relayed.maxAttempts));
+    }
 }
 
 void addRelayFields(const RelayedResponse &relayed, HttpFields &fields)
@@ -59,7 +64,8 @@
 RelayedRequest takeRelayedRequest(HttpFields &fields)
 {
     RelayedRequest relayed;
-    relayed.attempts = takeAttempts(fields);
+    relayed.attempts = takeAttempts(fields, AttemptsField);
+    relayed.maxAttempts = takeAttempts(fields, MaxAttemptsField);
     relayed.config = ConfigVersion(parseNumber(takeText(fields, ConfigField)).value_or(0));
     const std::string tried = takeText(fields, TriedField);
     std::size_t start = 0;
@@ -74,7 +80,7 @@
 RelayedResponse takeRelayedResponse(HttpFields &fields)
 {
     RelayedResponse relayed;
-    relayed.attempts = takeAttempts(fields);
+    relayed.attempts = takeAttempts(fields, AttemptsField);
     relayed.backend = InstanceId(takeText(fields, BackendField));
     relayed.declined = takeText(fields, DeclinedField) == "1";
     return relayed;
--- a/Source/Forward/RelayFields.h
+++ b/Source/Forward/RelayFields.h
@@ -18,6 +18,9 @@
     /// Configuration by which the first daemon admitted the request. A daemon with an older one
     /// declines it.
     ConfigVersion config;
+    /// Attempts in all up to which the other daemon may go; 0 if not stated. The first daemon has
+    /// the rest for itself, should it lose the other one without learning how many were made.
+    int maxAttempts = 0;
 };
 
 /// What the other daemon tells beside its response.
--- a/Source/Forward/RequestForwarder.cpp
+++ b/Source/Forward/RequestForwarder.cpp
@@ -89,7 +89,7 @@
         return false;
     }
     m_priority = m_route->priority;
-    if (m_attemptCount > 0 && m_attemptCount >= m_route->maxAttempts) {
+    if (m_attemptCount > 0 && m_attemptCount >= maxAttempts()) {
         sendLocalResponse(HttpStatus::BadGateway, "no attempt is left", now);
         return false;
     }
@@ -340,7 +340,9 @@
 void RequestForwarder::endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now)
 {
     if (m_attempt.relayed) {
-        endRelay(peerOutcome(outcome), keepConnection, now);
+        const PeerOutcome result = peerOutcome(outcome);
+        m_attemptCount = result == PeerOutcome::Lost ? attemptsIfPeerIsLost() : m_attemptCount;
+        endRelay(result, keepConnection, now);
         return;
     }
     m_inAttempt = false;
@@ -388,11 +390,17 @@
     return versionSuccess(outcome);
 }
 
-bool RequestForwarder::mayRetry(TimePoint now) const
+int RequestForwarder::maxAttempts() const
+{
+    const int granted = m_request.relayed ? m_request.relayed->maxAttempts : 0;
+    return granted > 0 ? std::min(granted, m_route->maxAttempts) : m_route->maxAttempts;
+}
+
+bool RequestForwarder::mayRetryAfter(int attempts, TimePoint now) const
 {
     const std::size_t ended = m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity);
     return m_execution.maySendAgain(m_route->retryable()) && m_stream.canContinue()
-        && m_attemptCount < m_route->maxAttempts && ended < MaxServersEnded
+        && attempts < maxAttempts() && ended < MaxServersEnded
         && m_deadline - now > MinTimeForRetry;
 }
 
@@ -427,7 +435,7 @@
             .add("may_have_run", m_execution.mayHaveRun() ? "yes" : "no")
             .add("retryable", m_route->retryable() ? "yes" : "no")
             .add("sends", m_attemptCount)
-            .add("max_sends", m_route->maxAttempts)
+            .add("max_sends", maxAttempts())
             .add("servers_ended",
                  static_cast<std::int64_t>(
                      m_context.pendingCrashes.serversEndedUnder(m_accountHash, m_identity)))
--- a/Source/Forward/RequestForwarder.h
+++ b/Source/Forward/RequestForwarder.h
@@ -60,6 +60,7 @@
         InstanceId backend; ///< The other daemon, if the request was passed to one.
         bool relayed = false; ///< The request was passed to another daemon.
         RelayedResponse relayResult; ///< What that daemon told.
+        int peerMaxAttempts = 0; ///< Attempts in all up to which that daemon may go.
         std::uint64_t server = 0; ///< Hash of the server's id and start time.
         VersionId version;
         double prefillTokens = 0; ///< Weighted prompt tokens that the server must prefill.
@@ -161,6 +162,8 @@
     /// Passes the request to another daemon. Returns false if there is none.
     bool relay(TimePoint now);
     void sendToPeer(TimePoint now);
+    /// Attempts made if the other daemon is given up: it may have made all that it was allowed.
+    int attemptsIfPeerIsLost() const;
     void onPeerResponseStarted(TimePoint now);
     void handlePeerResponse(TimePoint now);
     void onPeerLost(Delivery delivery, std::error_code error, TimePoint now);
@@ -182,13 +185,19 @@
                           const EscalationDecision &decision, TimePoint now);
     void setModel(std::string model);
     void handlePlainResponse(TimePoint now);
+    /// Keeps the error response for the caller, in case no other attempt succeeds.
+    void keepErrorResponse();
     void handleStreamEnd(TimePoint now);
     void relayEvents(const std::vector<StreamEvent> &events, TimePoint now);
     /// Sends events to the caller. \p begun: the stream had begun before them.
     void relayBytes(const std::string &bytes, bool begun, int eventCount, TimePoint now);
     void endAttempt(SendOutcome outcome, bool keepConnection, TimePoint now);
     void retryOrFail(const char *cause, TimePoint now);
-    bool mayRetry(TimePoint now) const;
+    bool mayRetry(TimePoint now) const { return mayRetryAfter(m_attemptCount, now); }
+    /// Whether the request may be sent again if \p attempts were made.
+    bool mayRetryAfter(int attempts, TimePoint now) const;
+    /// Largest number of attempts, those of other daemons included.
+    int maxAttempts() const;
     /// \p may: all but the retry budget allows a retry.
     void logRetryDecision(const char *cause, bool may, bool retries, TimePoint now);
 
--- a/Source/Forward/RequestForwarderHedge.cpp
+++ b/Source/Forward/RequestForwarderHedge.cpp
@@ -34,7 +34,7 @@
     const Duration after =
         moveAfter(m_attempt.usual, {m_route->latencyObjective, now - m_receivedAt});
     m_attempt.latency = latencies.onSent(kind, after, now);
-    if (m_attemptCount < m_route->maxAttempts) {
+    if (m_attemptCount < maxAttempts()) {
         startLateTimer(now + after);
     }
 }
--- a/Source/Forward/RequestForwarderModel.cpp
+++ b/Source/Forward/RequestForwarderModel.cpp
@@ -71,7 +71,7 @@
 
 bool RequestForwarder::escalate(TimePoint now)
 {
-    if (m_attemptCount >= m_route->maxAttempts || !m_route->retryable()) {
+    if (m_attemptCount >= maxAttempts() || !m_route->retryable()) {
         return false;
     }
     const auto larger = m_context.models.next(*m_route, m_model);
--- a/Source/Forward/RequestForwarderRelay.cpp
+++ b/Source/Forward/RequestForwarderRelay.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "Base/Hash.h"
 #include "Forward/RequestForwarder.h"
 #include "Net/HttpStatus.h"
@@ -40,7 +42,7 @@
 bool RequestForwarder::mayRelay(TimePoint now) const
 {
     return !m_request.relayed && !m_noPeerLeft && m_execution.maySendAgain(m_route->retryable())
-        && m_triedPeers.size() < MaxPeersPerRequest && m_attemptCount < m_route->maxAttempts
+        && m_triedPeers.size() < MaxPeersPerRequest && m_attemptCount < maxAttempts()
         && now < m_deadline;
 }
 
@@ -87,9 +89,12 @@
     if (m_request.head.contentLength || m_request.head.chunked) {
         head.fields.add("Content-Length", std::to_string(m_body->size()));
     }
+    // One attempt stays with this daemon, if the other one has another.
+    m_attempt.peerMaxAttempts = std::max(m_attemptCount + 1, maxAttempts() - 1);
     addRelayFields(RelayedRequest{m_attemptCount,
                                   {m_triedBackends.begin(), m_triedBackends.end()},
-                                  m_table->version()},
+                                  m_table->version(),
+                                  m_attempt.peerMaxAttempts},
                    head.fields);
     m_inAttempt = true;
     m_execution.onSent();
@@ -114,6 +119,11 @@
                                now);
 }
 
+int RequestForwarder::attemptsIfPeerIsLost() const
+{
+    return std::max(m_attemptCount, m_attempt.peerMaxAttempts);
+}
+
 Duration RequestForwarder::relayStallLimit() const
 {
     return stallLimit() * RelayStallFactor;
@@ -126,6 +136,7 @@
     m_attempt.headReceived = true;
     m_attempt.headAt = now;
     if (!m_attempt.relayResult.backend.empty()) {
+        m_triedBackends.insert(m_attempt.relayResult.backend);
         applyNotices(m_attempt.relayResult.backend, m_attempt.metadata, now);
     }
 }
@@ -137,6 +148,9 @@
         if (m_stream.begun()) {
             retryOrFail("the daemon that the request was passed to could not resume the stream",
                         now);
+        } else if (m_attempt.head.status >= HttpStatus::FirstServerError) {
+            keepErrorResponse();
+            retryOrFail("error response through the daemon that the request was passed to", now);
         } else {
             sendBackendResponse(now);
         }
@@ -176,7 +190,7 @@
         dispatch(now);
         return;
     }
-    m_attemptCount += m_attempt.headReceived ? 0 : 1;
+    m_attemptCount = attemptsIfPeerIsLost();
     retryOrFail("connection to the daemon that the request was passed to lost", now);
 }
 
--- a/Source/Forward/RequestForwarderResponse.cpp
+++ b/Source/Forward/RequestForwarderResponse.cpp
@@ -284,10 +284,7 @@
     endAttempt(status >= HttpStatus::FirstServerError ? SendOutcome::ServerFailed
                                                       : SendOutcome::Served,
                true, now);
-    if (!impliesNotExecuted(status)) {
-        m_errorHead = m_attempt.head;
-        m_errorBody = m_attempt.body;
-    }
+    keepErrorResponse();
     if (status >= HttpStatus::FirstServerError || impliesNotExecuted(status)) {
         retryOrFail("error response of the backend server", now);
     } else {
@@ -295,6 +292,14 @@
     }
 }
 
+void RequestForwarder::keepErrorResponse()
+{
+    if (!impliesNotExecuted(m_attempt.head.status)) {
+        m_errorHead = m_attempt.head;
+        m_errorBody = m_attempt.body;
+    }
+}
+
 void RequestForwarder::onConnectionLost(Delivery delivery, std::error_code error, TimePoint now)
 {
     if (m_attempt.pause.explainsLoss()) {
--- a/Source/Forward/RequestForwarderStream.cpp
+++ b/Source/Forward/RequestForwarderStream.cpp
@@ -131,7 +131,7 @@
 void RequestForwarder::startStallTimer(TimePoint now)
 {
     m_context.loop.cancel(m_attempt.stallTimer);
-    const bool useful = m_route->retryable() && m_attemptCount < m_route->maxAttempts;
+    const bool useful = m_route->retryable() && m_attemptCount < maxAttempts();
     if (!useful) {
         return;
     }
@@ -144,13 +144,13 @@
 
 void RequestForwarder::onStall(TimePoint now)
 {
-    const bool may = mayRetry(now);
+    const int attempts = m_attempt.relayed ? attemptsIfPeerIsLost() : m_attemptCount;
+    const bool may = mayRetryAfter(attempts, now);
     const bool retries = may && m_context.retryBudget.tryWithdraw(m_service, now);
     logRetryDecision("no answer for too long", may, retries, now);
     if (!retries) {
         return;
     }
-    m_attemptCount += m_attempt.relayed && !m_attempt.headReceived ? 1 : 0;
     endAttempt(SendOutcome::Broken, false, now);
     dispatch(now);
 }
--- a/Tests/Forward/testRelay.cpp
+++ b/Tests/Forward/testRelay.cpp
@@ -1,5 +1,7 @@
 #include "Forward/ForwardHarness.h"
 
+#include <optional>
+
 using namespace lycheearch;
 
 namespace {
@@ -263,3 +265,86 @@
     cr_expect_eq(ForwardHarness::statusOf(response), 502);
     cr_expect_eq(backend.requests.size(), 0);
 }
+
+namespace {
+
+/// The number in a field of a request; std::nullopt if the request does not have it.
+std::optional<int> numberIn(const std::string &request, const std::string &field)
+{
+    const std::size_t at = request.find("\r\n" + field + ": ");
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    return std::stoi(request.substr(at + field.size() + 4));
+}
+
+/// Attempts that the daemon which received \p request may make.
+int attemptsGranted(const std::string &request, int maxAttempts)
+{
+    return numberIn(request, "Lycheearch-Relay-Max-Attempts").value_or(maxAttempts)
+        - numberIn(request, "Lycheearch-Relay-Attempts").value_or(0);
+}
+
+} // namespace
+
+Test(relay, daemons_that_are_lost_one_after_the_other_do_not_exceed_the_attempts, .timeout = 60)
+{
+    const ScriptedBackend::Script silent = [](Connection &, const std::string &) {};
+    const ScriptedBackend::Script lost = [](Connection &connection, const std::string &) {
+        connection.close();
+    };
+    const ScriptedBackend::Script breaksOff = [](Connection &connection, const std::string &) {
+        connection.send(streamHead() + serializeChunk(event(1)));
+        connection.close();
+    };
+    for (const int maxAttempts : {2, 3, 4}) {
+        for (const auto &script : {silent, lost, breaksOff}) {
+            Route route = routeOf(RouteKind::EventStream, maxAttempts);
+            route.latencyObjective = 50ms;
+            route.gapObjective = 50ms;
+            CutOffHarness harness(route);
+            for (int i = 0; i < 3; ++i) {
+                harness.addPeer(script);
+            }
+            harness.call(ForwardHarness::request("GET"), 12s);
+            int granted = 0;
+            for (const auto &peer : harness.peerDaemons) {
+                for (const std::string &request : peer->requests) {
+                    granted += attemptsGranted(request, maxAttempts);
+                }
+            }
+            cr_expect_leq(granted, maxAttempts);
+        }
+    }
+}
+
+Test(relay, a_request_of_another_daemon_is_not_sent_more_often_than_that_one_granted, .timeout = 20)
+{
+    ForwardHarness harness;
+    harness.origin = RequestOrigin::Daemon;
+    harness.publishRoute(routeOf(RouteKind::Idempotent, 3));
+    for (int i = 0; i < 3; ++i) {
+        harness.addBackend(respond(500, "Response-Seal: seal\r\n", "broken"));
+    }
+    const std::string response = harness.call(ForwardHarness::request(
+        "GET", relayFields(0, "", 1) + "Lycheearch-Relay-Max-Attempts: 2\r\n"));
+    cr_expect_eq(ForwardHarness::statusOf(response), 500);
+    cr_expect(contains(response, "Lycheearch-Relay-Attempts: 2"));
+    cr_expect_eq(harness.received(), 2);
+}
+
+Test(relay, an_error_through_another_daemon_is_retried_with_the_attempt_that_is_left, .timeout = 20)
+{
+    CutOffHarness harness(routeOf(RouteKind::Idempotent, 2));
+    int received = 0;
+    for (int i = 0; i < 2; ++i) {
+        harness.addPeer([&received](Connection &connection, const std::string &request) {
+            const std::string fields = "Response-Seal: seal\r\nLycheearch-Relay-Attempts: "
+                + std::to_string(++received) + "\r\nLycheearch-Relay-Backend: s1\r\n";
+            respond(received == 1 ? 500 : 200, fields, "answer")(connection, request);
+        });
+    }
+    const std::string response = harness.call(ForwardHarness::request("GET"));
+    cr_expect_eq(ForwardHarness::statusOf(response), 200);
+    cr_expect_eq(received, 2);
+}
