--- a/Source/Adapters/HttpResponseReader.cpp
+++ b/Source/Adapters/HttpResponseReader.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-HttpResponseReader::HttpResponseReader(Poco::Net::StreamSocket socket, HttpLimits limits)
-    : m_socket(std::move(socket))
+HttpResponseReader::HttpResponseReader(const Poco::Net::StreamSocket &socket, HttpLimits limits)
+    : m_socket(socket)
     , m_limits(limits)
 {
     restartParser();
--- a/Source/Adapters/HttpResponseReader.h
+++ b/Source/Adapters/HttpResponseReader.h
@@ -16,7 +16,7 @@
 class HttpResponseReader : private HttpResponseSink
 {
 public:
-    HttpResponseReader(Poco::Net::StreamSocket socket, HttpLimits limits);
+    HttpResponseReader(const Poco::Net::StreamSocket &socket, HttpLimits limits);
 
     /// Sends \p bytes. If the server stops reading them, its response can still be read, but then
     /// one without a length is never whole.
--- a/Source/Net/HttpCallChannel.h
+++ b/Source/Net/HttpCallChannel.h
@@ -40,9 +40,9 @@
 
 /// An HTTP client with one persistent connection to one server. Calls run one at a time, in order.
 /// A response that keeps arriving is not cut until MaxResponseTime, since a large one takes longer
-/// than the timeout over a slow link. Interim responses (1xx) are skipped. If a reused connection is lost before the response head
-/// arrives, a GET is retried once on a new connection, because the server may have closed the idle
-/// one.
+/// than the timeout over a slow link. Interim responses (1xx) are skipped. If a reused connection
+/// is lost before the response head arrives, a GET is retried once on a new connection, because the
+/// server may have closed the idle one.
 class HttpCallChannel : public StreamSocketListener, public HttpResponseSink
 {
 public:
