Rollout decisions log the age of what they are based on; late timers are logged

Cause: a daemon that was paused and decides afterwards could not be told from one whose records had not arrived: rollout.evidence has no age, and a state that was decided had no line until the store answered. Change: rollout.evidence has read_age_ms, read_to and at_last_stage; rollout.decided; decided_ms in rollout.state; loop.late for a loop that did not run for 500 ms after its next timer was due, with lycheearch_late_timers_total. Measured: no change of logic.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -187,7 +187,10 @@
                     .add("service", order.service.value())
                     .add("target", order.target.value())
                     .add("ordered_ms", age)
+                    .add("read_age_ms", now - m_follower.currentAt(Topic::Own))
+                    .add("read_to", m_follower.nextOffset(Topic::Own).value())
                     .add("daemons", totals.daemons)
+                    .add("at_last_stage", totals.daemonsAtLastStage)
                     .add("requests_per_second", totals.requestRate(age))
                     .add("target_good", totals.target.good)
                     .add("target_bad", totals.target.bad)
@@ -228,21 +231,37 @@
 void RolloutAgent::writeState(const RolloutReported &state, TimePoint now)
 {
     m_writeInFlight = true;
-    m_store.append(Topic::Status, m_codec.encode(state), m_follower.nextOffset(Topic::Status),
-                   [this, state](const StoreOutcome<Offset> &outcome, TimePoint currentTime) {
+    const Offset expected = m_follower.nextOffset(Topic::Status);
+    m_log.write(LogPriority::Notable,
+                LogLine("rollout.decided")
+                    .add("service", state.service.value())
+                    .add("target", state.target.value())
+                    .add("state", static_cast<int>(state.state))
+                    .add("read_age_ms", now - m_follower.currentAt(Topic::Own))
+                    .add("status_end", expected.value()),
+                now);
+    m_store.append(Topic::Status, m_codec.encode(state), expected,
+                   [this, state, now](const StoreOutcome<Offset> &outcome, TimePoint currentTime) {
                        m_writeInFlight = false;
-                       m_log.write(LogPriority::Notable,
-                                   LogLine("rollout.state")
-                                       .add("service", state.service.value())
-                                       .add("target", state.target.value())
-                                       .add("state", static_cast<int>(state.state))
-                                       .add("written", outcome.ok() ? "yes" : "no")
-                                       .add("fault", storeFaultName(outcome.fault)),
-                                   currentTime);
+                       logState(state, outcome, currentTime - now, currentTime);
                        m_follower.relist(Topic::Status);
                    });
 }
 
+void RolloutAgent::logState(const RolloutReported &state, const StoreOutcome<Offset> &outcome,
+                            Duration age, TimePoint now)
+{
+    m_log.write(LogPriority::Notable,
+                LogLine("rollout.state")
+                    .add("service", state.service.value())
+                    .add("target", state.target.value())
+                    .add("state", static_cast<int>(state.state))
+                    .add("decided_ms", age)
+                    .add("written", outcome.ok() ? "yes" : "no")
+                    .add("fault", outcome.ok() ? "" : storeFaultName(outcome.fault)),
+                now);
+}
+
 Duration RolloutAgent::actionDelay() const
 {
     const bool first =
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -52,6 +52,9 @@
                      TimePoint now);
     void writeStage(const RolloutStage &stage, TimePoint now);
     void writeState(const RolloutReported &state, TimePoint now);
+    /// Logs the store's answer to a state that was decided \p age before.
+    void logState(const RolloutReported &state, const StoreOutcome<Offset> &outcome, Duration age,
+                  TimePoint now);
     /// Delay before this daemon acts on a due change: zero for the member with the lowest feed
     /// rank.
     Duration actionDelay() const;
--- a/Source/Daemon/RouterDaemon.cpp
+++ b/Source/Daemon/RouterDaemon.cpp
@@ -219,6 +219,12 @@
                 LogLine("loop.long_turn").add("duty", duty).add("took_ms", duration), now);
 }
 
+void RouterDaemon::onLateTimers(Duration lateness, TimePoint now)
+{
+    m_metrics.count("lycheearch_late_timers_total", "");
+    m_log.write(LogPriority::Notable, LogLine("loop.late").add("late_ms", lateness), now);
+}
+
 void RouterDaemon::onClientLimit(const char *port, const char *why, TimePoint now)
 {
     m_metrics.count("lycheearch_client_limits_total",
--- a/Source/Daemon/RouterDaemon.h
+++ b/Source/Daemon/RouterDaemon.h
@@ -63,6 +63,7 @@
     void onPageRead(Topic topic, const RecordPage &page, bool listing, TimePoint now) override;
 
     void onLongTurn(const char *duty, Duration duration, TimePoint now) override;
+    void onLateTimers(Duration lateness, TimePoint now) override;
 
     void onClientLimit(const char *port, const char *why, TimePoint now) override;
 
--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -154,11 +154,20 @@
     }
 }
 
+void EventLoop::reportLateness(TimePoint due)
+{
+    const TimePoint present = now();
+    if (m_observer != nullptr && present - due >= LateTimers) {
+        m_observer->onLateTimers(present - due, present);
+    }
+}
+
 void EventLoop::runTimers()
 {
     if (!timerDue()) {
         return;
     }
+    reportLateness(m_timers.begin()->first.due);
     const TimePoint handledUntil = handleArrived();
     const TimePoint batchBegunAt = now();
     TimePoint begunAt = batchBegunAt;
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -22,13 +22,16 @@
     virtual const char *duty() const { return "io"; }
 };
 
-/// Receives how long the handlers and timers of an event loop take.
+/// Receives how long the handlers and timers of an event loop take, and how late its timers fire.
 class EventLoopObserver
 {
 public:
     virtual ~EventLoopObserver() = default;
     /// A handler or timer of \p duty took \p duration, at least EventLoop::LongTurn.
     virtual void onLongTurn(const char *duty, Duration duration, TimePoint now) = 0;
+    /// The loop had not run for \p lateness, at least EventLoop::LateTimers, when its next timer
+    /// was due: the process was paused, or one of its turns was as long.
+    virtual void onLateTimers(Duration lateness, TimePoint now) = 0;
 };
 
 /// Identifies a timer. A default-constructed value identifies none.
@@ -53,6 +56,8 @@
 
     /// Handlers and timers that take so long are reported to the observer.
     static constexpr Duration LongTurn = 50ms;
+    /// Timers that fire so much later than they are due are reported to the observer.
+    static constexpr Duration LateTimers = 500ms;
 
     explicit EventLoop(const Clock &clock);
     ~EventLoop();
@@ -101,6 +106,7 @@
     int waitMilliseconds() const;
     void dispatch(int fd, std::uint64_t generation, std::uint32_t events);
     void reportTurn(const char *duty, TimePoint begunAt);
+    void reportLateness(TimePoint due);
 
     struct Timer
     {
--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -85,6 +85,7 @@
         }
         totals.lowestStage =
             totals.daemons == 0 ? evidence->stage : std::min(totals.lowestStage, evidence->stage);
+        totals.daemonsAtLastStage += evidence->stage >= LastRolloutStage ? 1 : 0;
         ++totals.daemons;
     }
     return totals;
--- a/Source/Routing/RolloutController.h
+++ b/Source/Routing/RolloutController.h
@@ -24,6 +24,7 @@
     VersionCounts other; ///< All other versions of the service.
     int lowestStage = 0; ///< Lowest stage that a reporting daemon applies; 0 if none reports.
     int daemons = 0; ///< Number of daemons that report.
+    int daemonsAtLastStage = 0; ///< Number of those that apply the last stage.
     /// The daemons that say when they began to count.
     std::vector<CountedRequests> counted;
 
--- a/Tests/Net/testEventLoop.cpp
+++ b/Tests/Net/testEventLoop.cpp
@@ -149,6 +149,7 @@
             lastDuration = duration;
             ++reports;
         }
+        void onLateTimers(Duration, TimePoint) override { }
         std::string lastDuty;
         Duration lastDuration{};
         int reports = 0;
@@ -167,3 +168,24 @@
     cr_expect_eq(observer.lastDuty, "long");
     cr_expect_eq(observer.lastDuration, 70ms);
 }
+
+Test(eventLoop, a_pause_of_the_process_is_reported_once, .timeout = 10)
+{
+    struct Observer : EventLoopObserver
+    {
+        void onLongTurn(const char *, Duration, TimePoint) override { }
+        void onLateTimers(Duration lateness, TimePoint) override { reported.push_back(lateness); }
+        std::vector<Duration> reported;
+    };
+    ManualClock clock;
+    EventLoop loop(clock);
+    Observer observer;
+    loop.setObserver(&observer);
+    loop.at(clock.time, [](TimePoint) {});
+    loop.at(clock.time + 100ms, [](TimePoint) {});
+    loop.at(clock.time + 200ms, [&](TimePoint) { loop.stop(); });
+    clock.time += 3s;
+    loop.run();
+    cr_expect_eq(observer.reported.size(), 1);
+    cr_expect_eq(observer.reported.front(), 3s);
+}
