Rollouts change on what was read after the change was due, also by the first daemon

Cause: a standby reads on before it acts; the first daemon of the order acted on evidence of any age. Change: a change is made on what was read by a call that began after the change was due, and at most StandbyDelay before (FleetFollower::confirm, mayAct). The shares of a stage, which follow from the rate of the moment, no longer put off its time. Conclusion: the first of the causes; a verdict that is stored elsewhere than the completion, and the time until a standby acts, are next.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -1,7 +1,9 @@
 #include "Daemon/RolloutAgent.h"
 
 #include <algorithm>
+#include <tuple>
 
+#include "Routing/DecisionBasis.h"
 #include "Routing/VersionComparison.h"
 
 namespace lycheearch {
@@ -134,8 +136,41 @@
 
 void RolloutAgent::advanceRollout(const RolloutOrdered &order, TimePoint now)
 {
-    const auto current = storedStage(order.service);
     const RolloutTotals totals = rolloutTotals(order.service, order.target, m_view.evidence());
+    const std::optional<Change> change = dueChange(order, totals, now);
+    if (!change) {
+        m_dueChanges.erase(order.service);
+        return;
+    }
+    const TimePoint since = changeDueSince(order.service, *change, now);
+    const Duration delay = actionDelay();
+    if (now < since + delay) {
+        return;
+    }
+    // What another daemon has written is read before this one acts in its place, and what speaks
+    // against the change before it is made.
+    if (!mayAct({since, m_follower.currentAt(Topic::Own)}, delay, now)) {
+        m_follower.confirm(Topic::Own,
+                           [this](TimePoint currentTime) { advanceRollouts(currentTime); });
+        return;
+    }
+    m_dueChanges.erase(order.service);
+    if (change->stage) {
+        const TimePoint orderedAt = m_view.orderedAt(order.service, order.target).value_or(now);
+        logEvidence(order, totals, now - orderedAt, now);
+    }
+    // The completion is stored as a state only: every daemon follows it.
+    if (change->state) {
+        writeState({order.service, order.target, *change->state}, now);
+    } else {
+        writeStage(*change->stage, now);
+    }
+}
+
+std::optional<RolloutAgent::Change>
+RolloutAgent::dueChange(const RolloutOrdered &order, const RolloutTotals &totals, TimePoint now)
+{
+    const auto current = storedStage(order.service);
     const TimePoint orderedAt = m_view.orderedAt(order.service, order.target).value_or(now);
     auto next =
         m_controller.decide(order, orderedAt, current, totals, readyTargets(order, now), now);
@@ -157,26 +192,9 @@
     const bool stateDue = !storedStateIs(order.service, order.target, newState)
         || stateLost({order.service, order.target, newState});
     if (!next && !stateDue) {
-        m_dueChanges.erase(order.service);
-        return;
-    }
-    const TimePoint due =
-        changeDueSince(order.service, next, stateDue ? std::optional(newState) : std::nullopt, now);
-    // What another daemon has written is read before this one acts in its place.
-    const Duration delay = actionDelay();
-    if (delay > Duration::zero() && m_follower.currentAt(Topic::Own) - due < delay) {
-        return;
-    }
-    m_dueChanges.erase(order.service);
-    if (next) {
-        logEvidence(order, totals, now - orderedAt, now);
-    }
-    // The completion is stored as a state only: every daemon follows it.
-    if (stateDue) {
-        writeState({order.service, order.target, newState}, now);
-    } else if (next) {
-        writeStage(*next, now);
+        return std::nullopt;
     }
+    return Change{next, stateDue ? std::optional(newState) : std::nullopt};
 }
 
 void RolloutAgent::logEvidence(const RolloutOrdered &order, const RolloutTotals &totals,
@@ -270,17 +288,25 @@
     return first ? Duration::zero() : RolloutController::StandbyDelay;
 }
 
-TimePoint RolloutAgent::changeDueSince(const ServiceId &service,
-                                       const std::optional<RolloutStage> &stage,
-                                       const std::optional<RolloutState> &state, TimePoint now)
+TimePoint RolloutAgent::changeDueSince(const ServiceId &service, const Change &change,
+                                       TimePoint now)
 {
-    DueChange &due = m_dueChanges.try_emplace(service, DueChange{stage, state, now}).first->second;
-    if (due.stage != stage || due.state != state) {
-        due = {stage, state, now};
+    DueChange &due = m_dueChanges.try_emplace(service, DueChange{change, now}).first->second;
+    if (!due.change.isSameStep(change)) {
+        due = {change, now};
     }
     return due.since;
 }
 
+bool RolloutAgent::Change::isSameStep(const Change &other) const
+{
+    const auto step = [](const Change &change) {
+        const RolloutStage stage = change.stage.value_or(RolloutStage());
+        return std::tuple(change.state, stage.target, stage.stage, stage.condemned, stage.complete);
+    };
+    return step(*this) == step(other);
+}
+
 int RolloutAgent::readyTargets(const RolloutOrdered &order, TimePoint now) const
 {
     return static_cast<int>(
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -35,11 +35,21 @@
     void addFollowerEvidence(const FeedEvidence &evidence);
 
 private:
-    /// A change of a rollout that is due, and when this daemon first found it due.
-    struct DueChange
+    /// What changes of a rollout: its stage, its state, or both.
+    struct Change
     {
         std::optional<RolloutStage> stage;
         std::optional<RolloutState> state;
+
+        /// Whether the other one leads to the same stage and state. The shares of the stage follow
+        /// from the present request rate and may differ.
+        bool isSameStep(const Change &other) const;
+    };
+
+    /// A change that is due, and when this daemon first found it due.
+    struct DueChange
+    {
+        Change change;
         TimePoint since;
     };
 
@@ -58,9 +68,11 @@
     /// Delay before this daemon acts on a due change: zero for the member with the lowest feed
     /// rank.
     Duration actionDelay() const;
+    /// The change of a rollout that is due according to what this daemon knows, if any.
+    std::optional<Change> dueChange(const RolloutOrdered &order, const RolloutTotals &totals,
+                                    TimePoint now);
     /// Since when this change of the service's rollout is due.
-    TimePoint changeDueSince(const ServiceId &service, const std::optional<RolloutStage> &stage,
-                             const std::optional<RolloutState> &state, TimePoint now);
+    TimePoint changeDueSince(const ServiceId &service, const Change &change, TimePoint now);
     /// Number of backend servers with the target version that are neither draining nor cold.
     int readyTargets(const RolloutOrdered &order, TimePoint now) const;
     std::optional<RolloutStage> storedStage(const ServiceId &service) const;
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/FleetFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheearch {
 
@@ -76,6 +77,24 @@
     pollNow(topic);
 }
 
+void FleetFollower::confirm(Topic topic, std::function<void(TimePoint)> callback)
+{
+    Cursor &cursor = m_cursors[topic];
+    if (!cursor.onConfirmed) {
+        cursor.confirmFrom = m_loop.now();
+    }
+    cursor.onConfirmed = std::move(callback);
+    pollNow(topic);
+}
+
+void FleetFollower::finishConfirmation(Topic topic, TimePoint now)
+{
+    Cursor &cursor = m_cursors[topic];
+    if (cursor.onConfirmed && cursor.calledAt >= cursor.confirmFrom) {
+        std::exchange(cursor.onConfirmed, nullptr)(now);
+    }
+}
+
 bool FleetFollower::synced() const
 {
     const auto listed = [&](Topic topic) {
@@ -223,6 +242,7 @@
     }
     setReadToEnd(cursor, now);
     m_observer.onPageRead(topic, listing, true, now);
+    finishConfirmation(topic, now);
     schedule(topic, pollInterval(topic));
 }
 
@@ -302,6 +322,9 @@
     }
     // A listing has only the newest configuration, while further pages have all that it supersedes.
     cursor.listing = cursor.listing || (moreToRead && topic == Topic::Operator);
+    if (!moreToRead) {
+        finishConfirmation(topic, now);
+    }
     schedule(topic, moreToRead ? Duration::zero() : pollInterval(topic));
 }
 
@@ -457,6 +480,9 @@
 
 Duration FleetFollower::pollInterval(Topic topic) const
 {
+    if (m_cursors.at(topic).onConfirmed) {
+        return Duration::zero();
+    }
     switch (topic) {
     case Topic::Operator:
         return Duration::zero();
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -76,6 +77,11 @@
     /// Schedules the next read of a topic without delay, unless a call is in flight.
     void pollNow(Topic topic);
 
+    /// Reads the topic to its end by a call that is made from now on, as soon as possible, and then
+    /// calls \p callback. Replaces an earlier request that is still waiting. While reads fail, or
+    /// this daemon follows a feed, the request waits.
+    void confirm(Topic topic, std::function<void(TimePoint)> callback);
+
     /// Whether a configuration was read and all topics that are needed have been listed once.
     bool synced() const;
     /// Time for which the store has owed an answer that reaches the end of the operator's records
@@ -120,6 +126,8 @@
         std::optional<TimePoint> answerDueAt;
         Duration retryDelay{};
         TimerId timer;
+        TimePoint confirmFrom; ///< Earliest call that serves \c onConfirmed.
+        std::function<void(TimePoint)> onConfirmed; ///< See confirm(); empty if not requested.
     };
 
     /// What a listing names of the records that disappear from a topic.
@@ -136,6 +144,8 @@
     /// A call is made that the store should answer after \p wait.
     void expectAnswer(Cursor &cursor, Duration wait);
     static void setReadToEnd(Cursor &cursor, TimePoint now);
+    /// Calls what waits for a call that was made as late as the last one.
+    void finishConfirmation(Topic topic, TimePoint now);
     /// Time by which the answer to a call for the topic is overdue; zero or less if it isn't.
     Duration overdueTime(Topic topic, TimePoint now) const;
     void listTopic(Topic topic);
@@ -168,6 +178,7 @@
     void clearLostTopics(TimePoint now);
     void onTopicRegained(Topic topic, Duration lostFor, TimePoint now);
     void schedule(Topic topic, Duration delay);
+    /// Time until the next read of a topic that has been read to its end.
     Duration pollInterval(Topic topic) const;
 
     EventLoop &m_loop;
