Complete and rolled back are decided by one conditional record

Cause: the verdict was stored in Topic::Own without a condition, and the state rolled_back only in a later step (up to 4 s later, since a condemned rollout counted as finished and the topics were read every 4 s). A completion is conditional on the end of Topic::Status, which the verdict did not move. Two decisions that exclude each other had different conditions, so both succeeded, and the completion won. Change: a verdict is stored as the state rolled_back at once, on the same condition; every daemon follows it, as it follows a completion. A rollout is under way until a final state is stored. Condemned stages of older daemons are still followed.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -159,7 +159,8 @@
         const TimePoint orderedAt = m_view.orderedAt(order.service, order.target).value_or(now);
         logEvidence(order, totals, now - orderedAt, now);
     }
-    // The completion is stored as a state only: every daemon follows it.
+    // A final state is stored as a state only, on one condition, so that the first one holds. Every
+    // daemon follows it.
     if (change->state) {
         writeState({order.service, order.target, *change->state}, now);
     } else {
@@ -176,9 +177,10 @@
         m_controller.decide(order, orderedAt, current, totals, readyTargets(order, now), now);
     const bool ofTarget = current && current->target == order.target;
     const bool complete = (ofTarget && current->complete) || (next && next->complete);
-    RolloutState newState = complete     ? RolloutState::Complete
-        : ofTarget && current->condemned ? RolloutState::RolledBack
-                                         : RolloutState::Running;
+    const bool condemned = (ofTarget && current->condemned) || (next && next->condemned);
+    RolloutState newState = complete ? RolloutState::Complete
+        : condemned                  ? RolloutState::RolledBack
+                                     : RolloutState::Running;
     const auto known = m_view.rolloutStates().find(order.service);
     const bool finalStateStored = known != m_view.rolloutStates().end()
         && known->second.target == order.target && known->second.state != RolloutState::Running;
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -498,9 +498,9 @@
 bool rolloutUnderWay(const FleetView &view)
 {
     return std::any_of(view.rollouts().begin(), view.rollouts().end(), [&](const auto &entry) {
-        const auto stage = view.stages().find(entry.first);
-        return stage == view.stages().end() || stage->second.target != entry.second.target
-            || (!stage->second.condemned && !stage->second.complete);
+        const auto state = view.rolloutStates().find(entry.first);
+        return state == view.rolloutStates().end() || state->second.target != entry.second.target
+            || state->second.state == RolloutState::Running;
     });
 }
 
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -197,7 +197,7 @@
     TimerId m_lapseTimer;
 };
 
-/// Whether any ordered rollout is neither complete nor condemned.
+/// Whether any ordered rollout has no final state.
 bool rolloutUnderWay(const FleetView &view);
 
 } // namespace lycheearch
--- a/Tests/Daemon/testRolloutPauses.cpp
+++ b/Tests/Daemon/testRolloutPauses.cpp
@@ -176,6 +176,16 @@
     }
 }
 
+// Related to review/6: a verdict was stored apart from the state, and a completion that had been on
+// its way meanwhile was stored after it.
+Test(rolloutPauses, no_version_is_completed_against_evidence_that_was_stored_before, .timeout = 600)
+{
+    for (const unsigned seed : seeds()) {
+        PausedRollout rollout(generated(seed), seed);
+        expectNotCompletedAgainstEvidence(rollout.fleet, "seed " + std::to_string(seed));
+    }
+}
+
 Test(rolloutPauses, a_bad_version_gets_no_requests_of_sound_daemons_after_the_bound, .timeout = 600)
 {
     for (const unsigned seed : seeds()) {
