Standbys store a final state a tenth of a second after one another

Cause: a standby waits StandbyDelay (1 s), which keeps stages from being written twice; a final state is conditional, so it needs no such wait. Change: final states are stored in the order of the daemons that usually read the store, 100 ms apart, at a timer of their own.

--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/RolloutAgent.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 #include "Routing/DecisionBasis.h"
@@ -15,6 +16,9 @@
 /// Feeds don't carry the evidence of all daemons. A daemon that begins to read the store has it
 /// after each of the other readers has written once.
 constexpr Duration EvidenceCollectionTime = 2 * EvidenceWritePeriod;
+/// A daemon stores a final state this time after the one before it in the order, unless that one
+/// has: longer than a write takes. If both do, the store accepts one.
+constexpr Duration FinalStateSpacing = 100ms;
 /// Daemons whose evidence is kept.
 constexpr std::size_t MaxDaemons = 4096;
 
@@ -40,6 +44,7 @@
 RolloutAgent::~RolloutAgent()
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_changeTimer);
 }
 
 void RolloutAgent::start()
@@ -77,10 +82,14 @@
         return;
     }
     writeEvidence(now);
-    if (m_lastFollowedAt == TimePoint()
-        || m_follower.currentAt(Topic::Own) - m_lastFollowedAt >= EvidenceCollectionTime) {
-        advanceRollouts(now);
-    }
+    advanceRollouts(now);
+}
+
+bool RolloutAgent::hasEvidenceOfAll() const
+{
+    return !m_follower.followingFeed()
+        && (m_lastFollowedAt == TimePoint()
+            || m_follower.currentAt(Topic::Own) - m_lastFollowedAt >= EvidenceCollectionTime);
 }
 
 void RolloutAgent::reportEvidence(TimePoint now)
@@ -126,7 +135,7 @@
 
 void RolloutAgent::advanceRollouts(TimePoint now)
 {
-    if (m_writeInFlight) {
+    if (m_writeInFlight || !hasEvidenceOfAll()) {
         return;
     }
     for (const auto &[service, order] : m_view.rollouts()) {
@@ -143,8 +152,9 @@
         return;
     }
     const TimePoint since = changeDueSince(order.service, *change, now);
-    const Duration delay = actionDelay();
+    const Duration delay = actionDelay(*change);
     if (now < since + delay) {
+        advanceLater(since + delay);
         return;
     }
     // What another daemon has written is read before this one acts in its place, and what speaks
@@ -282,12 +292,45 @@
                 now);
 }
 
-Duration RolloutAgent::actionDelay() const
+void RolloutAgent::advanceLater(TimePoint at)
+{
+    if (m_changeTimer.active() && m_changeTimer.due <= at) {
+        return;
+    }
+    m_loop.cancel(m_changeTimer);
+    m_changeTimer = m_loop.at(
+        at,
+        [this](TimePoint now) {
+            m_changeTimer = TimerId();
+            advanceRollouts(now);
+        },
+        "rollouts");
+}
+
+Duration RolloutAgent::actionDelay(const Change &change) const
 {
-    const bool first =
-        std::none_of(m_view.members().begin(), m_view.members().end(),
-                     [&](const auto &entry) { return feedRank(entry.first) < feedRank(m_self); });
-    return first ? Duration::zero() : RolloutController::StandbyDelay;
+    const int place = placeInOrder();
+    const bool final = change.state && *change.state != RolloutState::Running;
+    if (final) {
+        return std::min<Duration>(place * FinalStateSpacing, RolloutController::StandbyDelay);
+    }
+    return place == 0 ? Duration::zero() : RolloutController::StandbyDelay;
+}
+
+int RolloutAgent::placeInOrder() const
+{
+    const auto self = m_view.members().find(m_self);
+    int before = 0;
+    std::set<DataCentreId> others;
+    for (const auto &[id, member] : m_view.members()) {
+        if (feedRank(id) >= feedRank(m_self)) {
+            continue;
+        }
+        const bool sameDataCentre =
+            self != m_view.members().end() && member.dataCentre == self->second.dataCentre;
+        before += sameDataCentre || others.insert(member.dataCentre).second ? 1 : 0;
+    }
+    return before;
 }
 
 TimePoint RolloutAgent::changeDueSince(const ServiceId &service, const Change &change,
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -18,10 +18,10 @@
 /// itself adds the evidence of its followers, writes all of it to the store and advances the
 /// rollouts. Any such daemon may advance a rollout, so that the failure of one does not stop it:
 /// the member with the lowest feed rank acts at once, the others after
-/// RolloutController::StandbyDelay, so that usually only one writes. The state of a rollout is
-/// appended only if the topic has no newer records, so that no daemon overwrites the state of
-/// another. If the store came back from an older copy that lacks a stage or a final state, it is
-/// written again.
+/// RolloutController::StandbyDelay, or after less if the state is final, so that usually only one
+/// writes. The state of a rollout is appended only if the topic has no newer records, so that no
+/// daemon overwrites the state of another. If the store came back from an older copy that lacks a
+/// stage or a final state, it is written again.
 class RolloutAgent
 {
 public:
@@ -56,6 +56,8 @@
     void step(TimePoint now);
     void reportEvidence(TimePoint now);
     void writeEvidence(TimePoint now);
+    /// Whether this daemon has read the store for long enough to know the evidence of all.
+    bool hasEvidenceOfAll() const;
     void advanceRollouts(TimePoint now);
     void advanceRollout(const RolloutOrdered &order, TimePoint now);
     void logEvidence(const RolloutOrdered &order, const RolloutTotals &totals, Duration age,
@@ -65,9 +67,14 @@
     /// Logs the store's answer to a state that was decided \p age before.
     void logState(const RolloutReported &state, const StoreOutcome<Offset> &outcome, Duration age,
                   TimePoint now);
-    /// Delay before this daemon acts on a due change: zero for the member with the lowest feed
-    /// rank.
-    Duration actionDelay() const;
+    /// Advances the rollouts once more at \p at.
+    void advanceLater(TimePoint at);
+    /// Delay before this daemon makes a due change: zero for the member with the lowest feed rank.
+    /// A final state does not wait long for a daemon that may be paused.
+    Duration actionDelay(const Change &change) const;
+    /// Number of daemons that usually read the store and have a lower feed rank: the first one of
+    /// each other data centre, and all of this one's.
+    int placeInOrder() const;
     /// The change of a rollout that is due according to what this daemon knows, if any.
     std::optional<Change> dueChange(const RolloutOrdered &order, const RolloutTotals &totals,
                                     TimePoint now);
@@ -100,6 +107,7 @@
     std::map<ServiceId, DueChange> m_dueChanges;
     bool m_writeInFlight = false; ///< A write of a stage or state is in flight.
     TimerId m_timer;
+    TimerId m_changeTimer;
 };
 
 } // namespace lycheearch
--- a/Tests/Daemon/testRolloutPauses.cpp
+++ b/Tests/Daemon/testRolloutPauses.cpp
@@ -199,3 +199,22 @@
         }
     }
 }
+
+// Related to review/6: standbys waited a second for a paused daemon, also shortly before the
+// deadline.
+Test(rolloutPauses, a_good_version_completes_in_time_whoever_is_paused, .timeout = 600)
+{
+    for (const unsigned seed : seeds()) {
+        Scenario scenario = generated(seed);
+        scenario.turnsBadAt.reset();
+        scenario.delayedWrites = 0;
+        PausedRollout rollout(scenario, seed);
+        const auto states = rollout.fleet.finalStates();
+        cr_assert(!states.empty() && states.front().state == RolloutState::Complete, "seed %u",
+                  seed);
+        cr_expect(
+            states.front().at - rollout.fleet.orderedAt <= RolloutFleet::FinishWithin,
+            "seed %u: at %lld ms", seed,
+            static_cast<long long>(toMilliseconds(states.front().at - rollout.fleet.orderedAt)));
+    }
+}
