The final state of a rollout is decided as late as it can be stored in time

Cause: the final state was brought forward by the time that earlier changes had taken, which for standbys is over a second. A final state no longer waits for a standby, so that time says nothing about it. Change: it is decided CompletionReserve (600 ms) before the deadline, by all daemons alike. Test: rolloutController/slow_changes_do_not_bring_the_final_state_forward, failed before (21,680 and 22,580 ms).

--- a/Source/Routing/RolloutController.cpp
+++ b/Source/Routing/RolloutController.cpp
@@ -29,8 +29,7 @@
 constexpr double PlannedSlackPart = 0.5;
 /// Time that the daemons need at least to apply the last stage.
 constexpr Duration MinLastStageDuration = 400ms;
-/// The rollout completes at the latest this time before its deadline, so that the state is stored
-/// in time.
+/// The final state is decided this time before the deadline, so that it is stored in time.
 constexpr Duration CompletionReserve = 600ms;
 
 /// Age of the oldest sample from which the present request rate is computed.
@@ -165,14 +164,13 @@
     const Duration elapsed = now - orderedAt;
     // At the deadline, a good version that is condemned costs another order; a bad one that
     // completes costs the service.
-    const bool doubted =
-        verdict != VersionVerdict::Unremarkable && deadlineNear(order, elapsed, observation);
+    const bool doubted = verdict != VersionVerdict::Unremarkable && deadlineNear(order, elapsed);
     if (stage.stage > 0 && (verdict == VersionVerdict::Worse || doubted)) {
         stage.condemned = true;
         return stage;
     }
     if (stage.stage == LastRolloutStage) {
-        stage.complete = completionDue(order, totals, elapsed, observation);
+        stage.complete = completionDue(order, totals, elapsed);
         return stage.complete ? std::optional(stage) : std::nullopt;
     }
     const bool evaluated = stage.stage == 0 || now - observation.stageSince >= MinStageDuration;
@@ -198,16 +196,15 @@
     return reported && elapsedFraction(order, elapsed) >= StageStartFractions[stage];
 }
 
-bool RolloutController::deadlineNear(const RolloutOrdered &order, Duration elapsed,
-                                     const Observation &observation)
+bool RolloutController::deadlineNear(const RolloutOrdered &order, Duration elapsed)
 {
-    return order.finishWithin - elapsed <= observation.changeDelay + CompletionReserve;
+    return order.finishWithin - elapsed <= CompletionReserve;
 }
 
 bool RolloutController::completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
-                                      Duration elapsed, const Observation &observation)
+                                      Duration elapsed)
 {
-    if (deadlineNear(order, elapsed, observation)) {
+    if (deadlineNear(order, elapsed)) {
         return true;
     }
     const bool idle = totals.other.inFlight <= 0 && totals.lowestStage >= LastRolloutStage;
@@ -218,7 +215,7 @@
                                      Duration elapsed, const Observation &observation) const
 {
     const Duration remaining = order.finishWithin - elapsed;
-    // Two changes are left, the last stage and the completion.
+    // The last stage must take effect, and evidence of it arrive before the final state.
     const Duration needed = 2 * observation.changeDelay + MinLastStageDuration + CompletionReserve;
     const Duration longest = fromSeconds(MaxLastStageFraction * seconds(order.finishWithin));
     const Duration permitted =
--- a/Source/Routing/RolloutController.h
+++ b/Source/Routing/RolloutController.h
@@ -104,10 +104,9 @@
     /// Whether a stage before the last one is due.
     static bool earlyStageDue(int stage, const RolloutOrdered &order, Duration elapsed);
     /// Whether the final state must be decided now to be stored in time.
-    static bool deadlineNear(const RolloutOrdered &order, Duration elapsed,
-                             const Observation &observation);
+    static bool deadlineNear(const RolloutOrdered &order, Duration elapsed);
     static bool completionDue(const RolloutOrdered &order, const RolloutTotals &totals,
-                              Duration elapsed, const Observation &observation);
+                              Duration elapsed);
     bool lastStageDue(const RolloutOrdered &order, const RolloutTotals &totals, Duration elapsed,
                       const Observation &observation) const;
     /// Time before the deadline from which the target can serve all requests without exceeding its
--- a/Tests/Routing/testRolloutController.cpp
+++ b/Tests/Routing/testRolloutController.cpp
@@ -190,6 +190,30 @@
     cr_expect(completed <= static_cast<int>(rollouts / 100), "%d of %u", completed, rollouts);
 }
 
+// review/6: a standby that had seen slow changes completed a second before the deadline, on less
+// evidence than there was time for.
+Test(rolloutController, slow_changes_do_not_bring_the_final_state_forward)
+{
+    for (const Duration stepDelay : {Duration(100ms), Duration(800ms), Duration(1700ms)}) {
+        RolloutSimulation simulation([](double, double) { return 0.02; });
+        simulation.stepDelay = stepDelay;
+        RolloutController controller({ExposeShare, ExposeSlack});
+        simulation.run(Start, Start + 24s, controller);
+        simulation.stage->complete = false;
+        simulation.stage->stage = LastRolloutStage;
+        simulation.counts.other.inFlight = 1;
+        TimePoint decidedAt;
+        for (TimePoint now = Start + 20s; now < Start + 24s; now += 20ms) {
+            const auto next =
+                controller.decide(Order, Start, simulation.stage, simulation.counts, 3, now);
+            decidedAt = next && decidedAt == TimePoint() ? now : decidedAt;
+        }
+        cr_expect(decidedAt >= Start + 23s, "changes take %lld ms: decided after %lld ms",
+                  static_cast<long long>(toMilliseconds(stepDelay)),
+                  static_cast<long long>(toMilliseconds(decidedAt - Start)));
+    }
+}
+
 Test(rolloutController, a_bad_version_whose_outcomes_are_good_stays_within_its_exposure_limit)
 {
     for (const double requestsPerSecond : {10.0, 36.0, 52.0, 120.0, 500.0}) {
