Bytes of an event that does not end are searched once

Cause: EventSplitter::feed() is called for each chunk and looked for the end of an event from the beginning of all that is pending (up to 1 MiB), twice. Change: line ends are searched from where the last search ended; lines are judged as they end. A blank line that ends with CRLF after a line that ends with LF now ends an event, as the format says. Test: eventSplitter/the_work_is_linear_in_the_bytes_whatever_the_lines_and_pieces counts steps (StepCounter), no times.

--- a/Source/Forward/EventSplitter.cpp
+++ b/Source/Forward/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include "Forward/EventSplitter.h"
 
+#include "Base/StepCounter.h"
 #include "Net/HttpHead.h"
 
 namespace lycheearch {
@@ -39,18 +40,14 @@
     return true;
 }
 
-/// The length of the first event, including the blank line that ends it, or npos.
-std::size_t endOfEvent(std::string_view text)
+StreamEvent makeEvent(std::string bytes)
 {
-    constexpr std::string_view blankLine = "\n\n";
-    constexpr std::string_view crlfBlankLine = "\r\n\r\n";
-    const std::size_t lfPosition = text.find(blankLine);
-    const std::size_t crlfPosition = text.find(crlfBlankLine);
-    if (lfPosition == std::string_view::npos && crlfPosition == std::string_view::npos) {
-        return std::string_view::npos;
-    }
-    return lfPosition < crlfPosition ? lfPosition + blankLine.size()
-                                     : crlfPosition + crlfBlankLine.size();
+    StepCounter::add(bytes.size());
+    StreamEvent event;
+    event.id = parseEventId(bytes);
+    event.comment = isComment(bytes);
+    event.bytes = std::move(bytes);
+    return event;
 }
 
 } // namespace
@@ -58,20 +55,22 @@
 bool EventSplitter::feed(std::string_view bytes, std::vector<StreamEvent> &events)
 {
     m_pending.append(bytes);
-    std::size_t consumed = 0;
-    while (true) {
-        const std::size_t length = endOfEvent(std::string_view(m_pending).substr(consumed));
-        if (length == std::string_view::npos) {
-            break;
+    StepCounter::add(m_pending.size() - m_searched);
+    std::size_t eventStart = 0;
+    for (std::size_t lineEnd = m_pending.find('\n', m_searched); lineEnd != std::string::npos;
+         lineEnd = m_pending.find('\n', m_lineStart)) {
+        const std::string_view line =
+            std::string_view(m_pending).substr(m_lineStart, lineEnd - m_lineStart);
+        const bool endsEvent = m_lineStart > eventStart && (line.empty() || line == "\r");
+        m_lineStart = lineEnd + 1;
+        if (endsEvent) {
+            events.push_back(makeEvent(m_pending.substr(eventStart, m_lineStart - eventStart)));
+            eventStart = m_lineStart;
         }
-        StreamEvent event;
-        event.bytes = m_pending.substr(consumed, length);
-        event.id = parseEventId(event.bytes);
-        event.comment = isComment(event.bytes);
-        events.push_back(std::move(event));
-        consumed += length;
     }
-    m_pending.erase(0, consumed);
+    m_pending.erase(0, eventStart);
+    m_lineStart -= eventStart;
+    m_searched = m_pending.size();
     return m_pending.size() <= MaxEventBytes;
 }
 
--- a/Source/Forward/EventSplitter.h
+++ b/Source/Forward/EventSplitter.h
@@ -17,7 +17,8 @@
     bool comment = false;
 };
 
-/// Splits the bytes of a server-sent event stream into complete events.
+/// Splits the bytes of a server-sent event stream into complete events. The work is linear in the
+/// bytes, however they are divided into pieces.
 class EventSplitter
 {
 public:
@@ -26,10 +27,12 @@
     bool feed(std::string_view bytes, std::vector<StreamEvent> &events);
     /// Whether the input so far ends at the end of an event.
     bool atBoundary() const { return m_pending.empty(); }
-    void reset() { m_pending.clear(); }
+    void reset() { *this = EventSplitter(); }
 
 private:
-    std::string m_pending;
+    std::string m_pending; ///< The event that is not complete.
+    std::size_t m_searched = 0; ///< Bytes of \c m_pending that were searched for line ends.
+    std::size_t m_lineStart = 0; ///< Where its last line begins.
 };
 
 } // namespace lycheearch
