Lines of a stream are split without moving the bytes after each

Cause: each line of a response was erased from the front of all that had been received. Change: LineSplitter keeps positions and moves what is left when half is read.

--- a/Source/Adapters/HttpModelEngine.cpp
+++ b/Source/Adapters/HttpModelEngine.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Adapters/HttpClient.h"
+#include "Adapters/LineSplitter.h"
 #include "Base/Logger.h"
 #include "Net/HttpStatus.h"
 
@@ -34,7 +35,7 @@
     return makeFailure(Errc::BackendBroken, message, RunState::Unknown);
 }
 
-/// Splits the body of a response into lines.
+/// Reads the body of a response line by line.
 class LineReader
 {
 public:
@@ -47,30 +48,24 @@
     /// Poco::Exception.
     std::optional<std::string> next()
     {
-        std::size_t end = m_text.find('\n');
-        while (end == std::string::npos) {
-            const std::size_t searched = m_text.size();
+        std::optional<std::string> line = m_lines.next();
+        while (!line) {
             const std::string more = m_response.readSome();
             if (more.empty()) {
                 return std::nullopt;
             }
-            m_text.append(more);
-            if (m_text.size() > MaxLineBytes) {
+            m_lines.append(more);
+            if (m_lines.pendingBytes() > MaxLineBytes) {
                 throw Poco::DataFormatException("a line of the stream is too long");
             }
-            end = m_text.find('\n', searched);
-        }
-        std::string line = m_text.substr(0, end);
-        m_text.erase(0, end + 1);
-        if (line.ends_with('\r')) {
-            line.pop_back();
+            line = m_lines.next();
         }
         return line;
     }
 
 private:
     HttpResponseReader &m_response;
-    std::string m_text; ///< Received and not yet returned.
+    LineSplitter m_lines;
 };
 
 /// Reads the next event of the stream. Returns std::nullopt if the stream ends, cannot be read any
