Chunks that arrive together are worked off and written together

Cause: each chunk of a response was passed on by itself, and the events of each were written to the caller with a system call and a chunk of their own. Test: manyChunks/events_that_arrive_together_are_written_together, failed before.

--- a/Source/Forward/BackendHttpConnection.cpp
+++ b/Source/Forward/BackendHttpConnection.cpp
@@ -73,6 +73,7 @@
     m_bodyless = bodyless;
     m_now = now;
     m_input.clear();
+    m_bodyPart.clear();
     m_interimCount = 0;
     restartParser();
     if (body && body->size() <= MaxJoinedBodyBytes) {
@@ -121,6 +122,7 @@
     m_now = now;
     while (m_listener != nullptr) {
         m_parser->feed(m_input);
+        deliverBody(now);
         if (m_listener == nullptr) {
             return; // The listener gave up the response while it received part of it.
         }
@@ -178,7 +180,14 @@
 void BackendHttpConnection::onResponseBody(std::string_view bytes)
 {
     if (m_listener != nullptr && !m_skipping && !m_interim) {
-        m_listener->onResponseData(bytes, m_now);
+        m_bodyPart.append(bytes);
+    }
+}
+
+void BackendHttpConnection::deliverBody(TimePoint now)
+{
+    if (m_listener != nullptr && !m_bodyPart.empty()) {
+        m_listener->onResponseData(std::exchange(m_bodyPart, std::string()), now);
     }
 }
 
--- a/Source/Forward/BackendHttpConnection.h
+++ b/Source/Forward/BackendHttpConnection.h
@@ -83,6 +83,8 @@
     void onResponseBody(std::string_view bytes) override;
 
     void feed(TimePoint now);
+    /// Passes on the body that was parsed of what was read at once.
+    void deliverBody(TimePoint now);
     void restartParser();
     void completeResponse(TimePoint now);
     void reportConnectionLoss(std::error_code error, TimePoint now);
@@ -92,6 +94,7 @@
     StreamSocket m_socket;
     std::unique_ptr<HttpResponseParser> m_parser;
     std::string m_input;
+    std::string m_bodyPart; ///< Parsed of what was read at once, however many chunks that is.
     BackendResponseListener *m_listener = nullptr;
     TimerId m_connectTimer;
     TimePoint m_now;
