A change of a rollout that could not be sent in time is not sent

Change: WriteCondition::sendBy, HttpCall::sendBy: a call that is in the queue or without a connection by then fails, and nothing is sent. Requests are sent once there is a connection, no longer before. Test: httpCallChannel/a_call_that_leaves_the_queue_too_late_is_not_sent, …/a_call_that_is_connected_too_late_is_not_sent (both new behaviour).

--- a/Source/Daemon/CrashVerdictAgent.cpp
+++ b/Source/Daemon/CrashVerdictAgent.cpp
@@ -88,7 +88,7 @@
     const SuspectKey key = missing->key;
     const PromptPartCondemned record{key, wallMilliseconds(m_clock) - toMilliseconds(missing->age)};
     m_writeInFlight = true;
-    m_store.append(Topic::Own, m_codec.encode(record), std::nullopt,
+    m_store.append(Topic::Own, m_codec.encode(record), {},
                    [this, key](const StoreOutcome<Offset> &outcome, TimePoint) {
                        m_writeInFlight = false;
                        if (outcome.ok()) {
--- a/Source/Daemon/MemberRegistration.cpp
+++ b/Source/Daemon/MemberRegistration.cpp
@@ -59,7 +59,7 @@
     }
     m_inFlight = true;
     m_member.registeredAt = wallMilliseconds(m_clock);
-    m_store.append(Topic::Own, m_codec.encode(m_member), std::nullopt,
+    m_store.append(Topic::Own, m_codec.encode(m_member), {},
                    [this](const StoreOutcome<Offset> &outcome, TimePoint now) {
                        onOutcome(outcome.ok(), now);
                    });
--- a/Source/Daemon/RolloutAgent.cpp
+++ b/Source/Daemon/RolloutAgent.cpp
@@ -129,7 +129,7 @@
     }
     m_lastWritten = bundle.evidence;
     m_lastWriteAt = now;
-    m_store.append(Topic::Own, m_codec.encode(bundle), std::nullopt,
+    m_store.append(Topic::Own, m_codec.encode(bundle), {},
                    [this](const StoreOutcome<Offset> &outcome, TimePoint) {
                        if (!outcome.ok()) {
                            m_lastWritten.clear(); // Retries after EvidenceWritePeriod.
@@ -264,7 +264,7 @@
                     .add("condemned", stage.condemned ? "yes" : "no")
                     .add("complete", stage.complete ? "yes" : "no"),
                 now);
-    m_store.append(Topic::Own, m_codec.encode(stage), std::nullopt,
+    m_store.append(Topic::Own, m_codec.encode(stage), {std::nullopt, decisionEnd()},
                    [this](const StoreOutcome<Offset> &, TimePoint) {
                        // A failed write may have taken effect; the next read shows it.
                        m_writeInFlight = false;
@@ -284,7 +284,7 @@
                     .add("read_age_ms", now - m_follower.currentAt(Topic::Own))
                     .add("status_end", expected.value()),
                 now);
-    m_store.append(Topic::Status, m_codec.encode(state), expected,
+    m_store.append(Topic::Status, m_codec.encode(state), {expected, decisionEnd()},
                    [this, state, now](const StoreOutcome<Offset> &outcome, TimePoint currentTime) {
                        m_writeInFlight = false;
                        logState(state, outcome, currentTime - now, currentTime);
@@ -292,6 +292,11 @@
                    });
 }
 
+TimePoint RolloutAgent::decisionEnd() const
+{
+    return m_follower.currentAt(Topic::Own) + MaxBasisAge;
+}
+
 void RolloutAgent::logState(const RolloutReported &state, const StoreOutcome<Offset> &outcome,
                             Duration age, TimePoint now)
 {
--- a/Source/Daemon/RolloutAgent.h
+++ b/Source/Daemon/RolloutAgent.h
@@ -66,6 +66,8 @@
                      TimePoint now);
     void writeStage(const RolloutStage &stage, TimePoint now);
     void writeState(const RolloutReported &state, TimePoint now);
+    /// Until when a change may be sent that was decided on what was read last.
+    TimePoint decisionEnd() const;
     /// Logs the store's answer to a state that was decided \p age before.
     void logState(const RolloutReported &state, const StoreOutcome<Offset> &outcome, Duration age,
                   TimePoint now);
--- a/Source/Fleet/FleetStore.cpp
+++ b/Source/Fleet/FleetStore.cpp
@@ -13,6 +13,8 @@
         return "truncated";
     case StoreFault::Conflict:
         return "conflict";
+    case StoreFault::Expired:
+        return "expired";
     case StoreFault::Unexpected:
         break;
     }
--- a/Source/Fleet/FleetStore.h
+++ b/Source/Fleet/FleetStore.h
@@ -29,6 +29,7 @@
     Refused, ///< The store refused the call without executing it.
     Truncated, ///< The requested records are no longer retained.
     Conflict, ///< The condition of a write did not hold.
+    Expired, ///< The write was not sent in time, and not made.
     Unexpected, ///< An answer outside the protocol.
 };
 
@@ -66,6 +67,14 @@
     bool ok() const { return value.has_value(); }
 };
 
+/// What must hold for a write to be made.
+struct WriteCondition
+{
+    std::optional<Offset> end; ///< The topic ends at this offset.
+    /// The write is sent by then. It may wait for calls before it, or for a connection.
+    std::optional<TimePoint> sendBy;
+};
+
 /// The log store of the platform, whose data outlives the daemons. Calls don't block; each callback
 /// is called once, from the event loop.
 class FleetStore
@@ -80,9 +89,9 @@
     virtual void read(Topic topic, Offset from, Duration wait, PageCallback callback) = 0;
     /// Reads a page of the newest record of each key, ordered by key, after \p afterKey.
     virtual void readNewest(Topic topic, const std::string &afterKey, PageCallback callback) = 0;
-    /// Appends a record. With \p expected, fails with StoreFault::Conflict unless the topic ends at
-    /// that offset.
-    virtual void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+    /// Appends a record. Fails with StoreFault::Conflict or StoreFault::Expired if \p condition
+    /// does not hold.
+    virtual void append(Topic topic, const RawRecord &record, const WriteCondition &condition,
                         WriteCallback callback) = 0;
 };
 
--- a/Source/Net/HttpCallChannel.cpp
+++ b/Source/Net/HttpCallChannel.cpp
@@ -39,7 +39,7 @@
         m_currentCall->deadline = now + m_currentCall->call.timeout;
     }
     startTimer();
-    sendCurrent(now);
+    sendCurrent();
 }
 
 void HttpCallChannel::startTimer()
@@ -62,7 +62,7 @@
     startTimer();
 }
 
-void HttpCallChannel::sendCurrent(TimePoint now)
+void HttpCallChannel::sendCurrent()
 {
     if (!m_socket) {
         std::error_code error;
@@ -79,6 +79,19 @@
     m_input.clear();
     m_interimCount = 0;
     restartParser();
+    if (m_socket->connected()) {
+        transmit(m_loop.now());
+    }
+}
+
+void HttpCallChannel::transmit(TimePoint now)
+{
+    const std::optional<TimePoint> &sendBy = m_currentCall->call.sendBy;
+    if (sendBy && now > *sendBy) {
+        m_loop.defer(
+            [this] { finish(std::make_error_code(std::errc::operation_canceled), m_loop.now()); });
+        return;
+    }
     HttpRequestHead head = m_currentCall->call.head;
     head.fields.set("Host", m_server.text());
     if (!m_currentCall->call.body.empty() || head.method != "GET") {
@@ -95,10 +108,14 @@
 
 void HttpCallChannel::onConnected(TimePoint now)
 {
-    if (m_currentCall && !m_lastCallFailed) {
+    if (!m_currentCall) {
+        return;
+    }
+    if (!m_lastCallFailed) {
         m_currentCall->deadline = now + m_currentCall->call.timeout;
         startTimer();
     }
+    transmit(now);
 }
 
 void HttpCallChannel::onBytes(std::string_view bytes, TimePoint now)
@@ -164,7 +181,7 @@
         m_currentCall->retried = true;
         m_loop.defer([this] {
             if (m_currentCall) {
-                sendCurrent(m_loop.now());
+                sendCurrent();
             }
         });
         return;
@@ -178,11 +195,13 @@
         return;
     }
     m_loop.cancel(m_timer);
-    if (error || !m_keepAlive) {
+    // A call that was not sent says nothing about the server or the connection.
+    const bool failed = error && error != std::errc::operation_canceled;
+    if (failed || !m_keepAlive) {
         dropConnection();
     }
     m_connectionUsed = true;
-    m_lastCallFailed = static_cast<bool>(error);
+    m_lastCallFailed = failed;
     const std::unique_ptr<Pending> done = std::move(m_currentCall);
     CompleteHttpResponse response = std::move(m_response);
     done->call.callback(error, std::move(response), now);
--- a/Source/Net/HttpCallChannel.h
+++ b/Source/Net/HttpCallChannel.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -35,6 +36,9 @@
     /// the connection is made, but not after a call that failed: those in the queue behind it fail
     /// soon.
     Duration timeout{};
+    /// The call fails with std::errc::operation_canceled, and nothing is sent, if it is still in
+    /// the queue or without a connection then.
+    std::optional<TimePoint> sendBy;
     Callback callback;
 };
 
@@ -76,7 +80,9 @@
     void startNext(TimePoint now);
     /// Prepares for the head of a response.
     void restartParser();
-    void sendCurrent(TimePoint now);
+    /// Sends the request of the current call, once there is a connection.
+    void sendCurrent();
+    void transmit(TimePoint now);
     void startTimer();
     /// The response of the current call makes progress.
     void extendDeadline(TimePoint now);
--- a/Tests/Daemon/RolloutFleet.h
+++ b/Tests/Daemon/RolloutFleet.h
@@ -95,10 +95,10 @@
         });
     }
 
-    void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+    void append(Topic topic, const RawRecord &record, const WriteCondition &condition,
                 WriteCallback callback) override
     {
-        m_writes.push_back([=, this] { write(topic, record, expected, callback); });
+        m_writes.push_back([=, this] { write(topic, record, condition, callback); });
         if (m_writes.size() == 1) {
             m_writes.front()();
         }
@@ -124,26 +124,31 @@
         answer<RecordPage>(callback, finished(topic, std::move(page)));
     }
 
-    void write(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+    void write(Topic topic, const RawRecord &record, const WriteCondition &condition,
                const WriteCallback &callback)
     {
+        const WriteCallback finish = [=, this](const StoreOutcome<Offset> &result, TimePoint now) {
+            m_writes.erase(m_writes.begin());
+            callback(result, now);
+            if (!m_writes.empty()) {
+                m_writes.front()();
+            }
+        };
+        StoreOutcome<Offset> outcome;
+        outcome.era = StoreEra(1);
+        if (condition.sendBy && m_loop.now() > *condition.sendBy) {
+            outcome.fault = StoreFault::Expired;
+            answer<Offset>(finish, outcome);
+            return;
+        }
         const Duration delay = m_writeDelay ? m_writeDelay() : Duration::zero();
-        m_log.schedule(m_loop.now() + OneWay + delay, [=, this](TimePoint now) {
-            StoreOutcome<Offset> outcome;
-            outcome.fault = StoreFault::Conflict;
-            outcome.era = StoreEra(1);
-            if (!expected || *expected == m_log.end(topic)) {
+        m_log.schedule(m_loop.now() + OneWay + delay, [=, this](TimePoint now) mutable {
+            if (condition.end && *condition.end != m_log.end(topic)) {
+                outcome.fault = StoreFault::Conflict;
+            } else {
                 outcome.value = m_log.append(topic, record, now);
             }
-            const WriteCallback next = [=, this](const StoreOutcome<Offset> &result,
-                                                 TimePoint currentTime) {
-                m_writes.erase(m_writes.begin());
-                callback(result, currentTime);
-                if (!m_writes.empty()) {
-                    m_writes.front()();
-                }
-            };
-            answer<Offset>(next, outcome);
+            answer<Offset>(finish, outcome);
         });
     }
 
--- a/Tests/Fleet/ContentStore.h
+++ b/Tests/Fleet/ContentStore.h
@@ -50,12 +50,12 @@
         answer(std::move(callback), {std::move(page), StoreFault::Unexpected, "", m_era});
     }
 
-    void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+    void append(Topic topic, const RawRecord &record, const WriteCondition &condition,
                 WriteCallback callback) override
     {
         StoreOutcome<Offset> outcome;
         outcome.era = m_era;
-        if (expected && *expected != end(topic)) {
+        if (condition.end && *condition.end != end(topic)) {
             outcome.fault = StoreFault::Conflict;
         } else {
             outcome.value = end(topic);
--- a/Tests/Fleet/FakeStore.h
+++ b/Tests/Fleet/FakeStore.h
@@ -23,7 +23,7 @@
     {
         Topic topic = Topic::Own;
         RawRecord record;
-        std::optional<Offset> expected;
+        WriteCondition condition;
         WriteCallback callback;
     };
 
@@ -35,10 +35,10 @@
     {
         calls[topic].push_back({true, Offset(), Duration::zero(), afterKey, std::move(callback)});
     }
-    void append(Topic topic, const RawRecord &record, std::optional<Offset> expected,
+    void append(Topic topic, const RawRecord &record, const WriteCondition &condition,
                 WriteCallback callback) override
     {
-        writes.push_back({topic, record, expected, std::move(callback)});
+        writes.push_back({topic, record, condition, std::move(callback)});
     }
 
     /// Answers the oldest open call of a topic.
--- a/Tests/Net/testHttpCallChannel.cpp
+++ b/Tests/Net/testHttpCallChannel.cpp
@@ -1,8 +1,10 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <optional>
 
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -80,13 +82,14 @@
     {
     }
 
-    void call(const std::string &upload = "")
+    void call(const std::string &upload = "", std::optional<TimePoint> sendBy = std::nullopt)
     {
         HttpCall call;
         call.head.method = upload.empty() ? "GET" : "POST";
         call.head.target = "/";
         call.body = upload;
         call.timeout = Timeout;
+        call.sendBy = sendBy;
         call.callback = [this](std::error_code error, const CompleteHttpResponse &answer,
                                TimePoint) {
             done = true;
@@ -295,3 +298,47 @@
         cr_expect(test.failed);
     }
 }
+
+namespace {
+
+/// Bytes that the server has received and not read.
+int unreadBytes(const Server &server)
+{
+    int bytes = 0;
+    cr_assert_eq(ioctl(server.connection, FIONREAD, &bytes), 0);
+    return bytes;
+}
+
+} // namespace
+
+// Guards against a decision that is sent after a pause, because it waited for the call before it.
+Test(httpCallChannel, a_call_that_leaves_the_queue_too_late_is_not_sent)
+{
+    Fixture test;
+    test.call();
+    test.call("decision", test.clock.time + 300ms);
+    test.runFor(100ms);
+    const int first = unreadBytes(test.server);
+    test.clock.time += 500ms;
+    test.answer();
+    test.runFor(100ms);
+    cr_expect_eq(test.ended, 2);
+    cr_expect(test.failed);
+    cr_expect_eq(unreadBytes(test.server), first);
+    test.call();
+    test.runFor(100ms);
+    cr_expect_gt(unreadBytes(test.server), first);
+    test.answer();
+    test.runFor(100ms);
+    cr_expect(test.ended == 3 && !test.failed);
+}
+
+Test(httpCallChannel, a_call_that_is_connected_too_late_is_not_sent)
+{
+    Fixture test;
+    test.call("decision", test.clock.time + 300ms);
+    test.clock.time += 500ms;
+    test.runFor(100ms);
+    cr_expect(test.ended == 1 && test.failed);
+    cr_expect_eq(unreadBytes(test.server), 0);
+}
