--- a/Source/Base/Time.h
+++ b/Source/Base/Time.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace lycheearch {
 
 using Duration = std::chrono::microseconds;
-/// Monotonic time of this process. Not comparable between processes.
+/// Monotonic time of this machine, which goes on while it is suspended. Not comparable between
+/// machines.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 /// Wall-clock time. It may jump, so timeouts and intervals within a process use TimePoint instead.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
@@ -26,9 +28,16 @@
 class SystemClock : public Clock
 {
 public:
+    /// std::chrono::steady_clock stands still while the machine is suspended, so that a lease or a
+    /// view from before would seem as young as it was then.
+    static constexpr clockid_t MonotonicClock = CLOCK_BOOTTIME;
+
     TimePoint now() const override
     {
-        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+        timespec time{};
+        clock_gettime(MonotonicClock, &time);
+        return TimePoint(std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
     }
     WallTime wallTime() const override
     {
